A whole request path in separate processes

Cause: nothing existed. A request has to cross from a caller over any node to the one server that owns its key, an edited row has to show an effect, and the keys of a killed server have to be served again.

--- /dev/null
+++ b/cmd/micahaven-lab/load.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/micahaven/micahaven/internal/entry"
+	"github.com/micahaven/micahaven/internal/lab/load"
+)
+
+func newLoadCommand() *ffcli.Command {
+	set := flag.NewFlagSet("micahaven-lab load", flag.ContinueOnError)
+	targets := set.String("targets", "", "base URLs of nodes, with commas")
+	services := set.String("services", "", "services, with commas")
+	writes := set.Float64("writes", 0.2, "part of the requests that may not be repeated")
+	options := load.Options{Exponent: 1.1}
+	set.Float64Var(&options.Rate, "rate", 100, "requests a second")
+	set.DurationVar(&options.Duration, "duration", 10*time.Second, "length of the load")
+	set.Uint64Var(&options.Keys, "keys", 10000, "number of keys")
+	set.DurationVar(&options.HotShift, "hot-shift", 0, "how often other keys become popular")
+	set.DurationVar(&options.Deadline, "deadline", 2*time.Second, "deadline of each request")
+	set.Uint64Var(&options.Seed, "seed", 1, "seed of the random numbers")
+	return &ffcli.Command{
+		Name:       "load",
+		ShortUsage: "micahaven-lab load --targets URL,... --services NAME,... [flags]",
+		ShortHelp:  "Send requests to nodes and check every answer.",
+		FlagSet:    set,
+		Exec: func(ctx context.Context, _ []string) error {
+			options.Targets = strings.Split(*targets, ",")
+			for _, service := range strings.Split(*services, ",") {
+				options.Mixes = append(options.Mixes, load.Mix{Service: service, Share: 1, WriteShare: *writes})
+			}
+			report := load.Run(ctx, options)
+			fmt.Printf("done %d, not run %d, unknown %d, wrong answers %d, p50 %v, p99 %v\n",
+				report.Count(entry.OutcomeDone), report.Count(entry.OutcomeNotRun), report.Count(entry.OutcomeUnknown),
+				len(report.Wrong()), report.Quantile(50), report.Quantile(99))
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/node/actors.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+)
+
+const (
+	tickInterval    = 10 * time.Millisecond
+	compareInterval = time.Second
+	// handOverLimit bounds how long a planned stop waits for running requests.
+	handOverLimit = 20 * time.Second
+	handOverPause = 5 * time.Millisecond
+	// shutdownLimit bounds how long callers' requests may take to end.
+	shutdownLimit = 10 * time.Second
+)
+
+// AddActors adds everything that runs in the node to a group of actors.
+func (n *Node) AddActors(actors *run.Group) {
+	n.addLoop(actors, n.pollMachines)
+	n.addLoop(actors, n.followTable)
+	n.addLoop(actors, n.registry.Run)
+	n.addLoop(actors, n.tick)
+	n.addLoop(actors, n.compare)
+	actors.Add(n.server.Serve, func(error) { n.server.Close() })
+	n.addHTTP(actors, n.operators, func() error { return n.operators.Server.Serve(n.listeners.Operators) })
+	n.addHTTP(actors, n.callers, func() error { return n.callers.Server.Serve(n.listeners.Callers) })
+}
+
+func (n *Node) addLoop(actors *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	actors.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+}
+
+func (n *Node) addHTTP(actors *run.Group, server *echo.Echo, serve func() error) {
+	server.Server.Handler = server
+	actors.Add(func() error {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve HTTP")
+		}
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+		defer cancel()
+		if err := server.Server.Shutdown(ctx); err != nil {
+			n.logger.Warn("HTTP server stopped with requests running", zap.Error(err))
+		}
+	})
+}
+
+// Drain prepares a planned stop: it hands every group that this node leads to
+// another member, then waits for the requests of callers to end. Nothing is cut
+// off. It must run before the actors are interrupted.
+func (n *Node) Drain() {
+	deadline := time.Now().Add(handOverLimit)
+	for time.Now().Before(deadline) {
+		if n.handOverAll() {
+			break
+		}
+		time.Sleep(handOverPause)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+	defer cancel()
+	if err := n.callers.Server.Shutdown(ctx); err != nil {
+		n.logger.Warn("callers' requests still run", zap.Error(err))
+	}
+}
+
+func (n *Node) handOverAll() bool {
+	done := true
+	for _, known := range n.registry.All() {
+		done = known.HandOver() && done
+	}
+	return done
+}
+
+// Close frees what the actors do not own.
+func (n *Node) Close() {
+	n.client.Close()
+	n.requests.Close()
+	n.sessions.Close()
+}
+
+func (n *Node) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.registry.Tick()
+		}
+	}
+}
+
+func (n *Node) compare(ctx context.Context) error {
+	ticker := time.NewTicker(compareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.exchange.Compare(n.peers())
+		}
+	}
+}
+
+func (n *Node) followTable(ctx context.Context) error {
+	return n.table.Follow(ctx, n.publishTable)
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Runs every check of the project: formatter, vet, staticcheck, tests with the
+# race detector. Prints the tests that are known to fail and passes over those.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+unformatted=$(gofmt -l cmd internal examples)
+if [ -n "$unformatted" ]; then
+  echo "not formatted: $unformatted" >&2
+  exit 1
+fi
+go vet ./...
+go tool staticcheck ./...
+
+skip=""
+if [ -s KNOWN-RED.txt ]; then
+  echo "known to fail, and passed over:"
+  cat KNOWN-RED.txt
+  skip=$(cut -d: -f1 KNOWN-RED.txt | paste -sd'|')
+fi
+go build -o bin/ ./cmd/...
+go test -race -count=1 ${skip:+-skip "$skip"} ./...
