Simulate the ownership protocol under faults and check every step

Cause: nothing showed that a slice has one owner at a time when processes freeze, restart without memory, or lose messages.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -136,6 +136,13 @@
 	return held != nil && fence != nil && Compare(held, fence) == 0
 }
 
+// FenceOf returns the fence under which a slice is held at the given time, or
+// nil when it is not.
+func (h *Holder) FenceOf(now time.Duration, slice uint32) *wire.Fence {
+	h.expire(now)
+	return h.grants[slice]
+}
+
 // Begin counts a request as running.
 func (h *Holder) Begin(slice uint32) {
 	h.running[slice]++
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -161,7 +161,11 @@
 
 // promise extends this replica's part of the lease of the current leader.
 func (r *Replica) promise(now time.Duration) {
-	r.promiseUntil = max(r.promiseUntil, now+clock.Stretch(r.options.Timing.Lease))
+	promise := clock.Stretch(r.options.Timing.Lease)
+	if r.options.PromiseShare != 0 {
+		promise = time.Duration(r.options.PromiseShare * float64(promise))
+	}
+	r.promiseUntil = max(r.promiseUntil, now+promise)
 	r.promiseTerm = r.term
 	r.resetElectionTimer(now)
 }
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -64,6 +64,9 @@
 	Machine    StateMachine
 	// Random spreads elections; a seeded source makes runs repeatable.
 	Random *rand.Rand
+	// PromiseShare scales the promise that followers make. Anything below 1 is
+	// unsafe; simulations use it to show that their checks notice. 0 means 1.
+	PromiseShare float64
 }
 
 // compactAfter is the number of applied entries kept for followers that lag,
@@ -168,6 +171,9 @@
 	return nil, false
 }
 
+// IsSettled reports whether the membership in force is committed.
+func (r *Replica) IsSettled() bool { return r.commit >= r.membershipIndex }
+
 // LeadingSince returns when this replica won its current term.
 func (r *Replica) LeadingSince() time.Duration { return r.leadingSince }
 
