Trial: experiments with whole systems under faults

Cause: the promises had been checked in simulation only.

Change: micahaven-lab experiment starts a system of processes behind relays, sends load, brings trouble, and checks what callers were told against what servers ran.

--- a/cmd/micahaven-lab/main.go
+++ b/cmd/micahaven-lab/main.go
@@ -28,6 +28,7 @@
 			newServerCommand(),
 			newLoadCommand(),
 			newDemoCommand(),
+			newExperimentCommand(),
 		},
 	}
 	err := root.ParseAndRun(ctx, os.Args[1:])
--- a/internal/groups/guard.go
+++ b/internal/groups/guard.go
@@ -44,6 +44,11 @@
 	kept.record = nil
 	err := r.loadRecord(ctx, name, kept)
 	if errors.Is(err, errNoRecord) {
+		// The machine list fills up one by one when a system starts, so a group
+		// waits a while for enough nodes.
+		if len(seen.nodes) < r.options.Members && kept.silent < silentRounds {
+			return nil
+		}
 		return r.found(ctx, name, seen)
 	}
 	if err != nil {
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -15,10 +15,12 @@
 	"github.com/micahaven/micahaven/internal/group"
 	"github.com/micahaven/micahaven/internal/identity"
 	"github.com/micahaven/micahaven/internal/lab/platform"
+	"github.com/micahaven/micahaven/internal/lab/relay"
 	"github.com/micahaven/micahaven/internal/lab/server"
 	"github.com/micahaven/micahaven/internal/machines"
 	"github.com/micahaven/micahaven/internal/operator"
 	"github.com/micahaven/micahaven/internal/table"
+	"github.com/micahaven/micahaven/internal/tablestore"
 )
 
 // Programs holds the paths of the two binaries.
@@ -47,7 +49,9 @@
 	Platform *Process
 	Nodes    map[string]*Process
 	Servers  map[string]*Process
-	client   *http.Client
+	// Relays stand before the nodes' inner protocol, by node.
+	Relays map[string]*relay.Relay
+	client *http.Client
 }
 
 // Start runs a platform without nodes or servers.
@@ -57,6 +61,7 @@
 		Directory: directory,
 		Nodes:     make(map[string]*Process),
 		Servers:   make(map[string]*Process),
+		Relays:    make(map[string]*relay.Relay),
 		client:    &http.Client{Timeout: requestLimit},
 	}
 	var err error
@@ -68,14 +73,24 @@
 
 func (c *Cluster) path(name string) string { return filepath.Join(c.Directory, name) }
 
-// StartNode runs a node and puts it on the machine list.
+// StartNode runs a node behind a relay and puts it on the machine list. A node
+// that is started again keeps its relay, and so its address.
 func (c *Cluster) StartNode(name, zone string) error {
+	before := c.Relays[name]
+	if before == nil {
+		started, err := relay.Start()
+		if err != nil {
+			return err
+		}
+		before = started
+		c.Relays[name] = before
+	}
 	text := fmt.Sprintf(`node: %s
 zone: %s
-listen: {callers: "127.0.0.1:0", nodes: "127.0.0.1:0", operators: "127.0.0.1:0"}
+listen: {callers: "127.0.0.1:0", nodes: "127.0.0.1:0", operators: "127.0.0.1:0", advertise: "%s"}
 platform: {key_value: ["http://%s"], machines: "http://%s/machines", machine_lag_millis: 2000}
 operators: {allow_anonymous: true}
-%s`, name, zone, c.Platform.Ready.HTTP, c.Platform.Ready.HTTP, c.Settings)
+%s`, name, zone, before.Address(), c.Platform.Ready.HTTP, c.Platform.Ready.HTTP, c.Settings)
 	file := c.path(name + ".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
@@ -85,8 +100,9 @@
 		return err
 	}
 	c.Nodes[name] = process
+	before.Forward(process.Ready.Nodes)
 	return c.list(machines.Machine{
-		ID: name, Kind: machines.KindNode, Zone: zone, Address: process.Ready.Nodes, State: machines.StateLive,
+		ID: name, Kind: machines.KindNode, Zone: zone, Address: before.Address(), State: machines.StateLive,
 	})
 }
 
@@ -134,7 +150,7 @@
 		return err
 	}
 	for _, row := range wanted.Rows {
-		if err := c.PutRow(node, row, 0); err != nil {
+		if _, err := c.PutRow(node, row, 0); err != nil {
 			return err
 		}
 	}
@@ -149,11 +165,23 @@
 	})
 }
 
-// PutRow writes a row that is at the given revision.
-func (c *Cluster) PutRow(node string, row table.Row, revision int64) error {
-	return c.put(c.operatorURL(node, fmt.Sprintf("table/rows/%s/%s", row.Service, row.Site)), row, ifMatch(revision))
+// PutRow writes a row that is at the given revision, and returns the new one.
+func (c *Cluster) PutRow(node string, row table.Row, revision int64) (int64, error) {
+	var entry tablestore.Entry
+	url := c.operatorURL(node, fmt.Sprintf("table/rows/%s/%s", row.Service, row.Site))
+	err := c.send(http.MethodPut, url, row, ifMatch(revision), &entry)
+	return entry.Revision, err
+}
+
+// StatusError is an HTTP answer that is not a success.
+type StatusError struct {
+	Code    int
+	Message string
 }
 
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("%d: %s", e.Code, e.Message) }
+
 // Row returns a row as a node knows it, with its revision.
 func (c *Cluster) Row(node, service, site string) (table.Row, int64, error) {
 	var view operator.TableView
@@ -200,6 +228,28 @@
 	if c.Platform != nil {
 		c.Platform.Kill()
 	}
+	for _, before := range c.Relays {
+		before.Close()
+	}
+}
+
+// Isolate cuts a node off from all others, in both directions, or joins it
+// again.
+func (c *Cluster) Isolate(node string, isCut bool) {
+	cut := relay.Cut{ToTarget: isCut, FromTarget: isCut}
+	for other, before := range c.Relays {
+		if other == node {
+			continue
+		}
+		before.SetCut(node, cut)
+		c.Relays[node].SetCut(other, cut)
+	}
+}
+
+// CutOneWay stops what one node sends to another, or lets it pass again. What
+// travels back is answered on the same connections, so it passes.
+func (c *Cluster) CutOneWay(from, to string, isCut bool) {
+	c.Relays[to].SetCut(from, relay.Cut{ToTarget: isCut})
 }
 
 func ifMatch(revision int64) http.Header {
@@ -207,18 +257,22 @@
 }
 
 func (c *Cluster) put(url string, body any, header http.Header) error {
+	return c.send(http.MethodPut, url, body, header, nil)
+}
+
+func (c *Cluster) send(method, url string, body any, header http.Header, into any) error {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(encoded))
+	request, err := http.NewRequest(method, url, bytes.NewReader(encoded))
 	if err != nil {
 		return err
 	}
 	if header != nil {
 		request.Header = header
 	}
-	return c.do(request, nil)
+	return c.do(request, into)
 }
 
 func (c *Cluster) get(url string, into any) error {
@@ -237,7 +291,8 @@
 	defer response.Body.Close()
 	if response.StatusCode >= http.StatusBadRequest {
 		message, _ := io.ReadAll(io.LimitReader(response.Body, 1024))
-		return errors.Newf("%s %s: %s: %s", request.Method, request.URL, response.Status, message)
+		status := &StatusError{Code: response.StatusCode, Message: string(message)}
+		return errors.Wrapf(status, "%s %s", request.Method, request.URL)
 	}
 	if into == nil {
 		return nil
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -93,7 +93,10 @@
 	return system, WaitServed(system, NodeNames[1], Services, serversEach)
 }
 
-// WaitServed waits until every slice of the services is served and the given
+// wantedMembers is the number of members that a group has by default.
+const wantedMembers = 3
+
+// WaitServed waits until every group is whole, every slice of the services is served and the given
 // number of servers of each service own slices.
 func WaitServed(system *cluster.Cluster, node string, services []string, owners int) error {
 	return cluster.Wait(readyLimit, "all slices to be served", func() (bool, error) {
@@ -128,7 +131,8 @@
 		}
 		owning[string(slice.Server)] = true
 	}
-	return len(status.Slices) > 0 && len(owning) == owners
+	isWhole := len(status.Members) == min(wantedMembers, len(NodeNames))
+	return isWhole && len(status.Slices) > 0 && len(owning) == owners
 }
 
 type demo struct {
@@ -199,7 +203,7 @@
 	}
 	row.Weight = 0
 	edited := time.Now()
-	if err := d.system.PutRow("n2", row, revision); err != nil {
+	if _, err := d.system.PutRow("n2", row, revision); err != nil {
 		return err
 	}
 	if err := WaitServed(d.system, "n3", []string{"formula"}, 1); err != nil {
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/micahaven/micahaven/internal/clock"
@@ -53,7 +55,9 @@
 
 // Sample is one finished request.
 type Sample struct {
-	Service        string
+	Service string
+	// Target is the node that was asked.
+	Target         string
 	Key            string
 	IdempotencyKey string
 	RequestID      string
@@ -96,6 +100,17 @@
 	return time.Duration(r.Latency.ValueAtQuantile(percent)) * time.Microsecond
 }
 
+// Reasons counts the samples that were not done, by outcome and reason.
+func (r *Report) Reasons() map[string]int {
+	counts := make(map[string]int)
+	for _, sample := range r.Samples {
+		if sample.Outcome != entry.OutcomeDone {
+			counts[sample.Outcome+" "+sample.Reason]++
+		}
+	}
+	return counts
+}
+
 // Wrong returns the samples whose answer was not their own or not whole.
 func (r *Report) Wrong() []Sample {
 	var wrong []Sample
@@ -159,6 +174,7 @@
 	key     string
 	isWrite bool
 	body    string
+	number  int
 }
 
 func (g *generator) draw(elapsed time.Duration, number int) planned {
@@ -175,6 +191,7 @@
 		key:     fmt.Sprintf("k%d", rank),
 		isWrite: g.random.Float64() < mix.WriteShare,
 		body:    fmt.Sprintf("body-%d", number),
+		number:  number,
 	}
 }
 
@@ -195,7 +212,9 @@
 
 const (
 	repeatPause = 200 * time.Millisecond
-	maxRepeats  = 20
+	// reconnectPause is how long a caller waits before it asks another node.
+	reconnectPause = 5 * time.Millisecond
+	maxRepeats     = 20
 )
 
 func (g *generator) send(ctx context.Context, request planned) {
@@ -203,8 +222,14 @@
 	if request.isWrite {
 		idempotencyKey = ulid.Make().String()
 	}
-	for range maxRepeats {
-		sample := g.sendOnce(ctx, request, idempotencyKey)
+	for attempt := range maxRepeats {
+		sample, connected := g.sendOnce(ctx, request, idempotencyKey)
+		if !connected {
+			// The node is gone, so the caller asks another one.
+			request.target = g.options.Targets[(request.number+attempt)%len(g.options.Targets)]
+			time.Sleep(reconnectPause)
+			continue
+		}
 		g.record(sample)
 		isFinal := !request.isWrite || sample.Outcome == entry.OutcomeDone
 		if !g.options.RepeatWrites || isFinal || ctx.Err() != nil {
@@ -214,8 +239,10 @@
 	}
 }
 
-func (g *generator) sendOnce(ctx context.Context, request planned, idempotencyKey string) Sample {
+// sendOnce sends a request to one node and reports whether it could connect.
+func (g *generator) sendOnce(ctx context.Context, request planned, idempotencyKey string) (Sample, bool) {
 	sample := Sample{
+		Target:         request.target,
 		Service:        request.mix.Service,
 		Key:            request.key,
 		IdempotencyKey: idempotencyKey,
@@ -231,7 +258,7 @@
 	call, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		sample.Reason = err.Error()
-		return sample
+		return sample, true
 	}
 	call.Header.Set(entry.HeaderDeadline, g.options.Deadline.String())
 	if request.mix.Priority != "" {
@@ -244,7 +271,7 @@
 	sample.Took = clock.Boot() - sample.SentAt
 	if err != nil {
 		sample.Reason = err.Error()
-		return sample
+		return sample, !errors.Is(err, syscall.ECONNREFUSED)
 	}
 	defer response.Body.Close()
 	sample.Status = response.StatusCode
@@ -255,12 +282,12 @@
 	sample.Took = clock.Boot() - sample.SentAt
 	if err != nil {
 		sample.Wrong = "answer cut: " + err.Error()
-		return sample
+		return sample, true
 	}
 	if sample.Outcome == entry.OutcomeDone {
 		sample.Wrong = compare(text, request.key, method, body)
 	}
-	return sample
+	return sample, true
 }
 
 // compare tells in what way an answer is not the one to the request.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,7 +93,7 @@
 		Node:        string(config.Node),
 		Incarnation: uint64(identity.NewIncarnation()),
 		Zone:        config.Zone,
-		Address:     listeners.Nodes.Addr().String(),
+		Address:     advertised(config, listeners),
 	}
 	hello := &wire.Hello{
 		Node:            self.GetNode(),
@@ -125,6 +125,14 @@
 	return n, nil
 }
 
+// advertised returns the address under which other nodes reach this one.
+func advertised(config *settings.Settings, listeners Listeners) string {
+	if config.Listen.Advertise != "" {
+		return config.Listen.Advertise
+	}
+	return listeners.Nodes.Addr().String()
+}
+
 // requestQueue is the number of tasks that may wait for a worker.
 const requestQueue = 8192
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,8 @@
 	Callers   string `yaml:"callers" validate:"required,hostname_port|tcp_addr"`
 	Nodes     string `yaml:"nodes" validate:"required,hostname_port|tcp_addr"`
 	Operators string `yaml:"operators" validate:"required,hostname_port|tcp_addr"`
+	// Advertise is the address that other nodes use, if not that of Nodes.
+	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port|tcp_addr"`
 }
 
 // Platform says where the platform's services are.
