A stopping node waits until its successors report

Cause: the message that names the successor of a group is only queued when the group is handed over.

Ruled out: a lost vote (the election is repeated within 150 ms) and a successor that lags (the message is sent only to one that holds the whole log).

Change: Drain waits, a second at most, until each group has a leader again.

--- a/internal/group/status.go
+++ b/internal/group/status.go
@@ -208,6 +208,14 @@
 	return !g.isLeading
 }
 
+// KnowsLeader reports whether this node has heard from a leader of the group.
+func (g *Group) KnowsLeader() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	_, known := g.replica.Leader()
+	return known
+}
+
 // ImportJournal proposes journal records of an earlier generation.
 func (g *Group) ImportJournal(batch *wire.JournalImport) error {
 	g.mutex.Lock()
--- a/internal/node/actors.go
+++ b/internal/node/actors.go
@@ -17,6 +17,8 @@
 	// handOverLimit bounds how long a planned stop waits for running requests.
 	handOverLimit = 20 * time.Second
 	handOverPause = 5 * time.Millisecond
+	// successorLimit bounds the wait for the successors to report.
+	successorLimit = time.Second
 	// shutdownLimit bounds how long callers' requests may take to end.
 	shutdownLimit = 10 * time.Second
 )
@@ -65,6 +67,7 @@
 		}
 		time.Sleep(handOverPause)
 	}
+	n.waitForSuccessors()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
 	if err := n.callers.Server.Shutdown(ctx); err != nil {
@@ -80,6 +83,23 @@
 	return done
 }
 
+// waitForSuccessors waits until every group has told this node of its leader.
+// The message that names the successor is only queued when a group is handed
+// over: a process that ended at once would take it along.
+func (n *Node) waitForSuccessors() {
+	deadline := time.Now().Add(successorLimit)
+	for time.Now().Before(deadline) {
+		waiting := false
+		for _, known := range n.registry.All() {
+			waiting = waiting || !known.KnowsLeader()
+		}
+		if !waiting {
+			return
+		}
+		time.Sleep(handOverPause)
+	}
+}
+
 // Close frees what the actors do not own.
 func (n *Node) Close() {
 	n.client.Close()
