--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -299,7 +299,8 @@
 	if head.Priority == wire.Priority_PRIORITY_BACKGROUND {
 		return head
 	}
-	margin := backgroundMargin * (s.expectedWait(server) + server.serviceTime)
+	drainTime := time.Duration(server.queue.Len()) * server.serviceTime / time.Duration(server.limits.Slots)
+	margin := backgroundMargin * (drainTime + server.serviceTime)
 	var urgent *Item
 	for _, item := range server.queue.items {
 		isUrgent := item.Priority == wire.Priority_PRIORITY_BACKGROUND && item.Deadline-now < margin
@@ -313,8 +314,8 @@
 	return head
 }
 
-// backgroundMargin is how many times the expected wait a background request
-// starts ahead of its deadline, before interactive ones.
+// backgroundMargin is how many times the time to empty the queue a background
+// request starts ahead of its deadline, before interactive ones.
 const backgroundMargin = 4
 
 func (s *Scheduler) server(id identity.ServerID) *serverQueue {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -154,13 +154,18 @@
 	}
 }
 
+// roundingError keeps sums that differ only in the order of their terms from
+// moving slices: a plan that was carried out must not move anything again.
+const roundingError = 1e-9
+
 // rebalance moves slices from the fullest to the emptiest server while either
 // is outside the tolerance and a move still helps.
 func (p *planner) rebalance(tolerance float64) {
 	for range p.owners {
 		fullest := slices.MaxFunc(p.servers, func(a, b *serverLoad) int { return cmp.Compare(a.ratio(), b.ratio()) })
 		emptiest := slices.MinFunc(p.servers, func(a, b *serverLoad) int { return cmp.Compare(a.ratio(), b.ratio()) })
-		if fullest.ratio() <= 1+tolerance && emptiest.ratio() >= 1-tolerance {
+		isEven := fullest.ratio() <= 1+tolerance+roundingError && emptiest.ratio() >= 1-tolerance-roundingError
+		if isEven {
 			return
 		}
 		if !p.moveBest(fullest, emptiest) {
@@ -179,7 +184,7 @@
 	bestGap := math.Inf(1)
 	for at, slice := range p.slicesOf[from.id] {
 		gap := math.Abs(p.costs[slice] - ideal)
-		helps := p.costs[slice] < 2*ideal-1e-12
+		helps := p.costs[slice] < 2*ideal-roundingError
 		if helps && gap < bestGap {
 			bestAt, bestGap = at, gap
 		}
