News that arrives from two sides at once no longer undoes itself

Cause: one of about 150 starts did not become whole within 15 s: a leader missed the last row of the table. The watch of the key-value service and gossip bring news on two goroutines; one that had read the items early put its older table in place of the newer one. The same could undo the view of a leader.

Ruled out: the watch of the stand-in (it sends events from the revision after the read) and the versions of gossip (items are replaced by newer ones only).

Change: reading and replacing is one step under a lock, and groups are configured in the same order.

--- a/cmd/micahaven-lab/main.go
+++ b/cmd/micahaven-lab/main.go
@@ -30,6 +30,7 @@
 			newDemoCommand(),
 			newExperimentCommand(),
 			newHollowCommand(),
+			newReportCommand(),
 		},
 	}
 	err := root.ParseAndRun(ctx, os.Args[1:])
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -107,13 +107,22 @@
 		for _, name := range services {
 			status, found := Find(statuses, name)
 			if !found || !isServed(status, owners) {
-				return false, errors.Newf("service %s is not whole yet", name)
+				return false, errors.Newf("service %s is not whole yet: %s", name, summarize(status))
 			}
 		}
 		return true, nil
 	})
 }
 
+// summarize tells what a service lacks, for the error of a start that failed.
+func summarize(status group.Status) string {
+	phases := make(map[string]int)
+	for _, slice := range status.Slices {
+		phases[slice.Phase+" at "+string(slice.Server)]++
+	}
+	return fmt.Sprintf("leader %q, members %v, slices %v, servers %+v", status.Leader, status.Members, phases, status.Servers)
+}
+
 // Find returns the status of one service.
 func Find(statuses []group.Status, service string) (group.Status, bool) {
 	at := slices.IndexFunc(statuses, func(s group.Status) bool { return s.Service == service })
--- a/internal/lab/experiment/all.go
+++ b/internal/lab/experiment/all.go
@@ -51,6 +51,9 @@
 		result.P50.Round(unit/10), result.P99.Round(unit/10),
 		result.NodeCPUMicros, Quantile(result.Away, 0.99).Round(unit), Quantile(result.Away, 1).Round(unit), len(result.Away),
 		Quantile(result.InForce, 1).Round(unit), len(result.Violations))
+	if len(result.Drained) > 0 {
+		text += fmt.Sprintf("\n  drained after %v", Quantile(result.Drained, 1).Round(unit))
+	}
 	for reason, count := range result.Reasons {
 		text += fmt.Sprintf("\n  %d times %s", count, reason)
 	}
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -10,8 +10,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/micahaven/micahaven/internal/clock"
+	"github.com/micahaven/micahaven/internal/group"
 	"github.com/micahaven/micahaven/internal/lab/cluster"
 	"github.com/micahaven/micahaven/internal/lab/platform"
+	"github.com/micahaven/micahaven/internal/table"
 )
 
 // Fault is one kind of trouble.
@@ -33,12 +35,15 @@
 	StopNode      Fault = "stop-node"
 	MoveSite      Fault = "move-site"
 	RestartServer Fault = "restart-server"
+	DrainServer   Fault = "drain-server"
+	KillMajority  Fault = "kill-majority"
 )
 
 // Faults lists every kind.
 var Faults = []Fault{
 	KillServer, KillLeader, KillNode, FreezeServer, FreezeLeader, CutLeader, CutOneWay,
 	PlatformDown, PlatformSlow, LoseAnswers, Operators, StopNode, MoveSite, RestartServer,
+	DrainServer, KillMajority,
 }
 
 // noFault names the empty set of faults.
@@ -70,6 +75,8 @@
 	// service and servers name whose keys the fault takes away.
 	service string
 	servers []string
+	// drained is how long a leaving server took to become free.
+	drained time.Duration
 	// nodeURL is where callers reached the node in trouble, if it is a node's.
 	nodeURL string
 	// lostRecords is true when a server's record is gone.
@@ -117,6 +124,14 @@
 		happened.nodeURL = i.system.CallerURL(leader)
 		happened.at = clock.Boot()
 		return happened, i.troubleNode(ctx, fault, leader)
+	case DrainServer:
+		happened.lostRecords = true
+		drained, err := i.drain(ctx, service, server)
+		happened.drained = drained
+		return happened, err
+	case KillMajority:
+		happened.at = clock.Boot()
+		return happened, i.restartMajority(ctx)
 	case KillNode:
 		node := nodeName(i.random.IntN(i.deployment.Nodes))
 		happened.at = clock.Boot()
@@ -200,6 +215,62 @@
 	return i.startAgain(ctx, node)
 }
 
+// restartMajority kills all nodes but one, which every group loses its majority
+// by, and starts them again.
+func (i *injector) restartMajority(ctx context.Context) error {
+	for n := 1; n < i.deployment.Nodes; n++ {
+		i.system.Nodes[nodeName(n)].Kill()
+	}
+	pause(ctx, i.outage)
+	for n := 1; n < i.deployment.Nodes; n++ {
+		if err := i.system.StartNode(nodeName(n), i.deployment.zone(n)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drain marks a server as leaving, waits until it may be stopped, and stops it.
+// It returns how long the wait took.
+func (i *injector) drain(ctx context.Context, service Service, server string) (time.Duration, error) {
+	site := "old"
+	for n := range service.Servers {
+		if spec := i.deployment.serverSpec(service, n); spec.ID == server {
+			site = spec.Site
+		}
+	}
+	leave := func(row *table.Row) { row.Leaving = append(row.Leaving, server) }
+	if err := i.edits.change(ctx, nodeName(0), service.Name, site, leave); err != nil {
+		return 0, err
+	}
+	started := time.Now()
+	err := cluster.Wait(drainLimit, server+" to become free", func() (bool, error) {
+		statuses, err := i.system.Services(nodeName(1))
+		if err != nil {
+			return false, err
+		}
+		return mayStop(statuses, server), nil
+	})
+	drained := time.Since(started)
+	if err == nil && !i.system.Servers[server].Stop() {
+		err = errors.Newf("server %s did not stop by itself", server)
+	}
+	return drained, err
+}
+
+const drainLimit = 10 * time.Second
+
+func mayStop(statuses []group.Status, server string) bool {
+	for _, status := range statuses {
+		for _, candidate := range status.Servers {
+			if string(candidate.ID) == server {
+				return candidate.MayStop
+			}
+		}
+	}
+	return false
+}
+
 func (i *injector) startAgain(ctx context.Context, node string) error {
 	pause(ctx, i.outage)
 	for n := range i.deployment.Nodes {
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -47,6 +47,8 @@
 	// Away holds, for each slice that a fault took away, the time until the
 	// first request for it was answered.
 	Away []time.Duration `json:"away"`
+	// Drained holds the time that each leaving server took to become free.
+	Drained []time.Duration `json:"drained,omitempty"`
 	// NodeCPUMicros is the processor time of all nodes together per request, in
 	// microseconds; 0 when a node was replaced during the run.
 	NodeCPUMicros float64 `json:"node_cpu_micros_per_request"`
@@ -210,6 +212,9 @@
 		P99:        report.Quantile(99),
 	}
 	for _, happened := range r.incidents {
+		if happened.drained > 0 {
+			result.Drained = append(result.Drained, happened.drained)
+		}
 		if len(happened.servers) > 0 {
 			samples := r.throughOthers(report.Samples, happened)
 			result.Away = append(result.Away, awayTimes(samples, happened, r.slicesOf(happened.service))...)
@@ -232,7 +237,7 @@
 func (r *runner) nodeTime() (time.Duration, bool) {
 	total := time.Duration(0)
 	for _, happened := range r.incidents {
-		if happened.nodeURL != "" || happened.fault == KillNode {
+		if happened.nodeURL != "" || happened.fault == KillNode || happened.fault == KillMajority {
 			return 0, false
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,9 @@
 	operators *echo.Echo
 	listeners Listeners
 
+	// newsMutex is taken before every other lock.
+	newsMutex sync.Mutex
+
 	mutex    sync.Mutex
 	machines []machines.Machine
 }
@@ -270,6 +273,9 @@
 
 // takeNews follows the items that were news to this node.
 func (n *Node) takeNews(news []*wire.GossipItem) {
+	// The groups must get the tables in the order in which they were read.
+	n.newsMutex.Lock()
+	defer n.newsMutex.Unlock()
 	if n.views.Refresh(news) {
 		n.registry.SetTable(n.views.Table())
 	}
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -22,6 +22,11 @@
 	items  *gossip.Items
 	logger *zap.Logger
 
+	// refresh is held from reading the items until the views are replaced, so
+	// that a slow reader cannot put an older view in place of a newer one. It is
+	// taken before mutex.
+	refresh sync.Mutex
+
 	mutex   sync.Mutex
 	leaders map[string]*wire.GroupView
 	current *table.Table
@@ -75,6 +80,8 @@
 
 // Refresh takes in news and reports whether the table changed.
 func (v *Views) Refresh(news []*wire.GossipItem) bool {
+	v.refresh.Lock()
+	defer v.refresh.Unlock()
 	tableChanged := false
 	leaderChanged := false
 	for _, item := range news {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -18,4 +18,4 @@
   done
 done
 "$lab" hollow >"$out/hollow.json"
-
+"$lab" report --results "$out" --output docs
