TLS between nodes and for operators, plan, and tests of the commands

Cause: the settings had a TLS section that nothing read; the operators' commands and the transport had no tests; a change could not be looked at before it was made.

Not run: a whole system under TLS.

--- a/cmd/micahaven-lab/demo.go
+++ b/cmd/micahaven-lab/demo.go
@@ -37,6 +37,40 @@
 	}
 }
 
+func newUpCommand() *ffcli.Command {
+	set := flag.NewFlagSet("micahaven-lab up", flag.ContinueOnError)
+	program := set.String("micahaven", "bin/micahaven", "path of the micahaven program")
+	return &ffcli.Command{
+		Name:       "up",
+		ShortUsage: "micahaven-lab up [flags]",
+		ShortHelp:  "Start the demonstration's system and leave it running until interrupted.",
+		FlagSet:    set,
+		Exec: func(ctx context.Context, _ []string) error {
+			programs, err := programs(*program)
+			if err != nil {
+				return err
+			}
+			directory, err := os.MkdirTemp("", "micahaven-up-")
+			if err != nil {
+				return err
+			}
+			system, err := demo.StartSystem(programs, directory)
+			if system != nil {
+				defer system.Close()
+			}
+			if err != nil {
+				return fmt.Errorf("%w; logs are in %s", err, directory)
+			}
+			for _, name := range demo.NodeNames {
+				ready := system.Nodes[name].Ready
+				fmt.Printf("%s: callers %s, operators %s\n", name, ready.Callers, ready.Operators)
+			}
+			<-ctx.Done()
+			return os.RemoveAll(directory)
+		},
+	}
+}
+
 func programs(micahaven string) (cluster.Programs, error) {
 	lab, err := os.Executable()
 	return cluster.Programs{Micahaven: micahaven, Lab: lab}, err
--- a/cmd/micahaven-lab/main.go
+++ b/cmd/micahaven-lab/main.go
@@ -28,6 +28,7 @@
 			newServerCommand(),
 			newLoadCommand(),
 			newDemoCommand(),
+			newUpCommand(),
 			newExperimentCommand(),
 			newHollowCommand(),
 			newReportCommand(),
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -31,11 +33,16 @@
 	node   *string
 	token  *string
 	output *string
+	// authority names a PEM file; with it, the node is asked over TLS.
+	authority *string
 }
 
 const (
 	nodeVariable  = "MICAHAVEN_NODE"
 	tokenVariable = "MICAHAVEN_TOKEN"
+
+	authorityVariable = "MICAHAVEN_AUTHORITY"
+
 	clientTimeout = 15 * time.Second
 	outputTable   = "table"
 	outputJSON    = "json"
@@ -46,6 +53,9 @@
 		node:   set.String("node", os.Getenv(nodeVariable), "operators' address of a node, host:port; default from "+nodeVariable),
 		token:  set.String("token", os.Getenv(tokenVariable), "operator's token; default from "+tokenVariable),
 		output: set.String("output", outputTable, "table or json"),
+
+		authority: set.String("authority", os.Getenv(authorityVariable),
+			"PEM file of the authority that signed the nodes' certificates, for TLS; default from "+authorityVariable),
 	}
 }
 
@@ -56,11 +66,20 @@
 	if *f.output != outputTable && *f.output != outputJSON {
 		return nil, usageError("flag --output: %q, allowed: %s or %s", *f.output, outputTable, outputJSON)
 	}
-	base := *f.node
-	if !strings.Contains(base, "://") {
-		base = "http://" + base
+	plain := &http.Client{Timeout: clientTimeout}
+	if *f.authority == "" {
+		return &client{base: "http://" + *f.node + "/api/v1/", token: *f.token, http: plain}, nil
+	}
+	text, err := os.ReadFile(*f.authority)
+	if err != nil {
+		return nil, usageError("flag --authority: %v", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, usageError("flag --authority: %q, allowed: a PEM file with a certificate", *f.authority)
 	}
-	return &client{base: base + "/api/v1/", token: *f.token, http: &http.Client{Timeout: clientTimeout}}, nil
+	plain.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}}
+	return &client{base: "https://" + *f.node + "/api/v1/", token: *f.token, http: plain}, nil
 }
 
 func (c *client) get(ctx context.Context, path string, into any) error {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -71,6 +71,7 @@
 		newStatusCommand(output, errorOutput),
 		newDrainCommand(output, errorOutput),
 		newCheckCommand(output, errorOutput),
+		newPlanCommand(output, errorOutput),
 	}
 	return root
 }
--- a/internal/group/status.go
+++ b/internal/group/status.go
@@ -20,6 +20,8 @@
 	Server identity.ServerID `json:"server"`
 	Fence  string            `json:"fence"`
 	Phase  string            `json:"phase"`
+	// LoadPerSec is the measured number of requests a second.
+	LoadPerSec float64 `json:"load_per_second"`
 }
 
 // ServerStatus is the state of one server as its leader sees it.
@@ -83,6 +85,7 @@
 }
 
 func (g *Group) describeSlices(status *Status) {
+	rates := g.load.rates(g.deps.Clock(), g.state.SliceCount())
 	for slice := range uint32(g.state.SliceCount()) {
 		assignment := g.state.Assignment(slice)
 		status.Slices = append(status.Slices, SliceStatus{
@@ -90,6 +93,8 @@
 			Server: identity.ServerID(assignment.GetServer()),
 			Fence:  backend.FormatFence(assignment.GetFence()),
 			Phase:  g.manager.PhaseOf(slice).String(),
+
+			LoadPerSec: rates[slice],
 		})
 	}
 }
--- a/internal/groups/registry.go
+++ b/internal/groups/registry.go
@@ -113,18 +113,6 @@
 	r.configureAll()
 }
 
-// AddressOf returns the inner address of a node on the machine list, or "".
-func (r *Registry) AddressOf(node string) string {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for _, machine := range r.machines {
-		if machine.Kind == machines.KindNode && machine.ID == node {
-			return machine.Address
-		}
-	}
-	return ""
-}
-
 func (r *Registry) configureAll() {
 	for name, known := range r.groups {
 		r.configure(name, known)
@@ -136,12 +124,12 @@
 	if policy == nil {
 		return
 	}
-	known.Configure(*policy, serversOf(policy.Service, r.table, r.machines))
+	known.Configure(*policy, Servers(policy.Service, r.table, r.machines))
 }
 
-// serversOf joins the table with the machine list: a row's weight is divided
+// Servers joins the table with the machine list: a row's weight is divided
 // evenly among the site's servers that are not leaving.
-func serversOf(service identity.ServiceName, current *table.Table, listed []machines.Machine) []group.Server {
+func Servers(service identity.ServiceName, current *table.Table, listed []machines.Machine) []group.Server {
 	staying := make(map[string]int)
 	for _, machine := range listed {
 		row := rowFor(service, current, machine)
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -21,15 +19,9 @@
 	if err != nil {
 		panic(err)
 	}
-	build := exec.Command("go", "build", "-o", directory+"/", "../../../cmd/...")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
+	if built, err = cluster.Build(directory); err != nil {
 		panic(err)
 	}
-	built = cluster.Programs{
-		Micahaven: filepath.Join(directory, "micahaven"),
-		Lab:       filepath.Join(directory, "micahaven-lab"),
-	}
 	code := m.Run()
 	_ = os.RemoveAll(directory)
 	os.Exit(code)
@@ -40,6 +32,7 @@
 func TestPromisesHoldInProcesses(t *testing.T) {
 	cases := [][]Fault{
 		{KillServer}, {KillLeader}, {FreezeLeader, PlatformDown}, {CutLeader, Operators}, {StopNode}, {MoveSite, LoseAnswers},
+		{DrainServer}, {KillMajority},
 	}
 	for _, faults := range cases {
 		t.Run(faultNames(faults), func(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/backend"
+	"github.com/micahaven/micahaven/internal/certificates"
 	"github.com/micahaven/micahaven/internal/clock"
 	"github.com/micahaven/micahaven/internal/entry"
 	"github.com/micahaven/micahaven/internal/gossip"
@@ -116,8 +118,9 @@
 		sessions:  workers.NewPool(config.Limits.SessionWorkers, requestQueue),
 		items:     gossip.NewItems(),
 	}
-	n.client = transport.NewClient(hello, nil)
-	n.server = transport.NewServer(hello, listeners.Nodes, nil, n, n.logger)
+	if err := n.buildTransport(hello); err != nil {
+		return nil, err
+	}
 	n.views = views.New(n.items, n.logger)
 	n.exchange = gossip.NewExchange(n.items, n.client, nil, n.takeNews)
 	n.table = tablestore.New(platform.Store, n.logger)
@@ -128,6 +131,28 @@
 	return n, nil
 }
 
+// buildTransport opens the inner protocol, over TLS when the settings name
+// certificates; the operators' interface then is over TLS too.
+func (n *Node) buildTransport(hello *wire.Hello) error {
+	if n.settings.TLS.Certificate == "" {
+		n.client = transport.NewClient(hello, nil)
+		n.server = transport.NewServer(hello, n.listeners.Nodes, nil, n, n.logger)
+		return nil
+	}
+	keeper, err := certificates.Load(certificates.Files{
+		Certificate: n.settings.TLS.Certificate,
+		Key:         n.settings.TLS.Key,
+		Authority:   n.settings.TLS.Authority,
+	})
+	if err != nil {
+		return err
+	}
+	n.client = transport.NewClient(hello, keeper.Client())
+	n.server = transport.NewServer(hello, n.listeners.Nodes, keeper.Server(), n, n.logger)
+	n.listeners.Operators = tls.NewListener(n.listeners.Operators, keeper.ServerOnly())
+	return nil
+}
+
 // advertised returns the address under which other nodes reach this one.
 func advertised(config *settings.Settings, listeners Listeners) string {
 	if config.Listen.Advertise != "" {
