Repeatable requests leave a frozen server with its slices

Requests already sent to the frozen server kept waiting for it until their deadline, although their slices had a new owner after 0.45 s.

Ruled out: the session bound (the slices were reassigned in time) and the queue (waiting requests do follow their slice).

Change: when a slice is served by a new owner, calls of repeatable requests to an earlier one are ended and sent again. Requests that may not be repeated stay: the frozen server will refuse them when it thaws, which proves that they did not run.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -350,6 +350,9 @@
 		Fence:   route.Fence,
 		Serving: route.Serving,
 	})
+	if route.Serving {
+		g.abandonEarlier(slice, route.Server)
+	}
 	if g.scheduler.RunningOn(slice) == 0 {
 		g.manager.SliceIdle(slice)
 	}
--- a/internal/group/request.go
+++ b/internal/group/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/micahaven/micahaven/internal/admission"
 	"github.com/micahaven/micahaven/internal/backend"
+	"github.com/micahaven/micahaven/internal/identity"
 	"github.com/micahaven/micahaven/internal/placement"
 	"github.com/micahaven/micahaven/internal/wire"
 )
@@ -27,6 +28,8 @@
 	isKeyed bool
 	// cancel ends the call to the server; set while it runs.
 	cancel context.CancelFunc
+	// server is the one that the request was sent to last.
+	server identity.ServerID
 	// replies holds everybody who waits for the answer: the first caller, and
 	// those who repeated the request meanwhile.
 	replies []func(*wire.Response)
@@ -171,6 +174,7 @@
 	timeout := work.deadline - now
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	work.cancel = cancel
+	work.server = route.Server
 	dispatch := &backend.Dispatch{
 		Request: work.request,
 		Slice:   work.item.Slice,
@@ -330,6 +334,18 @@
 	}
 }
 
+// abandonEarlier ends the calls of repeatable requests to an earlier owner of a
+// slice, so that they are sent to the new one. Those that may not be repeated
+// stay: if the earlier owner only froze, it will refuse them when it goes on.
+func (g *Group) abandonEarlier(slice uint32, owner identity.ServerID) {
+	for _, work := range g.attempts {
+		isEarlier := work.cancel != nil && work.item.Slice == slice && work.server != owner
+		if isEarlier && work.request.GetRepeatable() {
+			work.cancel()
+		}
+	}
+}
+
 func (g *Group) notLeader(request *wire.Request) *wire.Response {
 	response := notRun(request, wire.Reason_REASON_NOT_LEADER, leaderRetryAfter)
 	if leader, known := g.replica.Leader(); known {
