--- a/internal/groups/maintain.go
+++ b/internal/groups/maintain.go
@@ -13,6 +13,7 @@
 	"github.com/micahaven/micahaven/internal/group"
 	"github.com/micahaven/micahaven/internal/identity"
 	"github.com/micahaven/micahaven/internal/machines"
+	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/store"
 	"github.com/micahaven/micahaven/internal/wire"
 )
@@ -47,16 +48,7 @@
 
 // Run maintains groups until the context ends.
 func (r *Registry) Run(ctx context.Context) error {
-	ticker := time.NewTicker(maintainInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			r.maintainAll(ctx)
-		}
-	}
+	return periodic.Run(ctx, maintainInterval, r.maintainAll)
 }
 
 func (r *Registry) maintainAll(ctx context.Context) {
--- a/internal/node/actors.go
+++ b/internal/node/actors.go
@@ -9,6 +9,8 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/periodic"
 )
 
 const (
@@ -108,29 +110,11 @@
 }
 
 func (n *Node) tick(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			n.registry.Tick()
-		}
-	}
+	return periodic.Run(ctx, tickInterval, func(context.Context) { n.registry.Tick() })
 }
 
 func (n *Node) compare(ctx context.Context) error {
-	ticker := time.NewTicker(compareInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			n.exchange.Compare(n.peers())
-		}
-	}
+	return periodic.Run(ctx, compareInterval, func(context.Context) { n.exchange.Compare(n.peers()) })
 }
 
 func (n *Node) followTable(ctx context.Context) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/micahaven/micahaven/internal/identity"
 	"github.com/micahaven/micahaven/internal/machines"
 	"github.com/micahaven/micahaven/internal/operator"
+	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/settings"
 	"github.com/micahaven/micahaven/internal/store"
 	"github.com/micahaven/micahaven/internal/table"
@@ -310,16 +311,7 @@
 
 // pollMachines reads the machine list until the context ends.
 func (n *Node) pollMachines(ctx context.Context) error {
-	ticker := time.NewTicker(machinesInterval)
-	defer ticker.Stop()
-	for {
-		n.readMachines(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return periodic.Run(ctx, machinesInterval, n.readMachines)
 }
 
 const machinesInterval = 500 * time.Millisecond
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -185,7 +185,7 @@
 	heap.Push(&w.queue, event{at: w.now + pause, sequence: w.sequence, act: act})
 }
 
-// at runs something in a process after a pause, or when the process thaws.
+// in runs something in a process after a pause, or when the process thaws.
 func (w *world) in(p *process, pause time.Duration, act func()) {
 	w.after(pause, func() {
 		if w.now < p.frozenUntil {
