--- a/internal/node/actors.go
+++ b/internal/node/actors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +11,8 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/groups"
+	"github.com/micahaven/micahaven/internal/machines"
 	"github.com/micahaven/micahaven/internal/periodic"
 )
 
@@ -118,5 +121,25 @@
 }
 
 func (n *Node) followTable(ctx context.Context) error {
-	return n.table.Follow(ctx, n.publishTable)
+	return n.table.Follow(ctx, n.followsTable, n.publishTable)
+}
+
+// followersPerZone is how many nodes of each zone follow the table in the
+// key-value service; the others hear of changes from them.
+const followersPerZone = 2
+
+// followsTable reports whether this node is one of its zone's followers. A node
+// that does not find itself on the machine list follows, to be safe.
+func (n *Node) followsTable() bool {
+	var zone []machines.Machine
+	for _, machine := range n.machineList() {
+		if machine.Kind == machines.KindNode && machine.Zone == n.self.GetZone() {
+			zone = append(zone, machine)
+		}
+	}
+	const rankOf = "table"
+	position := slices.IndexFunc(groups.Rank(rankOf, zone), func(m machines.Machine) bool {
+		return m.ID == n.self.GetNode()
+	})
+	return position < followersPerZone
 }
--- a/internal/tablestore/tablestore.go
+++ b/internal/tablestore/tablestore.go
@@ -148,25 +148,37 @@
 
 const (
 	firstFollowPause = 200 * time.Millisecond
+	// followerInterval is how often a node that does not follow looks whether it
+	// should.
+	followerInterval = time.Second
 	// resyncInterval bounds how long a watch is trusted that has gone silent.
 	resyncInterval = 30 * time.Second
 )
 
 // Follow hands every entry and every later change to publish until the context
 // ends. When the service is away it tries again; nothing is ever taken back.
-func (t *Tablestore) Follow(ctx context.Context, publish func([]*wire.GossipItem)) error {
+// While isFollower reports false, this node leaves the work to others.
+func (t *Tablestore) Follow(ctx context.Context, isFollower func() bool, publish func([]*wire.GossipItem)) error {
 	for ctx.Err() == nil {
+		if !isFollower() {
+			pause(ctx, followerInterval)
+			continue
+		}
 		if err := t.followOnce(ctx, publish); err != nil && ctx.Err() == nil {
 			t.logger.Warn("table watch ended", zap.Error(err))
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(firstFollowPause):
-		}
+		pause(ctx, firstFollowPause)
 	}
 	return nil
 }
 
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
 func (t *Tablestore) followOnce(ctx context.Context, publish func([]*wire.GossipItem)) error {
 	ctx, cancel := context.WithTimeout(ctx, resyncInterval)
 	defer cancel()
