A change whose answer was lost is settled as refused when it must be

Cause: the test's store loses the answers of refused changes too. Such a change has no history entry, and was reported as unsettled after five looks, though it can never take effect any more once the row has moved on.

Ruled out: a change that took effect and was reported as refused; its history entry is written in the same transaction.

Change: settling reads the row first and the history entry second. A row that is not at the expected revision, with no history entry, proves the refusal.

--- a/internal/tablestore/tablestore.go
+++ b/internal/tablestore/tablestore.go
@@ -78,22 +78,20 @@
 	case errors.Is(err, store.ErrConflict):
 		return nil, t.conflict(ctx, change, expected)
 	default:
-		return t.settle(ctx, change, err)
+		return t.settle(ctx, change, expected, err)
 	}
 }
 
 // settle finds out whether a change took effect whose answer was lost: its
 // history entry was written with it, under an id that is used once.
-func (t *Tablestore) settle(ctx context.Context, change table.Change, cause error) (*Entry, error) {
+func (t *Tablestore) settle(ctx context.Context, change table.Change, expected int64, cause error) (*Entry, error) {
 	for range settleAttempts {
-		pair, found, err := store.Get(ctx, t.store, change.HistoryKey())
-		if err == nil && found {
-			return &Entry{Change: change, Revision: pair.Revision}, nil
+		entry, isSettled, err := t.look(ctx, change, expected)
+		if isSettled {
+			return entry, err
 		}
-		if err == nil {
-			// The write may still be on its way, so an absent entry proves
-			// nothing yet; look again.
-			cause = errors.Newf("change %s has not taken effect so far", change.ID)
+		if err != nil {
+			cause = err
 		}
 		select {
 		case <-ctx.Done():
@@ -104,6 +102,32 @@
 	return nil, errors.Wrapf(ErrUnsettled, "change %s: %v", change.ID, cause)
 }
 
+// look reads the entry, then the change's history entry, in this order: once the
+// entry is not at the expected revision, the change can never take effect any
+// more, so if it has not by then, it was refused. While the entry is still as
+// expected, the change may be on its way, and nothing is settled.
+func (t *Tablestore) look(ctx context.Context, change table.Change, expected int64) (entry *Entry, isSettled bool, err error) {
+	current, err := t.Get(ctx, change.Key())
+	if err != nil {
+		return nil, false, err
+	}
+	pair, found, err := store.Get(ctx, t.store, change.HistoryKey())
+	if err != nil {
+		return nil, false, err
+	}
+	if found {
+		return &Entry{Change: change, Revision: pair.Revision}, true, nil
+	}
+	revision := int64(0)
+	if current != nil {
+		revision = current.Revision
+	}
+	if revision != expected {
+		return nil, true, &Conflict{Expected: expected, Current: current}
+	}
+	return nil, false, errors.Newf("change %s has not taken effect so far", change.ID)
+}
+
 func (t *Tablestore) conflict(ctx context.Context, change table.Change, expected int64) error {
 	current, err := t.Get(ctx, change.Key())
 	if err != nil {
