--- a/cmd/micahaven-lab/report.go
+++ b/cmd/micahaven-lab/report.go
@@ -13,11 +13,12 @@
 	set := flag.NewFlagSet("micahaven-lab report", flag.ContinueOnError)
 	results := set.String("results", "out/bench", "directory with the results")
 	output := set.String("output", "docs", "directory for the page and the plot")
+	note := set.String("note", "", "what was special about the runs, for the page")
 	return &ffcli.Command{
 		Name:       "report",
 		ShortUsage: "micahaven-lab report [flags]",
 		ShortHelp:  "Write a page with tables and a plot from results.",
 		FlagSet:    set,
-		Exec:       func(context.Context, []string) error { return report.Write(*results, *output) },
+		Exec:       func(context.Context, []string) error { return report.Write(*results, *output, *note) },
 	}
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -33,8 +33,9 @@
 )
 
 // Write reads every results.json below a directory, and hollow.json in it, and
-// writes the page and its plot into another.
-func Write(results, output string) error {
+// writes the page and its plot into another. The note, if any, says what was
+// special about the runs.
+func Write(results, output, note string) error {
 	all, err := readResults(results)
 	if err != nil {
 		return err
@@ -44,6 +45,9 @@
 	}
 	var page strings.Builder
 	page.WriteString(header)
+	if note != "" {
+		page.WriteString(note + "\n\n")
+	}
 	writeRuns(&page, all)
 	writeAway(&page, all)
 	if err := writeHollow(&page, filepath.Join(results, "hollow.json")); err != nil {
@@ -57,7 +61,7 @@
 
 const header = `# Measurements
 
-Written by ` + "`make bench`" + ` from one run of it; not edited by hand. All processes ran on one
+Written by ` + "`micahaven-lab report`" + `, the last step of ` + "`make bench`" + `. All processes ran on one
 machine of eight cores over loopback: platform, three nodes and the servers of the deployment, with
 the load in the same machine. "Away" is the time from a failure to the first answer, per slice that
 the failure took away, as callers saw it.
