--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -136,9 +136,6 @@
 	}
 }
 
-// RouteOf returns the current route of a slice.
-func (s *Scheduler) RouteOf(slice uint32) Route { return s.routes[slice] }
-
 // Submit takes a request in: it starts, waits, or is given up.
 func (s *Scheduler) Submit(now time.Duration, item *Item) {
 	s.sequence++
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -122,6 +122,45 @@
 	})
 }
 
+// TestRecoveredGroupKeepsWhatItsJournalKnew has a group that was founded anew:
+// until the journal of its earlier generation is complete, only requests that the
+// journal knows are answered.
+func TestRecoveredGroupKeepsWhatItsJournalKnew(t *testing.T) {
+	withGroup(t, func(t *testing.T, g *Group, servers *fakeBackend) {
+		g.mutex.Lock()
+		founding := g.replica.Snapshot()
+		founding.State.ImportPending = true
+		g.state.Restore(founding.GetState())
+		g.mutex.Unlock()
+		order := func(id, key string) *wire.Request {
+			return &wire.Request{RequestId: id, Key: "k1", Method: "POST", IdempotencyKey: key}
+		}
+		stored := &wire.Response{Outcome: wire.Outcome_OUTCOME_DONE, Status: 201}
+		records := []*wire.JournalRecord{
+			{IdempotencyKey: "ended", Finished: true, Response: stored},
+			{IdempotencyKey: "begun"},
+		}
+		if err := g.ImportJournal(&wire.JournalImport{Records: records}); err != nil {
+			t.Fatal(err)
+		}
+		if response := ask(g, order("r1", "ended")); !response.GetReplayed() || response.GetStatus() != 201 {
+			t.Errorf("an order that had ended: %v, want the stored answer", response)
+		}
+		if response := ask(g, order("r2", "begun")); response.GetOutcome() != wire.Outcome_OUTCOME_UNKNOWN {
+			t.Errorf("an order that had begun: %v, want unknown", response)
+		}
+		if response := ask(g, order("r3", "new")); response.GetOutcome() != wire.Outcome_OUTCOME_NOT_RUN {
+			t.Errorf("a new order before the journal is complete: %v, want not run", response)
+		}
+		if err := g.ImportJournal(&wire.JournalImport{Last: true}); err != nil {
+			t.Fatal(err)
+		}
+		if response := ask(g, order("r4", "new")); response.GetOutcome() != wire.Outcome_OUTCOME_DONE || servers.total() != 1 {
+			t.Errorf("a new order afterwards: %v, ran %d times", response, servers.total())
+		}
+	})
+}
+
 func newTestGroup(now func() time.Duration, servers *fakeBackend, requests, sessions *workers.Pool) *Group {
 	self := &wire.Member{Node: "n1", Incarnation: 1}
 	founding := &wire.Snapshot{
--- a/internal/groups/guard.go
+++ b/internal/groups/guard.go
@@ -23,7 +23,10 @@
 type pendingImport struct {
 	generation uint64
 	records    []*wire.JournalRecord
-	complete   bool
+	// complete is true when a sealed member held every committed record. With an
+	// even number of members that is so while one half survives; with an odd one
+	// a recovery has always lost a majority.
+	complete bool
 }
 
 // importBatch bounds the records of one log entry.
--- a/internal/lab/hollow/gossip.go
+++ b/internal/lab/hollow/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -188,6 +187,3 @@
 	}
 	return maxRoundsToAll
 }
-
-// RoundLength is the time that one round stands for.
-const RoundLength = 100 * time.Millisecond
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -81,8 +80,3 @@
 	}
 	return listed, nil
 }
-
-// Select returns the machines of one kind, in the list's order.
-func Select(listed []Machine, kind Kind) []Machine {
-	return slices.DeleteFunc(slices.Clone(listed), func(m Machine) bool { return m.Kind != kind })
-}
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -174,9 +174,6 @@
 // IsSettled reports whether the membership in force is committed.
 func (r *Replica) IsSettled() bool { return r.commit >= r.membershipIndex }
 
-// LeadingSince returns when this replica won its current term.
-func (r *Replica) LeadingSince() time.Duration { return r.leadingSince }
-
 // Snapshot returns the applied state and its position.
 func (r *Replica) Snapshot() *wire.Snapshot {
 	term, _ := r.log.term(r.applied)
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -63,9 +63,6 @@
 	return policyPrefix + string(service)
 }
 
-// IsRowKey reports whether a key holds a row.
-func IsRowKey(key string) bool { return strings.HasPrefix(key, rowPrefix) }
-
 // Validate checks every entry and that each row's service has a policy.
 func (t *Table) Validate() error {
 	known := make(map[identity.ServiceName]bool)
