A machine list that cannot be read proves nobody gone

Cause: found by reading. A silent member counted as gone once the time since it was last listed exceeded the lag, also when the list itself had not been read meanwhile. During an outage of the machine list a node that was merely cut off from two members could have founded a new generation beside them: two owners. And a member that had left the list before this process started was never gone, so it was never replaced.

Ruled out: that the key-value service would have prevented the first; it can be up while the list is down.

Change: only lists that were read count, from the first to the last read.

--- a/internal/groups/maintain.go
+++ b/internal/groups/maintain.go
@@ -225,8 +225,8 @@
 	if err == nil {
 		return reply.GetIncarnation() != member.GetIncarnation()
 	}
-	lastSeen, known := seen.lastSeen[member.GetNode()]
-	return known && r.options.Clock() > lastSeen+r.options.Lag
+	// Only lists that were read count: while the list is away, nobody is gone.
+	return seen.missing(member.GetNode()) > r.options.Lag
 }
 
 // introduce asks a node for its incarnation and returns it as a member.
--- a/internal/groups/registry.go
+++ b/internal/groups/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -50,10 +51,14 @@
 	groups   map[string]*group.Group
 	table    *table.Table
 	machines []machines.Machine
-	// lastSeen is when each machine was last on the list.
-	lastSeen map[string]time.Duration
-	keepers  map[string]*keeper
-	imports  map[string]*pendingImport
+	// lastSeen is when each machine was last on the list, firstRead and lastRead
+	// when the list was read first and last.
+	lastSeen  map[string]time.Duration
+	firstRead time.Duration
+	lastRead  time.Duration
+	hasRead   bool
+	keepers   map[string]*keeper
+	imports   map[string]*pendingImport
 }
 
 // NewRegistry returns a registry without groups.
@@ -106,6 +111,11 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.options.Clock()
+	if !r.hasRead {
+		r.firstRead = now
+		r.hasRead = true
+	}
+	r.lastRead = now
 	for _, machine := range listed {
 		r.lastSeen[machine.ID] = now
 	}
@@ -240,17 +250,22 @@
 
 // view is what the maintenance works with: a copy taken under the mutex.
 type view struct {
-	table    *table.Table
-	nodes    []machines.Machine
-	lastSeen map[string]time.Duration
+	table *table.Table
+	nodes []machines.Machine
+	// missing is for how long the list has been read without a machine on it.
+	missing func(id string) time.Duration
 }
 
 func (r *Registry) view() view {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	seen := make(map[string]time.Duration, len(r.lastSeen))
-	for id, at := range r.lastSeen {
-		seen[id] = at
+	seen := maps.Clone(r.lastSeen)
+	firstRead, lastRead := r.firstRead, r.lastRead
+	missing := func(id string) time.Duration {
+		if at, known := seen[id]; known {
+			return lastRead - at
+		}
+		return lastRead - firstRead
 	}
 	var nodes []machines.Machine
 	for _, machine := range r.machines {
@@ -258,5 +273,5 @@
 			nodes = append(nodes, machine)
 		}
 	}
-	return view{table: r.table, nodes: nodes, lastSeen: seen}
+	return view{table: r.table, nodes: nodes, missing: missing}
 }
