The platform can be killed in experiments; latency against a direct call

Change: fault kill-platform, with a test; servers that answer directly, to compare with. Runs no longer fail when one fault needs what another one killed: the machine list of a dead platform, a process to freeze, a leader.

--- a/cmd/micahaven-lab/standins.go
+++ b/cmd/micahaven-lab/standins.go
@@ -39,6 +39,7 @@
 	set.DurationVar(&options.Work, "work", time.Millisecond, "how long a request runs")
 	set.DurationVar(&options.ColdStart, "cold-start", 0, "how much longer the first request runs")
 	set.IntVar(&options.ColdRequests, "cold-requests", 0, "requests until the server is warm")
+	set.BoolVar(&options.Ungoverned, "ungoverned", false, "answer callers directly, without grants, to compare latencies")
 	return &ffcli.Command{
 		Name:       "server",
 		ShortUsage: "micahaven-lab server [flags]",
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -121,12 +121,19 @@
 	})
 }
 
+// list puts a machine on the list. A platform that was killed has none.
 func (c *Cluster) list(machine machines.Machine) error {
+	if c.Platform.HasExited() {
+		return nil
+	}
 	return c.put("http://"+c.Platform.Ready.HTTP+"/machines/"+machine.ID, machine, nil)
 }
 
-// Unlist takes a machine off the list.
+// Unlist takes a machine off the list. A platform that was killed has none.
 func (c *Cluster) Unlist(id string) error {
+	if c.Platform.HasExited() {
+		return nil
+	}
 	request, err := http.NewRequest(http.MethodDelete, "http://"+c.Platform.Ready.HTTP+"/machines/"+id, nil)
 	if err != nil {
 		return err
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -32,7 +32,7 @@
 func TestPromisesHoldInProcesses(t *testing.T) {
 	cases := [][]Fault{
 		{KillServer}, {KillLeader}, {FreezeLeader, PlatformDown}, {CutLeader, Operators}, {StopNode}, {MoveSite, LoseAnswers},
-		{DrainServer}, {KillMajority},
+		{DrainServer}, {KillMajority}, {KillPlatform},
 	}
 	for _, faults := range cases {
 		t.Run(faultNames(faults), func(t *testing.T) {
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -37,13 +37,14 @@
 	RestartServer Fault = "restart-server"
 	DrainServer   Fault = "drain-server"
 	KillMajority  Fault = "kill-majority"
+	KillPlatform  Fault = "kill-platform"
 )
 
 // Faults lists every kind.
 var Faults = []Fault{
 	KillServer, KillLeader, KillNode, FreezeServer, FreezeLeader, CutLeader, CutOneWay,
 	PlatformDown, PlatformSlow, LoseAnswers, Operators, StopNode, MoveSite, RestartServer,
-	DrainServer, KillMajority,
+	DrainServer, KillMajority, KillPlatform,
 }
 
 // noFault names the empty set of faults.
@@ -129,6 +130,10 @@
 		drained, err := i.drain(ctx, service, server)
 		happened.drained = drained
 		return happened, err
+	case KillPlatform:
+		happened.at = clock.Boot()
+		i.system.Platform.Kill()
+		return happened, nil
 	case KillMajority:
 		happened.at = clock.Boot()
 		return happened, i.restartMajority(ctx)
@@ -175,8 +180,21 @@
 	return names
 }
 
-// leader returns the node that leads a service.
+// leader returns the node that leads a service. Another fault may have taken the
+// leader just before, so it waits for one.
 func (i *injector) leader(service string) (string, error) {
+	leader := ""
+	err := cluster.Wait(leaderLimit, "a leader of "+service, func() (bool, error) {
+		leader = i.findLeader(service)
+		return leader != "", nil
+	})
+	return leader, err
+}
+
+const leaderLimit = 10 * time.Second
+
+// findLeader asks every node, and returns "" when none knows a leader.
+func (i *injector) findLeader(service string) string {
 	for n := range i.deployment.Nodes {
 		statuses, err := i.system.Services(nodeName(n))
 		if err != nil {
@@ -184,11 +202,11 @@
 		}
 		for _, status := range statuses {
 			if status.Service == service && status.Leading {
-				return status.Leader, nil
+				return status.Leader
 			}
 		}
 	}
-	return "", errors.Newf("service %s has no leader", service)
+	return ""
 }
 
 func (i *injector) troubleNode(ctx context.Context, fault Fault, node string) error {
@@ -290,7 +308,11 @@
 	return errors.Newf("server %s is not of this deployment", name)
 }
 
+// freeze stops a process and lets it go on, unless another fault killed it.
 func (i *injector) freeze(ctx context.Context, process *cluster.Process) error {
+	if process.HasExited() {
+		return nil
+	}
 	if err := process.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/micahaven/micahaven/internal/backend"
 	"github.com/micahaven/micahaven/internal/clock"
+	"github.com/micahaven/micahaven/internal/entry"
 	"github.com/micahaven/micahaven/internal/holder"
 )
 
@@ -31,6 +32,9 @@
 	// nothing over ColdRequests requests.
 	ColdStart    time.Duration
 	ColdRequests int
+	// Ungoverned runs requests of callers without any grant, to measure what
+	// micahaven adds to a direct call. Such a server protects nothing.
+	Ungoverned bool
 }
 
 // Effect is one request that took effect. Times are on the machine's boot clock,
@@ -99,6 +103,10 @@
 	server.POST(backend.SessionPath, s.session)
 	server.GET("/micahaven/effects", s.listEffects)
 	server.GET("/micahaven/load", s.load)
+	if s.options.Ungoverned {
+		server.Any("/:service/:key", s.runDirectly)
+		return
+	}
 	server.Any("/*", s.run)
 }
 
@@ -172,6 +180,22 @@
 	})
 }
 
+// runDirectly answers a caller's request without a grant, as an owner would.
+func (s *Server) runDirectly(c echo.Context) error {
+	body, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	sleep(c.Request().Context(), s.options.Work)
+	c.Response().Header().Set(entry.HeaderOutcome, entry.OutcomeDone)
+	return c.JSON(http.StatusOK, Answer{
+		Server: s.options.ID,
+		Key:    c.Param("key"),
+		Method: c.Request().Method,
+		Body:   string(body),
+	})
+}
+
 func refuse(c echo.Context, why string) error {
 	c.Response().Header().Set(backend.HeaderRefused, why)
 	return c.String(http.StatusServiceUnavailable, why+"\n")
