Remove dead state found on a last reading

Cause: reading the whole change: a heartbeat time that was lowered to what it already was at most, two session fields that nobody read, a parameter that was not used, names kept with sockets for nothing, and a temporary directory handled twice in the lab's commands.

Ruled out: folding the operators' commands of plan and table into one frame; their likeness is in the declaration of flags only.

Change: the dead parts are gone, and withDirectory serves demo and up. Behaviour is unchanged, and no test was touched.

--- a/cmd/micahaven-lab/demo.go
+++ b/cmd/micahaven-lab/demo.go
@@ -21,18 +21,9 @@
 		ShortHelp:  "Start a whole system, move load, kill a server, and show what happened.",
 		FlagSet:    set,
 		Exec: func(ctx context.Context, _ []string) error {
-			programs, err := programs(*program)
-			if err != nil {
-				return err
-			}
-			directory, err := os.MkdirTemp("", "micahaven-demo-")
-			if err != nil {
-				return err
-			}
-			if err := demo.Run(ctx, programs, directory, os.Stdout); err != nil {
-				return fmt.Errorf("%w; logs are in %s", err, directory)
-			}
-			return os.RemoveAll(directory)
+			return withDirectory(*program, func(programs cluster.Programs, directory string) error {
+				return demo.Run(ctx, programs, directory, os.Stdout)
+			})
 		},
 	}
 }
@@ -46,31 +37,46 @@
 		ShortHelp:  "Start the demonstration's system and leave it running until interrupted.",
 		FlagSet:    set,
 		Exec: func(ctx context.Context, _ []string) error {
-			programs, err := programs(*program)
-			if err != nil {
-				return err
-			}
-			directory, err := os.MkdirTemp("", "micahaven-up-")
-			if err != nil {
-				return err
-			}
-			system, err := demo.StartSystem(programs, directory)
-			if system != nil {
-				defer system.Close()
-			}
-			if err != nil {
-				return fmt.Errorf("%w; logs are in %s", err, directory)
-			}
-			for _, name := range demo.NodeNames {
-				ready := system.Nodes[name].Ready
-				fmt.Printf("%s: callers %s, operators %s\n", name, ready.Callers, ready.Operators)
-			}
-			<-ctx.Done()
-			return os.RemoveAll(directory)
+			return withDirectory(*program, func(programs cluster.Programs, directory string) error {
+				return runUntilDone(ctx, programs, directory)
+			})
 		},
 	}
 }
 
+func runUntilDone(ctx context.Context, programs cluster.Programs, directory string) error {
+	system, err := demo.StartSystem(programs, directory)
+	if system != nil {
+		defer system.Close()
+	}
+	if err != nil {
+		return err
+	}
+	for _, name := range demo.NodeNames {
+		ready := system.Nodes[name].Ready
+		fmt.Printf("%s: callers %s, operators %s\n", name, ready.Callers, ready.Operators)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// withDirectory runs something with a directory for settings and logs, which is
+// left behind when it fails.
+func withDirectory(micahaven string, run func(programs cluster.Programs, directory string) error) error {
+	programs, err := programs(micahaven)
+	if err != nil {
+		return err
+	}
+	directory, err := os.MkdirTemp("", "micahaven-lab-")
+	if err != nil {
+		return err
+	}
+	if err := run(programs, directory); err != nil {
+		return fmt.Errorf("%w; logs are in %s", err, directory)
+	}
+	return os.RemoveAll(directory)
+}
+
 func programs(micahaven string) (cluster.Programs, error) {
 	lab, err := os.Executable()
 	return cluster.Programs{Micahaven: micahaven, Lab: lab}, err
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -20,7 +20,7 @@
 	mutex   sync.Mutex
 	target  string
 	cuts    map[string]Cut
-	sockets map[net.Conn]string
+	sockets map[net.Conn]struct{}
 	// changed is closed and replaced when a cut changes.
 	changed chan struct{}
 }
@@ -42,7 +42,7 @@
 	r := &Relay{
 		listener: listener,
 		cuts:     make(map[string]Cut),
-		sockets:  make(map[net.Conn]string),
+		sockets:  make(map[net.Conn]struct{}),
 		changed:  make(chan struct{}),
 	}
 	go r.accept()
@@ -105,7 +105,7 @@
 	}
 	defer target.Close()
 	node := first.GetHello().GetNode()
-	r.remember(caller, target, node)
+	r.remember(caller, target)
 	defer r.forget(caller, target)
 	if err := wire.WriteFrame(target, first); err != nil {
 		return
@@ -150,11 +150,11 @@
 	}
 }
 
-func (r *Relay) remember(caller, target net.Conn, node string) {
+func (r *Relay) remember(caller, target net.Conn) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.sockets[caller] = node
-	r.sockets[target] = node
+	r.sockets[caller] = struct{}{}
+	r.sockets[target] = struct{}{}
 }
 
 func (r *Relay) forget(caller, target net.Conn) {
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -203,10 +203,8 @@
 		return
 	}
 	known.endCall(now, m.options.RenewInterval)
-	known.failures = 0
 	known.hasReplied = true
 	known.lastReplyAt = now
-	known.running = reply.Running
 	if known.instance != reply.Instance {
 		known.changeInstance(reply.Instance)
 		m.dropConfirmations(server, 0)
@@ -236,7 +234,6 @@
 		return
 	}
 	known.endCall(now, m.options.RetryInterval)
-	known.failures++
 }
 
 // SliceIdle tells that no request of a slice runs any more. It reports whether
@@ -291,7 +288,7 @@
 	m.expireSessions(now)
 	m.plan(now)
 	m.startMoves(now)
-	effects := Effects{Assign: m.proposal(now)}
+	effects := Effects{Assign: m.proposal()}
 	effects.Calls = m.calls(now)
 	effects.Changed = m.changed
 	m.changed = nil
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -127,7 +127,7 @@
 }
 
 // proposal gathers the slices that are free to get a new owner.
-func (m *Manager) proposal(_ time.Duration) *wire.AssignSlices {
+func (m *Manager) proposal() *wire.AssignSlices {
 	if m.proposalPending {
 		return nil
 	}
--- a/internal/ownership/session.go
+++ b/internal/ownership/session.go
@@ -53,9 +53,7 @@
 	isCalling  bool
 	calledAt   time.Duration
 	nextCallAt time.Duration
-	failures   int
 	urgent     bool
-	running    int
 }
 
 // isLive reports whether the server holds a session that has not lapsed.
--- a/internal/replication/append.go
+++ b/internal/replication/append.go
@@ -236,15 +236,11 @@
 	}
 	follower.match = max(follower.match, message.GetMatchIndex())
 	follower.next = max(follower.next, follower.match+1)
-	committedBefore := r.commit
 	r.advanceCommit()
 	if r.transferTo != nil {
 		r.finishTransfer(now)
 		return
 	}
-	if r.commit > committedBefore && len(r.followers) > 0 {
-		r.nextHeartbeat = min(r.nextHeartbeat, now+r.options.Timing.Heartbeat)
-	}
 	if follower.next <= r.log.lastIndex() {
 		r.sendAppend(now, follower)
 	}
