--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,4 @@
 	./scripts/bench.sh
 
 generate:
-	buf generate
+	./scripts/generate.sh
--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+const (
+	// otherZoneCost is how much worse a server of another zone counts.
+	otherZoneCost = 1.25
+	// warmingCost is how much worse a server counts that has just started.
+	warmingCost = 1.8
+	// defaultLatency stands for a server that has not answered yet, in seconds.
+	defaultLatency = 0.1
+	// movingMemory is how long a refused range is held back if no newer map comes.
+	movingMemory = 1500 * time.Millisecond
+)
+
+// choose returns a free server for a request or nil. The caller holds the mutex.
+func (d *Dispatcher) choose(now time.Time, request *Request, excluded map[discovery.ServerID]bool) *server {
+	current := d.views.Current()
+	if owners, divided := d.owners(current, request); divided {
+		return d.chooseOwner(now, request, owners)
+	}
+	var best *server
+	bestCost := math.Inf(1)
+	for _, candidate := range current.Services[request.Service] {
+		s := d.servers[candidate.ID]
+		if s == nil || excluded[candidate.ID] || !s.usable(now, 0) {
+			continue
+		}
+		if cost := d.cost(now, s); cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// owners returns the owner map of the request's service, and whether its keys
+// are divided among servers at all.
+func (d *Dispatcher) owners(current *view.View, request *Request) (view.Owners, bool) {
+	if current.Table == nil {
+		return view.Owners{}, false
+	}
+	service, _ := current.Table.Service(request.Service)
+	return current.Owners[request.Service], service.KeyDivided
+}
+
+func (d *Dispatcher) chooseOwner(now time.Time, request *Request, owners view.Owners) *server {
+	owner := d.ownerOf(request, owners)
+	if owner == nil {
+		return nil
+	}
+	s := d.servers[owner.Owner]
+	if s == nil || !s.usable(now, d.options.LeaveGrace) {
+		return nil
+	}
+	if until, held := d.moving[movingRange{request.Service, owner.Fence, owner.Last}]; held && now.Before(until) {
+		return nil
+	}
+	return s
+}
+
+func (d *Dispatcher) ownerOf(request *Request, owners view.Owners) *shards.Range {
+	if owners.Map == nil || !request.HasKey || request.Key > shards.LastKey {
+		return nil
+	}
+	owner := owners.Find(request.Key)
+	if owner == nil || owner.Owner == "" {
+		return nil
+	}
+	return owner
+}
+
+// cost estimates how long a request would take, with a little chance so that
+// nodes do not choose alike.
+func (d *Dispatcher) cost(now time.Time, s *server) float64 {
+	latency := s.latency
+	if latency == 0 {
+		latency = defaultLatency
+	}
+	cost := latency * float64(s.outstanding+1)
+	if s.Zone != d.options.Zone {
+		cost *= otherZoneCost
+	}
+	if now.Before(s.WarmAt) {
+		cost *= warmingCost
+	}
+	const spread = 0.3
+	return cost * (1 + spread*rand.Float64())
+}
+
+// Hold keeps requests for ranges back that are about to change hands.
+func (d *Dispatcher) Hold(service string, ranges []shards.Range) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	until := time.Now().Add(movingMemory)
+	for _, r := range ranges {
+		d.moving[movingRange{service, r.Fence, r.Last}] = until
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,268 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/upstream"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+// Options are the bounds that the operators set.
+type Options struct {
+	// Zone is this node's zone; servers there are preferred.
+	Zone string
+	// LeaveGrace is how long after a server was seen leaving or gone it still
+	// gets requests.
+	LeaveGrace time.Duration
+	// RetryRatio and RetrySlack bound repeats within RetryWindow over all nodes.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// Names of headers of servers' requests and answers.
+	Headers Headers
+}
+
+// Headers are the names of the headers that the dispatcher reads and writes.
+type Headers struct {
+	RequestID   string
+	Deadline    string
+	Signature   string
+	Target      string
+	NotExecuted string
+}
+
+// Dispatcher sends requests to the servers of the current view. It is safe for
+// concurrent use.
+type Dispatcher struct {
+	options Options
+	views   *view.Builder
+	logger  *zap.Logger
+
+	mutex   sync.Mutex
+	servers map[discovery.ServerID]*server
+	waiting map[string][]*waiter
+	budgets map[string]*budget
+	// moving holds, by service and fence, ranges that are changing hands.
+	moving  map[movingRange]time.Time
+	samples map[string]*samples
+	nodes   int
+}
+
+// movingRange names a range that its owner does not serve any more.
+type movingRange struct {
+	service string
+	fence   uint64
+	last    uint32
+}
+
+// waiter is a request that waits for a server.
+type waiter struct {
+	request  *Request
+	excluded map[discovery.ServerID]bool
+	// chosen receives the server, which is already counted as busy with it.
+	chosen chan *server
+}
+
+// New returns a dispatcher that follows views.
+func New(options Options, views *view.Builder, logger *zap.Logger) *Dispatcher {
+	d := &Dispatcher{
+		options: options,
+		views:   views,
+		logger:  logger,
+		servers: make(map[discovery.ServerID]*server),
+		waiting: make(map[string][]*waiter),
+		budgets: make(map[string]*budget),
+		moving:  make(map[movingRange]time.Time),
+		samples: make(map[string]*samples),
+		nodes:   1,
+	}
+	views.Subscribe(d.update)
+	return d
+}
+
+// update takes in a new view and lets waiting requests go on.
+func (d *Dispatcher) update(current *view.View) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.nodes = max(1, len(current.Nodes))
+	for id, seen := range current.Servers {
+		known := d.servers[id]
+		if known == nil {
+			known = &server{pool: upstream.NewPool(seen.Address)}
+			d.servers[id] = known
+		}
+		known.Server = seen
+	}
+	for id, known := range d.servers {
+		if current.Servers[id] == nil {
+			known.pool.Close()
+			delete(d.servers, id)
+		}
+	}
+	for service := range d.waiting {
+		d.pump(service)
+	}
+}
+
+// Run lets waiting requests go on as time passes, until the context ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	const interval = 50 * time.Millisecond
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	ticks := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		ticks++
+		d.tick(ticks%20 == 0)
+	}
+}
+
+func (d *Dispatcher) tick(prune bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	for _, b := range d.budgets {
+		b.tokens = min(b.burst, b.tokens+b.perTick)
+	}
+	for service := range d.waiting {
+		d.pump(service)
+	}
+	if !prune {
+		return
+	}
+	for _, s := range d.servers {
+		s.pool.Prune(now)
+	}
+	for moved, until := range d.moving {
+		if now.After(until) {
+			delete(d.moving, moved)
+		}
+	}
+}
+
+// budget returns the retry budget of a service. The caller holds the mutex.
+func (d *Dispatcher) budget(service string) *budget {
+	known := d.budgets[service]
+	if known == nil {
+		const safety = 0.6
+		share := d.options.RetrySlack * safety / float64(d.nodes)
+		const ticksPerSecond = 20
+		known = &budget{
+			ratio:   d.options.RetryRatio * safety,
+			burst:   max(1, share),
+			tokens:  max(1, share/2),
+			perTick: share / 2 / d.options.RetryWindow.Seconds() / ticksPerSecond,
+		}
+		d.budgets[service] = known
+	}
+	return known
+}
+
+// pump gives free servers to waiting requests, the most urgent first. The caller
+// holds the mutex.
+func (d *Dispatcher) pump(service string) {
+	queue := d.waiting[service]
+	if len(queue) == 0 {
+		return
+	}
+	now := time.Now()
+	kept := queue[:0]
+	for _, w := range queue {
+		chosen := d.choose(now, w.request, w.excluded)
+		if chosen == nil {
+			kept = append(kept, w)
+			continue
+		}
+		chosen.outstanding++
+		w.chosen <- chosen
+	}
+	if len(kept) == 0 {
+		delete(d.waiting, service)
+		return
+	}
+	d.waiting[service] = kept
+}
+
+// enqueue adds a waiter behind those that are as urgent. The caller holds the
+// mutex.
+func (d *Dispatcher) enqueue(w *waiter) {
+	queue := d.waiting[w.request.Service]
+	at := len(queue)
+	for at > 0 && queue[at-1].request.Route.Priority > w.request.Route.Priority {
+		at--
+	}
+	queue = append(queue, nil)
+	copy(queue[at+1:], queue[at:])
+	queue[at] = w
+	d.waiting[w.request.Service] = queue
+}
+
+// abandon removes a waiter. It returns the server that the waiter was given in
+// the meantime, if any.
+func (d *Dispatcher) abandon(w *waiter) *server {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	queue := d.waiting[w.request.Service]
+	for index, other := range queue {
+		if other == w {
+			d.waiting[w.request.Service] = append(queue[:index], queue[index+1:]...)
+			return nil
+		}
+	}
+	select {
+	case given := <-w.chosen:
+		return given
+	default:
+		return nil
+	}
+}
+
+// acquire returns a server for the request, waiting until limit. It returns nil
+// if there is none by then or the context ends.
+func (d *Dispatcher) acquire(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool, limit time.Time) *server {
+	d.mutex.Lock()
+	if chosen := d.choose(time.Now(), request, excluded); chosen != nil {
+		chosen.outstanding++
+		d.mutex.Unlock()
+		return chosen
+	}
+	w := &waiter{request: request, excluded: excluded, chosen: make(chan *server, 1)}
+	d.enqueue(w)
+	d.mutex.Unlock()
+	timer := time.NewTimer(time.Until(limit))
+	defer timer.Stop()
+	select {
+	case chosen := <-w.chosen:
+		return chosen
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return d.abandon(w)
+}
+
+// finish takes in how an attempt ended and lets the next request have its place.
+func (d *Dispatcher) finish(s *server, took time.Duration, answered bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	s.outstanding--
+	if answered {
+		s.succeeded(took)
+	}
+	d.pump(s.Service)
+}
+
+// fault takes in that a server did not answer or could not be reached.
+func (d *Dispatcher) fault(s *server) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	s.failed(time.Now())
+}
--- /dev/null
+++ b/internal/dispatch/do.go
@@ -0,0 +1,227 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/upstream"
+)
+
+const (
+	// queuePart is the part of a request's objective that it may wait for a
+	// server before it is refused.
+	queuePart = 0.4
+	// minAttemptTime is the least time that must be left for an attempt.
+	minAttemptTime = 10 * time.Millisecond
+	// comeBack is when a refused client should try again.
+	comeBack = 100 * time.Millisecond
+)
+
+// attempt is how sending a request to one server ended.
+type attempt int
+
+const (
+	// answered means that the server's answer is final.
+	answered attempt = iota
+	// rejected means that the server has surely not run the request.
+	rejected
+	// failedOver means that the request may have run.
+	failedOver
+)
+
+// Do sends a request to servers until one answers, or it must be given up.
+func (d *Dispatcher) Do(ctx context.Context, request *Request) (*upstream.Answer, Trace, error) {
+	d.sample(request)
+	limit := request.limit()
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	answer, trace, err := d.attempts(ctx, request, limit)
+	if answer != nil && answer.Rest != nil {
+		answer.Rest = &cancelingReader{answer.Rest, cancel}
+		return answer, trace, nil
+	}
+	cancel()
+	return answer, trace, err
+}
+
+func (d *Dispatcher) attempts(ctx context.Context, request *Request, limit time.Time) (*upstream.Answer, Trace, error) {
+	var trace Trace
+	var lastAnswer *upstream.Answer
+	mayHaveRun := false
+	excluded := make(map[discovery.ServerID]bool)
+	for {
+		wait := request.ArrivedAt.Add(time.Duration(queuePart * float64(request.Route.Objective)))
+		if trace.Attempts > 0 {
+			wait = time.Now().Add(time.Duration(queuePart * float64(request.Route.Objective)))
+		}
+		queuedAt := time.Now()
+		s := d.acquire(ctx, request, excluded, earlier(wait, limit))
+		trace.Queued += time.Since(queuedAt)
+		if s == nil {
+			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer)
+		}
+		trace.Attempts++
+		trace.Server = string(s.ID)
+		answer, outcome, err := d.send(ctx, request, s, limit)
+		if outcome == answered {
+			return answer, trace, nil
+		}
+		mayHaveRun = mayHaveRun || outcome == failedOver
+		if outcome == failedOver {
+			lastAnswer = answer
+		}
+		excluded[s.ID] = true
+		if ctx.Err() != nil || !d.mayRepeat(request, trace.Attempts, outcome, limit) {
+			if outcome == rejected && !mayHaveRun {
+				return nil, trace, &Refusal{Reason: err.Error(), RetryAfter: comeBack}
+			}
+			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer)
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// mayRepeat decides whether a request goes to another server.
+func (d *Dispatcher) mayRepeat(request *Request, attempts int, outcome attempt, limit time.Time) bool {
+	if outcome == failedOver && !request.Route.Repeatable {
+		return false
+	}
+	if attempts >= request.Route.MaxAttempts || request.Rest != nil {
+		return false
+	}
+	if time.Until(limit) < minAttemptTime {
+		return false
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.budget(request.Service).take()
+}
+
+// giveUp returns the error for a request that no server answered, or nil if a
+// server's failure is the answer.
+func (d *Dispatcher) giveUp(ctx context.Context, request *Request, mayHaveRun bool, last *upstream.Answer) error {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return ErrCanceled
+	case last != nil:
+		return nil
+	case !mayHaveRun:
+		return &Refusal{Reason: "no server was free", RetryAfter: comeBack}
+	case ctx.Err() != nil:
+		return ErrTimeout
+	default:
+		return ErrUnknown
+	}
+}
+
+// send sends a request to one server.
+func (d *Dispatcher) send(ctx context.Context, request *Request, s *server, limit time.Time) (*upstream.Answer, attempt, error) {
+	startedAt := time.Now()
+	outgoing := d.outgoing(request, s, limit)
+	answer, err := s.pool.Exchange(ctx, outgoing)
+	took := time.Since(startedAt)
+	if err != nil {
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			d.fault(s)
+		}
+		d.finish(s, took, false)
+		if errors.Is(err, upstream.ErrNotSent) {
+			return nil, rejected, err
+		}
+		return nil, failedOver, err
+	}
+	outcome, err := d.judge(request, answer)
+	d.finish(s, took, outcome == answered)
+	if outcome == rejected {
+		d.rejected(request, s, answer)
+	}
+	if outcome == failedOver && answer.Rest != nil {
+		// The answer is not passed on; ending its connection is all there is to do.
+		_ = answer.Rest.Close()
+	}
+	if outcome == failedOver && err != nil {
+		return nil, outcome, err
+	}
+	return answer, outcome, err
+}
+
+func (d *Dispatcher) outgoing(request *Request, s *server, limit time.Time) *upstream.Request {
+	fields := make([]upstream.Field, 0, len(request.Fields)+2)
+	fields = append(fields, request.Fields...)
+	left := max(1, time.Until(earlier(limit, request.Deadline)).Milliseconds())
+	fields = append(fields,
+		upstream.Field{Name: d.options.Headers.Deadline, Value: strconv.FormatInt(left, 10)},
+		upstream.Field{Name: d.options.Headers.Target, Value: string(s.ID)})
+	return &upstream.Request{
+		Method: request.Method, URI: request.URI, Host: request.Host, Fields: fields,
+		Body: request.Body, Rest: request.Rest,
+		IDHeader: d.options.Headers.RequestID, ID: request.ID,
+	}
+}
+
+const statusMisdirected = 421
+
+// judge says what a server's answer means.
+func (d *Dispatcher) judge(request *Request, answer *upstream.Answer) (attempt, error) {
+	if answer.Header.Get(d.options.Headers.NotExecuted) != "" || answer.Status == statusMisdirected {
+		return rejected, errors.Newf("server refused with %d", answer.Status)
+	}
+	signed := answer.Header.Get(d.options.Headers.Signature) != ""
+	if answer.Header.Get("Content-Encoding") != "" {
+		return failedOver, errors.New("answer is encoded")
+	}
+	if answer.Status < 300 && !signed {
+		return failedOver, errors.New("answer is not signed")
+	}
+	switch answer.Status {
+	case 408, 429, 503:
+		return failedOver, errors.Newf("server failed with %d", answer.Status)
+	}
+	if answer.Status >= 500 && request.Route.Repeatable {
+		return failedOver, nil
+	}
+	return answered, nil
+}
+
+// rejected takes in that a server did not take a request: a key it does not hold
+// is on its way to another owner.
+func (d *Dispatcher) rejected(request *Request, s *server, answer *upstream.Answer) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	current := d.views.Current()
+	owners, divided := d.owners(current, request)
+	if divided && answer.Status == statusMisdirected {
+		owner := d.ownerOf(request, owners)
+		if owner != nil && owner.Owner == s.ID {
+			const hold = 300 * time.Millisecond
+			d.moving[movingRange{request.Service, owner.Fence, owner.Last}] = time.Now().Add(hold)
+		}
+		return
+	}
+	const pause = 30 * time.Millisecond
+	s.blockedUntil = time.Now().Add(pause)
+}
+
+// cancelingReader ends the request's context with its body.
+type cancelingReader struct {
+	body   io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (r *cancelingReader) Read(into []byte) (int, error) { return r.body.Read(into) }
+
+// Close implements io.Closer.
+func (r *cancelingReader) Close() error {
+	r.cancel()
+	return r.body.Close()
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,78 @@
+// Package dispatch sends requests to servers: it chooses the server, queues when
+// all are busy, repeats what may be repeated within a budget, and says what is
+// known of a request that was not answered.
+package dispatch
+
+import (
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/routing"
+	"github.com/micahaven/micahaven/internal/upstream"
+)
+
+// Errors of a request. Each says whether the request may have run.
+var (
+	// ErrNotExecuted means that the request has not run and never will.
+	ErrNotExecuted = errors.New("request was not executed")
+	// ErrUnknown means that the request may have run.
+	ErrUnknown = errors.New("outcome of the request is unknown")
+	// ErrTimeout means that the time for the request is over and that it may
+	// have run.
+	ErrTimeout = errors.New("request timed out")
+	// ErrCanceled means that the client left.
+	ErrCanceled = errors.New("client left")
+)
+
+// Refusal is an error that matches ErrNotExecuted and says when to come back.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "not executed: " + r.Reason }
+
+// Is makes a refusal match ErrNotExecuted.
+func (r *Refusal) Is(target error) bool { return target == ErrNotExecuted }
+
+// Request is one client attempt.
+type Request struct {
+	ID      string
+	Method  string
+	URI     string
+	Host    string
+	Fields  []upstream.Field
+	Body    []byte
+	Rest    io.Reader
+	Route   *routing.Route
+	Service string
+	// Key is the request's key if HasKey.
+	Key    uint32
+	HasKey bool
+	// ArrivedAt is when the request was read.
+	ArrivedAt time.Time
+	// Deadline is when the client stops waiting.
+	Deadline time.Time
+}
+
+// limit is when the request has to be answered.
+func (r *Request) limit() time.Time {
+	byRoute := r.ArrivedAt.Add(r.Route.Timeout)
+	if r.Deadline.Before(byRoute) {
+		return r.Deadline
+	}
+	return byRoute
+}
+
+// Trace is what happened to a request, for the log.
+type Trace struct {
+	Server   string
+	Attempts int
+	// Queued is how long the request waited for a server.
+	Queued time.Duration
+	// MapRevision is the revision of the owner map that chose the server.
+	MapRevision int64
+}
--- /dev/null
+++ b/internal/ingress/handler.go
@@ -0,0 +1,255 @@
+// Package ingress takes clients' requests over HTTP/1.1, hands them to the
+// dispatcher and passes the answers on.
+package ingress
+
+import (
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/upstream"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+// Headers are the names of the headers between clients, router and servers.
+type Headers struct {
+	// RequestID names a client attempt; answers carry it too.
+	RequestID string
+	// Deadline is how long the client waits, in milliseconds.
+	Deadline string
+	// Signature marks an answer as a server's.
+	Signature string
+	// Target names the one server that may run a request.
+	Target string
+	// NotExecuted marks an answer of a server that did not run the request.
+	NotExecuted string
+	// Key is the request's key.
+	Key string
+}
+
+const (
+	// maxBufferedBody is how much of a body is read before it is passed on.
+	maxBufferedBody = 1 << 20
+	// notReadyRetry is when a client should come back to a node that knows no
+	// configuration yet.
+	notReadyRetry = 300 * time.Millisecond
+)
+
+// Handler serves clients. It implements http.Handler.
+type Handler struct {
+	headers    Headers
+	views      *view.Builder
+	dispatcher *dispatch.Dispatcher
+	logger     *zap.Logger
+	// hopByHop holds the headers that concern one connection or that the router
+	// sets itself.
+	hopByHop map[string]bool
+	// sequence spreads requests over the parts of a split route.
+	sequence atomic.Uint64
+	draining atomic.Bool
+	active   atomic.Int64
+}
+
+// NewHandler returns a handler.
+func NewHandler(headers Headers, views *view.Builder, dispatcher *dispatch.Dispatcher, logger *zap.Logger) *Handler {
+	h := &Handler{headers: headers, views: views, dispatcher: dispatcher, logger: logger, hopByHop: make(map[string]bool)}
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te",
+		"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", headers.Deadline, headers.Target,
+	} {
+		h.hopByHop[http.CanonicalHeaderKey(name)] = true
+	}
+	h.sequence.Store(rand.Uint64())
+	return h
+}
+
+// Drain makes every answer ask the client to use another connection.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// Active returns how many requests are being served.
+func (h *Handler) Active() int { return int(h.active.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	arrivedAt := time.Now()
+	if h.draining.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	table := h.views.Current().Table
+	if table == nil {
+		refuse(writer, "no configuration is known yet", notReadyRetry)
+		return
+	}
+	route := table.Match(incoming.Host, incoming.URL.Path)
+	if route == nil {
+		h.logger.Info("request without route", zap.String("request", incoming.Header.Get(h.headers.RequestID)),
+			zap.String("host", incoming.Host), zap.String("path", incoming.URL.Path), zap.Int64("version", table.Version()))
+		http.Error(writer, "no route", http.StatusNotFound)
+		return
+	}
+	request := &dispatch.Request{
+		ID: incoming.Header.Get(h.headers.RequestID), Method: incoming.Method, URI: incoming.RequestURI,
+		Host: incoming.Host, Route: route, ArrivedAt: arrivedAt,
+		Service: route.Choose(h.position()),
+		Fields:  h.forwarded(incoming.Header),
+	}
+	request.Deadline = arrivedAt.Add(route.Timeout)
+	if wait, err := strconv.ParseFloat(incoming.Header.Get(h.headers.Deadline), 64); err == nil && wait >= 0 {
+		request.Deadline = arrivedAt.Add(time.Duration(wait * float64(time.Millisecond)))
+	}
+	if key, err := strconv.ParseUint(incoming.Header.Get(h.headers.Key), 10, 32); err == nil {
+		request.Key, request.HasKey = uint32(key), true
+	}
+	if !h.readBody(writer, incoming, request, table.Limits().BodyBytes) {
+		return
+	}
+	answer, trace, err := h.dispatcher.Do(incoming.Context(), request)
+	h.log(request, trace, answer, err, table.Version())
+	h.answer(writer, answer, err)
+}
+
+// position returns evenly spread numbers between 0 and 1: multiples of the
+// golden ratio's fraction.
+func (h *Handler) position() float64 {
+	const goldenFraction = 0.6180339887498949
+	_, fraction := math.Modf(float64(h.sequence.Add(1)%(1<<32)) * goldenFraction)
+	return fraction
+}
+
+func (h *Handler) forwarded(header http.Header) []upstream.Field {
+	named := connectionNamed(header)
+	fields := make([]upstream.Field, 0, len(header))
+	for name, values := range header {
+		if h.hopByHop[name] || named[name] {
+			continue
+		}
+		for _, value := range values {
+			fields = append(fields, upstream.Field{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+// connectionNamed returns the headers that the Connection header names.
+func connectionNamed(header http.Header) map[string]bool {
+	var named map[string]bool
+	for _, line := range header.Values("Connection") {
+		for _, token := range strings.Split(line, ",") {
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	return named
+}
+
+// readBody reads the body, or its beginning if it is long. It reports whether
+// the request can go on.
+func (h *Handler) readBody(writer http.ResponseWriter, incoming *http.Request, request *dispatch.Request, limit int64) bool {
+	if limit > 0 && incoming.ContentLength > limit {
+		http.Error(writer, "body is too large", http.StatusRequestEntityTooLarge)
+		return false
+	}
+	if incoming.ContentLength == 0 {
+		return true
+	}
+	var source io.Reader = incoming.Body
+	if limit > 0 {
+		source = http.MaxBytesReader(writer, incoming.Body, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(source, maxBufferedBody))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			http.Error(writer, "body is too large", http.StatusRequestEntityTooLarge)
+			return false
+		}
+		// The client broke off; there is nobody to answer.
+		panic(http.ErrAbortHandler)
+	}
+	request.Body = body
+	if len(body) == maxBufferedBody {
+		request.Rest = source
+	}
+	return true
+}
+
+func (h *Handler) answer(writer http.ResponseWriter, answer *upstream.Answer, err error) {
+	var refusal *dispatch.Refusal
+	switch {
+	case err == nil && answer != nil:
+		h.pass(writer, answer)
+	case errors.As(err, &refusal):
+		refuse(writer, refusal.Reason, refusal.RetryAfter)
+	case errors.Is(err, dispatch.ErrTimeout):
+		http.Error(writer, "timed out; the request may have run", http.StatusGatewayTimeout)
+	case errors.Is(err, dispatch.ErrCanceled):
+		panic(http.ErrAbortHandler)
+	default:
+		http.Error(writer, "no answer; the request may have run", http.StatusBadGateway)
+	}
+}
+
+func refuse(writer http.ResponseWriter, reason string, after time.Duration) {
+	writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	http.Error(writer, reason, http.StatusServiceUnavailable)
+}
+
+// pass writes a server's answer to the client.
+func (h *Handler) pass(writer http.ResponseWriter, answer *upstream.Answer) {
+	named := connectionNamed(answer.Header)
+	into := writer.Header()
+	for name, values := range answer.Header {
+		if h.hopByHop[name] || named[name] {
+			continue
+		}
+		into[name] = values
+	}
+	if answer.Rest == nil {
+		if answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
+			into.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		}
+		writer.WriteHeader(answer.Status)
+		// A client that has left is noticed by the server's own reading.
+		_, _ = writer.Write(answer.Body)
+		return
+	}
+	defer answer.Rest.Close()
+	writer.WriteHeader(answer.Status)
+	if _, err := writer.Write(answer.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := io.Copy(writer, answer.Rest); err != nil {
+		// The rest is missing, and the client must see that.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (h *Handler) log(request *dispatch.Request, trace dispatch.Trace, answer *upstream.Answer, err error, version int64) {
+	fields := []zap.Field{
+		zap.String("request", request.ID), zap.String("route", request.Route.Name),
+		zap.String("service", request.Service), zap.String("server", trace.Server),
+		zap.Int("attempts", trace.Attempts), zap.Duration("queued", trace.Queued),
+		zap.Duration("took", time.Since(request.ArrivedAt)), zap.Int64("version", version),
+	}
+	if request.HasKey {
+		fields = append(fields, zap.Uint32("key", request.Key))
+	}
+	if err != nil {
+		h.logger.Warn("request failed", append(fields, zap.Error(err))...)
+		return
+	}
+	h.logger.Info("request answered", append(fields, zap.Int("status", answer.Status))...)
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,188 @@
+// Package mirror keeps a local copy of the store's keys by listing them once and
+// watching for changes.
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/topo"
+)
+
+const (
+	// watchWait is how long a watch waits. A watch that was cut off unnoticed is
+	// found sooner by the node's heartbeat, which calls Resume.
+	watchWait  = 15 * time.Second
+	retryPause = 150 * time.Millisecond
+)
+
+// Receiver takes in changes. It is called by one goroutine at a time.
+type Receiver interface {
+	// Replace takes a complete copy.
+	Replace(items []topo.Item, revision int64)
+	// Apply takes changes in order.
+	Apply(events []topo.Event, revision int64)
+}
+
+// Mirror follows the store. Its copy never goes back to an older revision.
+type Mirror struct {
+	store    topo.Store
+	receiver Receiver
+	logger   *zap.Logger
+
+	mutex    sync.Mutex
+	items    map[string]topo.Item
+	revision int64
+	listed   bool
+	// cancelWatch ends the watch that is waiting.
+	cancelWatch context.CancelFunc
+}
+
+// New returns a mirror that has nothing yet.
+func New(store topo.Store, receiver Receiver, logger *zap.Logger) *Mirror {
+	return &Mirror{store: store, receiver: receiver, logger: logger, items: make(map[string]topo.Item)}
+}
+
+// Run follows the store until the context ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	failed := false
+	for ctx.Err() == nil {
+		err := m.step(ctx)
+		switch {
+		case err == nil:
+			if failed {
+				m.logger.Info("store regained", zap.Int64("revision", m.Revision()))
+				failed = false
+			}
+			continue
+		case errors.Is(err, topo.ErrCompacted):
+			m.logger.Info("history compacted, listing again", zap.Int64("revision", m.Revision()))
+			m.forceList()
+			continue
+		case errors.Is(err, context.Canceled):
+			continue
+		case !failed:
+			m.logger.Warn("store lost", zap.Int64("revision", m.Revision()), zap.Error(err))
+			failed = true
+		}
+		pause(ctx, retryPause)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Resume ends a watch that may have been cut off and asks for the changes since
+// then at once.
+func (m *Mirror) Resume() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.cancelWatch != nil {
+		m.cancelWatch()
+	}
+}
+
+// Revision returns the store's revision that the copy reflects.
+func (m *Mirror) Revision() int64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.revision
+}
+
+// Snapshot returns all items and their revision, and false before the first list.
+func (m *Mirror) Snapshot() ([]topo.Item, int64, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	items := make([]topo.Item, 0, len(m.items))
+	for _, item := range m.items {
+		items = append(items, item)
+	}
+	return items, m.revision, m.listed
+}
+
+func (m *Mirror) forceList() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.listed = false
+}
+
+func (m *Mirror) step(ctx context.Context) error {
+	m.mutex.Lock()
+	listed, revision := m.listed, m.revision
+	watch, cancel := context.WithCancel(ctx)
+	m.cancelWatch = cancel
+	m.mutex.Unlock()
+	defer cancel()
+	if !listed {
+		items, at, err := m.store.List(ctx, "")
+		if err != nil {
+			return err
+		}
+		m.Adopt(items, at)
+		return nil
+	}
+	events, at, err := m.store.Watch(watch, "", revision, watchWait)
+	if err != nil {
+		if watch.Err() != nil && ctx.Err() == nil {
+			return errors.Mark(err, context.Canceled)
+		}
+		return err
+	}
+	m.apply(events, at)
+	return nil
+}
+
+// Adopt takes a complete copy, from the store or from another node, unless this
+// one is newer.
+func (m *Mirror) Adopt(items []topo.Item, revision int64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if revision < m.revision {
+		m.listed = true
+		return
+	}
+	m.items = make(map[string]topo.Item, len(items))
+	for _, item := range items {
+		m.items[item.Key] = item
+	}
+	m.revision = revision
+	m.listed = true
+	m.receiver.Replace(items, revision)
+}
+
+func (m *Mirror) apply(events []topo.Event, revision int64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if revision < m.revision {
+		return
+	}
+	fresh := events[:0]
+	for _, event := range events {
+		// A listing is no snapshot: it may hold later changes than the revision
+		// that the watch continues from.
+		if m.items[event.Key].Revision > event.Revision {
+			continue
+		}
+		fresh = append(fresh, event)
+		if event.Deleted {
+			delete(m.items, event.Key)
+			continue
+		}
+		m.items[event.Key] = event.Item
+	}
+	m.revision = revision
+	if len(fresh) > 0 {
+		m.receiver.Apply(fresh, revision)
+	}
+}
--- /dev/null
+++ b/internal/router/managers.go
@@ -0,0 +1,80 @@
+package router
+
+import (
+	"context"
+	"sync"
+
+	"github.com/micahaven/micahaven/internal/shardmanager"
+)
+
+// managers runs a manager for each key-divided service of the configuration.
+type managers struct {
+	config shardmanager.Config
+
+	mutex   sync.Mutex
+	running map[string]*runningManager
+	stopped bool
+	group   sync.WaitGroup
+}
+
+type runningManager struct {
+	*shardmanager.Manager
+	cancel context.CancelFunc
+}
+
+func newManagers(config shardmanager.Config) *managers {
+	return &managers{config: config, running: make(map[string]*runningManager)}
+}
+
+// follow starts managers for new services and stops those of services that went.
+func (m *managers) follow(ctx context.Context) {
+	table := m.config.Views.Current().Table
+	if table == nil {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.stopped {
+		return
+	}
+	for name, service := range table.Services() {
+		if service.KeyDivided && m.running[name] == nil {
+			m.start(ctx, name)
+		}
+	}
+	for name, running := range m.running {
+		if service, known := table.Service(name); !known || !service.KeyDivided {
+			running.cancel()
+			delete(m.running, name)
+		}
+	}
+}
+
+func (m *managers) start(ctx context.Context, service string) {
+	bounded, cancel := context.WithCancel(ctx)
+	manager := shardmanager.New(m.config, service)
+	m.running[service] = &runningManager{Manager: manager, cancel: cancel}
+	m.group.Go(func() { _ = manager.Run(bounded) })
+}
+
+func (m *managers) recordLoad(service string, keys []uint32, weight float64, servers []shardmanager.ServerLoad) {
+	m.mutex.Lock()
+	running := m.running[service]
+	m.mutex.Unlock()
+	if running != nil {
+		running.RecordLoad(keys, weight, servers)
+	}
+}
+
+// stop gives all locks up and starts no more managers.
+func (m *managers) stop() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.stopped = true
+	for _, running := range m.running {
+		running.cancel()
+	}
+}
+
+// wait returns when all managers have ended.
+func (m *managers) wait() { m.group.Wait() }
--- /dev/null
+++ b/internal/router/node.go
@@ -0,0 +1,268 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/oklog/ulid/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/ingress"
+	"github.com/micahaven/micahaven/internal/mirror"
+	"github.com/micahaven/micahaven/internal/periodic"
+	"github.com/micahaven/micahaven/internal/routerlog"
+	"github.com/micahaven/micahaven/internal/shardmanager"
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/transport"
+	"github.com/micahaven/micahaven/internal/view"
+	"github.com/micahaven/micahaven/internal/wire"
+)
+
+// Platform is what an adapter gives: the outside systems and their names.
+type Platform struct {
+	Store     topo.Store
+	Orders    shardmanager.Orders
+	Documents view.Documents
+	Layout    view.Layout
+	Headers   ingress.Headers
+	ReadyPath string
+}
+
+const (
+	gcPercent      = 50
+	memoryPart     = 0.8
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 20 * time.Second
+	headerBytes    = 64 << 10
+	followInterval = 100 * time.Millisecond
+	// notReadyPart is the part of the grace in which a stopping node still takes
+	// new connections, until everybody has seen that it is not ready.
+	notReadyPart = 0.45
+	// stopPart is the part of the grace after which a stopping node ends even if
+	// requests are still running.
+	stopPart = 0.9
+)
+
+// Node is a running router node.
+type Node struct {
+	settings     *Settings
+	logger       *zap.Logger
+	output       *routerlog.Output
+	views        *view.Builder
+	mirror       *mirror.Mirror
+	dispatcher   *dispatch.Dispatcher
+	handler      *ingress.Handler
+	managers     *managers
+	peers        *peers
+	registration *registration
+	inner        *transport.Server
+	clients      *http.Server
+	ready        *http.Server
+	path         string
+	stopping     atomic.Bool
+	// drained is closed when a stopping node has ended its requests.
+	drained chan struct{}
+}
+
+// Run runs a node until it is told to stop.
+func Run(ctx context.Context, settingsPath string, newPlatform func(*Settings) Platform, stdout io.Writer) error {
+	settings, err := LoadSettings(settingsPath)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryMegabytes) * (1 << 20)))
+	node, err := newNode(settings, settingsPath, newPlatform(settings), stdout)
+	if err != nil {
+		return err
+	}
+	return node.run(ctx)
+}
+
+func newNode(settings *Settings, path string, platform Platform, stdout io.Writer) (*Node, error) {
+	logger, output := routerlog.New(stdout, zapcore.InfoLevel)
+	logger = logger.With(zap.String("node", settings.Node))
+	self := view.Node{Name: settings.Node, Zone: settings.Zone, Address: settings.Listen.Nodes, Process: ulid.Make().String()}
+	n := &Node{settings: settings, logger: logger, output: output, path: path, drained: make(chan struct{})}
+	n.views = view.NewBuilder(platform.Layout, platform.Documents, logger)
+	n.dispatcher = dispatch.New(dispatchOptions(settings, platform.Headers), n.views, logger)
+	n.mirror = mirror.New(platform.Store, n.views, logger)
+	n.handler = ingress.NewHandler(platform.Headers, n.views, n.dispatcher, logger)
+	hello := &wire.Hello{Node: self.Name, Zone: self.Zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
+	n.peers = &peers{
+		self: self, seeds: settings.Seeds, client: transport.NewClient(hello, nil),
+		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, logger: logger,
+	}
+	options := shards.DefaultOptions()
+	options.Hold = min(options.Hold, time.Duration(settings.MaxHoldMillis)*time.Millisecond)
+	n.managers = newManagers(shardmanager.Config{
+		Self: self, Store: platform.Store, Views: n.views, Orders: platform.Orders, Notices: n.peers, Options: options, Logger: logger,
+	})
+	n.peers.managers = n.managers
+	n.registration = &registration{self: self, store: platform.Store, logger: logger, regained: n.mirror.Resume}
+	return n, n.listen(hello, platform.ReadyPath)
+}
+
+func dispatchOptions(settings *Settings, headers ingress.Headers) dispatch.Options {
+	return dispatch.Options{
+		Zone:        settings.Zone,
+		LeaveGrace:  settings.drain() / 2,
+		RetryRatio:  settings.Retry.Ratio,
+		RetrySlack:  settings.Retry.Slack,
+		RetryWindow: time.Duration(settings.Retry.WindowSeconds * float64(time.Second)),
+		Headers: dispatch.Headers{
+			RequestID: headers.RequestID, Deadline: headers.Deadline, Signature: headers.Signature,
+			Target: headers.Target, NotExecuted: headers.NotExecuted,
+		},
+	}
+}
+
+func (n *Node) listen(hello *wire.Hello, readyPath string) error {
+	inner, err := net.Listen("tcp", n.settings.Listen.Nodes)
+	if err != nil {
+		return errors.Wrap(err, "listen for nodes")
+	}
+	n.inner = transport.NewServer(hello, inner, nil, n.peers, n.logger)
+	n.clients = &http.Server{
+		Addr: n.settings.Listen.Clients, Handler: n.handler, ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(n.logger),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+readyPath, n.answerReady)
+	n.ready = &http.Server{Addr: n.settings.Listen.Ready, Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return nil
+}
+
+// answerReady tells whether the node takes new clients: it knows a configuration
+// and servers, and is not stopping.
+func (n *Node) answerReady(writer http.ResponseWriter, _ *http.Request) {
+	current := n.views.Current()
+	if n.stopping.Load() || current.Table == nil || len(current.Servers) == 0 {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (n *Node) run(parent context.Context) error {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	logging, endLogging := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_ = n.output.Run(logging, n.logger)
+	}()
+	n.logger.Info("node started", zap.String("process", n.peers.self.Process), zap.String("zone", n.settings.Zone))
+	var group run.Group
+	actor := func(work func(context.Context) error) {
+		bounded, stop := context.WithCancel(ctx)
+		group.Add(func() error { return work(bounded) }, func(error) { stop() })
+	}
+	actor(n.mirror.Run)
+	actor(n.dispatcher.Run)
+	actor(func(ctx context.Context) error {
+		return periodic.Run(ctx, followInterval, func(context.Context) { n.managers.follow(ctx) })
+	})
+	actor(func(ctx context.Context) error { return periodic.Run(ctx, nodeKeep, n.registration.step) })
+	actor(func(ctx context.Context) error { return periodic.Run(ctx, reportInterval, n.peers.report) })
+	actor(func(ctx context.Context) error { return periodic.Run(ctx, stateInterval, n.peers.compare) })
+	actor(n.watchSignals)
+	group.Add(n.inner.Serve, func(error) { n.inner.Close() })
+	group.Add(func() error { return serveHTTP(n.ready) }, func(error) { _ = n.ready.Close() })
+	group.Add(n.serveClients, func(error) { _ = n.clients.Close() })
+	err := group.Run()
+	n.managers.wait()
+	n.registration.end()
+	n.logger.Info("node stopped", zap.Error(err))
+	endLogging()
+	<-written
+	return err
+}
+
+// serveClients serves until the node stops, and then until it has drained.
+func (n *Node) serveClients() error {
+	err := serveHTTP(n.clients)
+	if n.stopping.Load() {
+		<-n.drained
+	}
+	return err
+}
+
+func serveHTTP(server *http.Server) error {
+	err := server.ListenAndServe()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve %s", server.Addr)
+}
+
+// watchSignals reloads the settings on SIGHUP and stops the node on SIGTERM.
+func (n *Node) watchSignals(ctx context.Context) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				n.reload()
+				continue
+			}
+			n.drain(ctx)
+			return nil
+		}
+	}
+}
+
+func (n *Node) reload() {
+	settings, err := LoadSettings(n.path)
+	if err != nil {
+		n.logger.Error("settings not reloaded, the old ones stay in force", zap.Error(err))
+		return
+	}
+	n.logger.Info("settings reloaded", zap.Strings("seeds", settings.Seeds))
+}
+
+// drain lets clients go elsewhere, hands the managers' locks over, and returns
+// when no request is running or the grace is nearly over.
+func (n *Node) drain(ctx context.Context) {
+	defer close(n.drained)
+	startedAt := time.Now()
+	n.logger.Info("node stopping", zap.Int("active", n.handler.Active()))
+	n.stopping.Store(true)
+	n.handler.Drain()
+	n.managers.stop()
+	grace := n.settings.grace()
+	takeUntil := startedAt.Add(time.Duration(notReadyPart * float64(grace)))
+	giveUpAt := startedAt.Add(time.Duration(stopPart * float64(grace)))
+	sleep(ctx, time.Until(takeUntil))
+	bounded, cancel := context.WithDeadline(ctx, giveUpAt)
+	defer cancel()
+	// Shutdown closes the listener and idle connections and waits for the others.
+	if err := n.clients.Shutdown(bounded); err != nil {
+		n.logger.Warn("requests cut off at the end", zap.Int("active", n.handler.Active()), zap.Error(err))
+	}
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/router/peers.go
@@ -0,0 +1,180 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/mirror"
+	"github.com/micahaven/micahaven/internal/shardmanager"
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/transport"
+	"github.com/micahaven/micahaven/internal/view"
+	"github.com/micahaven/micahaven/internal/wire"
+)
+
+const (
+	// reportInterval is the pause between two load reports to a manager.
+	reportInterval = 400 * time.Millisecond
+	// stateInterval is the pause between two comparisons with another node.
+	stateInterval = 1 * time.Second
+	stateTimeout  = 500 * time.Millisecond
+)
+
+// peers exchanges messages with the other nodes.
+type peers struct {
+	self       view.Node
+	seeds      []string
+	client     *transport.Client
+	views      *view.Builder
+	mirror     *mirror.Mirror
+	dispatcher *dispatch.Dispatcher
+	managers   *managers
+	logger     *zap.Logger
+}
+
+// Moving implements shardmanager.Notices.
+func (p *peers) Moving(service string, epoch uint64, ranges []shards.Range) {
+	p.dispatcher.Hold(service, ranges)
+	notice := &wire.MoveNotice{Service: service, Epoch: epoch}
+	for _, r := range ranges {
+		notice.Ranges = append(notice.Ranges, &wire.ShardRange{Last: r.Last, Fence: r.Fence})
+	}
+	for name, node := range p.views.Current().Nodes {
+		if name == p.self.Name {
+			continue
+		}
+		p.client.Send(node.Address, &wire.Envelope{Body: &wire.Envelope_MoveNotice{MoveNotice: notice}})
+	}
+}
+
+// HandleMessage implements transport.Handler.
+func (p *peers) HandleMessage(_ *wire.Hello, envelope *wire.Envelope) {
+	switch body := envelope.GetBody().(type) {
+	case *wire.Envelope_MoveNotice:
+		var ranges []shards.Range
+		for _, r := range body.MoveNotice.GetRanges() {
+			ranges = append(ranges, shards.Range{Last: r.GetLast(), Fence: r.GetFence()})
+		}
+		p.dispatcher.Hold(body.MoveNotice.GetService(), ranges)
+	case *wire.Envelope_LoadReport:
+		p.recordLoad(body.LoadReport)
+	}
+}
+
+func (p *peers) recordLoad(report *wire.LoadReport) {
+	servers := make([]shardmanager.ServerLoad, 0, len(report.GetServers()))
+	for _, load := range report.GetServers() {
+		servers = append(servers, shardmanager.ServerLoad{
+			Server:  discovery.ServerID(load.GetServer()),
+			Answers: load.GetAnswers(),
+			Busy:    time.Duration(load.GetBusyMillis()) * time.Millisecond,
+		})
+	}
+	p.managers.recordLoad(report.GetService(), report.GetKeys(), float64(report.GetWeight()), servers)
+}
+
+// HandleCall implements transport.Handler.
+func (p *peers) HandleCall(_ *wire.Hello, envelope *wire.Envelope, reply func(*wire.Envelope)) {
+	request := envelope.GetStateRequest()
+	if request == nil {
+		reply(&wire.Envelope{Body: &wire.Envelope_Failure{Failure: &wire.Failure{Message: "unknown call"}}})
+		return
+	}
+	answer := &wire.StateReply{}
+	if p.mirror.Revision() > request.GetRevision() {
+		items, revision, listed := p.mirror.Snapshot()
+		answer.Revision, answer.Complete = revision, listed
+		for _, item := range items {
+			answer.Items = append(answer.Items, &wire.StoreItem{
+				Key: item.Key, Value: item.Value, Revision: item.Revision, Lease: int64(item.Lease),
+			})
+		}
+	}
+	reply(&wire.Envelope{Body: &wire.Envelope_StateReply{StateReply: answer}})
+}
+
+// report sends what this node saw of each key-divided service to its manager.
+func (p *peers) report(context.Context) {
+	current := p.views.Current()
+	if current.Table == nil {
+		return
+	}
+	for name, service := range current.Table.Services() {
+		if !service.KeyDivided {
+			continue
+		}
+		seen := p.dispatcher.TakeReport(name)
+		if len(seen.Keys) == 0 && len(seen.Servers) == 0 {
+			continue
+		}
+		report := &wire.LoadReport{Service: name, Keys: seen.Keys, Weight: float32(seen.Weight)}
+		for _, s := range seen.Servers {
+			report.Servers = append(report.Servers, &wire.ServerLoad{
+				Server: string(s.Server), Answers: s.Answers, BusyMillis: s.BusyMillis,
+			})
+		}
+		manager := current.Managers[name]
+		switch manager.Name {
+		case "":
+		case p.self.Name:
+			p.recordLoad(report)
+		default:
+			p.client.Send(manager.Address, &wire.Envelope{Body: &wire.Envelope_LoadReport{LoadReport: report}})
+		}
+	}
+}
+
+// compare asks another node for its copy of the store and takes it if it is
+// newer, so that a node learns what the store does not tell it.
+func (p *peers) compare(ctx context.Context) {
+	address := p.randomPeer()
+	if address == "" {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	ask := &wire.Envelope{Body: &wire.Envelope_StateRequest{StateRequest: &wire.StateRequest{Revision: p.mirror.Revision()}}}
+	envelope, err := p.client.Call(bounded, address, ask)
+	if err != nil {
+		p.logger.Debug("peer did not answer", zap.String("address", address), zap.Error(err))
+		return
+	}
+	answer := envelope.GetStateReply()
+	if !answer.GetComplete() || answer.GetRevision() <= p.mirror.Revision() {
+		return
+	}
+	items := make([]topo.Item, 0, len(answer.GetItems()))
+	for _, item := range answer.GetItems() {
+		items = append(items, topo.Item{
+			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Lease: topo.LeaseID(item.GetLease()),
+		})
+	}
+	p.logger.Info("state taken from another node", zap.String("address", address), zap.Int64("revision", answer.GetRevision()))
+	p.mirror.Adopt(items, answer.GetRevision())
+}
+
+func (p *peers) randomPeer() string {
+	var addresses []string
+	for name, node := range p.views.Current().Nodes {
+		if name != p.self.Name {
+			addresses = append(addresses, node.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		for _, seed := range p.seeds {
+			if seed != p.self.Address {
+				addresses = append(addresses, seed)
+			}
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
--- /dev/null
+++ b/internal/router/settings.go
@@ -0,0 +1,117 @@
+// Package router joins the parts of a router node: the mirror of the store, the
+// dispatcher, the ingress, the managers of keys and the exchange with other nodes.
+package router
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// ErrInvalidSettings means that a settings file cannot be used. The message names
+// the field, its value and what is allowed.
+var ErrInvalidSettings = errors.New("invalid settings")
+
+// Settings is a router node's settings file.
+type Settings struct {
+	Node   string `yaml:"node"`
+	Zone   string `yaml:"zone"`
+	Listen struct {
+		Clients string `yaml:"clients"`
+		Ready   string `yaml:"ready"`
+		Nodes   string `yaml:"nodes"`
+		Metrics string `yaml:"metrics"`
+	} `yaml:"listen"`
+	// Seeds are addresses at which other nodes may be found.
+	Seeds []string `yaml:"seeds"`
+	Store struct {
+		Address string `yaml:"address"`
+	} `yaml:"store"`
+	// DrainMillis is how long after a server was announced as leaving it may
+	// still get requests.
+	DrainMillis int `yaml:"drain_millis"`
+	// GraceMillis is how long the node may take to stop.
+	GraceMillis int `yaml:"grace_millis"`
+	Retry       struct {
+		Ratio         float64 `yaml:"ratio"`
+		Slack         float64 `yaml:"slack"`
+		WindowSeconds float64 `yaml:"window_seconds"`
+	} `yaml:"retry"`
+	// MaxHoldMillis is the longest grant that servers take.
+	MaxHoldMillis int `yaml:"max_hold_millis"`
+	// MemoryMegabytes is the memory that the process may use.
+	MemoryMegabytes int `yaml:"memory_megabytes"`
+}
+
+// LoadSettings reads and checks a settings file. Unknown fields are skipped.
+func LoadSettings(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "read settings"), ErrInvalidSettings)
+	}
+	return ParseSettings(text)
+}
+
+// ParseSettings reads and checks the text of a settings file.
+func ParseSettings(text []byte) (*Settings, error) {
+	parsed := &Settings{}
+	if err := yaml.Unmarshal(text, parsed); err != nil {
+		return nil, errors.Mark(errors.Newf("settings: %s", yaml.FormatError(err, false, true)), ErrInvalidSettings)
+	}
+	return parsed, parsed.check()
+}
+
+func (s *Settings) check() error {
+	if s.Node == "" {
+		return invalidSetting("node", s.Node, "not empty")
+	}
+	addresses := []struct {
+		field, value string
+		optional     bool
+	}{
+		{field: "listen.clients", value: s.Listen.Clients},
+		{field: "listen.ready", value: s.Listen.Ready},
+		{field: "listen.nodes", value: s.Listen.Nodes},
+		{field: "listen.metrics", value: s.Listen.Metrics, optional: true},
+		{field: "store.address", value: s.Store.Address},
+	}
+	for _, address := range addresses {
+		if address.optional && address.value == "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			return invalidSetting(address.field, address.value, "IP:port")
+		}
+	}
+	numbers := []struct {
+		field     string
+		value     float64
+		low, high float64
+	}{
+		{"drain_millis", float64(s.DrainMillis), 1, 600000},
+		{"grace_millis", float64(s.GraceMillis), 100, 600000},
+		{"retry.ratio", s.Retry.Ratio, 0, 10},
+		{"retry.slack", s.Retry.Slack, 0, 1e9},
+		{"retry.window_seconds", s.Retry.WindowSeconds, 0.1, 3600},
+		{"max_hold_millis", float64(s.MaxHoldMillis), 500, 600000},
+		{"memory_megabytes", float64(s.MemoryMegabytes), 16, 1 << 20},
+	}
+	for _, number := range numbers {
+		if number.value < number.low || number.value > number.high {
+			return invalidSetting(number.field, number.value, fmt.Sprintf("%g to %g", number.low, number.high))
+		}
+	}
+	return nil
+}
+
+func invalidSetting(field string, value any, allowed string) error {
+	return errors.Wrapf(ErrInvalidSettings, "field %s: %v, allowed: %s", field, value, allowed)
+}
+
+func (s *Settings) grace() time.Duration { return time.Duration(s.GraceMillis) * time.Millisecond }
+
+func (s *Settings) drain() time.Duration { return time.Duration(s.DrainMillis) * time.Millisecond }
--- /dev/null
+++ b/internal/routerlog/routerlog.go
@@ -0,0 +1,110 @@
+// Package routerlog writes structured logs to standard output without ever
+// blocking the code that logs: lines that the reader does not take in time, and
+// lines about answered requests above a rate, are dropped and counted.
+package routerlog
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
+)
+
+const (
+	queueLines = 1024
+	// infoPerSecond bounds informational lines; warnings and errors have the
+	// queue as their only bound.
+	infoPerSecond = 400
+	dropInterval  = time.Second
+)
+
+// Output is a queue of lines before a writer.
+type Output struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	writer  io.Writer
+}
+
+// New returns a logger and its output, which has to be run.
+func New(writer io.Writer, level zapcore.Level) (*zap.Logger, *Output) {
+	output := &Output{lines: make(chan []byte, queueLines), writer: writer}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.MillisDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), output, level)
+	limited := &limitedCore{Core: core, limiter: rate.NewLimiter(infoPerSecond, infoPerSecond), output: output}
+	return zap.New(limited), output
+}
+
+// Write implements zapcore.WriteSyncer. It never blocks.
+func (o *Output) Write(line []byte) (int, error) {
+	copied := append([]byte(nil), line...)
+	select {
+	case o.lines <- copied:
+	default:
+		o.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (o *Output) Sync() error { return nil }
+
+// Run writes queued lines until the context ends, and then what is left.
+func (o *Output) Run(ctx context.Context, logger *zap.Logger) error {
+	ticker := time.NewTicker(dropInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case line := <-o.lines:
+			// Standard output is gone if this fails; there is no other place to say so.
+			_, _ = o.writer.Write(line)
+		case <-ticker.C:
+			if dropped := o.dropped.Swap(0); dropped > 0 {
+				logger.Warn("log lines dropped", zap.Int64("lines", dropped))
+			}
+		case <-ctx.Done():
+			o.flush()
+			return nil
+		}
+	}
+}
+
+func (o *Output) flush() {
+	for {
+		select {
+		case line := <-o.lines:
+			_, _ = o.writer.Write(line)
+		default:
+			return
+		}
+	}
+}
+
+// limitedCore bounds informational lines.
+type limitedCore struct {
+	zapcore.Core
+	limiter *rate.Limiter
+	output  *Output
+}
+
+// With implements zapcore.Core.
+func (c *limitedCore) With(fields []zapcore.Field) zapcore.Core {
+	return &limitedCore{Core: c.Core.With(fields), limiter: c.limiter, output: c.output}
+}
+
+// Check implements zapcore.Core.
+func (c *limitedCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if !c.Enabled(entry.Level) {
+		return checked
+	}
+	if entry.Level <= zapcore.InfoLevel && !c.limiter.Allow() {
+		c.output.dropped.Add(1)
+		return checked
+	}
+	return checked.AddCore(entry, c)
+}
--- /dev/null
+++ b/internal/shardmanager/manager.go
@@ -0,0 +1,197 @@
+// Package shardmanager runs the manager of each key-divided service: it takes the
+// manager's lock in the store, drives the pure core in package shards, and
+// carries out what that asks for.
+package shardmanager
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+// Orders carries orders to servers.
+type Orders interface {
+	// Grant gives a server keys or renews its hold on them.
+	Grant(ctx context.Context, grant shards.Grant) shards.Outcome
+	// Release takes keys from a server and returns its handover.
+	Release(ctx context.Context, release shards.Release) (shards.Outcome, string)
+}
+
+// Notices tells the other nodes what is about to change.
+type Notices interface {
+	Moving(service string, epoch uint64, ranges []shards.Range)
+}
+
+const (
+	lockTTL       = 2 * time.Second
+	lockKeep      = 500 * time.Millisecond
+	tickInterval  = 50 * time.Millisecond
+	releaseWait   = 6 * time.Second
+	campaignPause = 200 * time.Millisecond
+	// settleTime is how long no server must have registered before the first map
+	// is made, and settleLimit how long that is waited for.
+	settleTime  = 1500 * time.Millisecond
+	settleLimit = 5 * time.Second
+	// goneGrace is how long a server whose entry is missing keeps its keys, since
+	// entries may lapse while the store is down and come back.
+	goneGrace = 900 * time.Millisecond
+	// outageAuthority is how long a manager that cannot reach the store renews
+	// unchanged grants; shards.Options.PreviousAuthority must not be less.
+	outageAuthority = 11 * time.Second
+)
+
+// Config is what a manager needs.
+type Config struct {
+	Self    view.Node
+	Store   topo.Store
+	Views   *view.Builder
+	Orders  Orders
+	Notices Notices
+	Options shards.Options
+	Logger  *zap.Logger
+}
+
+// Manager campaigns for one service's lock and manages its keys while it holds it.
+type Manager struct {
+	config  Config
+	service string
+	logger  *zap.Logger
+
+	mutex sync.Mutex
+	// term is the current time in office; nil without the lock.
+	term *term
+}
+
+// New returns a manager for a service.
+func New(config Config, service string) *Manager {
+	return &Manager{config: config, service: service, logger: config.Logger.With(zap.String("service", service))}
+}
+
+// Run campaigns and manages until the context ends; then it gives the lock up.
+func (m *Manager) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if held := m.config.Views.Current().Managers[m.service]; held.Epoch != 0 {
+			pause(ctx, campaignPause)
+			continue
+		}
+		lock, err := m.campaign(ctx)
+		if err != nil {
+			if !errors.Is(err, topo.ErrConflict) {
+				m.logger.Info("campaign failed", zap.Error(err))
+			}
+			pause(ctx, campaignPause+time.Duration(rand.Int64N(int64(campaignPause))))
+			continue
+		}
+		m.serve(ctx, lock)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// lock is a manager's lock in the store.
+type lock struct {
+	lease topo.LeaseID
+	// epoch is the revision at which the lock was written.
+	epoch int64
+	// keptAt is when the last successful renewal was sent.
+	keptAt time.Time
+}
+
+func (m *Manager) campaign(ctx context.Context) (*lock, error) {
+	sentAt := time.Now()
+	lease, _, err := m.config.Store.GrantLease(ctx, lockTTL)
+	if err != nil {
+		return nil, err
+	}
+	value, err := json.Marshal(m.config.Self)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode manager entry")
+	}
+	key := view.ManagerKey(m.service)
+	epoch, err := m.config.Store.Commit(ctx, topo.Transaction{
+		Conditions: []topo.Condition{{Key: key}},
+		Puts:       []topo.Put{{Key: key, Value: value, Lease: lease}},
+	})
+	if err != nil {
+		// If the commit was done unnoticed, the lease ends the lock.
+		_ = m.config.Store.EndLease(ctx, lease)
+		return nil, err
+	}
+	m.logger.Info("manager lock taken", zap.Int64("epoch", epoch))
+	return &lock{lease: lease, epoch: epoch, keptAt: sentAt}, nil
+}
+
+// serve manages the keys until the lock is lost or the context ends.
+func (m *Manager) serve(ctx context.Context, held *lock) {
+	current, revision, err := m.readMap(ctx)
+	if err != nil {
+		m.logger.Warn("owner map unreadable", zap.Error(err))
+		_ = m.config.Store.EndLease(ctx, held.lease)
+		return
+	}
+	t := newTerm(m, held, current, revision)
+	m.setTerm(t)
+	defer m.setTerm(nil)
+	t.run(ctx)
+	if ctx.Err() != nil {
+		ending, cancel := context.WithTimeout(context.Background(), lockKeep)
+		defer cancel()
+		_ = m.config.Store.EndLease(ending, held.lease)
+	}
+}
+
+func (m *Manager) setTerm(t *term) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.term = t
+}
+
+// RecordLoad takes in what a node saw.
+func (m *Manager) RecordLoad(keys []uint32, weight float64, servers []ServerLoad) {
+	m.mutex.Lock()
+	t := m.term
+	m.mutex.Unlock()
+	if t != nil {
+		t.recordLoad(keys, weight, servers)
+	}
+}
+
+func (m *Manager) readMap(ctx context.Context) (*shards.Map, int64, error) {
+	key := view.OwnersKey(m.service)
+	items, _, err := m.config.Store.List(ctx, key)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, item := range items {
+		if item.Key == key {
+			decoded, err := shards.DecodeMap(item.Value)
+			return decoded, item.Revision, err
+		}
+	}
+	return nil, 0, nil
+}
+
+// ServerLoad sums up what a node saw of one server.
+type ServerLoad struct {
+	Server  discovery.ServerID
+	Answers uint32
+	Busy    time.Duration
+}
--- /dev/null
+++ b/internal/shardmanager/term.go
@@ -0,0 +1,317 @@
+package shardmanager
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+// term is one time in office. Its mutex guards the core and what follows; it is
+// never held while something is called that blocks.
+type term struct {
+	manager *Manager
+	lock    *lock
+	start   time.Time
+	ended   context.CancelFunc
+
+	mutex       sync.Mutex
+	core        *shards.Manager
+	mapRevision int64
+	keptAt      time.Time
+	storeFailed bool
+	speeds      map[discovery.ServerID]*speed
+	firstSeen   time.Time
+	lastJoined  time.Time
+	known       map[discovery.ServerID]bool
+}
+
+// speed is the moving mean of a server's answers.
+type speed struct {
+	meanSeconds float64
+	answers     float64
+}
+
+func newTerm(m *Manager, held *lock, current *shards.Map, revision int64) *term {
+	now := time.Now()
+	return &term{
+		manager:     m,
+		lock:        held,
+		start:       now,
+		core:        shards.NewManager(m.service, uint64(held.epoch), current, m.config.Options, 0),
+		mapRevision: revision,
+		keptAt:      held.keptAt,
+		speeds:      make(map[discovery.ServerID]*speed),
+		known:       make(map[discovery.ServerID]bool),
+	}
+}
+
+func (t *term) now() time.Duration { return time.Since(t.start) }
+
+func (t *term) run(parent context.Context) {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	t.ended = cancel
+	go t.keepLock(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		t.step(ctx)
+		select {
+		case <-ctx.Done():
+			t.manager.logger.Info("manager term ended", zap.Int64("epoch", t.lock.epoch))
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// keepLock renews the lock and ends the term when it is surely lost.
+func (t *term) keepLock(ctx context.Context) {
+	for {
+		pause(ctx, lockKeep)
+		if ctx.Err() != nil {
+			return
+		}
+		sentAt := time.Now()
+		err := t.manager.config.Store.KeepLease(ctx, t.lock.lease)
+		t.mutex.Lock()
+		failed := err != nil
+		if failed != t.storeFailed {
+			t.manager.logger.Info("manager's store contact changed", zap.Bool("lost", failed), zap.Error(err))
+		}
+		t.storeFailed = failed
+		if err == nil {
+			t.keptAt = sentAt
+		}
+		expired := time.Since(t.keptAt) > outageAuthority
+		t.mutex.Unlock()
+		if errors.Is(err, topo.ErrLeaseGone) || expired {
+			t.manager.logger.Warn("manager lock lost", zap.Int64("epoch", t.lock.epoch), zap.Error(err))
+			t.ended()
+			return
+		}
+	}
+}
+
+// step lets the core look at the world and carries out what it asks for.
+func (t *term) step(ctx context.Context) {
+	current := t.manager.config.Views.Current()
+	t.mutex.Lock()
+	if time.Since(t.keptAt) > outageAuthority {
+		t.mutex.Unlock()
+		t.ended()
+		return
+	}
+	t.lookAtServers(current)
+	t.core.SetStoreHealthy(!t.storeFailed && time.Since(t.keptAt) < lockTTL)
+	if !t.core.Started() && t.settled() {
+		t.core.Start()
+	}
+	commands := t.core.Tick(t.now())
+	t.mutex.Unlock()
+	t.carryOut(ctx, commands)
+}
+
+// settled reports whether all servers have probably registered.
+func (t *term) settled() bool {
+	if len(t.known) == 0 {
+		return false
+	}
+	return time.Since(t.lastJoined) > settleTime || time.Since(t.firstSeen) > settleLimit
+}
+
+// lookAtServers tells the core what the view says of the service's servers. The
+// caller holds the mutex.
+func (t *term) lookAtServers(current *view.View) {
+	now := time.Now()
+	var servers []shards.Server
+	var dead []discovery.ServerID
+	addresses := make(map[string]*view.Server)
+	for _, s := range current.Servers {
+		if s.GoneSince.IsZero() {
+			addresses[s.Address] = s
+		}
+	}
+	for _, s := range current.Services[t.manager.service] {
+		if !t.known[s.ID] {
+			t.known[s.ID] = true
+			t.lastJoined = now
+			if t.firstSeen.IsZero() {
+				t.firstSeen = now
+			}
+		}
+		if !s.GoneSince.IsZero() {
+			if other := addresses[s.Address]; other != nil && other.ID != s.ID {
+				dead = append(dead, s.ID)
+			}
+		}
+		accepting := s.DrainingSince.IsZero() && (s.GoneSince.IsZero() || now.Sub(s.GoneSince) < goneGrace)
+		servers = append(servers, shards.Server{
+			ID: s.ID, Address: s.Address, Accepting: accepting, Capacity: t.capacity(s),
+		})
+	}
+	t.core.SetServers(servers, dead)
+}
+
+// capacity estimates how much load a server takes from its slots and speed.
+func (t *term) capacity(s *view.Server) float64 {
+	slots := float64(max(1, s.Slots))
+	known := t.speeds[s.ID]
+	if known == nil || known.answers < minAnswers {
+		return slots
+	}
+	sum, count := 0.0, 0
+	for _, other := range t.speeds {
+		if other.answers >= minAnswers {
+			sum += other.meanSeconds
+			count++
+		}
+	}
+	const slowest, fastest = 0.35, 1.6
+	return slots * min(fastest, max(slowest, sum/float64(count)/known.meanSeconds))
+}
+
+// minAnswers is how many answers are needed to judge a server's speed.
+const minAnswers = 8
+
+func (t *term) recordLoad(keys []uint32, weight float64, servers []ServerLoad) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.core.RecordLoad(t.now(), keys, weight)
+	for _, load := range servers {
+		t.recordSpeed(load)
+	}
+}
+
+func (t *term) recordSpeed(load ServerLoad) {
+	if load.Answers == 0 {
+		return
+	}
+	known := t.speeds[load.Server]
+	if known == nil {
+		known = &speed{}
+		t.speeds[load.Server] = known
+	}
+	const memory = 40.0
+	answers := float64(load.Answers)
+	mean := load.Busy.Seconds() / answers
+	known.answers = min(memory, known.answers+answers)
+	known.meanSeconds += (mean - known.meanSeconds) * min(1, answers/known.answers)
+}
+
+// carryOut starts everything the core asked for.
+func (t *term) carryOut(ctx context.Context, commands shards.Commands) {
+	if len(commands.Moving) > 0 {
+		t.manager.config.Notices.Moving(t.manager.service, uint64(t.lock.epoch), commands.Moving)
+	}
+	for _, release := range commands.Releases {
+		go t.release(ctx, release)
+	}
+	for _, grant := range commands.Grants {
+		go t.grant(ctx, grant)
+	}
+	if commands.Commit != nil {
+		go t.commit(ctx, commands.Commit.Map)
+	}
+}
+
+func (t *term) grant(ctx context.Context, grant shards.Grant) {
+	sentAt := t.now()
+	bounded, cancel := context.WithTimeout(ctx, t.manager.config.Options.CallTimeout)
+	defer cancel()
+	outcome := t.manager.config.Orders.Grant(bounded, grant)
+	if outcome != shards.Accepted {
+		t.manager.logger.Info("grant failed", zap.String("server", string(grant.Owner)), zap.Uint32("first", grant.First),
+			zap.Uint32("last", grant.Last), zap.Uint64("fence", grant.Fence), zap.Stringer("outcome", outcome))
+	}
+	t.mutex.Lock()
+	t.core.GrantDone(t.now(), shards.GrantResult{Grant: grant, SentAt: sentAt, Outcome: outcome})
+	t.mutex.Unlock()
+}
+
+func (t *term) release(ctx context.Context, release shards.Release) {
+	bounded, cancel := context.WithTimeout(ctx, releaseWait)
+	defer cancel()
+	startedAt := time.Now()
+	outcome, handover := t.manager.config.Orders.Release(bounded, release)
+	t.manager.logger.Info("release", zap.String("server", string(release.Owner)), zap.Uint32("first", release.First),
+		zap.Uint32("last", release.Last), zap.Uint64("fence", release.Fence), zap.Stringer("outcome", outcome),
+		zap.Bool("handover", handover != ""), zap.Duration("took", time.Since(startedAt)))
+	t.mutex.Lock()
+	t.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: outcome, Handover: handover})
+	t.mutex.Unlock()
+	if outcome == shards.Accepted {
+		t.step(ctx)
+	}
+}
+
+// commit writes the map if this manager still holds the lock and the map is the
+// one it knows. An unanswered write is settled by reading before anything else.
+func (t *term) commit(ctx context.Context, written *shards.Map) {
+	encoded, err := written.Encode()
+	if err != nil {
+		t.manager.logger.Error("owner map not encoded", zap.Error(err))
+		t.ended()
+		return
+	}
+	t.mutex.Lock()
+	expected := t.mapRevision
+	t.mutex.Unlock()
+	key := view.OwnersKey(t.manager.service)
+	transaction := topo.Transaction{
+		Conditions: []topo.Condition{{Key: view.ManagerKey(t.manager.service), Revision: t.lock.epoch}, {Key: key, Revision: expected}},
+		Puts:       []topo.Put{{Key: key, Value: encoded}},
+	}
+	for ctx.Err() == nil {
+		revision, err := t.manager.config.Store.Commit(ctx, transaction)
+		if err != nil {
+			revision, err = t.settle(ctx, expected, encoded, err)
+		}
+		if err == nil {
+			t.committed(ctx, revision, written)
+			return
+		}
+		if errors.Is(err, topo.ErrConflict) {
+			t.manager.logger.Warn("owner map changed by another manager", zap.Int64("epoch", t.lock.epoch))
+			t.ended()
+			return
+		}
+		pause(ctx, campaignPause)
+	}
+}
+
+// settle finds out whether a write that failed was done after all.
+func (t *term) settle(ctx context.Context, expected int64, encoded []byte, cause error) (int64, error) {
+	key := view.OwnersKey(t.manager.service)
+	items, _, err := t.manager.config.Store.List(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	for _, item := range items {
+		if item.Key != key || item.Revision == expected {
+			continue
+		}
+		if string(item.Value) == string(encoded) {
+			return item.Revision, nil
+		}
+		return 0, topo.ErrConflict
+	}
+	return 0, cause
+}
+
+func (t *term) committed(ctx context.Context, revision int64, written *shards.Map) {
+	t.mutex.Lock()
+	t.mapRevision = revision
+	t.core.Committed(t.now())
+	t.mutex.Unlock()
+	t.manager.logger.Info("owner map committed", zap.Int64("revision", revision), zap.Int("ranges", len(written.Ranges)))
+	t.step(ctx)
+}
--- /dev/null
+++ b/internal/shards/load.go
@@ -0,0 +1,98 @@
+package shards
+
+import (
+	"sort"
+	"time"
+)
+
+// loadWindow is how long a request counts in the measured load.
+const loadWindow = 3 * time.Second
+
+// maxSamples bounds the memory of a LoadWindow.
+const maxSamples = 1 << 13
+
+type sample struct {
+	at     time.Duration
+	key    uint32
+	weight float64
+}
+
+// LoadWindow remembers which keys were asked for lately.
+type LoadWindow struct {
+	recent []sample
+	// sorted holds the keys and the running sum of weights, made on demand.
+	sortedAt time.Duration
+	sorted   []sample
+	sums     []float64
+}
+
+// NewLoadWindow returns an empty window.
+func NewLoadWindow() *LoadWindow { return &LoadWindow{} }
+
+// Add records requests that arrived about now; each key stands for weight
+// requests.
+func (w *LoadWindow) Add(now time.Duration, keys []uint32, weight float64) {
+	for _, key := range keys {
+		w.recent = append(w.recent, sample{at: now, key: key, weight: weight})
+	}
+	if excess := len(w.recent) - maxSamples; excess > 0 {
+		w.recent = append([]sample(nil), w.recent[excess:]...)
+	}
+	w.sorted = nil
+}
+
+func (w *LoadWindow) refresh(now time.Duration) {
+	if w.sorted != nil && w.sortedAt == now {
+		return
+	}
+	keep := 0
+	for keep < len(w.recent) && w.recent[keep].at < now-loadWindow {
+		keep++
+	}
+	w.recent = w.recent[keep:]
+	w.sorted = append(make([]sample, 0, len(w.recent)), w.recent...)
+	sort.Slice(w.sorted, func(i, j int) bool { return w.sorted[i].key < w.sorted[j].key })
+	w.sums = make([]float64, len(w.sorted)+1)
+	for index, s := range w.sorted {
+		w.sums[index+1] = w.sums[index] + s.weight
+	}
+	w.sortedAt = now
+}
+
+// Between returns how many requests lately asked for keys from first to last.
+func (w *LoadWindow) Between(now time.Duration, first, last uint32) float64 {
+	low, high := w.span(now, first, last)
+	return w.sums[high] - w.sums[low]
+}
+
+// Total returns how many requests there were lately.
+func (w *LoadWindow) Total(now time.Duration) float64 {
+	w.refresh(now)
+	return w.sums[len(w.sums)-1]
+}
+
+// span returns the positions of the samples from first to last.
+func (w *LoadWindow) span(now time.Duration, first, last uint32) (low, high int) {
+	w.refresh(now)
+	low = sort.Search(len(w.sorted), func(i int) bool { return w.sorted[i].key >= first })
+	high = sort.Search(len(w.sorted), func(i int) bool { return w.sorted[i].key > last })
+	return low, high
+}
+
+// Cut returns the greatest key below which, from first on, there are at most
+// amount requests, and their number. The key is the first one not included.
+func (w *LoadWindow) Cut(now time.Duration, first, last uint32, amount float64) (uint32, float64) {
+	low, high := w.span(now, first, last)
+	index := low
+	for index < high {
+		next := index
+		for next < high && w.sorted[next].key == w.sorted[index].key {
+			next++
+		}
+		if w.sums[next]-w.sums[low] > amount {
+			return w.sorted[index].key, w.sums[index] - w.sums[low]
+		}
+		index = next
+	}
+	return last + 1, w.sums[high] - w.sums[low]
+}
--- /dev/null
+++ b/internal/shards/manager.go
@@ -0,0 +1,413 @@
+package shards
+
+import (
+	"sort"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+)
+
+// Options are the durations of the ownership protocol.
+type Options struct {
+	// Hold is how long a grant is valid, by the server's clock.
+	Hold time.Duration
+	// Renew is the pause between two renewals of a grant.
+	Renew time.Duration
+	// CallTimeout is after how long an order counts as unanswered.
+	CallTimeout time.Duration
+	// LateOrder is how long after it was sent an unanswered order may still be
+	// carried out.
+	LateOrder time.Duration
+	// ReleaseRetry is the pause before a release is sent once more.
+	ReleaseRetry time.Duration
+	// PreviousAuthority is how long an earlier manager that lost the store may
+	// have gone on renewing.
+	PreviousAuthority time.Duration
+	// Drift is how much longer a server's clock may count, as a factor.
+	Drift float64
+	// MaxMoves bounds how many ranges are released at a time for balance.
+	MaxMoves int
+}
+
+// DefaultOptions returns the durations that the design was measured with.
+func DefaultOptions() Options {
+	return Options{
+		Hold:              5 * time.Second,
+		Renew:             1200 * time.Millisecond,
+		CallTimeout:       time.Second,
+		LateOrder:         13 * time.Second,
+		ReleaseRetry:      700 * time.Millisecond,
+		PreviousAuthority: 12 * time.Second,
+		Drift:             1.03,
+		MaxMoves:          8,
+	}
+}
+
+// fenceEpochShift leaves room for a million fences in one epoch.
+const fenceEpochShift = 20
+
+type phase int
+
+const (
+	// vacant ranges have no possible holder and wait for an owner.
+	vacant phase = iota
+	// committing ranges have a new owner that is being written to the store.
+	committing
+	// owned ranges are granted to their owner and renewed.
+	owned
+	// releasing ranges are being taken from their owner.
+	releasing
+)
+
+// shard is a range and what the manager does with it.
+type shard struct {
+	Range
+	phase phase
+	// heldUntil is the latest moment at which the owner's hold can end, as far
+	// as it follows from grants that are not in flight.
+	heldUntil time.Duration
+	// inFlight counts grants that have neither been answered nor timed out.
+	inFlight int
+	renewAt  time.Duration
+	// releaseFence is the fence of the release, if the range is releasing.
+	releaseFence uint64
+	releaseAt    time.Duration
+	// target is the planned next owner; empty means any.
+	target discovery.ServerID
+}
+
+// Manager decides about the owners of one service's keys. It must be driven by
+// one goroutine.
+//
+// Invariant (single owner): a key is held by nobody but the owner that the
+// committed map names, under the fence it names or a lower one.
+//
+// It holds because a manager grants a range only to the owner, and under the
+// fence, of a map that it has committed, and commits another owner only when the
+// earlier one acknowledged a release under a higher fence (from then on it
+// refuses late grants), is known to be dead, or can no longer hold the range by
+// any grant that was ever sent. Commits are conditional on the manager's lock and
+// on the map it last read, so of two managers only one can change owners.
+type Manager struct {
+	service string
+	epoch   uint64
+	options Options
+	nextSeq uint64
+
+	shards  []*shard
+	servers map[discovery.ServerID]Server
+	dead    map[discovery.ServerID]bool
+
+	// uncommitted is true while the map differs from the one in the store;
+	// commitInFlight while that is being written.
+	uncommitted    bool
+	commitInFlight bool
+	storeHealthy   bool
+
+	load *LoadWindow
+	plan planState
+}
+
+// NewManager returns a manager that continues from the map of an earlier one, or
+// from nothing if previous is nil.
+func NewManager(service string, epoch uint64, previous *Map, options Options, now time.Duration) *Manager {
+	m := &Manager{
+		service:      service,
+		epoch:        epoch,
+		options:      options,
+		servers:      make(map[discovery.ServerID]Server),
+		dead:         make(map[discovery.ServerID]bool),
+		storeHealthy: true,
+		load:         NewLoadWindow(),
+	}
+	if previous == nil {
+		return m
+	}
+	for _, r := range previous.Ranges {
+		s := &shard{Range: r, phase: owned, renewAt: now}
+		if r.Owner == "" {
+			s.phase = vacant
+		} else {
+			s.heldUntil = now + options.PreviousAuthority + m.holdBound()
+		}
+		m.shards = append(m.shards, s)
+	}
+	return m
+}
+
+// holdBound is the longest time that a grant lasts by this manager's clock.
+func (m *Manager) holdBound() time.Duration {
+	return time.Duration(float64(m.options.Hold) * m.options.Drift)
+}
+
+// Started reports whether the manager has a map.
+func (m *Manager) Started() bool { return len(m.shards) > 0 }
+
+// Map returns the current map, which may not be committed yet.
+func (m *Manager) Map() *Map {
+	current := &Map{Service: m.service, Epoch: m.epoch, Ranges: make([]Range, 0, len(m.shards))}
+	for _, s := range m.shards {
+		current.Ranges = append(current.Ranges, s.Range)
+	}
+	return current
+}
+
+// SetServers replaces what the manager knows of the servers. dead are lives that
+// have certainly ended.
+func (m *Manager) SetServers(servers []Server, dead []discovery.ServerID) {
+	m.servers = make(map[discovery.ServerID]Server, len(servers))
+	for _, server := range servers {
+		m.servers[server.ID] = server
+	}
+	for _, id := range dead {
+		m.dead[id] = true
+	}
+}
+
+// SetStoreHealthy tells whether the store can be written. While it cannot, no
+// range is released, because it could not be given to another owner.
+func (m *Manager) SetStoreHealthy(healthy bool) { m.storeHealthy = healthy }
+
+// RecordLoad adds requests to the measured load.
+func (m *Manager) RecordLoad(now time.Duration, keys []uint32, weight float64) {
+	m.load.Add(now, keys, weight)
+}
+
+// Start makes the first map: every accepting server gets an equal part.
+func (m *Manager) Start() {
+	accepting := m.accepting()
+	if m.Started() || len(accepting) == 0 {
+		return
+	}
+	const piecesPerServer = 2
+	count := len(accepting) * piecesPerServer
+	for index := range count {
+		first := uint32(index * KeyCount / count)
+		last := uint32((index+1)*KeyCount/count - 1)
+		m.shards = append(m.shards, &shard{Range: Range{First: first, Last: last}, target: accepting[index%len(accepting)].ID})
+	}
+}
+
+func (m *Manager) accepting() []Server {
+	var found []Server
+	for _, server := range m.servers {
+		if server.Accepting {
+			found = append(found, server)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].ID < found[j].ID })
+	return found
+}
+
+// Tick advances the manager to a moment and returns what is to be done.
+func (m *Manager) Tick(now time.Duration) Commands {
+	var commands Commands
+	m.evacuate(now)
+	if m.storeHealthy {
+		m.balance(now)
+	}
+	m.release(now, &commands)
+	m.assign(now)
+	m.commit(&commands)
+	m.renew(now, &commands)
+	return commands
+}
+
+// evacuate starts to take ranges from servers that leave or are gone.
+func (m *Manager) evacuate(now time.Duration) {
+	if len(m.accepting()) == 0 {
+		return
+	}
+	for _, s := range m.shards {
+		if s.phase != owned || m.servers[s.Owner].Accepting {
+			continue
+		}
+		if m.storeHealthy || m.dead[s.Owner] {
+			m.startRelease(s, now, "")
+		}
+	}
+}
+
+func (m *Manager) startRelease(s *shard, now time.Duration, target discovery.ServerID) {
+	s.phase = releasing
+	s.target = target
+	s.releaseFence = m.nextFence()
+	s.releaseAt = now
+}
+
+func (m *Manager) nextFence() uint64 {
+	m.nextSeq++
+	return m.epoch<<fenceEpochShift | m.nextSeq
+}
+
+// release sends releases and notices which owners can no longer hold a range.
+func (m *Manager) release(now time.Duration, commands *Commands) {
+	for _, s := range m.shards {
+		if s.phase != releasing {
+			continue
+		}
+		if m.dead[s.Owner] || (s.inFlight == 0 && now > s.heldUntil) {
+			m.vacate(s, "")
+			continue
+		}
+		if now < s.releaseAt {
+			continue
+		}
+		s.releaseAt = now + m.options.ReleaseRetry
+		commands.Moving = append(commands.Moving, s.Range)
+		commands.Releases = append(commands.Releases, Release{
+			First: s.First, Last: s.Last, Owner: s.Owner, Address: s.Address, Fence: s.releaseFence,
+		})
+	}
+}
+
+func (m *Manager) vacate(s *shard, handover string) {
+	s.phase = vacant
+	s.Owner = ""
+	s.Address = ""
+	s.Handover = handover
+	s.heldUntil = 0
+	s.inFlight = 0
+}
+
+// assign gives vacant ranges new owners, to be committed.
+func (m *Manager) assign(now time.Duration) {
+	if m.commitInFlight {
+		return
+	}
+	accepting := m.accepting()
+	if len(accepting) == 0 {
+		return
+	}
+	var loads map[discovery.ServerID]float64
+	for _, s := range m.shards {
+		if s.phase != vacant {
+			continue
+		}
+		if loads == nil {
+			loads = m.serverLoads(now)
+		}
+		target, known := m.servers[s.target]
+		if !known || !target.Accepting {
+			target = leastLoaded(accepting, loads)
+		}
+		loads[target.ID] += m.load.Between(now, s.First, s.Last) + keyShareLoad(s.Range)
+		s.Owner = target.ID
+		s.Address = target.Address
+		s.Fence = m.nextFence()
+		s.target = ""
+		s.phase = committing
+		m.uncommitted = true
+	}
+}
+
+func leastLoaded(servers []Server, loads map[discovery.ServerID]float64) Server {
+	best := servers[0]
+	for _, server := range servers[1:] {
+		if loads[server.ID]/server.Capacity < loads[best.ID]/best.Capacity {
+			best = server
+		}
+	}
+	return best
+}
+
+// commit asks for the map to be written if it changed. A map that is written is
+// never changed under way: assign waits for the answer.
+func (m *Manager) commit(commands *Commands) {
+	if !m.uncommitted || m.commitInFlight {
+		return
+	}
+	m.commitInFlight = true
+	m.uncommitted = false
+	written := m.Map()
+	commands.Commit = &Commit{Map: written}
+}
+
+// Committed reports that the map of the last commit is in the store.
+func (m *Manager) Committed(now time.Duration) {
+	m.commitInFlight = false
+	for _, s := range m.shards {
+		if s.phase == committing {
+			s.phase = owned
+			s.renewAt = now
+			s.heldUntil = now
+		}
+	}
+}
+
+// renew grants owned ranges. A range that is releasing is renewed no more.
+func (m *Manager) renew(now time.Duration, commands *Commands) {
+	for _, s := range m.shards {
+		if s.phase != owned || s.inFlight > 0 || now < s.renewAt {
+			continue
+		}
+		s.inFlight++
+		s.renewAt = now + m.options.Renew
+		commands.Grants = append(commands.Grants, Grant{Range: s.Range, Hold: m.options.Hold})
+	}
+}
+
+// GrantDone takes in how a grant ended.
+func (m *Manager) GrantDone(now time.Duration, result GrantResult) {
+	for _, s := range m.shards {
+		if s.Fence != result.Grant.Fence || s.Owner != result.Grant.Owner {
+			continue
+		}
+		if s.First < result.Grant.First || s.Last > result.Grant.Last {
+			continue
+		}
+		if s.inFlight > 0 {
+			s.inFlight--
+		}
+		m.settleGrant(now, s, result)
+	}
+}
+
+// grantRetry is the pause before a grant that failed is sent again.
+const grantRetry = 150 * time.Millisecond
+
+func (m *Manager) settleGrant(now time.Duration, s *shard, result GrantResult) {
+	switch result.Outcome {
+	case Accepted:
+		s.heldUntil = max(s.heldUntil, now+m.holdBound())
+		return
+	case Unanswered:
+		s.heldUntil = max(s.heldUntil, result.SentAt+m.options.LateOrder+m.holdBound())
+	case Superseded:
+		// An earlier manager began to release the range and did not finish.
+		if s.phase == owned {
+			m.startRelease(s, now, s.Owner)
+		}
+	case Broken:
+		s.heldUntil = max(s.heldUntil, now+m.holdBound())
+	case NotSent:
+	}
+	if s.phase == owned {
+		s.renewAt = now + grantRetry
+	}
+}
+
+// ReleaseDone takes in how a release ended.
+func (m *Manager) ReleaseDone(result ReleaseResult) {
+	if result.Outcome != Accepted {
+		return
+	}
+	for _, s := range m.shards {
+		same := s.phase == releasing && s.Owner == result.Release.Owner && s.releaseFence == result.Release.Fence
+		if same && s.First >= result.Release.First && s.Last <= result.Release.Last {
+			m.vacate(s, result.Handover)
+		}
+	}
+}
+
+// split cuts a shard in two, so that the second begins at first. Both keep
+// everything the one had.
+func (m *Manager) split(index int, first uint32) {
+	left := m.shards[index]
+	right := *left
+	right.First = first
+	left.Last = first - 1
+	m.shards = append(m.shards, nil)
+	copy(m.shards[index+2:], m.shards[index+1:])
+	m.shards[index+1] = &right
+}
--- /dev/null
+++ b/internal/shards/map.go
@@ -0,0 +1,103 @@
+// Package shards decides which server may hold each key of a key-divided
+// service. It is pure: events and ticks go in, commands come out, and there is
+// neither I/O nor a clock inside.
+package shards
+
+import (
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/wire"
+)
+
+// KeyCount is the number of keys of a service; keys are 0 to KeyCount-1.
+const KeyCount = 1 << 16
+
+// LastKey is the greatest key.
+const LastKey = KeyCount - 1
+
+// ErrBadMap means that a stored map cannot be used.
+var ErrBadMap = errors.New("bad owner map")
+
+// Range is a run of adjacent keys with one owner.
+type Range struct {
+	// First and Last are both inside.
+	First, Last uint32
+	// Owner is the one server that may hold the keys; empty means none.
+	Owner   discovery.ServerID
+	Address string
+	// Fence grows whenever the keys change hands.
+	Fence uint64
+	// Handover is what the last holder gave when it released the keys.
+	Handover string
+}
+
+// Map is the owner map of one service. It is immutable once published.
+type Map struct {
+	Service string
+	// Epoch is the epoch of the manager that wrote the map.
+	Epoch uint64
+	// Ranges are sorted, adjacent and cover the whole key space.
+	Ranges []Range
+}
+
+// Find returns the range of a key. The key must be at most LastKey.
+func (m *Map) Find(key uint32) *Range {
+	index := sort.Search(len(m.Ranges), func(i int) bool { return m.Ranges[i].Last >= key })
+	if index == len(m.Ranges) {
+		return nil
+	}
+	return &m.Ranges[index]
+}
+
+// Encode returns the form in which the map is stored.
+func (m *Map) Encode() ([]byte, error) {
+	stored := &wire.ShardMap{Service: m.Service, Epoch: m.Epoch}
+	positions := make(map[discovery.ServerID]uint32)
+	for _, r := range m.Ranges {
+		position := positions[r.Owner]
+		if r.Owner != "" && position == 0 {
+			stored.Servers = append(stored.Servers, &wire.ShardServer{Id: string(r.Owner), Address: r.Address})
+			position = uint32(len(stored.Servers))
+			positions[r.Owner] = position
+		}
+		stored.Ranges = append(stored.Ranges, &wire.ShardRange{
+			Last: r.Last, Owner: position, Fence: r.Fence, Handover: r.Handover,
+		})
+	}
+	encoded, err := proto.Marshal(stored)
+	return encoded, errors.Wrap(err, "encode owner map")
+}
+
+// DecodeMap reads a stored map and checks that it covers the key space.
+func DecodeMap(encoded []byte) (*Map, error) {
+	stored := &wire.ShardMap{}
+	if err := proto.Unmarshal(encoded, stored); err != nil {
+		return nil, errors.Wrapf(ErrBadMap, "%v", err)
+	}
+	decoded := &Map{Service: stored.GetService(), Epoch: stored.GetEpoch()}
+	next := uint32(0)
+	for _, r := range stored.GetRanges() {
+		if r.GetLast() < next || r.GetLast() > LastKey {
+			return nil, errors.Wrapf(ErrBadMap, "field last: %d, allowed: %d to %d", r.GetLast(), next, LastKey)
+		}
+		entry := Range{First: next, Last: r.GetLast(), Fence: r.GetFence(), Handover: r.GetHandover()}
+		if owner := int(r.GetOwner()); owner > 0 {
+			if owner > len(stored.GetServers()) {
+				return nil, errors.Wrapf(ErrBadMap, "field owner: %d, allowed: at most %d", owner, len(stored.GetServers()))
+			}
+			server := stored.GetServers()[owner-1]
+			entry.Owner = discovery.ServerID(server.GetId())
+			entry.Address = server.GetAddress()
+		}
+		decoded.Ranges = append(decoded.Ranges, entry)
+		next = r.GetLast() + 1
+	}
+	if next != KeyCount {
+		return nil, errors.Wrapf(ErrBadMap, "ranges end before key %d, allowed: the whole key space", next)
+	}
+	return decoded, nil
+}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,329 @@
+// Package upstream sends requests to servers over HTTP/1.1 connections that are
+// kept, one request at a time on each. Unlike net/http's transport it never
+// repeats a request by itself, and it matches answers to requests by their id.
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of an exchange.
+var (
+	// ErrNotSent means that no byte of the request reached the server's process.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrNoAnswer means that the request may have run and no answer came.
+	ErrNoAnswer = errors.New("no answer")
+	// ErrBadAnswer means that what came is not the whole answer to the request;
+	// the request may have run.
+	ErrBadAnswer = errors.New("answer is damaged")
+)
+
+const (
+	dialTimeout = 400 * time.Millisecond
+	// defaultIdle is how long an idle connection is kept if the server does not
+	// say; reuse stops idleMargin before the server closes it.
+	defaultIdle = 8 * time.Second
+	idleMargin  = 1200 * time.Millisecond
+	bufferBytes = 4 << 10
+	// maxBufferedBody is how much of an answer is read before it is passed on.
+	maxBufferedBody = 256 << 10
+	// maxSurplus is how many answers to other requests are skipped.
+	maxSurplus = 4
+	// concurrentBody is the size from which a body is sent while the answer is
+	// awaited, because a server may answer before it has read everything.
+	concurrentBody = 32 << 10
+)
+
+// Field is one header line.
+type Field struct{ Name, Value string }
+
+// Request is one request to a server.
+type Request struct {
+	Method string
+	// URI is the request target exactly as the client sent it.
+	URI    string
+	Host   string
+	Fields []Field
+	Body   []byte
+	// Rest follows Body; nil if Body is everything.
+	Rest io.Reader
+	// IDHeader and ID are how the server marks the answer to this request.
+	IDHeader, ID string
+}
+
+// Answer is a server's answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body is the whole body, or its beginning if Rest is not nil.
+	Body []byte
+	Rest io.ReadCloser
+}
+
+// Pool keeps connections to one server.
+type Pool struct {
+	address string
+
+	mutex  sync.Mutex
+	idle   []*connection
+	closed bool
+}
+
+type connection struct {
+	socket    net.Conn
+	reader    *bufio.Reader
+	usableFor time.Duration
+	idleSince time.Time
+}
+
+// NewPool returns a pool for a server's address.
+func NewPool(address string) *Pool { return &Pool{address: address} }
+
+// Close ends idle connections; those in use end with their request.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.idle = nil
+}
+
+// Prune ends connections that have been idle for too long.
+func (p *Pool) Prune(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.idleSince) > c.usableFor {
+			c.close()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	p.idle = kept
+}
+
+func (c *connection) close() {
+	// The connection is given up; there is nobody to tell.
+	_ = c.socket.Close()
+}
+
+func (p *Pool) take() *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		c := p.idle[last]
+		p.idle = p.idle[:last]
+		if time.Since(c.idleSince) < c.usableFor && quiet(c.socket) {
+			return c
+		}
+		c.close()
+	}
+	return nil
+}
+
+func (p *Pool) put(c *connection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		c.close()
+		return
+	}
+	c.idleSince = time.Now()
+	p.idle = append(p.idle, c)
+}
+
+func (p *Pool) open(ctx context.Context) (*connection, bool, error) {
+	if c := p.take(); c != nil {
+		return c, true, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, false, errors.Mark(errors.Wrapf(err, "connect to %s", p.address), ErrNotSent)
+	}
+	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, bufferBytes), usableFor: defaultIdle - idleMargin}, false, nil
+}
+
+// Exchange sends a request and returns its answer. When the context ends, the
+// connection is closed, which tells the server to stop.
+func (p *Pool) Exchange(ctx context.Context, request *Request) (*Answer, error) {
+	c, _, err := p.open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, c.close)
+	answer, reusable, err := c.exchange(request)
+	if !stop() && err == nil {
+		// The context ended while the answer arrived; it is whole.
+		reusable = false
+	}
+	if err != nil || (!reusable && answer.Rest == nil) {
+		c.close()
+		return answer, err
+	}
+	if answer.Rest == nil {
+		p.put(c)
+		return answer, nil
+	}
+	answer.Rest = &rest{Reader: answer.Rest, connection: c, stop: context.AfterFunc(ctx, c.close)}
+	return answer, nil
+}
+
+// rest is the end of a long answer; its connection is not used again.
+type rest struct {
+	io.Reader
+	connection *connection
+	stop       func() bool
+}
+
+func (r *rest) Close() error {
+	r.stop()
+	return r.connection.socket.Close()
+}
+
+func (c *connection) exchange(request *Request) (*Answer, bool, error) {
+	wrote, err := c.write(request)
+	if err != nil {
+		return nil, false, errors.Mark(errors.Wrap(err, "send request"), ErrNoAnswer)
+	}
+	response, skipped, err := c.readOwn(request)
+	if err != nil {
+		return nil, false, err
+	}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header}
+	answer.Body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBody))
+	if err != nil {
+		return nil, false, errors.Mark(errors.Wrap(err, "read answer"), ErrBadAnswer)
+	}
+	if len(answer.Body) == maxBufferedBody {
+		answer.Rest = response.Body
+		return answer, false, nil
+	}
+	c.noteKeepAlive(response.Header)
+	reusable := !response.Close && !skipped && c.reader.Buffered() == 0 && finished(wrote)
+	return answer, reusable, nil
+}
+
+func finished(wrote <-chan error) bool {
+	if wrote == nil {
+		return true
+	}
+	select {
+	case err := <-wrote:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// noteKeepAlive takes in how long the server keeps idle connections.
+func (c *connection) noteKeepAlive(header http.Header) {
+	c.usableFor = defaultIdle - idleMargin
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			c.usableFor = time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+}
+
+// readOwn reads answers until that of the request comes.
+func (c *connection) readOwn(request *Request) (*http.Response, bool, error) {
+	method := &http.Request{Method: request.Method}
+	skipped := false
+	for range maxSurplus {
+		response, err := http.ReadResponse(c.reader, method)
+		if err != nil {
+			return nil, skipped, errors.Mark(errors.Wrap(err, "read answer"), ErrNoAnswer)
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			continue
+		}
+		if request.ID == "" || response.Header.Get(request.IDHeader) == request.ID {
+			return response, skipped, nil
+		}
+		skipped = true
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			break
+		}
+	}
+	return nil, skipped, errors.Wrap(ErrNoAnswer, "only answers to other requests came")
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// write sends the request. A long body is sent on a goroutine of its own, whose
+// end is told on the channel.
+func (c *connection) write(request *Request) (<-chan error, error) {
+	head := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(head)
+	head.Reset()
+	appendHead(head, request)
+	if request.Rest == nil && len(request.Body) < concurrentBody {
+		head.Write(request.Body)
+		_, err := c.socket.Write(head.Bytes())
+		return nil, err
+	}
+	if _, err := c.socket.Write(head.Bytes()); err != nil {
+		return nil, err
+	}
+	done := make(chan error, 1)
+	go func() { done <- c.writeBody(request) }()
+	return done, nil
+}
+
+func (c *connection) writeBody(request *Request) error {
+	if request.Rest == nil {
+		_, err := c.socket.Write(request.Body)
+		return err
+	}
+	writer := newChunkedWriter(c.socket)
+	if _, err := writer.Write(request.Body); err != nil {
+		return err
+	}
+	if _, err := io.Copy(writer, request.Rest); err != nil {
+		// The client's body ended early; the server must not take it as whole.
+		c.close()
+		return err
+	}
+	return writer.Close()
+}
+
+func appendHead(head *bytes.Buffer, request *Request) {
+	head.WriteString(request.Method)
+	head.WriteByte(' ')
+	head.WriteString(request.URI)
+	head.WriteString(" HTTP/1.1\r\nHost: ")
+	head.WriteString(request.Host)
+	head.WriteString("\r\n")
+	for _, field := range request.Fields {
+		head.WriteString(field.Name)
+		head.WriteString(": ")
+		head.WriteString(field.Value)
+		head.WriteString("\r\n")
+	}
+	switch {
+	case request.Rest != nil:
+		head.WriteString("Transfer-Encoding: chunked\r\n")
+	case len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead):
+		head.WriteString("Content-Length: ")
+		head.WriteString(strconv.Itoa(len(request.Body)))
+		head.WriteString("\r\n")
+	}
+	head.WriteString("\r\n")
+}
