A watch that stays silent is noticed by the store's revision

Change: a stale read of nothing each second tells the store's revision; a copy that stays behind it is listed again; so is one whose watch passed over revisions (they are contiguous for all keys). Test: TestNoticesWatchThatStaysSilent, seen failing without the check.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -18,6 +18,10 @@
 	// found sooner by the node's heartbeat, which calls Resume.
 	watchWait  = 15 * time.Second
 	retryPause = 150 * time.Millisecond
+	// freshnessInterval is the pause between two comparisons with the store's
+	// revision; freshnessSlack is how much later a watch may tell of a change.
+	freshnessInterval = time.Second
+	freshnessSlack    = 300 * time.Millisecond
 )
 
 // Receiver takes in changes. It is called by one goroutine at a time.
@@ -139,10 +143,48 @@
 		}
 		return err
 	}
+	if missing := gaps(events, revision, at); missing > 0 {
+		m.logger.Warn("watch passed over changes, listing again",
+			zap.Int64("after", revision), zap.Int64("revision", at), zap.Int64("missing", missing))
+		m.forceList()
+		return nil
+	}
 	m.apply(events, at)
 	return nil
 }
 
+// gaps returns how many revisions a watch of all keys passed over: each revision
+// is a change of at least one key.
+func gaps(events []topo.Event, after, at int64) int64 {
+	seen := make(map[int64]struct{}, len(events))
+	for _, event := range events {
+		seen[event.Revision] = struct{}{}
+	}
+	return at - after - int64(len(seen))
+}
+
+// CheckFreshness compares the copy with the store's revision until the context
+// ends. A watch may stay silent although there were changes.
+func (m *Mirror) CheckFreshness(ctx context.Context) error {
+	for {
+		pause(ctx, freshnessInterval)
+		if ctx.Err() != nil {
+			return nil
+		}
+		recent, err := m.store.RecentRevision(ctx)
+		if err != nil || recent <= m.Revision() {
+			continue
+		}
+		// Give the watch the time that it normally takes.
+		pause(ctx, freshnessSlack)
+		if behind := m.Revision(); behind < recent && ctx.Err() == nil {
+			m.logger.Warn("watch is silent, listing again", zap.Int64("revision", behind), zap.Int64("store", recent))
+			m.forceList()
+			m.Resume()
+		}
+	}
+}
+
 // Adopt takes a complete copy, from the store or from another node, unless this
 // one is newer.
 func (m *Mirror) Adopt(items []topo.Item, revision int64) {
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,116 @@
+package mirror_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/mirror"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/topo/memory"
+)
+
+// recorder keeps what a mirror tells its receiver.
+type recorder struct {
+	mutex  sync.Mutex
+	values map[string]string
+}
+
+func newRecorder() *recorder { return &recorder{values: make(map[string]string)} }
+
+func (r *recorder) Replace(items []topo.Item, _ int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.values = make(map[string]string)
+	for _, item := range items {
+		r.values[item.Key] = string(item.Value)
+	}
+}
+
+func (r *recorder) Apply(events []topo.Event, _ int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, event := range events {
+		if event.Deleted {
+			delete(r.values, event.Key)
+			continue
+		}
+		r.values[event.Key] = string(event.Value)
+	}
+}
+
+func (r *recorder) value(key string) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.values[key]
+}
+
+func (r *recorder) waitFor(t *testing.T, key, value string) {
+	t.Helper()
+	const patience = 5 * time.Second
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		if r.value(key) == value {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("key %s is %q, want %q", key, r.value(key), value)
+}
+
+func start(t *testing.T, store topo.Store) *recorder {
+	t.Helper()
+	received := newRecorder()
+	m := mirror.New(store, received, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = m.Run(ctx) })
+	group.Go(func() { _ = m.CheckFreshness(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return received
+}
+
+func TestFollowsChanges(t *testing.T) {
+	store := memory.New()
+	store.Write("a", []byte("1"))
+	received := start(t, store)
+	received.waitFor(t, "a", "1")
+	store.Write("a", []byte("2"))
+	store.Write("b", []byte("1"))
+	received.waitFor(t, "b", "1")
+	received.waitFor(t, "a", "2")
+	store.Write("b", nil)
+	received.waitFor(t, "b", "")
+}
+
+func TestListsAgainAfterCompaction(t *testing.T) {
+	store := memory.New()
+	store.Write("a", []byte("1"))
+	received := start(t, store)
+	received.waitFor(t, "a", "1")
+	store.SetFaults(memory.Faults{Deaf: true})
+	store.Write("a", nil)
+	store.Write("b", []byte("2"))
+	store.Compact()
+	store.SetFaults(memory.Faults{})
+	received.waitFor(t, "b", "2")
+	received.waitFor(t, "a", "")
+}
+
+// A watch that hears nothing of changes and is never cut must not leave the copy
+// old: seen as CONFIG broken on hunted days with a compaction of the store.
+func TestNoticesWatchThatStaysSilent(t *testing.T) {
+	store := memory.New()
+	store.Write("a", []byte("1"))
+	received := start(t, store)
+	received.waitFor(t, "a", "1")
+	store.SetFaults(memory.Faults{Deaf: true})
+	store.Write("a", []byte("2"))
+	received.waitFor(t, "a", "2")
+}
