Heavy keys get a range of their own; a server's speed is judged without queueing

Change: keys that alone are 0.6 of a fair load are cut out and put on a server with capacity; speed is estimated from answers and slots, bounded by the time that the slots were there.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -33,12 +34,6 @@
 	known       map[discovery.ServerID]bool
 }
 
-// speed is the moving mean of a server's answers.
-type speed struct {
-	meanSeconds float64
-	answers     float64
-}
-
 func newTerm(m *Manager, held *lock, current *shards.Map, revision int64) *term {
 	now := time.Now()
 	return &term{
@@ -171,40 +166,63 @@
 	sum, count := 0.0, 0
 	for _, other := range t.speeds {
 		if other.answers >= minAnswers {
-			sum += other.meanSeconds
+			sum += other.workSeconds()
 			count++
 		}
 	}
 	const slowest, fastest = 0.35, 1.6
-	return slots * min(fastest, max(slowest, sum/float64(count)/known.meanSeconds))
+	return slots * min(fastest, max(slowest, sum/float64(count)/known.workSeconds()))
 }
 
-// minAnswers is how many answers are needed to judge a server's speed.
-const minAnswers = 8
+const (
+	// minAnswers is how many answers are needed to judge a server's speed.
+	minAnswers = 8
+	// speedMemory is how long answers count when a server's speed is judged.
+	speedMemory = 3 * time.Second
+)
 
 func (t *term) recordLoad(keys []uint32, weight float64, servers []ServerLoad) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.core.RecordLoad(t.now(), keys, weight)
 	for _, load := range servers {
-		t.recordSpeed(load)
+		known := t.speeds[load.Server]
+		if known == nil {
+			known = &speed{slots: 1}
+			if s := t.manager.config.Views.Current().Servers[load.Server]; s != nil {
+				known.slots = float64(max(1, s.Slots))
+			}
+			t.speeds[load.Server] = known
+		}
+		known.record(time.Now(), load)
 	}
 }
 
-func (t *term) recordSpeed(load ServerLoad) {
-	if load.Answers == 0 {
-		return
-	}
-	known := t.speeds[load.Server]
-	if known == nil {
-		known = &speed{}
-		t.speeds[load.Server] = known
+// speed judges a server by its answers of the last seconds, which fade out.
+type speed struct {
+	slots       float64
+	answers     float64
+	busySeconds float64
+	updatedAt   time.Time
+}
+
+func (s *speed) record(now time.Time, load ServerLoad) {
+	if !s.updatedAt.IsZero() {
+		fade := math.Exp(-now.Sub(s.updatedAt).Seconds() / speedMemory.Seconds())
+		s.answers *= fade
+		s.busySeconds *= fade
 	}
-	const memory = 40.0
-	answers := float64(load.Answers)
-	mean := load.Busy.Seconds() / answers
-	known.answers = min(memory, known.answers+answers)
-	known.meanSeconds += (mean - known.meanSeconds) * min(1, answers/known.answers)
+	s.updatedAt = now
+	s.answers += float64(load.Answers)
+	s.busySeconds += load.Busy.Seconds()
+}
+
+// workSeconds estimates how long the server works on a request. The answers'
+// times include queueing; but a server cannot have worked for longer than its
+// slots were there.
+func (s *speed) workSeconds() float64 {
+	working := min(s.busySeconds, s.slots*speedMemory.Seconds())
+	return max(working, 1e-6) / max(s.answers, 1e-6)
 }
 
 // carryOut starts everything the core asked for.
--- a/internal/shards/balance.go
+++ b/internal/shards/balance.go
@@ -19,6 +19,13 @@
 	minTotal = 30
 	// maxMovesPerLook bounds the moves that one look starts.
 	maxMovesPerLook = 6
+	// heavyPart is the part of a mean server's fair load from which a key is
+	// heavy; minHeavy is the least number of requests for that.
+	heavyPart = 0.6
+	minHeavy  = 12
+	// worthMoving is how much more capacity a server must have than the one that
+	// holds a heavy key.
+	worthMoving = 1.2
 )
 
 type planState struct {
@@ -61,15 +68,89 @@
 	for _, server := range accepting {
 		capacity += server.Capacity
 	}
+	fair := total / capacity
 	loads := m.serverLoads(now)
+	m.placeHeavyKeys(now, accepting, loads, fair)
 	room := m.options.MaxMoves - m.moving()
 	for range min(room, maxMovesPerLook) {
-		if !m.moveOnce(now, accepting, loads, total/capacity) {
+		if !m.moveOnce(now, accepting, loads, fair) {
 			return
 		}
 	}
 }
 
+// placeHeavyKeys gives each key that alone is much of a server's fair load a
+// range of its own, on a server that has the capacity for it; what else that
+// server has is moved away by the following steps.
+func (m *Manager) placeHeavyKeys(now time.Duration, accepting []Server, loads map[discovery.ServerID]float64, fair float64) {
+	mean := fair * meanCapacity(accepting)
+	for _, key := range m.load.Heavy(now, max(heavyPart*mean, minHeavy)) {
+		index := m.isolate(key)
+		if index < 0 {
+			continue
+		}
+		heavy := m.shards[index]
+		load := m.load.Between(now, key, key)
+		owner := m.servers[heavy.Owner]
+		best := m.bestFor(load, accepting, loads, heavy.Owner)
+		if best.ID == heavy.Owner || best.Capacity < owner.Capacity*worthMoving {
+			continue
+		}
+		m.startRelease(heavy, now, best.ID)
+		loads[heavy.Owner] -= load
+		loads[best.ID] += load
+	}
+}
+
+func meanCapacity(servers []Server) float64 {
+	sum := 0.0
+	for _, server := range servers {
+		sum += server.Capacity
+	}
+	return sum / float64(len(servers))
+}
+
+// isolate makes a range of one key, if its keys are not being moved. It returns
+// the range's position or -1.
+func (m *Manager) isolate(key uint32) int {
+	for index, s := range m.shards {
+		if key < s.First || key > s.Last {
+			continue
+		}
+		if s.phase != owned {
+			return -1
+		}
+		if s.First < key {
+			m.split(index, key)
+			index++
+		}
+		if m.shards[index].Last > key {
+			m.split(index, key+1)
+		}
+		return index
+	}
+	return -1
+}
+
+// bestFor returns the server with the most capacity; of those that are about as
+// good, the one that already has the key, or else the one with the least load.
+func (m *Manager) bestFor(load float64, accepting []Server, loads map[discovery.ServerID]float64, holder discovery.ServerID) Server {
+	best := accepting[0]
+	score := func(server Server) float64 {
+		other := loads[server.ID]
+		if server.ID == holder {
+			other -= load
+		}
+		return server.Capacity / (1 + max(0, other)/(load+1)/2)
+	}
+	for _, server := range accepting[1:] {
+		if score(server) > score(best) {
+			best = server
+		}
+	}
+	return best
+}
+
 func (m *Manager) moving() int {
 	count := 0
 	for _, s := range m.shards {
--- a/internal/shards/load.go
+++ b/internal/shards/load.go
@@ -96,3 +96,20 @@
 	}
 	return last + 1, w.sums[high] - w.sums[low]
 }
+
+// Heavy returns the keys that at least threshold requests asked for lately.
+func (w *LoadWindow) Heavy(now time.Duration, threshold float64) []uint32 {
+	w.refresh(now)
+	var heavy []uint32
+	for index := 0; index < len(w.sorted); {
+		next := index
+		for next < len(w.sorted) && w.sorted[next].key == w.sorted[index].key {
+			next++
+		}
+		if w.sums[next]-w.sums[index] >= threshold {
+			heavy = append(heavy, w.sorted[index].key)
+		}
+		index = next
+	}
+	return heavy
+}
