One watch call tells of changes that come together; managers push the owner map

Change: a pause of 250 ms after a watch with changes; a manager sends a map it has written to the other nodes, which take it ahead of the watch.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -18,6 +18,9 @@
 	// found sooner by the node's heartbeat, which calls Resume.
 	watchWait  = 15 * time.Second
 	retryPause = 150 * time.Millisecond
+	// batchPause is the pause after changes, so that those that come together
+	// are told of in one call.
+	batchPause = 250 * time.Millisecond
 	// freshnessInterval is the pause between two comparisons with the store's
 	// revision; freshnessSlack is how much later a watch may tell of a change.
 	freshnessInterval = time.Second
@@ -150,6 +153,9 @@
 		return nil
 	}
 	m.apply(events, at)
+	if len(events) > 0 {
+		pause(ctx, batchPause)
+	}
 	return nil
 }
 
@@ -185,6 +191,18 @@
 	}
 }
 
+// Offer takes one item that another node has just written, ahead of the watch.
+// The copy's revision stays: the watch tells of the same change later.
+func (m *Mirror) Offer(item topo.Item) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.listed || m.items[item.Key].Revision >= item.Revision || item.Revision <= m.revision {
+		return
+	}
+	m.items[item.Key] = item
+	m.receiver.Apply([]topo.Event{{Item: item}}, m.revision)
+}
+
 // Adopt takes a complete copy, from the store or from another node, unless this
 // one is newer.
 func (m *Mirror) Adopt(items []topo.Item, revision int64) {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -45,11 +45,23 @@
 	for _, r := range ranges {
 		notice.Ranges = append(notice.Ranges, &wire.ShardRange{Last: r.Last, Fence: r.Fence})
 	}
+	p.broadcast(&wire.Envelope{Body: &wire.Envelope_MoveNotice{MoveNotice: notice}})
+}
+
+// Written implements shardmanager.Notices.
+func (p *peers) Written(item topo.Item) {
+	p.mirror.Offer(item)
+	p.broadcast(&wire.Envelope{Body: &wire.Envelope_StoreItem{StoreItem: &wire.StoreItem{
+		Key: item.Key, Value: item.Value, Revision: item.Revision,
+	}}})
+}
+
+// broadcast sends a message to all other nodes; each may miss it.
+func (p *peers) broadcast(envelope *wire.Envelope) {
 	for name, node := range p.views.Current().Nodes {
-		if name == p.self.Name {
-			continue
+		if name != p.self.Name {
+			p.client.Send(node.Address, envelope)
 		}
-		p.client.Send(node.Address, &wire.Envelope{Body: &wire.Envelope_MoveNotice{MoveNotice: notice}})
 	}
 }
 
@@ -62,6 +74,9 @@
 			ranges = append(ranges, shards.Range{Last: r.GetLast(), Fence: r.GetFence()})
 		}
 		p.dispatcher.Hold(body.MoveNotice.GetService(), ranges)
+	case *wire.Envelope_StoreItem:
+		item := body.StoreItem
+		p.mirror.Offer(topo.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision()})
 	case *wire.Envelope_LoadReport:
 		p.recordLoad(body.LoadReport)
 	}
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -29,7 +29,10 @@
 
 // Notices tells the other nodes what is about to change.
 type Notices interface {
+	// Moving announces ranges that are about to change hands.
 	Moving(service string, epoch uint64, ranges []shards.Range)
+	// Written passes on what was just written to the store.
+	Written(item topo.Item)
 }
 
 const (
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -294,6 +294,7 @@
 			revision, err = t.settle(ctx, expected, encoded, err)
 		}
 		if err == nil {
+			t.manager.config.Notices.Written(topo.Item{Key: key, Value: encoded, Revision: revision})
 			t.committed(ctx, revision, written)
 			return
 		}
