--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -104,12 +104,12 @@
 	hello := &wire.Hello{Node: self.Name, Zone: self.Zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
 	n.peers = &peers{
 		self: self, seeds: settings.Seeds, client: transport.NewClient(hello, nil),
-		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, logger: logger,
+		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
 	options := shards.DefaultOptions()
 	options.Hold = min(options.Hold, time.Duration(settings.MaxHoldMillis)*time.Millisecond)
 	n.managers = newManagers(shardmanager.Config{
-		Self: self, Store: platform.Store, Views: n.views, Orders: platform.Orders, Notices: n.peers, Options: options, Logger: logger,
+		Self: self, Store: platform.Store, Views: n.views, Orders: &relayedOrders{platform.Orders, n.peers}, Notices: n.peers, Options: options, Logger: logger,
 	})
 	n.peers.managers = n.managers
 	n.registration = &registration{self: self, store: platform.Store, logger: logger, regained: n.mirror.Resume}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -35,7 +35,9 @@
 	mirror     *mirror.Mirror
 	dispatcher *dispatch.Dispatcher
 	managers   *managers
-	logger     *zap.Logger
+	// orders reaches servers from this node, for other nodes' orders.
+	orders shardmanager.Orders
+	logger *zap.Logger
 }
 
 // Moving implements shardmanager.Notices.
@@ -96,6 +98,10 @@
 
 // HandleCall implements transport.Handler.
 func (p *peers) HandleCall(_ *wire.Hello, envelope *wire.Envelope, reply func(*wire.Envelope)) {
+	if order := envelope.GetRelayOrder(); order.GetRelease() {
+		go p.passOn(order, reply)
+		return
+	}
 	request := envelope.GetStateRequest()
 	if request == nil {
 		reply(&wire.Envelope{Body: &wire.Envelope_Failure{Failure: &wire.Failure{Message: "unknown call"}}})
@@ -174,13 +180,18 @@
 	p.mirror.Adopt(items, answer.GetRevision())
 }
 
-func (p *peers) randomPeer() string {
+func (p *peers) otherAddresses() []string {
 	var addresses []string
 	for name, node := range p.views.Current().Nodes {
 		if name != p.self.Name {
 			addresses = append(addresses, node.Address)
 		}
 	}
+	return addresses
+}
+
+func (p *peers) randomPeer() string {
+	addresses := p.otherAddresses()
 	if len(addresses) == 0 {
 		for _, seed := range p.seeds {
 			if seed != p.self.Address {
