--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -24,6 +24,9 @@
 	// stateInterval is the pause between two comparisons with another node.
 	stateInterval = 1 * time.Second
 	stateTimeout  = 500 * time.Millisecond
+	// stateSlack is how much later than another node the store may tell this one
+	// of a change.
+	stateSlack = 700 * time.Millisecond
 )
 
 // peers exchanges messages with the other nodes.
@@ -107,8 +110,8 @@
 		reply(&wire.Envelope{Body: &wire.Envelope_Failure{Failure: &wire.Failure{Message: "unknown call"}}})
 		return
 	}
-	answer := &wire.StateReply{}
-	if p.mirror.Revision() > request.GetRevision() {
+	answer := &wire.StateReply{Revision: p.mirror.Revision()}
+	if request.GetItems() {
 		items, revision, listed := p.mirror.Snapshot()
 		answer.Revision, answer.Complete = revision, listed
 		for _, item := range items {
@@ -151,22 +154,23 @@
 	}
 }
 
-// compare asks another node for its copy of the store and takes it if it is
-// newer, so that a node learns what the store does not tell it.
+// compare asks another node how new its copy of the store is. If this node's copy
+// stays behind, it takes the other one, so that a node learns what the store does
+// not tell it.
 func (p *peers) compare(ctx context.Context) {
 	address := p.randomPeer()
 	if address == "" {
 		return
 	}
-	bounded, cancel := context.WithTimeout(ctx, stateTimeout)
-	defer cancel()
-	ask := &wire.Envelope{Body: &wire.Envelope_StateRequest{StateRequest: &wire.StateRequest{Revision: p.mirror.Revision()}}}
-	envelope, err := p.client.Call(bounded, address, ask)
-	if err != nil {
-		p.logger.Debug("peer did not answer", zap.String("address", address), zap.Error(err))
+	seen := p.askState(ctx, address, false)
+	if seen.GetRevision() <= p.mirror.Revision() {
+		return
+	}
+	sleep(ctx, stateSlack)
+	if seen.GetRevision() <= p.mirror.Revision() {
 		return
 	}
-	answer := envelope.GetStateReply()
+	answer := p.askState(ctx, address, true)
 	if !answer.GetComplete() || answer.GetRevision() <= p.mirror.Revision() {
 		return
 	}
@@ -180,6 +184,19 @@
 	p.mirror.Adopt(items, answer.GetRevision())
 }
 
+// askState returns another node's answer, or nil.
+func (p *peers) askState(ctx context.Context, address string, items bool) *wire.StateReply {
+	bounded, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	ask := &wire.Envelope{Body: &wire.Envelope_StateRequest{StateRequest: &wire.StateRequest{Items: items}}}
+	envelope, err := p.client.Call(bounded, address, ask)
+	if err != nil {
+		p.logger.Debug("peer did not answer", zap.String("address", address), zap.Error(err))
+		return nil
+	}
+	return envelope.GetStateReply()
+}
+
 func (p *peers) otherAddresses() []string {
 	var addresses []string
 	for name, node := range p.views.Current().Nodes {
