--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -156,22 +156,35 @@
 	t.core.SetServers(servers, dead)
 }
 
-// capacity estimates how much load a server takes from its slots and speed.
+// capacity estimates how much load a server should get from its slots and speed.
+// While there are slots to spare, fast servers get more than their share of the
+// throughput, because answers come sooner there.
 func (t *term) capacity(s *view.Server) float64 {
 	slots := float64(max(1, s.Slots))
 	known := t.speeds[s.ID]
 	if known == nil || known.answers < minAnswers {
 		return slots
 	}
-	sum, count := 0.0, 0
+	sum, count, working, all := 0.0, 0, 0.0, 0.0
 	for _, other := range t.speeds {
+		all += other.slots
+		working += other.workingSlots()
 		if other.answers >= minAnswers {
 			sum += other.workSeconds()
 			count++
 		}
 	}
-	const slowest, fastest = 0.35, 1.6
-	return slots * min(fastest, max(slowest, sum/float64(count)/known.workSeconds()))
+	const slowest, fastest = 0.15, 2.5
+	relative := sum / float64(count) / known.workSeconds()
+	return slots * min(fastest, max(slowest, math.Pow(relative, preference(working/all))))
+}
+
+// preference is the power to which speed counts: 2 with most slots idle, 1 (in
+// proportion to the throughput) when the servers are nearly full.
+func preference(utilization float64) float64 {
+	const idle, full = 0.4, 0.75
+	part := (utilization - idle) / (full - idle)
+	return 2 - min(1, max(0, part))
 }
 
 const (
@@ -217,6 +230,11 @@
 	s.busySeconds += load.Busy.Seconds()
 }
 
+// workingSlots estimates how many of the server's slots are busy.
+func (s *speed) workingSlots() float64 {
+	return min(s.slots, s.busySeconds/speedMemory.Seconds())
+}
+
 // workSeconds estimates how long the server works on a request. The answers'
 // times include queueing; but a server cannot have worked for longer than its
 // slots were there.
