--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -175,7 +175,9 @@
 		}
 	}
 	const slowest, fastest = 0.15, 2.5
-	relative := sum / float64(count) / known.workSeconds()
+	mean := sum / float64(count)
+	own := (known.workSeconds()*known.answers + mean*priorAnswers) / (known.answers + priorAnswers)
+	relative := mean / own
 	return slots * min(fastest, max(slowest, math.Pow(relative, preference(working/all))))
 }
 
@@ -191,7 +193,10 @@
 	// minAnswers is how many answers are needed to judge a server's speed.
 	minAnswers = 8
 	// speedMemory is how long answers count when a server's speed is judged.
-	speedMemory = 3 * time.Second
+	speedMemory = 6 * time.Second
+	// priorAnswers is how many answers at the mean of all servers a server's own
+	// answers are mixed with, because few answers say little.
+	priorAnswers = 6
 )
 
 func (t *term) recordLoad(keys []uint32, weight float64, servers []ServerLoad) {
--- a/internal/shards/balance.go
+++ b/internal/shards/balance.go
@@ -83,14 +83,17 @@
 // range of its own, on a server that has the capacity for it; what else that
 // server has is moved away by the following steps.
 func (m *Manager) placeHeavyKeys(now time.Duration, accepting []Server, loads map[discovery.ServerID]float64, fair float64) {
-	mean := fair * meanCapacity(accepting)
-	for _, key := range m.load.Heavy(now, max(heavyPart*mean, minHeavy)) {
+	const windows = float64(balanceWindow) / float64(heavyWindow)
+	mean := fair * meanCapacity(accepting) / windows
+	for _, key := range m.surge.Heavy(now, max(heavyPart*mean, minHeavy)) {
 		index := m.isolate(key)
 		if index < 0 {
 			continue
 		}
 		heavy := m.shards[index]
-		load := m.load.Between(now, key, key)
+		load := m.surge.Between(now, key, key) * windows
+		// The long window does not show the whole of a load that has just begun.
+		loads[heavy.Owner] += max(0, load-m.load.Between(now, key, key))
 		owner := m.servers[heavy.Owner]
 		best := m.bestFor(load, accepting, loads, heavy.Owner)
 		if best.ID == heavy.Owner || best.Capacity < owner.Capacity*worthMoving {
--- a/internal/shards/load.go
+++ b/internal/shards/load.go
@@ -5,8 +5,14 @@
 	"time"
 )
 
-// loadWindow is how long a request counts in the measured load.
-const loadWindow = 3 * time.Second
+const (
+	// balanceWindow is how long a request counts in the load that is balanced:
+	// long enough that chance matters little.
+	balanceWindow = 6 * time.Second
+	// heavyWindow is how long a request counts when heavy keys are looked for:
+	// short, because one key can overload a server at once.
+	heavyWindow = 1500 * time.Millisecond
+)
 
 // maxSamples bounds the memory of a LoadWindow.
 const maxSamples = 1 << 13
@@ -19,6 +25,7 @@
 
 // LoadWindow remembers which keys were asked for lately.
 type LoadWindow struct {
+	length time.Duration
 	recent []sample
 	// sorted holds the keys and the running sum of weights, made on demand.
 	sortedAt time.Duration
@@ -26,8 +33,8 @@
 	sums     []float64
 }
 
-// NewLoadWindow returns an empty window.
-func NewLoadWindow() *LoadWindow { return &LoadWindow{} }
+// NewLoadWindow returns an empty window of a length.
+func NewLoadWindow(length time.Duration) *LoadWindow { return &LoadWindow{length: length} }
 
 // Add records requests that arrived about now; each key stands for weight
 // requests.
@@ -46,7 +53,7 @@
 		return
 	}
 	keep := 0
-	for keep < len(w.recent) && w.recent[keep].at < now-loadWindow {
+	for keep < len(w.recent) && w.recent[keep].at < now-w.length {
 		keep++
 	}
 	w.recent = w.recent[keep:]
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -104,8 +104,10 @@
 	commitInFlight bool
 	storeHealthy   bool
 
-	load *LoadWindow
-	plan planState
+	// load is what is balanced; surge shows keys that became heavy just now.
+	load  *LoadWindow
+	surge *LoadWindow
+	plan  planState
 }
 
 // NewManager returns a manager that continues from the map of an earlier one, or
@@ -118,7 +120,8 @@
 		servers:      make(map[discovery.ServerID]Server),
 		dead:         make(map[discovery.ServerID]bool),
 		storeHealthy: true,
-		load:         NewLoadWindow(),
+		load:         NewLoadWindow(balanceWindow),
+		surge:        NewLoadWindow(heavyWindow),
 	}
 	if previous == nil {
 		return m
@@ -171,6 +174,7 @@
 // RecordLoad adds requests to the measured load.
 func (m *Manager) RecordLoad(now time.Duration, keys []uint32, weight float64) {
 	m.load.Add(now, keys, weight)
+	m.surge.Add(now, keys, weight)
 }
 
 // Start makes the first map: every accepting server gets an equal part.
