Requests that would be answered after their objective are refused at once

Change: a queue's wait is estimated first; a node's limit at a server falls while answers use up half of the objective; Retry-After is spread over 60 to 200 ms.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -235,6 +235,11 @@
 		d.mutex.Unlock()
 		return chosen
 	}
+	limit, worthwhile := d.patience(request, limit)
+	if !worthwhile {
+		d.mutex.Unlock()
+		return nil
+	}
 	w := &waiter{request: request, excluded: excluded, chosen: make(chan *server, 1)}
 	d.enqueue(w)
 	d.mutex.Unlock()
@@ -250,12 +255,12 @@
 }
 
 // finish takes in how an attempt ended and lets the next request have its place.
-func (d *Dispatcher) finish(s *server, took time.Duration, answered bool) {
+func (d *Dispatcher) finish(s *server, took, objective time.Duration, answered bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	s.outstanding--
 	if answered {
-		s.succeeded(took)
+		s.succeeded(took, objective)
 	}
 	d.pump(s.Service)
 }
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -13,15 +14,19 @@
 )
 
 const (
-	// queuePart is the part of a request's objective that it may wait for a
-	// server before it is refused.
-	queuePart = 0.4
 	// minAttemptTime is the least time that must be left for an attempt.
 	minAttemptTime = 10 * time.Millisecond
-	// comeBack is when a refused client should try again.
-	comeBack = 100 * time.Millisecond
+	// minComeBack and maxComeBack bound when a refused client should try again;
+	// it is spread so that clients do not come back together.
+	minComeBack = 60 * time.Millisecond
+	maxComeBack = 200 * time.Millisecond
 )
 
+// comeBack returns when a refused client should try again.
+func comeBack() time.Duration {
+	return minComeBack + time.Duration(rand.Int64N(int64(maxComeBack-minComeBack)))
+}
+
 // attempt is how sending a request to one server ended.
 type attempt int
 
@@ -54,12 +59,8 @@
 	mayHaveRun := false
 	excluded := make(map[discovery.ServerID]bool)
 	for {
-		wait := request.ArrivedAt.Add(time.Duration(queuePart * float64(request.Route.Objective)))
-		if trace.Attempts > 0 {
-			wait = time.Now().Add(time.Duration(queuePart * float64(request.Route.Objective)))
-		}
 		queuedAt := time.Now()
-		s := d.acquire(ctx, request, excluded, earlier(wait, limit))
+		s := d.acquire(ctx, request, excluded, limit)
 		trace.Queued += time.Since(queuedAt)
 		if s == nil {
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer)
@@ -77,7 +78,7 @@
 		excluded[s.ID] = true
 		if ctx.Err() != nil || !d.mayRepeat(request, trace.Attempts, outcome, limit) {
 			if outcome == rejected && !mayHaveRun {
-				return nil, trace, &Refusal{Reason: err.Error(), RetryAfter: comeBack}
+				return nil, trace, &Refusal{Reason: err.Error(), RetryAfter: comeBack()}
 			}
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer)
 		}
@@ -116,7 +117,7 @@
 	case last != nil:
 		return nil
 	case !mayHaveRun:
-		return &Refusal{Reason: "no server was free", RetryAfter: comeBack}
+		return &Refusal{Reason: "no server was free", RetryAfter: comeBack()}
 	case ctx.Err() != nil:
 		return ErrTimeout
 	default:
@@ -134,14 +135,14 @@
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			d.fault(s)
 		}
-		d.finish(s, took, false)
+		d.finish(s, took, request.Route.Objective, false)
 		if errors.Is(err, upstream.ErrNotSent) {
 			return nil, rejected, err
 		}
 		return nil, failedOver, err
 	}
 	outcome, err := d.judge(request, answer)
-	d.finish(s, took, outcome == answered)
+	d.finish(s, took, request.Route.Objective, outcome == answered)
 	if outcome == rejected {
 		d.rejected(request, s, answer)
 	}
--- /dev/null
+++ b/internal/dispatch/patience.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import "time"
+
+// minPatience is the part of its objective that a request may wait for a server
+// in any case.
+const minPatience = 0.24
+
+// patience returns until when a request may wait for a server, and false if it
+// is already clear that its answer would come after its objective: then it is
+// better refused at once, so that its client asks again. The caller holds the
+// mutex.
+func (d *Dispatcher) patience(request *Request, limit time.Time) (time.Time, bool) {
+	objective := request.Route.Objective
+	now := time.Now()
+	left := objective - now.Sub(request.ArrivedAt)
+	ahead, places, answer := d.backlog(request)
+	if places == 0 {
+		return earlier(limit, now.Add(time.Duration(minPatience*float64(objective)))), true
+	}
+	wait := float64(ahead+1) / float64(places) * answer
+	if time.Duration((wait+answer)*float64(time.Second)) > left && ahead > 0 {
+		return limit, false
+	}
+	most := max(minPatience*objective.Seconds(), left.Seconds()-answer)
+	return earlier(limit, now.Add(time.Duration(most*float64(time.Second)))), true
+}
+
+// backlog returns how many requests wait before this one for the same servers,
+// how many requests this node may have at those servers at a time, and how long
+// their answers take in seconds.
+func (d *Dispatcher) backlog(request *Request) (ahead, places int, answer float64) {
+	current := d.views.Current()
+	owners, divided := d.owners(current, request)
+	if !divided {
+		sum, count := 0.0, 0
+		for _, candidate := range current.Services[request.Service] {
+			if s := d.servers[candidate.ID]; s != nil && s.Serving() && time.Now().After(s.blockedUntil) {
+				places += s.capacity()
+				sum += s.expected()
+				count++
+			}
+		}
+		return len(d.waiting[request.Service]), places, sum / float64(max(1, count))
+	}
+	owner := d.ownerOf(request, owners)
+	if owner == nil || d.servers[owner.Owner] == nil {
+		return 0, 0, 0
+	}
+	s := d.servers[owner.Owner]
+	for _, w := range d.waiting[request.Service] {
+		if other := d.ownerOf(w.request, owners); other != nil && other.Owner == owner.Owner {
+			ahead++
+		}
+	}
+	return ahead, s.capacity(), s.expected()
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -20,6 +20,8 @@
 	*view.Server
 	pool        *upstream.Pool
 	outstanding int
+	// limit is how many requests this node has at the server at a time.
+	limit float64
 	// latency is the moving mean of the answers' times, in seconds.
 	latency float64
 	// failures counts failures in a row; blockedUntil follows from them.
@@ -30,7 +32,8 @@
 	busy    time.Duration
 }
 
-func (s *server) succeeded(took time.Duration) {
+func (s *server) succeeded(took, objective time.Duration) {
+	s.adapt(took, objective)
 	s.failures = 0
 	s.blockedUntil = time.Time{}
 	s.answers++
@@ -48,8 +51,42 @@
 	s.blockedUntil = now.Add(min(backoff, maxBackoff))
 }
 
+const (
+	// crowded is the part of the objective above which answers show that the
+	// server has too many requests waiting.
+	crowded = 0.5
+	// limitStep is how much one answer raises the limit; a crowded one lowers it
+	// by limitCut.
+	limitStep = 0.1
+	limitCut  = 0.5
+)
+
+// adapt follows the server's queue, which all nodes share: with answers that use
+// up much of the objective this node sends less at a time, otherwise more.
+func (s *server) adapt(took, objective time.Duration) {
+	most := float64(max(1, s.Slots))
+	if took.Seconds() > crowded*objective.Seconds() && s.latency > crowded*objective.Seconds() {
+		s.limit = max(1, s.limit-limitCut)
+		return
+	}
+	s.limit = min(most, s.limit+limitStep)
+}
+
 // capacity is how many requests this node has at the server at a time.
-func (s *server) capacity() int { return max(1, s.Slots/2) }
+func (s *server) capacity() int {
+	if s.limit == 0 {
+		s.limit = float64(max(1, s.Slots/2))
+	}
+	return int(s.limit)
+}
+
+// expected is how long an answer of the server takes, in seconds.
+func (s *server) expected() float64 {
+	if s.latency == 0 {
+		return defaultLatency
+	}
+	return s.latency
+}
 
 // usable reports whether a request may be sent to the server now. A server whose
 // entry is missing is used a little longer, because entries may lapse while the
