A manager knows when its predecessor sends no orders any more

The wait also did not cover grants that are taken seconds after they were sent. Change: a manager commits a map of its own epoch before it sends any order; the map names its author and says whether orders of those before are over, whether the author resigned, and which grants got no answer. The wait ends when the author's node has registered another process.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -32,26 +32,47 @@
 	firstSeen   time.Time
 	lastJoined  time.Time
 	known       map[discovery.ServerID]bool
+	// predecessor wrote the map that this term found.
+	predecessor shards.Author
+	// orders counts what is on its way to servers and the store.
+	orders sync.WaitGroup
+	// resigning is true once no more orders may be sent.
+	resigning bool
 }
 
 func newTerm(m *Manager, held *lock, current *shards.Map, revision int64) *term {
 	now := time.Now()
-	return &term{
+	author := shards.Author{Node: m.config.Self.Name, Process: m.config.Self.Process}
+	t := &term{
 		manager:     m,
 		lock:        held,
 		start:       now,
-		core:        shards.NewManager(m.service, uint64(held.epoch), current, m.config.Options, 0),
+		core:        shards.NewManager(m.service, uint64(held.epoch), author, current, m.config.Options, 0),
 		mapRevision: revision,
 		keptAt:      held.keptAt,
 		speeds:      make(map[discovery.ServerID]*speed),
 		known:       make(map[discovery.ServerID]bool),
 	}
+	if current != nil {
+		t.predecessor = current.Author
+	}
+	return t
+}
+
+// lookAtPredecessor tells the core when the last manager's process has ended:
+// another life of its node has registered. The caller holds the mutex.
+func (t *term) lookAtPredecessor(current *view.View) {
+	node, registered := current.Nodes[t.predecessor.Node]
+	if registered && node.Process != t.predecessor.Process {
+		t.core.PredecessorOver(t.now())
+	}
 }
 
 func (t *term) now() time.Duration { return time.Since(t.start) }
 
+// run manages until the lock is lost or the parent context ends; then it resigns.
 func (t *term) run(parent context.Context) {
-	ctx, cancel := context.WithCancel(parent)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	defer cancel()
 	t.ended = cancel
 	go t.keepLock(ctx)
@@ -60,6 +81,11 @@
 	for {
 		t.step(ctx)
 		select {
+		case <-parent.Done():
+			t.stopOrders()
+			t.resign()
+			t.manager.logger.Info("manager resigned", zap.Int64("epoch", t.lock.epoch))
+			return
 		case <-ctx.Done():
 			t.manager.logger.Info("manager term ended", zap.Int64("epoch", t.lock.epoch))
 			return
@@ -68,6 +94,12 @@
 	}
 }
 
+func (t *term) stopOrders() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.resigning = true
+}
+
 // keepLock renews the lock and ends the term when it is surely lost.
 func (t *term) keepLock(ctx context.Context) {
 	for {
@@ -100,19 +132,24 @@
 func (t *term) step(ctx context.Context) {
 	current := t.manager.config.Views.Current()
 	t.mutex.Lock()
+	if t.resigning {
+		t.mutex.Unlock()
+		return
+	}
 	if time.Since(t.keptAt) > outageAuthority {
 		t.mutex.Unlock()
 		t.ended()
 		return
 	}
 	t.lookAtServers(current)
+	t.lookAtPredecessor(current)
 	t.core.SetStoreHealthy(!t.storeFailed && time.Since(t.keptAt) < lockTTL)
 	if !t.core.Started() && t.settled() {
 		t.core.Start()
 	}
 	commands := t.core.Tick(t.now())
-	t.mutex.Unlock()
 	t.carryOut(ctx, commands)
+	t.mutex.Unlock()
 }
 
 // settled reports whether all servers have probably registered.
@@ -248,19 +285,47 @@
 	return max(working, 1e-6) / max(s.answers, 1e-6)
 }
 
-// carryOut starts everything the core asked for.
+// carryOut starts everything the core asked for. The caller holds the mutex, so
+// that no order starts after the term stopped giving orders.
 func (t *term) carryOut(ctx context.Context, commands shards.Commands) {
 	if len(commands.Moving) > 0 {
 		t.manager.config.Notices.Moving(t.manager.service, uint64(t.lock.epoch), commands.Moving)
 	}
 	for _, release := range commands.Releases {
-		go t.release(ctx, release)
+		t.orders.Go(func() { t.release(ctx, release) })
 	}
 	for _, grant := range commands.Grants {
-		go t.grant(ctx, grant)
+		t.orders.Go(func() { t.grant(ctx, grant) })
+	}
+	if commands.Commit != nil {
+		t.orders.Go(func() { t.commit(ctx, commands.Commit.Map) })
+	}
+}
+
+// resignWait is how long a manager that steps down waits for its orders.
+const resignWait = 1200 * time.Millisecond
+
+// resign waits until no order is on its way and writes that none will follow, so
+// that the next manager need not wait for them.
+func (t *term) resign() {
+	ctx, cancel := context.WithTimeout(context.Background(), resignWait)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		t.orders.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return
 	}
+	t.mutex.Lock()
+	t.core.Resign()
+	commands := t.core.Tick(t.now())
+	t.mutex.Unlock()
 	if commands.Commit != nil {
-		go t.commit(ctx, commands.Commit.Map)
+		t.commit(ctx, commands.Commit.Map)
 	}
 }
 
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -74,6 +74,11 @@
 	releaseAt    time.Duration
 	// target is the planned next owner; empty means any.
 	target discovery.ServerID
+	// lateUntil is when a late grant can no longer hold the range.
+	lateUntil time.Duration
+	// inherited is true while the owner may hold the range by a grant of an
+	// earlier manager.
+	inherited bool
 }
 
 // Manager decides about the owners of one service's keys. It must be driven by
@@ -88,11 +93,26 @@
 // refuses late grants), is known to be dead, or can no longer hold the range by
 // any grant that was ever sent. Commits are conditional on the manager's lock and
 // on the map it last read, so of two managers only one can change owners.
+//
+// A manager sends no order before it has committed a map of its own epoch. So the
+// author of the map that a manager finds is the last one that sent orders, and the
+// orders of those before it are over if that map is settled.
 type Manager struct {
 	service string
 	epoch   uint64
-	options Options
-	nextSeq uint64
+	author  Author
+	// installed is true once a map of this epoch is committed.
+	installed bool
+	resigned  bool
+	// inheritedUntil is when the last grant of earlier managers can end;
+	// previousSettled says whether that depends on the last of them only.
+	inheritedUntil  time.Duration
+	previousSettled bool
+	predecessorOver bool
+	// settledWritten is true once the committed map says that it is settled.
+	settledWritten bool
+	options        Options
+	nextSeq        uint64
 
 	shards  []*shard
 	servers map[discovery.ServerID]Server
@@ -112,10 +132,11 @@
 
 // NewManager returns a manager that continues from the map of an earlier one, or
 // from nothing if previous is nil.
-func NewManager(service string, epoch uint64, previous *Map, options Options, now time.Duration) *Manager {
+func NewManager(service string, epoch uint64, author Author, previous *Map, options Options, now time.Duration) *Manager {
 	m := &Manager{
 		service:      service,
 		epoch:        epoch,
+		author:       author,
 		options:      options,
 		servers:      make(map[discovery.ServerID]Server),
 		dead:         make(map[discovery.ServerID]bool),
@@ -124,20 +145,56 @@
 		surge:        NewLoadWindow(heavyWindow),
 	}
 	if previous == nil {
+		m.installed, m.predecessorOver, m.previousSettled = true, true, true
 		return m
 	}
+	m.uncommitted = true
+	m.previousSettled = previous.Settled
+	m.inheritedUntil = now + options.PreviousAuthority + options.LateOrder + m.holdBound()
+	// Where one order got no answer, others may be under way that the author
+	// did not live to note.
+	late := previous.anyLate()
 	for _, r := range previous.Ranges {
-		s := &shard{Range: r, phase: owned, renewAt: now}
+		s := &shard{Range: r, phase: owned, renewAt: now, inherited: true}
 		if r.Owner == "" {
 			s.phase = vacant
-		} else {
-			s.heldUntil = now + options.PreviousAuthority + m.holdBound()
+		}
+		if late && !previous.Resigned || r.Late {
+			s.heldUntil = now + options.LateOrder + m.holdBound()
 		}
 		m.shards = append(m.shards, s)
 	}
+	if previous.Resigned {
+		m.PredecessorOver(now)
+	}
 	return m
 }
 
+// PredecessorOver tells that the author of the map this manager found sends no
+// orders any more: it resigned, or its process has ended.
+func (m *Manager) PredecessorOver(now time.Duration) {
+	if m.predecessorOver {
+		return
+	}
+	m.predecessorOver = true
+	if m.previousSettled {
+		m.inheritedUntil = min(m.inheritedUntil, now+m.holdBound())
+	}
+}
+
+// settled reports whether no order of an earlier manager can be under way that
+// this one does not know of.
+func (m *Manager) settled(now time.Duration) bool {
+	return (m.predecessorOver && m.previousSettled) || now > m.inheritedUntil
+}
+
+// Resign makes the manager give no more orders; the map of the next commit says
+// so.
+func (m *Manager) Resign() {
+	m.resigned = true
+	m.uncommitted = true
+}
+
 // holdBound is the longest time that a grant lasts by this manager's clock.
 func (m *Manager) holdBound() time.Duration {
 	return time.Duration(float64(m.options.Hold) * m.options.Drift)
@@ -147,8 +204,11 @@
 func (m *Manager) Started() bool { return len(m.shards) > 0 }
 
 // Map returns the current map, which may not be committed yet.
-func (m *Manager) Map() *Map {
-	current := &Map{Service: m.service, Epoch: m.epoch, Ranges: make([]Range, 0, len(m.shards))}
+func (m *Manager) Map(now time.Duration) *Map {
+	current := &Map{
+		Service: m.service, Epoch: m.epoch, Ranges: make([]Range, 0, len(m.shards)),
+		Author: m.author, Settled: m.settled(now), Resigned: m.resigned,
+	}
 	for _, s := range m.shards {
 		current.Ranges = append(current.Ranges, s.Range)
 	}
@@ -206,13 +266,21 @@
 // Tick advances the manager to a moment and returns what is to be done.
 func (m *Manager) Tick(now time.Duration) Commands {
 	var commands Commands
+	if !m.settledWritten && m.settled(now) {
+		m.settledWritten = true
+		m.uncommitted = len(m.shards) > 0
+	}
+	if !m.installed || m.resigned {
+		m.commit(now, &commands)
+		return commands
+	}
 	m.evacuate(now)
 	if m.storeHealthy {
 		m.balance(now)
 	}
 	m.release(now, &commands)
 	m.assign(now)
-	m.commit(&commands)
+	m.commit(now, &commands)
 	m.renew(now, &commands)
 	return commands
 }
@@ -250,7 +318,7 @@
 		if s.phase != releasing {
 			continue
 		}
-		if m.dead[s.Owner] || (s.inFlight == 0 && now > s.heldUntil) {
+		if m.dead[s.Owner] || m.over(s, now) {
 			m.vacate(s, "")
 			continue
 		}
@@ -265,6 +333,14 @@
 	}
 }
 
+// over reports whether the owner can no longer hold a range by any grant.
+func (m *Manager) over(s *shard, now time.Duration) bool {
+	if s.inherited && now <= m.inheritedUntil {
+		return false
+	}
+	return s.inFlight == 0 && now > s.heldUntil
+}
+
 func (m *Manager) vacate(s *shard, handover string) {
 	s.phase = vacant
 	s.Owner = ""
@@ -272,6 +348,8 @@
 	s.Handover = handover
 	s.heldUntil = 0
 	s.inFlight = 0
+	s.inherited = false
+	s.Late = false
 }
 
 // assign gives vacant ranges new owners, to be committed.
@@ -317,19 +395,20 @@
 
 // commit asks for the map to be written if it changed. A map that is written is
 // never changed under way: assign waits for the answer.
-func (m *Manager) commit(commands *Commands) {
+func (m *Manager) commit(now time.Duration, commands *Commands) {
 	if !m.uncommitted || m.commitInFlight {
 		return
 	}
 	m.commitInFlight = true
 	m.uncommitted = false
-	written := m.Map()
+	written := m.Map(now)
 	commands.Commit = &Commit{Map: written}
 }
 
 // Committed reports that the map of the last commit is in the store.
 func (m *Manager) Committed(now time.Duration) {
 	m.commitInFlight = false
+	m.installed = true
 	for _, s := range m.shards {
 		if s.phase == committing {
 			s.phase = owned
@@ -342,6 +421,9 @@
 // renew grants owned ranges. A range that is releasing is renewed no more.
 func (m *Manager) renew(now time.Duration, commands *Commands) {
 	for _, s := range m.shards {
+		if s.Late && now > max(s.lateUntil, s.heldUntil-m.holdBound()) {
+			s.Late = false
+		}
 		if s.phase != owned || s.inFlight > 0 || now < s.renewAt {
 			continue
 		}
@@ -377,6 +459,12 @@
 		return
 	case Unanswered:
 		s.heldUntil = max(s.heldUntil, result.SentAt+m.options.LateOrder+m.holdBound())
+		s.lateUntil = s.heldUntil
+		if !s.Late {
+			// The next manager has to know.
+			s.Late = true
+			m.uncommitted = true
+		}
 	case Superseded:
 		// An earlier manager began to release the range and did not finish.
 		if s.phase == owned {
--- a/internal/shards/map.go
+++ b/internal/shards/map.go
@@ -33,6 +33,16 @@
 	Fence uint64
 	// Handover is what the last holder gave when it released the keys.
 	Handover string
+	// Late is true if a grant to the owner got no answer, so that the owner may
+	// take it long after it was sent.
+	Late bool
+}
+
+// Author is the manager that wrote a map.
+type Author struct {
+	Node string
+	// Process differs between two lives of a node.
+	Process string
 }
 
 // Map is the owner map of one service. It is immutable once published.
@@ -42,6 +52,12 @@
 	Epoch uint64
 	// Ranges are sorted, adjacent and cover the whole key space.
 	Ranges []Range
+	Author Author
+	// Settled is true once no manager before the author can still have sent
+	// orders that the author does not know of.
+	Settled bool
+	// Resigned is true if the author sends no orders after this map.
+	Resigned bool
 }
 
 // Find returns the range of a key. The key must be at most LastKey.
@@ -53,9 +69,22 @@
 	return &m.Ranges[index]
 }
 
+// anyLate reports whether a grant of any range got no answer.
+func (m *Map) anyLate() bool {
+	for _, r := range m.Ranges {
+		if r.Late {
+			return true
+		}
+	}
+	return false
+}
+
 // Encode returns the form in which the map is stored.
 func (m *Map) Encode() ([]byte, error) {
-	stored := &wire.ShardMap{Service: m.Service, Epoch: m.Epoch}
+	stored := &wire.ShardMap{
+		Service: m.Service, Epoch: m.Epoch, Node: m.Author.Node, Process: m.Author.Process,
+		Settled: m.Settled, Resigned: m.Resigned,
+	}
 	positions := make(map[discovery.ServerID]uint32)
 	for _, r := range m.Ranges {
 		position := positions[r.Owner]
@@ -65,7 +94,7 @@
 			positions[r.Owner] = position
 		}
 		stored.Ranges = append(stored.Ranges, &wire.ShardRange{
-			Last: r.Last, Owner: position, Fence: r.Fence, Handover: r.Handover,
+			Last: r.Last, Owner: position, Fence: r.Fence, Handover: r.Handover, Late: r.Late,
 		})
 	}
 	encoded, err := proto.Marshal(stored)
@@ -78,13 +107,17 @@
 	if err := proto.Unmarshal(encoded, stored); err != nil {
 		return nil, errors.Wrapf(ErrBadMap, "%v", err)
 	}
-	decoded := &Map{Service: stored.GetService(), Epoch: stored.GetEpoch()}
+	decoded := &Map{
+		Service: stored.GetService(), Epoch: stored.GetEpoch(),
+		Author:  Author{Node: stored.GetNode(), Process: stored.GetProcess()},
+		Settled: stored.GetSettled(), Resigned: stored.GetResigned(),
+	}
 	next := uint32(0)
 	for _, r := range stored.GetRanges() {
 		if r.GetLast() < next || r.GetLast() > LastKey {
 			return nil, errors.Wrapf(ErrBadMap, "field last: %d, allowed: %d to %d", r.GetLast(), next, LastKey)
 		}
-		entry := Range{First: next, Last: r.GetLast(), Fence: r.GetFence(), Handover: r.GetHandover()}
+		entry := Range{First: next, Last: r.GetLast(), Fence: r.GetFence(), Handover: r.GetHandover(), Late: r.GetLate()}
 		if owner := int(r.GetOwner()); owner > 0 {
 			if owner > len(stored.GetServers()) {
 				return nil, errors.Wrapf(ErrBadMap, "field owner: %d, allowed: at most %d", owner, len(stored.GetServers()))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,10 @@
 	ErrNotSent = errors.New("request was not sent")
 	// ErrNoAnswer means that the request may have run and no answer came.
 	ErrNoAnswer = errors.New("no answer")
+	// ErrUndelivered means, besides, that the server's machine had not
+	// acknowledged the whole request when its connection was reset: the rest of
+	// it never arrives.
+	ErrUndelivered = errors.New("request was not delivered")
 	// ErrBadAnswer means that what came is not the whole answer to the request;
 	// the request may have run.
 	ErrBadAnswer = errors.New("answer is damaged")
@@ -121,6 +126,21 @@
 	_ = c.socket.Close()
 }
 
+// abort resets the connection, so that nothing more of what was written arrives.
+func (c *connection) abort() {
+	if socket, ok := c.socket.(*net.TCPConn); ok {
+		// Without it the connection is closed in order, which is what close does.
+		_ = socket.SetLinger(0)
+	}
+	c.close()
+}
+
+// undelivered reports whether written bytes are not acknowledged yet.
+func (c *connection) undelivered() bool {
+	queued, err := unacknowledged(c.socket)
+	return err == nil && queued > 0
+}
+
 func (p *Pool) take() *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -166,12 +186,19 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, c.close)
+	var undelivered atomic.Bool
+	stop := context.AfterFunc(ctx, func() {
+		undelivered.Store(c.undelivered())
+		c.abort()
+	})
 	answer, reusable, err := c.exchange(request)
 	if !stop() && err == nil {
 		// The context ended while the answer arrived; it is whole.
 		reusable = false
 	}
+	if err != nil && undelivered.Load() {
+		err = errors.Mark(err, ErrUndelivered)
+	}
 	if err != nil || (!reusable && answer.Rest == nil) {
 		c.close()
 		return answer, err
--- a/internal/upstream/quiet.go
+++ b/internal/upstream/quiet.go
@@ -4,6 +4,7 @@
 	"net"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -27,3 +28,25 @@
 	})
 	return err == nil && silent
 }
+
+// unacknowledged returns how many bytes that were written to a connection its
+// peer has not acknowledged yet.
+func unacknowledged(socket net.Conn) (int, error) {
+	raw, ok := socket.(syscall.Conn)
+	if !ok {
+		return 0, errors.New("connection has no descriptor")
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0, errors.Wrap(err, "reach descriptor")
+	}
+	queued := 0
+	var asked error
+	err = control.Control(func(descriptor uintptr) {
+		queued, asked = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+	})
+	if err != nil {
+		return 0, errors.Wrap(err, "reach descriptor")
+	}
+	return queued, errors.Wrap(asked, "ask for unacknowledged bytes")
+}
