--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -109,6 +109,7 @@
 	inheritedUntil  time.Duration
 	previousSettled bool
 	predecessorOver bool
+	predecessor     Author
 	// settledWritten is true once the committed map says that it is settled.
 	settledWritten bool
 	options        Options
@@ -150,6 +151,7 @@
 	}
 	m.uncommitted = true
 	m.previousSettled = previous.Settled
+	m.predecessor = previous.Author
 	m.inheritedUntil = now + options.PreviousAuthority + options.LateOrder + m.holdBound()
 	// Where one order got no answer, others may be under way that the author
 	// did not live to note.
@@ -182,6 +184,10 @@
 	}
 }
 
+// PredecessorProcess names the process of the author of the map that this manager
+// found, or is empty.
+func (m *Manager) PredecessorProcess() string { return m.predecessor.Process }
+
 // settled reports whether no order of an earlier manager can be under way that
 // this one does not know of.
 func (m *Manager) settled(now time.Duration) bool {
