--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -261,6 +261,8 @@
 	s.outstanding--
 	if answered {
 		s.succeeded(took, objective)
+	} else {
+		s.gaveUp(took)
 	}
 	d.pump(s.Service)
 }
--- a/internal/dispatch/samples.go
+++ b/internal/dispatch/samples.go
@@ -21,10 +21,10 @@
 	s.keys[s.count%maxSampledKeys] = key
 }
 
-// ServerReport sums up one server's answers since the last report.
+// ServerReport sums up one server's requests since the last report.
 type ServerReport struct {
 	Server     discovery.ServerID
-	Answers    uint32
+	Attempts   uint32
 	BusyMillis uint32
 }
 
@@ -47,13 +47,13 @@
 		delete(d.samples, service)
 	}
 	for id, s := range d.servers {
-		if s.Service != service || s.answers == 0 {
+		if s.Service != service || s.attempts == 0 {
 			continue
 		}
 		report.Servers = append(report.Servers, ServerReport{
-			Server: id, Answers: s.answers, BusyMillis: uint32(s.busy.Milliseconds()),
+			Server: id, Attempts: s.attempts, BusyMillis: uint32(s.busy.Milliseconds()),
 		})
-		s.answers, s.busy = 0, 0
+		s.attempts, s.busy = 0, 0
 	}
 	return report
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -27,16 +27,21 @@
 	// failures counts failures in a row; blockedUntil follows from them.
 	failures     int
 	blockedUntil time.Time
-	// answers and busy sum up what is to be reported.
-	answers uint32
-	busy    time.Duration
+	// attempts and busy sum up what is to be reported.
+	attempts uint32
+	busy     time.Duration
 }
 
 func (s *server) succeeded(took, objective time.Duration) {
 	s.adapt(took, objective)
 	s.failures = 0
 	s.blockedUntil = time.Time{}
-	s.answers++
+	s.observe(took)
+}
+
+// observe takes in how long the server had a request.
+func (s *server) observe(took time.Duration) {
+	s.attempts++
 	s.busy += took
 	if s.latency == 0 {
 		s.latency = took.Seconds()
@@ -45,6 +50,14 @@
 	s.latency += latencyGain * (took.Seconds() - s.latency)
 }
 
+// gaveUp takes in that an answer did not come within some time. That says
+// something only if the server usually answers sooner.
+func (s *server) gaveUp(took time.Duration) {
+	if took.Seconds() > s.expected() {
+		s.observe(took)
+	}
+}
+
 func (s *server) failed(now time.Time) {
 	backoff := firstBackoff << min(s.failures, 6)
 	s.failures++
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -91,9 +91,9 @@
 	servers := make([]shardmanager.ServerLoad, 0, len(report.GetServers()))
 	for _, load := range report.GetServers() {
 		servers = append(servers, shardmanager.ServerLoad{
-			Server:  discovery.ServerID(load.GetServer()),
-			Answers: load.GetAnswers(),
-			Busy:    time.Duration(load.GetBusyMillis()) * time.Millisecond,
+			Server:   discovery.ServerID(load.GetServer()),
+			Attempts: load.GetAttempts(),
+			Busy:     time.Duration(load.GetBusyMillis()) * time.Millisecond,
 		})
 	}
 	p.managers.recordLoad(report.GetService(), report.GetKeys(), float64(report.GetWeight()), servers)
@@ -140,7 +140,7 @@
 		report := &wire.LoadReport{Service: name, Keys: seen.Keys, Weight: float32(seen.Weight)}
 		for _, s := range seen.Servers {
 			report.Servers = append(report.Servers, &wire.ServerLoad{
-				Server: string(s.Server), Answers: s.Answers, BusyMillis: s.BusyMillis,
+				Server: string(s.Server), Attempts: s.Attempts, BusyMillis: s.BusyMillis,
 			})
 		}
 		manager := current.Managers[name]
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -194,7 +194,9 @@
 
 // ServerLoad sums up what a node saw of one server.
 type ServerLoad struct {
-	Server  discovery.ServerID
-	Answers uint32
-	Busy    time.Duration
+	Server discovery.ServerID
+	// Attempts counts requests that were answered or given up.
+	Attempts uint32
+	// Busy is for how long the server had them.
+	Busy time.Duration
 }
--- /dev/null
+++ b/internal/shardmanager/speed.go
@@ -0,0 +1,142 @@
+package shardmanager
+
+import (
+	"math"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+const (
+	// minAttempts is how many requests are needed to judge a server's speed.
+	minAttempts = 8
+	// priorAttempts is how many requests at the mean of all servers a server's
+	// own are mixed with, because few say little.
+	priorAttempts = 6
+	// speedMemory is how long requests count when a server's speed is judged;
+	// changeMemory is how long they count when a sudden change is looked for.
+	speedMemory  = 6 * time.Second
+	changeMemory = 1200 * time.Millisecond
+	// changeFactor is by how much a server's last requests must differ from the
+	// earlier ones, and minChange how many they must be, to be taken alone.
+	changeFactor = 2.5
+	minChange    = 3
+	// slowest and fastest bound how much of its slots' share a server gets.
+	slowest, fastest = 0.02, 2.5
+)
+
+// fading sums up requests that count less the older they are.
+type fading struct {
+	memory      time.Duration
+	attempts    float64
+	busySeconds float64
+}
+
+func (f *fading) record(elapsed time.Duration, load ServerLoad) {
+	fade := math.Exp(-elapsed.Seconds() / f.memory.Seconds())
+	f.attempts = f.attempts*fade + float64(load.Attempts)
+	f.busySeconds = f.busySeconds*fade + load.Busy.Seconds()
+}
+
+// workSeconds estimates how long a server with some slots works on a request. The
+// requests' times include queueing; but a server cannot have worked for longer
+// than its slots were there.
+func (f *fading) workSeconds(slots float64) float64 {
+	const tiny = 1e-6
+	working := min(f.busySeconds, slots*f.memory.Seconds())
+	return max(working, tiny) / max(f.attempts, tiny)
+}
+
+// speed judges a server by its requests of the last seconds.
+type speed struct {
+	slots     float64
+	usual     fading
+	latest    fading
+	updatedAt time.Time
+}
+
+func newSpeed(slots int) *speed {
+	return &speed{
+		slots:  float64(max(1, slots)),
+		usual:  fading{memory: speedMemory},
+		latest: fading{memory: changeMemory},
+	}
+}
+
+func (s *speed) record(now time.Time, load ServerLoad) {
+	elapsed := now.Sub(s.updatedAt)
+	s.updatedAt = now
+	s.usual.record(elapsed, load)
+	s.latest.record(elapsed, load)
+	if s.latest.attempts < minChange {
+		return
+	}
+	change := s.latest.workSeconds(s.slots) / s.usual.workSeconds(s.slots)
+	if change > changeFactor || change < 1/changeFactor {
+		s.usual.attempts = s.latest.attempts
+		s.usual.busySeconds = s.latest.busySeconds
+	}
+}
+
+// workingSlots estimates how many of the server's slots are busy.
+func (s *speed) workingSlots() float64 {
+	return min(s.slots, s.usual.busySeconds/speedMemory.Seconds())
+}
+
+// workSeconds is how long the server works on a request.
+func (s *speed) workSeconds() float64 { return s.usual.workSeconds(s.slots) }
+
+// capacity estimates how much load a server should get from its slots and speed.
+// While there are slots to spare, fast servers get more than their share of the
+// throughput, because answers come sooner there. The caller holds the mutex.
+func (t *term) capacity(s *view.Server) float64 {
+	slots := float64(max(1, s.Slots))
+	known := t.speeds[s.ID]
+	if known == nil || known.usual.attempts < 1 {
+		return slots
+	}
+	sum, count, working, all := 0.0, 0, 0.0, 0.0
+	for _, other := range t.speeds {
+		all += other.slots
+		working += other.workingSlots()
+		if other.usual.attempts >= minAttempts {
+			sum += other.workSeconds()
+			count++
+		}
+	}
+	if count == 0 {
+		return slots
+	}
+	mean := sum / float64(count)
+	attempts := known.usual.attempts
+	own := (known.workSeconds()*attempts + mean*priorAttempts) / (attempts + priorAttempts)
+	relative := math.Pow(mean/own, preference(working/all))
+	return slots * min(fastest, max(slowest, relative))
+}
+
+// preference is the power to which speed counts: 2 with most slots idle, 1 (in
+// proportion to the throughput) when the servers are nearly full.
+func preference(utilization float64) float64 {
+	const idle, full = 0.4, 0.75
+	part := (utilization - idle) / (full - idle)
+	return 2 - min(1, max(0, part))
+}
+
+func (t *term) recordLoad(keys []uint32, weight float64, servers []ServerLoad) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.core.RecordLoad(t.now(), keys, weight)
+	current := t.manager.config.Views.Current()
+	for _, load := range servers {
+		known := t.speeds[load.Server]
+		if known == nil {
+			slots := 1
+			if s := current.Servers[load.Server]; s != nil {
+				slots = s.Slots
+			}
+			known = newSpeed(slots)
+			t.speeds[load.Server] = known
+		}
+		known.record(time.Now(), load)
+	}
+}
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -193,98 +192,6 @@
 	t.core.SetServers(servers, dead)
 }
 
-// capacity estimates how much load a server should get from its slots and speed.
-// While there are slots to spare, fast servers get more than their share of the
-// throughput, because answers come sooner there.
-func (t *term) capacity(s *view.Server) float64 {
-	slots := float64(max(1, s.Slots))
-	known := t.speeds[s.ID]
-	if known == nil || known.answers < minAnswers {
-		return slots
-	}
-	sum, count, working, all := 0.0, 0, 0.0, 0.0
-	for _, other := range t.speeds {
-		all += other.slots
-		working += other.workingSlots()
-		if other.answers >= minAnswers {
-			sum += other.workSeconds()
-			count++
-		}
-	}
-	const slowest, fastest = 0.15, 2.5
-	mean := sum / float64(count)
-	own := (known.workSeconds()*known.answers + mean*priorAnswers) / (known.answers + priorAnswers)
-	relative := mean / own
-	return slots * min(fastest, max(slowest, math.Pow(relative, preference(working/all))))
-}
-
-// preference is the power to which speed counts: 2 with most slots idle, 1 (in
-// proportion to the throughput) when the servers are nearly full.
-func preference(utilization float64) float64 {
-	const idle, full = 0.4, 0.75
-	part := (utilization - idle) / (full - idle)
-	return 2 - min(1, max(0, part))
-}
-
-const (
-	// minAnswers is how many answers are needed to judge a server's speed.
-	minAnswers = 8
-	// speedMemory is how long answers count when a server's speed is judged.
-	speedMemory = 6 * time.Second
-	// priorAnswers is how many answers at the mean of all servers a server's own
-	// answers are mixed with, because few answers say little.
-	priorAnswers = 6
-)
-
-func (t *term) recordLoad(keys []uint32, weight float64, servers []ServerLoad) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.core.RecordLoad(t.now(), keys, weight)
-	for _, load := range servers {
-		known := t.speeds[load.Server]
-		if known == nil {
-			known = &speed{slots: 1}
-			if s := t.manager.config.Views.Current().Servers[load.Server]; s != nil {
-				known.slots = float64(max(1, s.Slots))
-			}
-			t.speeds[load.Server] = known
-		}
-		known.record(time.Now(), load)
-	}
-}
-
-// speed judges a server by its answers of the last seconds, which fade out.
-type speed struct {
-	slots       float64
-	answers     float64
-	busySeconds float64
-	updatedAt   time.Time
-}
-
-func (s *speed) record(now time.Time, load ServerLoad) {
-	if !s.updatedAt.IsZero() {
-		fade := math.Exp(-now.Sub(s.updatedAt).Seconds() / speedMemory.Seconds())
-		s.answers *= fade
-		s.busySeconds *= fade
-	}
-	s.updatedAt = now
-	s.answers += float64(load.Answers)
-	s.busySeconds += load.Busy.Seconds()
-}
-
-// workingSlots estimates how many of the server's slots are busy.
-func (s *speed) workingSlots() float64 {
-	return min(s.slots, s.busySeconds/speedMemory.Seconds())
-}
-
-// workSeconds estimates how long the server works on a request. The answers'
-// times include queueing; but a server cannot have worked for longer than its
-// slots were there.
-func (s *speed) workSeconds() float64 {
-	working := min(s.busySeconds, s.slots*speedMemory.Seconds())
-	return max(working, 1e-6) / max(s.answers, 1e-6)
-}
-
 // carryOut starts everything the core asked for. The caller holds the mutex, so
 // that no order starts after the term stopped giving orders.
 func (t *term) carryOut(ctx context.Context, commands shards.Commands) {
