Heavy keys stay where they were moved, and are found sooner

Change: another server must have 1.8 times the capacity, and six seconds must have passed; load is reported each 200 ms and heavy keys are looked for each 150 ms; an answer must be expected within 0.8 of the objective for a request to wait.

--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -6,6 +6,10 @@
 // in any case.
 const minPatience = 0.24
 
+// safePart is the part of its objective within which an answer must be expected,
+// because answers' times spread.
+const safePart = 0.8
+
 // patience returns until when a request may wait for a server, and false if it
 // is already clear that its answer would come after its objective: then it is
 // better refused at once, so that its client asks again. The caller holds the
@@ -13,7 +17,7 @@
 func (d *Dispatcher) patience(request *Request, limit time.Time) (time.Time, bool) {
 	objective := request.Route.Objective
 	now := time.Now()
-	left := objective - now.Sub(request.ArrivedAt)
+	left := time.Duration(safePart*float64(objective)) - now.Sub(request.ArrivedAt)
 	ahead, places, answer := d.backlog(request)
 	if places == 0 {
 		return earlier(limit, now.Add(time.Duration(minPatience*float64(objective)))), true
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -20,7 +20,7 @@
 
 const (
 	// reportInterval is the pause between two load reports to a manager.
-	reportInterval = 400 * time.Millisecond
+	reportInterval = 200 * time.Millisecond
 	// stateInterval is the pause between two comparisons with another node.
 	stateInterval = 1 * time.Second
 	stateTimeout  = 500 * time.Millisecond
--- a/internal/shards/balance.go
+++ b/internal/shards/balance.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// balanceInterval is the pause between two looks at the load.
+	// balanceInterval is the pause between two looks at the load, heavyInterval
+	// that between two looks for heavy keys.
 	balanceInterval = 500 * time.Millisecond
+	heavyInterval   = 150 * time.Millisecond
 	// tolerance is the part above its fair load that a server may have.
 	tolerance = 0.25
 	// noiseFactor is how many standard deviations of the sample a server must
@@ -24,12 +26,18 @@
 	heavyPart = 0.6
 	minHeavy  = 12
 	// worthMoving is how much more capacity a server must have than the one that
-	// holds a heavy key.
-	worthMoving = 1.2
+	// holds a heavy key: a server that is kept busy by the key looks slower than
+	// it is.
+	worthMoving = 1.8
+	// heavyPause is how long a heavy key stays after it was moved.
+	heavyPause = 6 * time.Second
 )
 
 type planState struct {
-	nextLook time.Duration
+	nextLook      time.Duration
+	nextHeavyLook time.Duration
+	// heavyMoved is when each heavy key was moved last.
+	heavyMoved map[uint32]time.Duration
 }
 
 // keyShareLoad stands for the load of keys nobody asked for, so that ranges
@@ -55,10 +63,10 @@
 
 // balance moves ranges from servers above their fair load to servers below it.
 func (m *Manager) balance(now time.Duration) {
-	if !m.Started() || now < m.plan.nextLook {
+	if !m.Started() || now < m.plan.nextHeavyLook {
 		return
 	}
-	m.plan.nextLook = now + balanceInterval
+	m.plan.nextHeavyLook = now + heavyInterval
 	total := m.load.Total(now)
 	accepting := m.accepting()
 	if total < minTotal || len(accepting) < 2 {
@@ -71,6 +79,10 @@
 	fair := total / capacity
 	loads := m.serverLoads(now)
 	m.placeHeavyKeys(now, accepting, loads, fair)
+	if now < m.plan.nextLook {
+		return
+	}
+	m.plan.nextLook = now + balanceInterval
 	room := m.options.MaxMoves - m.moving()
 	for range min(room, maxMovesPerLook) {
 		if !m.moveOnce(now, accepting, loads, fair) {
@@ -99,6 +111,10 @@
 		if best.ID == heavy.Owner || best.Capacity < owner.Capacity*worthMoving {
 			continue
 		}
+		if movedAt, moved := m.plan.heavyMoved[key]; moved && now-movedAt < heavyPause {
+			continue
+		}
+		m.plan.heavyMoved[key] = now
 		m.startRelease(heavy, now, best.ID)
 		loads[heavy.Owner] -= load
 		loads[best.ID] += load
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -144,6 +144,7 @@
 		storeHealthy: true,
 		load:         NewLoadWindow(balanceWindow),
 		surge:        NewLoadWindow(heavyWindow),
+		plan:         planState{heavyMoved: make(map[uint32]time.Duration)},
 	}
 	if previous == nil {
 		m.installed, m.predecessorOver, m.previousSettled = true, true, true
