--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-unformatted=$(gofmt -l cmd internal examples)
+unformatted=$(gofmt -l cmd internal platform examples)
 if [ -n "$unformatted" ]; then
   echo "not formatted: $unformatted" >&2
   exit 1
