A watch that is cut off without an error is found within seconds

The check used stale reads, which are then 6 s behind. Change: the revision is read for certain, once a second over all nodes together; a node that finds itself behind lists again and tells the others; one that learns of a newer revision from another node renews its watch instead of only taking that copy. Test: TestCatchesUpWithWhatAnotherNodeSaw.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,10 +22,11 @@
 	// batchPause is the pause after changes, so that those that come together
 	// are told of in one call.
 	batchPause = 250 * time.Millisecond
-	// freshnessInterval is the pause between two comparisons with the store's
-	// revision; freshnessSlack is how much later a watch may tell of a change.
+	// freshnessInterval is the mean pause between two comparisons of any node
+	// with the store's revision; freshnessSlack is how much later a watch may
+	// tell of a change.
 	freshnessInterval = time.Second
-	freshnessSlack    = 300 * time.Millisecond
+	freshnessSlack    = 500 * time.Millisecond
 )
 
 // Receiver takes in changes. It is called by one goroutine at a time.
@@ -170,27 +172,41 @@
 }
 
 // CheckFreshness compares the copy with the store's revision until the context
-// ends. A watch may stay silent although there were changes.
-func (m *Mirror) CheckFreshness(ctx context.Context) error {
+// ends: a watch may be cut off, or stay silent although there were changes,
+// without an error. The pause between two comparisons grows with the number of
+// nodes, which tell each other what they find through behind.
+func (m *Mirror) CheckFreshness(ctx context.Context, nodes func() int, behind func(revision int64)) error {
 	for {
-		pause(ctx, freshnessInterval)
+		spread := 0.5 + rand.Float64()
+		pause(ctx, time.Duration(spread*float64(max(1, nodes()))*float64(freshnessInterval)))
 		if ctx.Err() != nil {
 			return nil
 		}
-		recent, err := m.store.RecentRevision(ctx)
-		if err != nil || recent <= m.Revision() {
-			continue
-		}
-		// Give the watch the time that it normally takes.
-		pause(ctx, freshnessSlack)
-		if behind := m.Revision(); behind < recent && ctx.Err() == nil {
-			m.logger.Warn("watch is silent, listing again", zap.Int64("revision", behind), zap.Int64("store", recent))
-			m.forceList()
-			m.Resume()
+		current, err := m.store.Revision(ctx)
+		if err == nil && m.CatchUp(ctx, current) {
+			behind(current)
 		}
 	}
 }
 
+// CatchUp makes sure that the copy reaches a revision that the store surely had.
+// It reports whether the watch had missed it.
+func (m *Mirror) CatchUp(ctx context.Context, revision int64) bool {
+	if revision <= m.Revision() {
+		return false
+	}
+	// Give the watch the time that it normally takes.
+	pause(ctx, freshnessSlack)
+	seen := m.Revision()
+	if seen >= revision || ctx.Err() != nil {
+		return false
+	}
+	m.logger.Warn("watch is silent, listing again", zap.Int64("revision", seen), zap.Int64("store", revision))
+	m.forceList()
+	m.Resume()
+	return true
+}
+
 // Offer takes one item that another node has just written, ahead of the watch.
 // The copy's revision stays: the watch tells of the same change later.
 func (m *Mirror) Offer(item topo.Item) {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -68,7 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = m.Run(ctx) })
-	group.Go(func() { _ = m.CheckFreshness(ctx) })
+	group.Go(func() { _ = m.CheckFreshness(ctx, func() int { return 1 }, func(int64) {}) })
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
@@ -114,3 +114,27 @@
 	store.Write("a", []byte("2"))
 	received.waitFor(t, "a", "2")
 }
+
+// A node that is told of a revision by another one must not wait for its own
+// comparison: seen as CONFIG broken on the day 'compaction' with seed 31.
+func TestCatchesUpWithWhatAnotherNodeSaw(t *testing.T) {
+	store := memory.New()
+	store.Write("a", []byte("1"))
+	received := newRecorder()
+	m := mirror.New(store, received, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = m.Run(ctx) })
+	defer group.Wait()
+	defer cancel()
+	received.waitFor(t, "a", "1")
+	store.SetFaults(memory.Faults{Deaf: true})
+	revision := store.Write("a", []byte("2"))
+	if !m.CatchUp(ctx, revision) {
+		t.Fatal("the copy is old and CatchUp did not notice")
+	}
+	received.waitFor(t, "a", "2")
+	if m.CatchUp(ctx, revision) {
+		t.Fatal("the copy is new and CatchUp listed again")
+	}
+}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -171,7 +171,9 @@
 		group.Add(func() error { return work(bounded) }, func(error) { stop() })
 	}
 	actor(n.mirror.Run)
-	actor(n.mirror.CheckFreshness)
+	actor(func(ctx context.Context) error {
+		return n.mirror.CheckFreshness(ctx, n.peers.nodes, n.peers.behind)
+	})
 	actor(n.dispatcher.Run)
 	actor(func(ctx context.Context) error {
 		return periodic.Run(ctx, followInterval, func(context.Context) { n.managers.follow(ctx) })
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -24,9 +24,6 @@
 	// stateInterval is the pause between two comparisons with another node.
 	stateInterval = 1 * time.Second
 	stateTimeout  = 500 * time.Millisecond
-	// stateSlack is how much later than another node the store may tell this one
-	// of a change.
-	stateSlack = 700 * time.Millisecond
 )
 
 // peers exchanges messages with the other nodes.
@@ -61,6 +58,13 @@
 	}}})
 }
 
+// behind tells the other nodes of a revision that this node's watch missed.
+func (p *peers) behind(revision int64) {
+	p.broadcast(&wire.Envelope{Body: &wire.Envelope_StateNotice{StateNotice: &wire.StateNotice{Revision: revision}}})
+}
+
+func (p *peers) nodes() int { return len(p.views.Current().Nodes) }
+
 // broadcast sends a message to all other nodes; each may miss it.
 func (p *peers) broadcast(envelope *wire.Envelope) {
 	for name, node := range p.views.Current().Nodes {
@@ -82,6 +86,8 @@
 	case *wire.Envelope_StoreItem:
 		item := body.StoreItem
 		p.mirror.Offer(topo.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision()})
+	case *wire.Envelope_StateNotice:
+		go p.mirror.CatchUp(context.Background(), body.StateNotice.GetRevision())
 	case *wire.Envelope_LoadReport:
 		p.recordLoad(body.LoadReport)
 	}
@@ -166,8 +172,7 @@
 	if seen.GetRevision() <= p.mirror.Revision() {
 		return
 	}
-	sleep(ctx, stateSlack)
-	if seen.GetRevision() <= p.mirror.Revision() {
+	if !p.mirror.CatchUp(ctx, seen.GetRevision()) {
 		return
 	}
 	answer := p.askState(ctx, address, true)
--- a/internal/topo/memory/memory.go
+++ b/internal/topo/memory/memory.go
@@ -164,8 +164,8 @@
 	return found, s.revision, nil
 }
 
-// RecentRevision implements topo.Store.
-func (s *Store) RecentRevision(context.Context) (int64, error) {
+// Revision implements topo.Store.
+func (s *Store) Revision(context.Context) (int64, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if err := s.enter("revision"); err != nil {
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -72,9 +72,8 @@
 	// Watch waits up to wait for changes after a revision and returns them with
 	// the revision to continue from.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
-	// RecentRevision returns a revision that the store had at most some seconds
-	// ago. It is far cheaper than any other call.
-	RecentRevision(ctx context.Context) (int64, error)
+	// Revision returns the store's current revision.
+	Revision(ctx context.Context) (int64, error)
 	// Commit applies a transaction and returns its revision.
 	Commit(ctx context.Context, transaction Transaction) (int64, error)
 	// GrantLease creates a lease and returns the time to live that applies,
