--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,11 +39,12 @@
 // Dispatcher sends requests to the servers of the current view. It is safe for
 // concurrent use.
 type Dispatcher struct {
-	options Options
+	headers Headers
 	views   *view.Builder
 	logger  *zap.Logger
 
 	mutex   sync.Mutex
+	options Options
 	servers map[discovery.ServerID]*server
 	waiting map[string][]*waiter
 	budgets map[string]*budget
@@ -71,6 +72,7 @@
 // New returns a dispatcher that follows views.
 func New(options Options, views *view.Builder, logger *zap.Logger) *Dispatcher {
 	d := &Dispatcher{
+		headers: options.Headers,
 		options: options,
 		views:   views,
 		logger:  logger,
@@ -85,6 +87,14 @@
 	return d
 }
 
+// SetOptions replaces the bounds. Budgets follow with their next request.
+func (d *Dispatcher) SetOptions(options Options) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.options = options
+	d.budgets = make(map[string]*budget)
+}
+
 // update takes in a new view and lets waiting requests go on.
 func (d *Dispatcher) update(current *view.View) {
 	d.mutex.Lock()
@@ -93,7 +103,7 @@
 	for id, seen := range current.Servers {
 		known := d.servers[id]
 		if known == nil {
-			known = &server{pool: upstream.NewPool(seen.Address)}
+			known = &server{id: id, pool: upstream.NewPool(seen.Address)}
 			d.servers[id] = known
 		}
 		known.Server = seen
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -62,12 +62,14 @@
 		queuedAt := time.Now()
 		s := d.acquire(ctx, request, excluded, limit)
 		trace.Queued += time.Since(queuedAt)
+		queueSeconds.WithLabelValues(request.Service).Observe(time.Since(queuedAt).Seconds())
 		if s == nil {
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer)
 		}
 		trace.Attempts++
-		trace.Server = string(s.ID)
+		trace.Server = string(s.id)
 		answer, outcome, err := d.send(ctx, request, s, limit)
+		attemptsTotal.WithLabelValues(request.Service, outcome.String()).Inc()
 		if outcome == answered {
 			return answer, trace, nil
 		}
@@ -75,7 +77,7 @@
 		if outcome == failedOver {
 			lastAnswer = answer
 		}
-		excluded[s.ID] = true
+		excluded[s.id] = true
 		if ctx.Err() != nil || !d.mayRepeat(request, trace.Attempts, outcome, limit) {
 			if outcome == rejected && !mayHaveRun {
 				return nil, trace, &Refusal{Reason: err.Error(), RetryAfter: comeBack()}
@@ -105,7 +107,11 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.budget(request.Service).take()
+	if d.budget(request.Service).take() {
+		return true
+	}
+	repeatsDeniedTotal.WithLabelValues(request.Service).Inc()
+	return false
 }
 
 // giveUp returns the error for a request that no server answered, or nil if a
@@ -161,12 +167,12 @@
 	fields = append(fields, request.Fields...)
 	left := max(1, time.Until(earlier(limit, request.Deadline)).Milliseconds())
 	fields = append(fields,
-		upstream.Field{Name: d.options.Headers.Deadline, Value: strconv.FormatInt(left, 10)},
-		upstream.Field{Name: d.options.Headers.Target, Value: string(s.ID)})
+		upstream.Field{Name: d.headers.Deadline, Value: strconv.FormatInt(left, 10)},
+		upstream.Field{Name: d.headers.Target, Value: string(s.id)})
 	return &upstream.Request{
 		Method: request.Method, URI: request.URI, Host: request.Host, Fields: fields,
 		Body: request.Body, Rest: request.Rest,
-		IDHeader: d.options.Headers.RequestID, ID: request.ID,
+		IDHeader: d.headers.RequestID, ID: request.ID,
 	}
 }
 
@@ -174,10 +180,10 @@
 
 // judge says what a server's answer means.
 func (d *Dispatcher) judge(request *Request, answer *upstream.Answer) (attempt, error) {
-	if answer.Header.Get(d.options.Headers.NotExecuted) != "" || answer.Status == statusMisdirected {
+	if answer.Header.Get(d.headers.NotExecuted) != "" || answer.Status == statusMisdirected {
 		return rejected, errors.Newf("server refused with %d", answer.Status)
 	}
-	signed := answer.Header.Get(d.options.Headers.Signature) != ""
+	signed := answer.Header.Get(d.headers.Signature) != ""
 	if answer.Header.Get("Content-Encoding") != "" {
 		return failedOver, errors.New("answer is encoded")
 	}
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+var (
+	attemptsTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_dispatch_attempts_total",
+		Help: "Requests sent to servers, by how that ended.",
+	}, []string{"service", "result"})
+
+	queueSeconds = promauto.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "micahaven_dispatch_queue_seconds",
+		Help:    "Time that requests waited for a server.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+	}, []string{"service"})
+
+	repeatsDeniedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_dispatch_repeats_denied_total",
+		Help: "Repeats that the retry budget did not allow.",
+	}, []string{"service"})
+)
+
+// String names the result for the metrics.
+func (a attempt) String() string {
+	switch a {
+	case answered:
+		return "answered"
+	case rejected:
+		return "rejected"
+	default:
+		return "failed"
+	}
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
 )
@@ -15,9 +16,11 @@
 )
 
 // server is what this node knows of a server beyond the view. It is guarded by
-// Dispatcher.mutex, but for the pool.
+// Dispatcher.mutex, but for its id and pool.
 type server struct {
 	*view.Server
+	// id and pool never change, so they are read without the mutex.
+	id          discovery.ServerID
 	pool        *upstream.Pool
 	outstanding int
 	// limit is how many requests this node has at the server at a time.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -116,9 +116,28 @@
 	}
 	answer, trace, err := h.dispatcher.Do(incoming.Context(), request)
 	h.log(request, trace, answer, err, table.Version())
+	requestSeconds.WithLabelValues(request.Service, outcomeOf(answer, err)).Observe(time.Since(arrivedAt).Seconds())
 	h.answer(writer, answer, err)
 }
 
+// outcomeOf names how a request ended, for the metrics.
+func outcomeOf(answer *upstream.Answer, err error) string {
+	switch {
+	case err == nil && answer != nil && answer.Status < http.StatusBadRequest:
+		return "served"
+	case err == nil:
+		return "failed by server"
+	case errors.Is(err, dispatch.ErrNotExecuted):
+		return "not executed"
+	case errors.Is(err, dispatch.ErrTimeout):
+		return "timed out"
+	case errors.Is(err, dispatch.ErrCanceled):
+		return "client left"
+	default:
+		return "unknown"
+	}
+}
+
 // position returns evenly spread numbers between 0 and 1: multiples of the
 // golden ratio's fraction.
 func (h *Handler) position() float64 {
--- /dev/null
+++ b/internal/ingress/metrics.go
@@ -0,0 +1,12 @@
+package ingress
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+var requestSeconds = promauto.NewHistogramVec(prometheus.HistogramOpts{
+	Name:    "micahaven_ingress_request_seconds",
+	Help:    "Time from reading a client's request to its final answer.",
+	Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+}, []string{"service", "outcome"})
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -135,6 +135,7 @@
 	defer cancel()
 	if !listed {
 		items, at, err := m.store.List(ctx, "")
+		countCall("list", err)
 		if err != nil {
 			return err
 		}
@@ -142,6 +143,7 @@
 		return nil
 	}
 	events, at, err := m.store.Watch(watch, "", revision, watchWait)
+	countCall("watch", err)
 	if err != nil {
 		if watch.Err() != nil && ctx.Err() == nil {
 			return errors.Mark(err, context.Canceled)
@@ -183,6 +185,7 @@
 			return nil
 		}
 		current, err := m.store.Revision(ctx)
+		countCall("revision", err)
 		if err == nil && m.CatchUp(ctx, current) {
 			behind(current)
 		}
@@ -234,6 +237,7 @@
 	}
 	m.revision = revision
 	m.listed = true
+	revisionSeen.Set(float64(revision))
 	m.receiver.Replace(items, revision)
 }
 
@@ -258,6 +262,7 @@
 		m.items[event.Key] = event.Item
 	}
 	m.revision = revision
+	revisionSeen.Set(float64(revision))
 	if len(fresh) > 0 {
 		m.receiver.Apply(fresh, revision)
 	}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -47,6 +48,7 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 20 * time.Second
 	headerBytes    = 64 << 10
+	metricsPath    = "/metrics"
 	followInterval = 100 * time.Millisecond
 	// notReadyPart is the part of the grace in which a stopping node still takes
 	// new connections, until everybody has seen that it is not ready.
@@ -71,6 +73,8 @@
 	inner        *transport.Server
 	clients      *http.Server
 	ready        *http.Server
+	metrics      *http.Server
+	headers      ingress.Headers
 	path         string
 	stopping     atomic.Bool
 	// drained is closed when a stopping node has ended its requests.
@@ -96,16 +100,17 @@
 	logger, output := routerlog.New(stdout, zapcore.InfoLevel)
 	logger = logger.With(zap.String("node", settings.Node))
 	self := view.Node{Name: settings.Node, Zone: settings.Zone, Address: settings.Listen.Nodes, Process: ulid.Make().String()}
-	n := &Node{settings: settings, logger: logger, output: output, path: path, drained: make(chan struct{})}
+	n := &Node{settings: settings, logger: logger, output: output, headers: platform.Headers, path: path, drained: make(chan struct{})}
 	n.views = view.NewBuilder(platform.Layout, platform.Documents, logger)
 	n.dispatcher = dispatch.New(dispatchOptions(settings, platform.Headers), n.views, logger)
 	n.mirror = mirror.New(platform.Store, n.views, logger)
 	n.handler = ingress.NewHandler(platform.Headers, n.views, n.dispatcher, logger)
 	hello := &wire.Hello{Node: self.Name, Zone: self.Zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
 	n.peers = &peers{
-		self: self, seeds: settings.Seeds, client: transport.NewClient(hello, nil),
+		self: self, client: transport.NewClient(hello, nil),
 		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
+	n.peers.setSeeds(settings.Seeds)
 	options := shards.DefaultOptions()
 	options.Hold = min(options.Hold, time.Duration(settings.MaxHoldMillis)*time.Millisecond)
 	n.managers = newManagers(shardmanager.Config{
@@ -143,6 +148,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, n.answerReady)
 	n.ready = &http.Server{Addr: n.settings.Listen.Ready, Handler: mux, ReadHeaderTimeout: headerTimeout}
+	metrics := http.NewServeMux()
+	metrics.Handle("GET "+metricsPath, promhttp.Handler())
+	n.metrics = &http.Server{Addr: n.settings.Listen.Metrics, Handler: metrics, ReadHeaderTimeout: headerTimeout}
 	return nil
 }
 
@@ -184,6 +192,9 @@
 	actor(n.watchSignals)
 	group.Add(n.inner.Serve, func(error) { n.inner.Close() })
 	group.Add(func() error { return serveHTTP(n.ready) }, func(error) { _ = n.ready.Close() })
+	if n.settings.Listen.Metrics != "" {
+		group.Add(func() error { return serveHTTP(n.metrics) }, func(error) { _ = n.metrics.Close() })
+	}
 	group.Add(n.serveClients, func(error) { _ = n.clients.Close() })
 	err := group.Run()
 	n.managers.wait()
@@ -237,7 +248,10 @@
 		n.logger.Error("settings not reloaded, the old ones stay in force", zap.Error(err))
 		return
 	}
-	n.logger.Info("settings reloaded", zap.Strings("seeds", settings.Seeds))
+	n.dispatcher.SetOptions(dispatchOptions(settings, n.headers))
+	n.peers.setSeeds(settings.Seeds)
+	n.logger.Info("settings reloaded", zap.Strings("seeds", settings.Seeds), zap.Int("drain_millis", settings.DrainMillis),
+		zap.Float64("retry_ratio", settings.Retry.Ratio), zap.Float64("retry_slack", settings.Retry.Slack))
 }
 
 // drain lets clients go elsewhere, hands the managers' locks over, and returns
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,7 +30,7 @@
 // peers exchanges messages with the other nodes.
 type peers struct {
 	self       view.Node
-	seeds      []string
+	seeds      atomic.Pointer[[]string]
 	client     *transport.Client
 	views      *view.Builder
 	mirror     *mirror.Mirror
@@ -40,6 +41,9 @@
 	logger *zap.Logger
 }
 
+// setSeeds replaces the addresses at which other nodes may be found.
+func (p *peers) setSeeds(seeds []string) { p.seeds.Store(&seeds) }
+
 // Moving implements shardmanager.Notices.
 func (p *peers) Moving(service string, epoch uint64, ranges []shards.Range) {
 	p.dispatcher.Hold(service, ranges)
@@ -215,7 +219,7 @@
 func (p *peers) randomPeer() string {
 	addresses := p.otherAddresses()
 	if len(addresses) == 0 {
-		for _, seed := range p.seeds {
+		for _, seed := range *p.seeds.Load() {
 			if seed != p.self.Address {
 				addresses = append(addresses, seed)
 			}
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -138,6 +138,7 @@
 		_ = m.config.Store.EndLease(ctx, lease)
 		return nil, err
 	}
+	termsTotal.WithLabelValues(m.service).Inc()
 	m.logger.Info("manager lock taken", zap.Int64("epoch", epoch))
 	return &lock{lease: lease, epoch: epoch, keptAt: sentAt}, nil
 }
--- /dev/null
+++ b/internal/shardmanager/metrics.go
@@ -0,0 +1,23 @@
+package shardmanager
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+var (
+	ordersTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_shardmanager_orders_total",
+		Help: "Grants and releases sent to servers, by how they ended.",
+	}, []string{"service", "order", "outcome"})
+
+	commitsTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_shardmanager_commits_total",
+		Help: "Owner maps written to the store.",
+	}, []string{"service"})
+
+	termsTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_shardmanager_terms_total",
+		Help: "Times that this node took the lock of a service's manager.",
+	}, []string{"service"})
+)
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -241,6 +241,7 @@
 	bounded, cancel := context.WithTimeout(ctx, t.manager.config.Options.CallTimeout)
 	defer cancel()
 	outcome := t.manager.config.Orders.Grant(bounded, grant)
+	ordersTotal.WithLabelValues(t.manager.service, "grant", outcome.String()).Inc()
 	if outcome != shards.Accepted {
 		t.manager.logger.Info("grant failed", zap.String("server", string(grant.Owner)), zap.Uint32("first", grant.First),
 			zap.Uint32("last", grant.Last), zap.Uint64("fence", grant.Fence), zap.Stringer("outcome", outcome))
@@ -255,6 +256,7 @@
 	defer cancel()
 	startedAt := time.Now()
 	outcome, handover := t.manager.config.Orders.Release(bounded, release)
+	ordersTotal.WithLabelValues(t.manager.service, "release", outcome.String()).Inc()
 	t.manager.logger.Info("release", zap.String("server", string(release.Owner)), zap.Uint32("first", release.First),
 		zap.Uint32("last", release.Last), zap.Uint64("fence", release.Fence), zap.Stringer("outcome", outcome),
 		zap.Bool("handover", handover != ""), zap.Duration("took", time.Since(startedAt)))
@@ -326,6 +328,7 @@
 	t.mapRevision = revision
 	t.core.Committed(t.now())
 	t.mutex.Unlock()
+	commitsTotal.WithLabelValues(t.manager.service).Inc()
 	t.manager.logger.Info("owner map committed", zap.Int64("revision", revision), zap.Int("ranges", len(written.Ranges)))
 	t.step(ctx)
 }
