--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -72,6 +72,7 @@
 		newDrainCommand(output, errorOutput),
 		newCheckCommand(output, errorOutput),
 		newPlanCommand(output, errorOutput),
+		newExplainCommand(output, errorOutput),
 	}
 	return root
 }
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -123,7 +123,7 @@
 	case last != nil:
 		return nil
 	case !mayHaveRun:
-		return &Refusal{Reason: "no server was free", RetryAfter: comeBack()}
+		return &Refusal{Reason: d.whyNone(request), RetryAfter: comeBack()}
 	case ctx.Err() != nil:
 		return ErrTimeout
 	default:
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -267,7 +267,7 @@
 		fields = append(fields, zap.Uint32("key", request.Key))
 	}
 	if err != nil {
-		h.logger.Warn("request failed", append(fields, zap.Error(err))...)
+		h.logger.Warn("request failed", append(fields, zap.String("error", err.Error()))...)
 		return
 	}
 	h.logger.Info("request answered", append(fields, zap.Int("status", answer.Status))...)
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -25,6 +25,8 @@
 	mutex       sync.Mutex
 	core        *shards.Manager
 	mapRevision int64
+	// written is the map that the store holds; nil before the first one.
+	written     *shards.Map
 	keptAt      time.Time
 	storeFailed bool
 	speeds      map[discovery.ServerID]*speed
@@ -48,6 +50,7 @@
 		start:       now,
 		core:        shards.NewManager(m.service, uint64(held.epoch), author, current, m.config.Options, 0),
 		mapRevision: revision,
+		written:     current,
 		keptAt:      held.keptAt,
 		speeds:      make(map[discovery.ServerID]*speed),
 		known:       make(map[discovery.ServerID]bool),
@@ -327,8 +330,24 @@
 	t.mutex.Lock()
 	t.mapRevision = revision
 	t.core.Committed(t.now())
+	before := t.written
+	t.written = written
 	t.mutex.Unlock()
+	t.logOwners(before, written)
 	commitsTotal.WithLabelValues(t.manager.service).Inc()
 	t.manager.logger.Info("owner map committed", zap.Int64("revision", revision), zap.Int("ranges", len(written.Ranges)))
 	t.step(ctx)
 }
+
+// logOwners writes a line for each range that has another owner than before.
+func (t *term) logOwners(before, after *shards.Map) {
+	for _, r := range after.Ranges {
+		if before != nil {
+			if known := before.Find(r.First); known.Owner == r.Owner && known.Fence == r.Fence {
+				continue
+			}
+		}
+		t.manager.logger.Info("range owner", zap.String("server", string(r.Owner)), zap.Uint32("first", r.First),
+			zap.Uint32("last", r.Last), zap.Uint64("fence", r.Fence), zap.Bool("handover", r.Handover != ""))
+	}
+}
