Servers of the own zone are preferred more

Change: another zone's server must be 1.7 times better; a request beside others costs only the part of the slots that they fill.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -12,7 +12,7 @@
 
 const (
 	// otherZoneCost is how much worse a server of another zone counts.
-	otherZoneCost = 1.25
+	otherZoneCost = 1.7
 	// warmingCost is how much worse a server counts that has just started.
 	warmingCost = 1.8
 	// defaultLatency stands for a server that has not answered yet, in seconds.
@@ -84,14 +84,15 @@
 	if latency == 0 {
 		latency = defaultLatency
 	}
-	cost := latency * float64(s.outstanding+1)
+	// A server with free slots takes another request without making it wait.
+	cost := latency * (1 + float64(s.outstanding)/float64(max(1, s.Slots)))
 	if s.Zone != d.options.Zone {
 		cost *= otherZoneCost
 	}
 	if now.Before(s.WarmAt) {
 		cost *= warmingCost
 	}
-	const spread = 0.3
+	const spread = 0.2
 	return cost * (1 + spread*rand.Float64())
 }
 
