A manager renews for 60 s without the store and says when it is over

Cause: owners of live servers have to go on through an outage of the store; 11 s were little, and a longer time made every new manager wait that long for unreachable servers. Change: authority without the store 60 s; a manager that lost its lock writes that it is over once no order of it is under way; its successor then waits one hold only.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -21,12 +21,12 @@
 	retryPause = 150 * time.Millisecond
 	// batchPause is the pause after changes, so that those that come together
 	// are told of in one call.
-	batchPause = 250 * time.Millisecond
+	batchPause = 350 * time.Millisecond
 	// freshnessInterval is the mean pause between two comparisons of any node
 	// with the store's revision; freshnessSlack is how much later a watch may
 	// tell of a change.
 	freshnessInterval = time.Second
-	freshnessSlack    = 500 * time.Millisecond
+	freshnessSlack    = 600 * time.Millisecond
 )
 
 // Receiver takes in changes. It is called by one goroutine at a time.
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -36,8 +36,8 @@
 }
 
 const (
-	lockTTL       = 2 * time.Second
-	lockKeep      = 500 * time.Millisecond
+	lockTTL       = 1500 * time.Millisecond
+	lockKeep      = 400 * time.Millisecond
 	tickInterval  = 50 * time.Millisecond
 	releaseWait   = 6 * time.Second
 	campaignPause = 200 * time.Millisecond
@@ -50,7 +50,7 @@
 	goneGrace = 900 * time.Millisecond
 	// outageAuthority is how long a manager that cannot reach the store renews
 	// unchanged grants; shards.Options.PreviousAuthority must not be less.
-	outageAuthority = 11 * time.Second
+	outageAuthority = 60 * time.Second
 )
 
 // Config is what a manager needs.
@@ -155,13 +155,30 @@
 	m.setTerm(t)
 	defer m.setTerm(nil)
 	t.run(ctx)
-	if ctx.Err() != nil {
+	if ctx.Err() == nil {
+		m.retire(ctx, t)
+	} else {
 		ending, cancel := context.WithTimeout(context.Background(), lockKeep)
 		defer cancel()
 		_ = m.config.Store.EndLease(ending, held.lease)
 	}
 }
 
+// retire tells the next manager that a term which lost its lock sends no orders
+// any more, so that it need not wait for them.
+func (m *Manager) retire(ctx context.Context, t *term) {
+	t.orders.Wait()
+	value, err := json.Marshal(view.Retirement{Process: m.config.Self.Process, Epoch: t.lock.epoch})
+	if err != nil {
+		m.logger.Error("retirement not encoded", zap.Error(err))
+		return
+	}
+	_, err = m.config.Store.Commit(ctx, topo.Transaction{
+		Puts: []topo.Put{{Key: view.RetiredKey(m.service), Value: value}},
+	})
+	m.logger.Info("manager retired", zap.Int64("epoch", t.lock.epoch), zap.Error(err))
+}
+
 func (m *Manager) setTerm(t *term) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -33,8 +33,9 @@
 	firstSeen   time.Time
 	lastJoined  time.Time
 	known       map[discovery.ServerID]bool
-	// predecessor wrote the map that this term found.
-	predecessor shards.Author
+	// predecessor wrote the map that this term found, in its epoch.
+	predecessor      shards.Author
+	predecessorEpoch int64
 	// orders counts what is on its way to servers and the store.
 	orders sync.WaitGroup
 	// resigning is true once no more orders may be sent.
@@ -57,15 +58,19 @@
 	}
 	if current != nil {
 		t.predecessor = current.Author
+		t.predecessorEpoch = int64(current.Epoch)
 	}
 	return t
 }
 
-// lookAtPredecessor tells the core when the last manager's process has ended:
-// another life of its node has registered. The caller holds the mutex.
+// lookAtPredecessor tells the core when the last manager sends no orders any more:
+// another life of its node has registered, or it has retired. The caller holds
+// the mutex.
 func (t *term) lookAtPredecessor(current *view.View) {
 	node, registered := current.Nodes[t.predecessor.Node]
-	if registered && node.Process != t.predecessor.Process {
+	ended := registered && node.Process != t.predecessor.Process
+	retired := t.predecessorEpoch != 0 && current.Retired[t.manager.service].Epoch == t.predecessorEpoch
+	if ended || retired {
 		t.core.PredecessorOver(t.now())
 	}
 }
@@ -89,6 +94,7 @@
 			t.manager.logger.Info("manager resigned", zap.Int64("epoch", t.lock.epoch))
 			return
 		case <-ctx.Done():
+			t.stopOrders()
 			t.manager.logger.Info("manager term ended", zap.Int64("epoch", t.lock.epoch))
 			return
 		case <-ticker.C:
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -37,7 +37,7 @@
 		CallTimeout:       time.Second,
 		LateOrder:         13 * time.Second,
 		ReleaseRetry:      700 * time.Millisecond,
-		PreviousAuthority: 12 * time.Second,
+		PreviousAuthority: 61 * time.Second,
 		Drift:             1.03,
 		MaxMoves:          8,
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -23,6 +23,7 @@
 	nodePrefix    = "micahaven/nodes/"
 	managerPrefix = "micahaven/managers/"
 	ownersPrefix  = "micahaven/owners/"
+	retiredPrefix = "micahaven/retired/"
 )
 
 // NodeKey is the key under which a node registers.
@@ -34,6 +35,17 @@
 // OwnersKey holds the owner map of a service.
 func OwnersKey(service string) string { return ownersPrefix + service }
 
+// RetiredKey holds the last manager of a service that lost its lock and sends no
+// orders any more.
+func RetiredKey(service string) string { return retiredPrefix + service }
+
+// Retirement says that a manager sends no orders any more.
+type Retirement struct {
+	Process string `json:"process"`
+	// Epoch is the epoch of the term that is over.
+	Epoch int64 `json:"epoch"`
+}
+
 // Documents reads what the platform keeps in the store.
 type Documents interface {
 	Table(text []byte) (routing.Spec, error)
@@ -91,6 +103,7 @@
 	Services map[string][]*Server
 	Owners   map[string]Owners
 	Managers map[string]Manager
+	Retired  map[string]Retirement
 	Nodes    map[string]Node
 }
 
@@ -117,6 +130,7 @@
 		Servers:  make(map[discovery.ServerID]*Server),
 		Owners:   make(map[string]Owners),
 		Managers: make(map[string]Manager),
+		Retired:  make(map[string]Retirement),
 		Nodes:    make(map[string]Node),
 	}
 	b.publish()
@@ -197,6 +211,8 @@
 		b.putOwners(strings.TrimPrefix(item.Key, ownersPrefix), item)
 	case strings.HasPrefix(item.Key, managerPrefix):
 		b.putManager(strings.TrimPrefix(item.Key, managerPrefix), item)
+	case strings.HasPrefix(item.Key, retiredPrefix):
+		b.putRetired(strings.TrimPrefix(item.Key, retiredPrefix), item)
 	case strings.HasPrefix(item.Key, nodePrefix):
 		b.putNode(strings.TrimPrefix(item.Key, nodePrefix), item)
 	}
@@ -266,6 +282,15 @@
 	b.next.Managers[service] = Manager{Node: node, Epoch: item.Revision}
 }
 
+func (b *Builder) putRetired(service string, item topo.Item) {
+	var retired Retirement
+	if err := json.Unmarshal(item.Value, &retired); err != nil {
+		b.logger.Error("retirement refused", zap.String("service", service), zap.Error(err))
+		return
+	}
+	b.next.Retired[service] = retired
+}
+
 func (b *Builder) putNode(name string, item topo.Item) {
 	var node Node
 	if err := json.Unmarshal(item.Value, &node); err != nil {
@@ -306,6 +331,7 @@
 		Services: make(map[string][]*Server),
 		Owners:   make(map[string]Owners, len(b.next.Owners)),
 		Managers: make(map[string]Manager, len(b.next.Managers)),
+		Retired:  make(map[string]Retirement, len(b.next.Retired)),
 		Nodes:    make(map[string]Node, len(b.next.Nodes)),
 	}
 	now := time.Now()
@@ -322,6 +348,7 @@
 	}
 	copyMap(published.Owners, b.next.Owners)
 	copyMap(published.Managers, b.next.Managers)
+	copyMap(published.Retired, b.next.Retired)
 	copyMap(published.Nodes, b.next.Nodes)
 	b.current.Store(published)
 	return published
