--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -36,8 +36,12 @@
 }
 
 const (
-	lockTTL       = 1500 * time.Millisecond
-	lockKeep      = 400 * time.Millisecond
+	lockTTL  = 2 * time.Second
+	lockKeep = 400 * time.Millisecond
+	// keepTimeout is how long one renewal may take: the store may have done it
+	// without an answer, and another call on another connection gets one.
+	keepTimeout   = 500 * time.Millisecond
+	keepRetry     = 20 * time.Millisecond
 	tickInterval  = 50 * time.Millisecond
 	releaseWait   = 6 * time.Second
 	campaignPause = 200 * time.Millisecond
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -110,13 +110,20 @@
 
 // keepLock renews the lock and ends the term when it is surely lost.
 func (t *term) keepLock(ctx context.Context) {
+	wait := lockKeep
 	for {
-		pause(ctx, lockKeep)
+		pause(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
 		sentAt := time.Now()
-		err := t.manager.config.Store.KeepLease(ctx, t.lock.lease)
+		bounded, cancel := context.WithTimeout(ctx, keepTimeout)
+		err := t.manager.config.Store.KeepLease(bounded, t.lock.lease)
+		cancel()
+		wait = lockKeep
+		if err != nil {
+			wait = keepRetry
+		}
 		t.mutex.Lock()
 		failed := err != nil
 		if failed != t.storeFailed {
