--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -57,6 +57,7 @@
 	var trace Trace
 	var lastAnswer *upstream.Answer
 	mayHaveRun := false
+	var cause error
 	excluded := make(map[discovery.ServerID]bool)
 	for {
 		queuedAt := time.Now()
@@ -64,7 +65,7 @@
 		trace.Queued += time.Since(queuedAt)
 		queueSeconds.WithLabelValues(request.Service).Observe(time.Since(queuedAt).Seconds())
 		if s == nil {
-			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer)
+			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
 		trace.Attempts++
 		trace.Server = string(s.id)
@@ -74,6 +75,7 @@
 			return answer, trace, nil
 		}
 		mayHaveRun = mayHaveRun || outcome == failedOver
+		cause = err
 		if outcome == failedOver {
 			lastAnswer = answer
 		}
@@ -82,7 +84,7 @@
 			if outcome == rejected && !mayHaveRun {
 				return nil, trace, &Refusal{Reason: err.Error(), RetryAfter: comeBack()}
 			}
-			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer)
+			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
 	}
 }
@@ -115,8 +117,8 @@
 }
 
 // giveUp returns the error for a request that no server answered, or nil if a
-// server's failure is the answer.
-func (d *Dispatcher) giveUp(ctx context.Context, request *Request, mayHaveRun bool, last *upstream.Answer) error {
+// server's failure is the answer. cause is why the last attempt failed.
+func (d *Dispatcher) giveUp(ctx context.Context, request *Request, mayHaveRun bool, last *upstream.Answer, cause error) error {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return ErrCanceled
@@ -125,9 +127,9 @@
 	case !mayHaveRun:
 		return &Refusal{Reason: d.whyNone(request), RetryAfter: comeBack()}
 	case ctx.Err() != nil:
-		return ErrTimeout
+		return errors.Wrapf(ErrTimeout, "%v", cause)
 	default:
-		return ErrUnknown
+		return errors.Wrapf(ErrUnknown, "%v", cause)
 	}
 }
 
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -75,6 +75,9 @@
 	// by limitCut.
 	limitStep = 0.1
 	limitCut  = 0.5
+	// firstLimit is the limit to begin with: with one, a request that hangs would
+	// hold up all others of this node.
+	firstLimit = 2
 )
 
 // adapt follows the server's queue, which all nodes share: with answers that use
@@ -91,7 +94,7 @@
 // capacity is how many requests this node has at the server at a time.
 func (s *server) capacity() int {
 	if s.limit == 0 {
-		s.limit = float64(max(1, s.Slots/2))
+		s.limit = float64(min(max(1, s.Slots), firstLimit))
 	}
 	return int(s.limit)
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/topo"
 )
 
@@ -78,20 +79,11 @@
 			m.logger.Warn("store lost", zap.Int64("revision", m.Revision()), zap.Error(err))
 			failed = true
 		}
-		pause(ctx, retryPause)
+		periodic.Pause(ctx, retryPause)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Resume ends a watch that may have been cut off and asks for the changes since
 // then at once.
 func (m *Mirror) Resume() {
@@ -158,7 +150,7 @@
 	}
 	m.apply(events, at)
 	if len(events) > 0 {
-		pause(ctx, batchPause)
+		periodic.Pause(ctx, batchPause)
 	}
 	return nil
 }
@@ -180,7 +172,7 @@
 func (m *Mirror) CheckFreshness(ctx context.Context, nodes func() int, behind func(revision int64)) error {
 	for {
 		spread := 0.5 + rand.Float64()
-		pause(ctx, time.Duration(spread*float64(max(1, nodes()))*float64(freshnessInterval)))
+		periodic.Pause(ctx, time.Duration(spread*float64(max(1, nodes()))*float64(freshnessInterval)))
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -199,7 +191,7 @@
 		return false
 	}
 	// Give the watch the time that it normally takes.
-	pause(ctx, freshnessSlack)
+	periodic.Pause(ctx, freshnessSlack)
 	seen := m.Revision()
 	if seen >= revision || ctx.Err() != nil {
 		return false
--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -21,3 +21,13 @@
 		}
 	}
 }
+
+// Pause waits for a length of time or until the context ends.
+func Pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -266,7 +266,7 @@
 	grace := n.settings.grace()
 	takeUntil := startedAt.Add(time.Duration(notReadyPart * float64(grace)))
 	giveUpAt := startedAt.Add(time.Duration(stopPart * float64(grace)))
-	sleep(ctx, time.Until(takeUntil))
+	periodic.Pause(ctx, time.Until(takeUntil))
 	bounded, cancel := context.WithDeadline(ctx, giveUpAt)
 	defer cancel()
 	// Shutdown closes the listener and idle connections and waits for the others.
@@ -274,12 +274,3 @@
 		n.logger.Warn("requests cut off at the end", zap.Int("active", n.handler.Active()), zap.Error(err))
 	}
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/shards"
 	"github.com/micahaven/micahaven/internal/topo"
 	"github.com/micahaven/micahaven/internal/view"
@@ -88,7 +89,7 @@
 func (m *Manager) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if held := m.config.Views.Current().Managers[m.service]; held.Epoch != 0 {
-			pause(ctx, campaignPause)
+			periodic.Pause(ctx, campaignPause)
 			continue
 		}
 		lock, err := m.campaign(ctx)
@@ -96,7 +97,7 @@
 			if !errors.Is(err, topo.ErrConflict) {
 				m.logger.Info("campaign failed", zap.Error(err))
 			}
-			pause(ctx, campaignPause+time.Duration(rand.Int64N(int64(campaignPause))))
+			periodic.Pause(ctx, campaignPause+time.Duration(rand.Int64N(int64(campaignPause))))
 			continue
 		}
 		m.serve(ctx, lock)
@@ -104,15 +105,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // lock is a manager's lock in the store.
 type lock struct {
 	lease topo.LeaseID
--- a/internal/shardmanager/speed.go
+++ b/internal/shardmanager/speed.go
@@ -17,6 +17,8 @@
 	// changeMemory is how long they count when a sudden change is looked for.
 	speedMemory  = 6 * time.Second
 	changeMemory = 1200 * time.Millisecond
+	// reportTime is the time that a first report stands for.
+	reportTime = 200 * time.Millisecond
 	// changeFactor is by how much a server's last requests must differ from the
 	// earlier ones, and minChange how many they must be, to be taken alone.
 	changeFactor = 2.5
@@ -30,10 +32,14 @@
 	memory      time.Duration
 	attempts    float64
 	busySeconds float64
+	// covered is the time that the sums stand for, in seconds; it grows towards
+	// memory.
+	covered float64
 }
 
 func (f *fading) record(elapsed time.Duration, load ServerLoad) {
 	fade := math.Exp(-elapsed.Seconds() / f.memory.Seconds())
+	f.covered = f.covered*fade + f.memory.Seconds()*(1-fade)
 	f.attempts = f.attempts*fade + float64(load.Attempts)
 	f.busySeconds = f.busySeconds*fade + load.Busy.Seconds()
 }
@@ -43,7 +49,7 @@
 // than its slots were there.
 func (f *fading) workSeconds(slots float64) float64 {
 	const tiny = 1e-6
-	working := min(f.busySeconds, slots*f.memory.Seconds())
+	working := min(f.busySeconds, slots*f.covered)
 	return max(working, tiny) / max(f.attempts, tiny)
 }
 
@@ -64,7 +70,10 @@
 }
 
 func (s *speed) record(now time.Time, load ServerLoad) {
-	elapsed := now.Sub(s.updatedAt)
+	elapsed := reportTime
+	if !s.updatedAt.IsZero() {
+		elapsed = now.Sub(s.updatedAt)
+	}
 	s.updatedAt = now
 	s.usual.record(elapsed, load)
 	s.latest.record(elapsed, load)
@@ -75,12 +84,13 @@
 	if change > changeFactor || change < 1/changeFactor {
 		s.usual.attempts = s.latest.attempts
 		s.usual.busySeconds = s.latest.busySeconds
+		s.usual.covered = s.latest.covered
 	}
 }
 
 // workingSlots estimates how many of the server's slots are busy.
 func (s *speed) workingSlots() float64 {
-	return min(s.slots, s.usual.busySeconds/speedMemory.Seconds())
+	return min(s.slots, s.usual.busySeconds/max(s.usual.covered, reportTime.Seconds()))
 }
 
 // workSeconds is how long the server works on a request.
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/shards"
 	"github.com/micahaven/micahaven/internal/topo"
 	"github.com/micahaven/micahaven/internal/view"
@@ -112,7 +113,7 @@
 func (t *term) keepLock(ctx context.Context) {
 	wait := lockKeep
 	for {
-		pause(ctx, wait)
+		periodic.Pause(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -316,7 +317,7 @@
 			t.ended()
 			return
 		}
-		pause(ctx, campaignPause)
+		periodic.Pause(ctx, campaignPause)
 	}
 }
 
