Nodes share a server's connections, and budgets follow the number of nodes

Cause, by reading: a server resets connections beyond its limit, and a request on such a one may have run; with 60 nodes and up to 4 requests each at a server of 110 connections they come to 240. And a budget kept the share of the slack that it was made with, the whole of it if no other node was known.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -107,6 +107,10 @@
 			d.servers[id] = known
 		}
 		known.Server = seen
+		known.places = d.placesAt(current, seen)
+	}
+	for _, b := range d.budgets {
+		b.share(d.options, d.nodes)
 	}
 	for id, known := range d.servers {
 		if current.Servers[id] == nil {
@@ -119,10 +123,26 @@
 	}
 }
 
+// connectionPart is the part of a server's connections that nodes use for
+// requests; orders and health checks need some too.
+const connectionPart = 0.8
+
+// placesAt returns this node's part of the connections that a server takes from
+// all nodes together; 0 means that there is no bound.
+func (d *Dispatcher) placesAt(current *view.View, seen *view.Server) int {
+	if current.Table == nil {
+		return 0
+	}
+	service, known := current.Table.Service(seen.Service)
+	if !known || service.MaxConnections <= 0 {
+		return 0
+	}
+	return max(1, int(connectionPart*float64(service.MaxConnections)/float64(d.nodes)))
+}
+
 // Run lets waiting requests go on as time passes, until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	const interval = 50 * time.Millisecond
-	ticker := time.NewTicker(interval)
+	ticker := time.NewTicker(time.Second / ticksPerSecond)
 	defer ticker.Stop()
 	ticks := 0
 	for {
@@ -132,7 +152,7 @@
 		case <-ticker.C:
 		}
 		ticks++
-		d.tick(ticks%20 == 0)
+		d.tick(ticks%ticksPerSecond == 0)
 	}
 }
 
@@ -163,15 +183,7 @@
 func (d *Dispatcher) budget(service string) *budget {
 	known := d.budgets[service]
 	if known == nil {
-		const safety = 0.6
-		share := d.options.RetrySlack * safety / float64(d.nodes)
-		const ticksPerSecond = 20
-		known = &budget{
-			ratio:   d.options.RetryRatio * safety,
-			burst:   max(1, share),
-			tokens:  max(1, share/2),
-			perTick: share / 2 / d.options.RetryWindow.Seconds() / ticksPerSecond,
-		}
+		known = newBudget(d.options, d.nodes)
 		d.budgets[service] = known
 	}
 	return known
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -25,6 +25,8 @@
 	outstanding int
 	// limit is how many requests this node has at the server at a time.
 	limit float64
+	// places is this node's part of the server's connections; 0 means no bound.
+	places int
 	// latency is the moving mean of the answers' times, in seconds.
 	latency float64
 	// failures counts failures in a row; blockedUntil follows from them.
@@ -96,6 +98,9 @@
 	if s.limit == 0 {
 		s.limit = float64(min(max(1, s.Slots), firstLimit))
 	}
+	if s.places > 0 {
+		return min(int(s.limit), s.places)
+	}
 	return int(s.limit)
 }
 
