Tests that start whole systems run one package at a time

Cause: in a fresh clone TestOperatorsCommands failed once ('service restock: no leader answers') while the new simulation of ownership and the experiments ran beside it; alone it passed 5 of 5. A group's leader has a lease of 300 ms, and the machine was full. Change: those packages run one at a time, after the others; no test or bound is changed.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -20,4 +20,9 @@
 fi
 ./scripts/model.sh
 go build -o bin/ ./cmd/...
-go test -race -count=1 ${skip:+-skip "$skip"} ./...
+
+# Packages whose tests start whole systems, with leases of fractions of a second,
+# run one at a time and not beside the others, so that they get their processor time.
+systems='internal/(ctl|node|lab/.*)$|/platform$'
+go test -race -count=1 ${skip:+-skip "$skip"} $(go list ./... | grep -vE "$systems")
+go test -race -count=1 -p 1 ${skip:+-skip "$skip"} $(go list ./... | grep -E "$systems")
