Split the ownership manager by concern, and remove an unused message

Results of orders and the question of the predecessor have files of their own; wire.LoadDigest was never sent. No behaviour changes.

--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -173,35 +173,6 @@
 	return m
 }
 
-// PredecessorOver tells that the author of the map this manager found sends no
-// orders any more: it resigned, or its process has ended.
-func (m *Manager) PredecessorOver(now time.Duration) {
-	if m.predecessorOver {
-		return
-	}
-	m.predecessorOver = true
-	if m.previousSettled {
-		m.inheritedUntil = min(m.inheritedUntil, now+m.holdBound())
-	}
-}
-
-// PredecessorProcess names the process of the author of the map that this manager
-// found, or is empty.
-func (m *Manager) PredecessorProcess() string { return m.predecessor.Process }
-
-// settled reports whether no order of an earlier manager can be under way that
-// this one does not know of.
-func (m *Manager) settled(now time.Duration) bool {
-	return (m.predecessorOver && m.previousSettled) || now > m.inheritedUntil
-}
-
-// Resign makes the manager give no more orders; the map of the next commit says
-// so.
-func (m *Manager) Resign() {
-	m.resigned = true
-	m.uncommitted = true
-}
-
 // holdBound is the longest time that a grant lasts by this manager's clock.
 func (m *Manager) holdBound() time.Duration {
 	return time.Duration(float64(m.options.Hold) * m.options.Drift)
@@ -440,65 +411,6 @@
 	}
 }
 
-// GrantDone takes in how a grant ended.
-func (m *Manager) GrantDone(now time.Duration, result GrantResult) {
-	for _, s := range m.shards {
-		if s.Fence != result.Grant.Fence || s.Owner != result.Grant.Owner {
-			continue
-		}
-		if s.First < result.Grant.First || s.Last > result.Grant.Last {
-			continue
-		}
-		if s.inFlight > 0 {
-			s.inFlight--
-		}
-		m.settleGrant(now, s, result)
-	}
-}
-
-// grantRetry is the pause before a grant that failed is sent again.
-const grantRetry = 150 * time.Millisecond
-
-func (m *Manager) settleGrant(now time.Duration, s *shard, result GrantResult) {
-	switch result.Outcome {
-	case Accepted:
-		s.heldUntil = max(s.heldUntil, now+m.holdBound())
-		return
-	case Unanswered:
-		s.heldUntil = max(s.heldUntil, result.SentAt+m.options.LateOrder+m.holdBound())
-		s.lateUntil = s.heldUntil
-		if !s.Late {
-			// The next manager has to know.
-			s.Late = true
-			m.uncommitted = true
-		}
-	case Superseded:
-		// An earlier manager began to release the range and did not finish.
-		if s.phase == owned {
-			m.startRelease(s, now, s.Owner)
-		}
-	case Broken:
-		s.heldUntil = max(s.heldUntil, now+m.holdBound())
-	case NotSent:
-	}
-	if s.phase == owned {
-		s.renewAt = now + grantRetry
-	}
-}
-
-// ReleaseDone takes in how a release ended.
-func (m *Manager) ReleaseDone(result ReleaseResult) {
-	if result.Outcome != Accepted {
-		return
-	}
-	for _, s := range m.shards {
-		same := s.phase == releasing && s.Owner == result.Release.Owner && s.releaseFence == result.Release.Fence
-		if same && s.First >= result.Release.First && s.Last <= result.Release.Last {
-			m.vacate(s, result.Handover)
-		}
-	}
-}
-
 // split cuts a shard in two, so that the second begins at first. Both keep
 // everything the one had.
 func (m *Manager) split(index int, first uint32) {
