--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,360 @@
+// Package feed decides from where a node learns of changes in the store. A few
+// nodes watch the store themselves; all others follow one of them, which passes
+// the changes on, so that the number of calls to the store does not grow with the
+// number of nodes.
+//
+// It is a pure state machine: messages, changes and ticks go in, messages and
+// changes to apply come out. There is neither I/O nor a clock inside, and it must
+// be driven by one goroutine at a time.
+//
+// Invariant (freshness): a node that does not watch the store itself has heard,
+// within silence, from a node whose copy was confirmed within maxAge. It holds
+// because Watching is computed from exactly these two ages, and because an age is
+// never renewed by a message: a heartbeat carries the age that the sender's own
+// clock measured, and the follower adds the time since it arrived. A node whose
+// upstream is stopped, frozen, cut off, or cut off from the store therefore goes
+// back to the store by itself, without any agreement on who does what.
+package feed
+
+import (
+	"time"
+
+	"github.com/micahaven/micahaven/internal/topo"
+)
+
+const (
+	// heartbeatInterval is the pause between two heartbeats to a follower.
+	heartbeatInterval = 200 * time.Millisecond
+	// followInterval is the pause between two requests to follow.
+	followInterval = 400 * time.Millisecond
+	// followMemory is how long a follower that is not heard is still served.
+	followMemory = 1500 * time.Millisecond
+	// silence is after how long without a heartbeat an upstream counts as lost.
+	silence = 650 * time.Millisecond
+	// maxAge is how old the confirmation of the upstream's copy may be.
+	maxAge = 1600 * time.Millisecond
+	// lagLimit is how long a node may stay behind its upstream's copy.
+	lagLimit = 400 * time.Millisecond
+	// joinPatience is how long a node waits for the first heartbeat of an upstream
+	// before it watches the store itself.
+	joinPatience = 500 * time.Millisecond
+	// confirmInterval is the age of its last confirmation at which the first
+	// watcher asks the store for its revision; each further one waits for
+	// confirmStep longer, because the first one tells the others.
+	confirmInterval = 600 * time.Millisecond
+	confirmStep     = 150 * time.Millisecond
+	// confirmSteps bounds the steps, so that every watcher asks within maxAge.
+	confirmSteps = 4
+	// logLimit is how many changes are kept for followers that missed some.
+	logLimit = 512
+)
+
+// Message is what one node tells another. Exactly one field is set.
+type Message struct {
+	// To is the receiver's address.
+	To        string
+	Follow    *Follow
+	Heartbeat *Heartbeat
+	Batch     *topo.Batch
+}
+
+// Follow asks a node to pass changes after a revision on.
+type Follow struct{ Revision int64 }
+
+// Heartbeat tells how new the sender's copy is.
+type Heartbeat struct {
+	Revision int64
+	// ConfirmedAge is how long ago the store surely had nothing newer.
+	ConfirmedAge time.Duration
+}
+
+// follower is a node that asked this one to pass changes on.
+type follower struct {
+	askedAt time.Duration
+	// sent is the revision up to which changes were passed on.
+	sent int64
+	// beatAt is when the next heartbeat is due.
+	beatAt time.Duration
+}
+
+// Feed is the state of one node. Times are those of the node's own clock.
+type Feed struct {
+	self      Member
+	watchers  []Member
+	upstream  Member
+	following bool
+	// designated is true if this node is to watch the store.
+	designated bool
+
+	// revision is that of this node's copy; log holds the last changes to it.
+	revision int64
+	log      []topo.Batch
+	logged   int
+
+	// confirmedAt is when the store surely had nothing newer than this copy.
+	confirmedAt time.Duration
+	confirmed   bool
+
+	// joined is true once the copy is complete.
+	joined bool
+
+	// upstreamSince is when this node began to follow its upstream; what follows
+	// is what the upstream told last.
+	upstreamSince    time.Duration
+	heardAt          time.Duration
+	heard            bool
+	upstreamRevision int64
+	behindSince      time.Duration
+	behind           bool
+
+	followAt  time.Duration
+	followers map[string]*follower
+}
+
+// New returns the feed of a node that knows no other one.
+func New(self Member) *Feed {
+	return &Feed{self: self, designated: true, followers: make(map[string]*follower)}
+}
+
+// SetMembers takes in which nodes are registered.
+func (f *Feed) SetMembers(now time.Duration, members []Member) {
+	f.watchers = watchersOf(members)
+	f.designated = len(members) == 0
+	for _, watcher := range f.watchers {
+		if watcher.Name == f.self.Name {
+			f.designated = true
+		}
+	}
+	upstream, found := upstreamOf(f.self, members, f.watchers)
+	if f.designated {
+		f.following = false
+		return
+	}
+	if f.following && found && upstream.Address == f.upstream.Address {
+		return
+	}
+	f.upstream, f.following, f.upstreamSince = upstream, found, now
+	f.heard, f.behind = false, false
+	f.followAt = now
+}
+
+// Watchers returns the nodes that are to watch the store.
+func (f *Feed) Watchers() []Member { return f.watchers }
+
+// Followers returns the addresses of the nodes that follow this one.
+func (f *Feed) Followers() []string {
+	addresses := make([]string, 0, len(f.followers))
+	for address := range f.followers {
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// Upstream returns the node that this one follows, or false.
+func (f *Feed) Upstream() (Member, bool) { return f.upstream, f.following }
+
+// Designated reports whether this node is one of those that are to watch the
+// store.
+func (f *Feed) Designated() bool { return f.designated }
+
+// Watching reports whether this node has to watch the store itself: it is to, or
+// it cannot rely on its upstream.
+func (f *Feed) Watching(now time.Duration) bool {
+	if f.designated || !f.following {
+		return true
+	}
+	if !f.joined || f.confirmedAge(now) > maxAge {
+		return true
+	}
+	if !f.heard {
+		return now-f.upstreamSince > joinPatience
+	}
+	if now-f.heardAt > silence {
+		return true
+	}
+	return f.behind && now-f.behindSince > lagLimit
+}
+
+// confirmedAge is how long ago the store surely had nothing newer.
+func (f *Feed) confirmedAge(now time.Duration) time.Duration {
+	const never = time.Hour
+	if !f.confirmed {
+		return never
+	}
+	return now - f.confirmedAt
+}
+
+// ConfirmationDue reports whether this node is to ask the store for its revision,
+// to learn whether its watch has missed anything.
+func (f *Feed) ConfirmationDue(now time.Duration) bool {
+	if !f.designated {
+		return false
+	}
+	steps := 0
+	for _, watcher := range f.watchers {
+		if watcher.Name == f.self.Name {
+			break
+		}
+		steps++
+	}
+	return f.confirmedAge(now) > confirmInterval+time.Duration(min(steps, confirmSteps))*confirmStep
+}
+
+// Confirm takes in that the store had a revision at a moment. It reports whether
+// this node's copy had reached it.
+func (f *Feed) Confirm(at time.Duration, revision int64) bool {
+	if f.revision < revision {
+		return false
+	}
+	if !f.confirmed || at > f.confirmedAt {
+		f.confirmed, f.confirmedAt = true, at
+	}
+	return true
+}
+
+// Changed takes in that this node's copy changed, the first time that it is there
+// at all, and returns what its followers have to be told.
+func (f *Feed) Changed(now time.Duration, batch topo.Batch) []Message {
+	f.joined = true
+	if batch.Revision <= f.revision {
+		return nil
+	}
+	if batch.After > f.revision {
+		// What lies between is not known here.
+		f.log, f.logged = nil, 0
+	}
+	f.revision = batch.Revision
+	f.log = append(f.log, batch)
+	f.logged += len(batch.Events)
+	for len(f.log) > 1 && f.logged > logLimit {
+		f.logged -= len(f.log[0].Events)
+		f.log = f.log[1:]
+	}
+	f.updateBehind(now)
+	var messages []Message
+	for address := range f.followers {
+		messages = f.passOn(messages, address)
+	}
+	return messages
+}
+
+// passOn appends the changes that a follower has not been sent yet.
+func (f *Feed) passOn(messages []Message, address string) []Message {
+	known := f.followers[address]
+	for _, batch := range f.log {
+		if batch.Revision <= known.sent {
+			continue
+		}
+		if batch.After > known.sent {
+			// The follower is too far behind; it will find out by its lag.
+			return messages
+		}
+		missing := newerThan(batch, known.sent)
+		messages = append(messages, Message{To: address, Batch: &missing})
+		known.sent = batch.Revision
+	}
+	return messages
+}
+
+// newerThan returns the part of a batch that a copy at a revision lacks.
+func newerThan(batch topo.Batch, revision int64) topo.Batch {
+	if batch.After == revision {
+		return batch
+	}
+	missing := topo.Batch{After: max(batch.After, revision), Revision: batch.Revision}
+	for _, event := range batch.Events {
+		if event.Revision > revision {
+			missing.Events = append(missing.Events, event)
+		}
+	}
+	return missing
+}
+
+// Step takes in a message from another node's address. It returns messages to
+// send and the changes that this node's copy has to take, if any.
+func (f *Feed) Step(now time.Duration, from string, message Message) ([]Message, *topo.Batch) {
+	switch {
+	case message.Follow != nil:
+		return f.stepFollow(now, from, message.Follow), nil
+	case message.Heartbeat != nil:
+		f.stepHeartbeat(now, from, message.Heartbeat)
+	case message.Batch != nil:
+		return f.stepBatch(now, from, message.Batch)
+	}
+	return nil, nil
+}
+
+func (f *Feed) stepFollow(now time.Duration, from string, ask *Follow) []Message {
+	if !f.Watching(now) {
+		return nil
+	}
+	known := f.followers[from]
+	if known == nil {
+		known = &follower{beatAt: now}
+		f.followers[from] = known
+	}
+	known.askedAt = now
+	known.sent = ask.Revision
+	messages := f.passOn(nil, from)
+	return f.beat(messages, now, from)
+}
+
+// beat appends a heartbeat if one is due.
+func (f *Feed) beat(messages []Message, now time.Duration, address string) []Message {
+	known := f.followers[address]
+	if now < known.beatAt || !f.confirmed {
+		return messages
+	}
+	known.beatAt = now + heartbeatInterval
+	return append(messages, Message{To: address, Heartbeat: &Heartbeat{Revision: f.revision, ConfirmedAge: f.confirmedAge(now)}})
+}
+
+func (f *Feed) stepHeartbeat(now time.Duration, from string, heartbeat *Heartbeat) {
+	if !f.following || from != f.upstream.Address {
+		return
+	}
+	f.heard, f.heardAt = true, now
+	f.upstreamRevision = heartbeat.Revision
+	f.Confirm(now-heartbeat.ConfirmedAge, heartbeat.Revision)
+	f.updateBehind(now)
+}
+
+// updateBehind takes in whether the upstream has changes that this node lacks.
+func (f *Feed) updateBehind(now time.Duration) {
+	behind := f.following && f.heard && f.revision < f.upstreamRevision
+	if behind && !f.behind {
+		f.behindSince = now
+		// Ask for what is missing at once.
+		f.followAt = now
+	}
+	f.behind = behind
+}
+
+func (f *Feed) stepBatch(now time.Duration, from string, batch *topo.Batch) ([]Message, *topo.Batch) {
+	if !f.following || from != f.upstream.Address || batch.Revision <= f.revision {
+		return nil, nil
+	}
+	if batch.After > f.revision {
+		f.followAt = now + followInterval
+		return []Message{{To: from, Follow: &Follow{Revision: f.revision}}}, nil
+	}
+	return nil, batch
+}
+
+// Tick advances the feed to a moment and returns the messages that are due.
+func (f *Feed) Tick(now time.Duration) []Message {
+	var messages []Message
+	if f.following && f.joined && now >= f.followAt {
+		f.followAt = now + followInterval
+		messages = append(messages, Message{To: f.upstream.Address, Follow: &Follow{Revision: f.revision}})
+	}
+	watching := f.Watching(now)
+	for address, known := range f.followers {
+		if !watching || now-known.askedAt > followMemory {
+			delete(f.followers, address)
+			continue
+		}
+		messages = f.beat(messages, now, address)
+	}
+	return messages
+}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,328 @@
+package feed_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/feed"
+	"github.com/micahaven/micahaven/internal/topo"
+)
+
+const step = 10 * time.Millisecond
+
+// cluster plays nodes, the store and the network between them in simulated time.
+type cluster struct {
+	t        *testing.T
+	now      time.Duration
+	revision int64
+	nodes    []*node
+	random   *rand.Rand
+	// calls counts answered watches and reads of the revision.
+	calls int
+}
+
+type node struct {
+	feed.Member
+	core     *feed.Feed
+	revision int64
+	// stopped nodes do nothing; isolated ones reach no other node; cut off ones do
+	// not reach the store; silent ones have a watch that tells nothing.
+	stopped, isolated, cutOff, silent bool
+	inbox                             []delivery
+}
+
+type delivery struct {
+	at      time.Duration
+	from    string
+	message feed.Message
+}
+
+func newCluster(t *testing.T, count, zones int) *cluster {
+	c := &cluster{t: t, revision: 1, random: rand.New(rand.NewPCG(1, 2))}
+	for index := range count {
+		name := fmt.Sprintf("n%03d", index)
+		member := feed.Member{Name: name, Zone: fmt.Sprintf("z%d", index%zones), Address: "address of " + name, Share: 1}
+		c.nodes = append(c.nodes, &node{Member: member, core: feed.New(member)})
+	}
+	for _, n := range c.nodes {
+		n.core.SetMembers(0, c.members())
+	}
+	return c
+}
+
+func (c *cluster) members() []feed.Member {
+	members := make([]feed.Member, 0, len(c.nodes))
+	for _, n := range c.nodes {
+		members = append(members, n.Member)
+	}
+	return members
+}
+
+func (c *cluster) send(from *node, messages []feed.Message) {
+	const delay = 2 * time.Millisecond
+	for _, message := range messages {
+		for _, to := range c.nodes {
+			if to.Address == message.To && !from.isolated && !to.isolated {
+				to.inbox = append(to.inbox, delivery{at: c.now + delay, from: from.Address, message: message})
+			}
+		}
+	}
+}
+
+// change makes the store's revision rise.
+func (c *cluster) change() { c.revision++ }
+
+func (c *cluster) event(revision int64) topo.Event {
+	return topo.Event{Item: topo.Item{Key: fmt.Sprintf("key %d", revision), Revision: revision}}
+}
+
+// take moves a node's copy to a revision.
+func (c *cluster) take(n *node, batch topo.Batch) {
+	if batch.After > n.revision || batch.Revision <= n.revision {
+		return
+	}
+	for revision := n.revision + 1; revision <= batch.Revision; revision++ {
+		found := false
+		for _, event := range batch.Events {
+			found = found || event.Revision == revision
+		}
+		if !found {
+			c.t.Fatalf("%s moves from %d to %d without change %d", n.Name, n.revision, batch.Revision, revision)
+		}
+	}
+	batch.After = n.revision
+	n.revision = batch.Revision
+	c.send(n, n.core.Changed(c.now, batch))
+}
+
+// fetch gives a node all changes that it lacks from the store.
+func (c *cluster) fetch(n *node) {
+	c.calls++
+	batch := topo.Batch{After: n.revision, Revision: c.revision}
+	for revision := n.revision + 1; revision <= c.revision; revision++ {
+		batch.Events = append(batch.Events, c.event(revision))
+	}
+	c.take(n, batch)
+	n.core.Confirm(c.now, c.revision)
+}
+
+func (c *cluster) watch(n *node) {
+	if n.cutOff || n.silent || !n.core.Watching(c.now) || n.revision >= c.revision {
+		return
+	}
+	c.fetch(n)
+}
+
+// compare asks the store for its revision, as a watcher does when it is due.
+func (c *cluster) compare(n *node) {
+	if n.cutOff || !n.core.ConfirmationDue(c.now) {
+		return
+	}
+	c.calls++
+	for _, other := range c.nodes {
+		told := other == n || (other.core.Designated() && !other.isolated && !n.isolated && !other.stopped)
+		if told && !other.core.Confirm(c.now, c.revision) && !other.cutOff {
+			c.fetch(other)
+		}
+	}
+}
+
+func (c *cluster) run(length time.Duration) {
+	for end := c.now + length; c.now < end; c.now += step {
+		for _, n := range c.nodes {
+			if !n.stopped {
+				c.advance(n)
+			}
+		}
+	}
+}
+
+func (c *cluster) advance(n *node) {
+	waiting := n.inbox
+	n.inbox = nil
+	for _, d := range waiting {
+		if d.at > c.now {
+			n.inbox = append(n.inbox, d)
+			continue
+		}
+		messages, batch := n.core.Step(c.now, d.from, d.message)
+		c.send(n, messages)
+		if batch != nil {
+			c.take(n, *batch)
+		}
+	}
+	c.send(n, n.core.Tick(c.now))
+	c.watch(n)
+	c.compare(n)
+}
+
+// start lists the store at every node and lets the feed settle.
+func (c *cluster) start() {
+	for _, n := range c.nodes {
+		c.fetch(n)
+	}
+	c.run(2 * time.Second)
+}
+
+func (c *cluster) watching() []*node {
+	var found []*node
+	for _, n := range c.nodes {
+		if n.core.Watching(c.now) {
+			found = append(found, n)
+		}
+	}
+	return found
+}
+
+// wantFresh fails unless every node that runs, but for exceptions, learns of a
+// change within a time.
+func (c *cluster) wantFresh(within time.Duration, except func(*node) bool) {
+	c.t.Helper()
+	c.change()
+	c.run(within)
+	for _, n := range c.nodes {
+		if !n.stopped && !except(n) && n.revision < c.revision {
+			c.t.Errorf("%s is at %d, the store at %d, %v after the change", n.Name, n.revision, c.revision, within)
+		}
+	}
+}
+
+func nobody(*node) bool { return false }
+
+func TestFewNodesWatchTheStore(t *testing.T) {
+	for _, count := range []int{1, 2, 8, 70, 300} {
+		c := newCluster(t, count, 3)
+		c.start()
+		const perZone = 32
+		most := max(3, 3*(1+count/3/perZone))
+		if got := len(c.watching()); got > most {
+			t.Errorf("%d of %d nodes watch the store, want at most %d", got, count, most)
+		}
+		const quick = 100 * time.Millisecond
+		c.wantFresh(quick, nobody)
+	}
+}
+
+// The number of calls for a change must not grow with the number of nodes.
+func TestCallsForChangesDoNotGrowWithNodes(t *testing.T) {
+	calls := func(count int) int {
+		c := newCluster(t, count, 3)
+		c.start()
+		c.calls = 0
+		for range 50 {
+			c.change()
+			c.run(200 * time.Millisecond)
+		}
+		return c.calls
+	}
+	small, large := calls(9), calls(90)
+	if large > small+small/4 {
+		t.Fatalf("9 nodes made %d calls, 90 made %d", small, large)
+	}
+}
+
+// A watcher that stops, freezes or is cut off leaves its followers to the store.
+func TestFollowersOfALostWatcherGoToTheStore(t *testing.T) {
+	const bound = 1500 * time.Millisecond
+	losses := map[string]func(*node){
+		"stopped":               func(n *node) { n.stopped = true },
+		"isolated":              func(n *node) { n.isolated = true },
+		"cut off from store":    func(n *node) { n.cutOff = true },
+		"watch that is silent":  func(n *node) { n.silent = true },
+		"isolated and cut off":  func(n *node) { n.isolated, n.cutOff = true, true },
+		"silent without others": func(n *node) { n.silent, n.isolated = true, true },
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 20, 3)
+			c.start()
+			lost := map[*node]bool{}
+			for _, n := range c.watching() {
+				if n.Zone == "z0" {
+					lose(n)
+					lost[n] = true
+				}
+			}
+			if len(lost) == 0 {
+				t.Fatal("no watcher in the zone")
+			}
+			// The change comes at any moment after the loss.
+			c.run(time.Duration(c.random.IntN(700)) * time.Millisecond)
+			c.wantFresh(bound, func(n *node) bool { return lost[n] && n.cutOff })
+		})
+	}
+}
+
+// All watchers may lose the store while the others reach it.
+func TestAllWatchersCutOffFromTheStore(t *testing.T) {
+	c := newCluster(t, 24, 3)
+	c.start()
+	for _, n := range c.watching() {
+		n.cutOff = true
+	}
+	const bound = 1900 * time.Millisecond
+	c.wantFresh(bound, func(n *node) bool { return n.cutOff })
+}
+
+// Watches of all nodes may be silent; the store's revision shows it.
+func TestSilentWatchesAreFound(t *testing.T) {
+	c := newCluster(t, 24, 3)
+	c.start()
+	for _, n := range c.nodes {
+		n.silent = true
+	}
+	const bound = 900 * time.Millisecond
+	c.wantFresh(bound, nobody)
+}
+
+// A node that wakes up from a freeze does not take old messages for news.
+func TestThawedFollowerDoesNotTrustOldHeartbeats(t *testing.T) {
+	c := newCluster(t, 9, 3)
+	c.start()
+	var frozen *node
+	for _, n := range c.nodes {
+		if !n.core.Designated() {
+			frozen = n
+		}
+	}
+	frozen.stopped = true
+	c.run(3 * time.Second)
+	c.change()
+	frozen.stopped = false
+	c.run(100 * time.Millisecond)
+	if frozen.revision < c.revision {
+		t.Fatalf("the thawed node is at %d, the store at %d", frozen.revision, c.revision)
+	}
+}
+
+// Changes that a follower missed are passed on again.
+func TestMissedChangesArePassedOnAgain(t *testing.T) {
+	c := newCluster(t, 9, 3)
+	c.start()
+	var missed *node
+	for _, n := range c.nodes {
+		if !n.core.Designated() {
+			missed = n
+		}
+	}
+	c.change()
+	c.run(step)
+	missed.inbox = nil
+	c.calls = 0
+	c.run(time.Second)
+	if missed.revision < c.revision {
+		t.Fatalf("the node is at %d, the store at %d", missed.revision, c.revision)
+	}
+}
+
+// Nodes with a greater share of a processor take the duties.
+func TestRankPrefersGreaterShares(t *testing.T) {
+	ranked := feed.Rank([]feed.Member{{Name: "a", Share: 0.16}, {Name: "c", Share: 0.8}, {Name: "b", Share: 0.8}})
+	for index, want := range []string{"b", "c", "a"} {
+		if ranked[index].Name != want {
+			t.Fatalf("position %d holds %s, want %s", index, ranked[index].Name, want)
+		}
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -26,12 +26,12 @@
 	maxRetryPause = 1200 * time.Millisecond
 	// batchPause is the pause after changes, so that those that come together
 	// are told of in one call.
-	batchPause = 350 * time.Millisecond
-	// freshnessInterval is the mean pause between two comparisons of any node
-	// with the store's revision; freshnessSlack is how much later a watch may
-	// tell of a change.
-	freshnessInterval = time.Second
-	freshnessSlack    = 600 * time.Millisecond
+	batchPause = 200 * time.Millisecond
+	// freshnessSlack is how much later than a change a watch may tell of it.
+	freshnessSlack = batchPause + 150*time.Millisecond
+	// followPause is the pause between two looks at whether the copy has to be
+	// kept by a watch.
+	followPause = 50 * time.Millisecond
 )
 
 // Receiver takes in changes. It is called by one goroutine at a time.
@@ -42,10 +42,31 @@
 	Apply(events []topo.Event, revision int64)
 }
 
+// Observer is told what the mirror learns, and tells it whether to watch.
+type Observer interface {
+	// Changed is called with each change of the copy, in order, under the mirror's
+	// lock.
+	Changed(batch topo.Batch)
+	// Confirmed is called when the store is known to have had a revision at a
+	// moment.
+	Confirmed(at time.Time, revision int64)
+	// Watching reports whether the mirror has to watch the store. Otherwise
+	// changes come through Take.
+	Watching() bool
+}
+
+// alone is the observer of a mirror that always watches.
+type alone struct{}
+
+func (alone) Changed(topo.Batch)         {}
+func (alone) Confirmed(time.Time, int64) {}
+func (alone) Watching() bool             { return true }
+
 // Mirror follows the store. Its copy never goes back to an older revision.
 type Mirror struct {
 	store    topo.Store
 	receiver Receiver
+	observer Observer
 	logger   *zap.Logger
 
 	mutex    sync.Mutex
@@ -60,13 +81,22 @@
 
 // New returns a mirror that has nothing yet.
 func New(store topo.Store, receiver Receiver, logger *zap.Logger) *Mirror {
-	return &Mirror{store: store, receiver: receiver, logger: logger, items: make(map[string]topo.Item)}
+	return &Mirror{store: store, receiver: receiver, observer: alone{}, logger: logger, items: make(map[string]topo.Item)}
 }
 
+// Observe sets the observer. It must be called before Run.
+func (m *Mirror) Observe(observer Observer) { m.observer = observer }
+
 // Run follows the store until the context ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	retry := retryPause
 	for ctx.Err() == nil {
+		if m.follows() {
+			m.lost.Store(false)
+			retry = retryPause
+			periodic.Pause(ctx, followPause)
+			continue
+		}
 		err := m.step(ctx)
 		switch {
 		case err == nil:
@@ -90,6 +120,14 @@
 	return nil
 }
 
+// follows reports whether the copy is kept through Take instead of a watch.
+func (m *Mirror) follows() bool {
+	m.mutex.Lock()
+	listed := m.listed
+	m.mutex.Unlock()
+	return listed && !m.observer.Watching()
+}
+
 // Resume ends a watch that may have been cut off and asks for the changes since
 // then at once.
 func (m *Mirror) Resume() {
@@ -135,13 +173,7 @@
 	m.mutex.Unlock()
 	defer cancel()
 	if !listed {
-		items, at, err := m.store.List(ctx, "")
-		countCall("list", err)
-		if err != nil {
-			return err
-		}
-		m.Adopt(items, at)
-		return nil
+		return m.list(ctx)
 	}
 	events, at, err := m.store.Watch(watch, "", revision, watchWait)
 	countCall("watch", err)
@@ -157,13 +189,26 @@
 		m.forceList()
 		return nil
 	}
-	m.apply(events, at)
+	m.Take(topo.Batch{After: revision, Revision: at, Events: events})
+	m.observer.Confirmed(time.Now(), at)
 	if len(events) > 0 {
 		periodic.Pause(ctx, batchPause)
 	}
 	return nil
 }
 
+func (m *Mirror) list(ctx context.Context) error {
+	sentAt := time.Now()
+	items, at, err := m.store.List(ctx, "")
+	countCall("list", err)
+	if err != nil {
+		return err
+	}
+	m.Adopt(items, at)
+	m.observer.Confirmed(sentAt, at)
+	return nil
+}
+
 // gaps returns how many revisions a watch of all keys passed over: each revision
 // is a change of at least one key.
 func gaps(events []topo.Event, after, at int64) int64 {
@@ -174,22 +219,35 @@
 	return at - after - int64(len(seen))
 }
 
+// Schedule says how long to wait before the next comparison with the store's
+// revision, and whether to make it then.
+type Schedule func() (pause time.Duration, compare bool)
+
 // CheckFreshness compares the copy with the store's revision until the context
 // ends: a watch may be cut off, or stay silent although there were changes,
-// without an error. The pause between two comparisons grows with the number of
-// nodes, which tell each other what they find through behind.
-func (m *Mirror) CheckFreshness(ctx context.Context, nodes func() int, behind func(revision int64)) error {
+// without an error. It passes each revision that the store had to found, before
+// this node has caught up with it.
+func (m *Mirror) CheckFreshness(ctx context.Context, schedule Schedule, found func(revision int64)) error {
 	for {
-		spread := 0.5 + rand.Float64()
-		periodic.Pause(ctx, time.Duration(spread*float64(max(1, nodes()))*float64(freshnessInterval)))
+		pause, compare := schedule()
+		spread := 0.8 + 0.4*rand.Float64()
+		periodic.Pause(ctx, time.Duration(spread*float64(pause)))
 		if ctx.Err() != nil {
 			return nil
 		}
+		if !compare {
+			continue
+		}
+		sentAt := time.Now()
 		current, err := m.store.Revision(ctx)
 		countCall("revision", err)
-		if err == nil && m.CatchUp(ctx, current) {
-			behind(current)
+		if err != nil {
+			periodic.Pause(ctx, maxRetryPause/2)
+			continue
 		}
+		m.observer.Confirmed(sentAt, current)
+		found(current)
+		m.CatchUp(ctx, current)
 	}
 }
 
@@ -213,14 +271,16 @@
 
 // Offer takes one item that another node has just written, ahead of the watch.
 // The copy's revision stays: the watch tells of the same change later.
-func (m *Mirror) Offer(item topo.Item) {
+// It reports whether the item was new.
+func (m *Mirror) Offer(item topo.Item) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if !m.listed || m.items[item.Key].Revision >= item.Revision || item.Revision <= m.revision {
-		return
+		return false
 	}
 	m.items[item.Key] = item
 	m.receiver.Apply([]topo.Event{{Item: item}}, m.revision)
+	return true
 }
 
 // Adopt takes a complete copy, from the store or from another node, unless this
@@ -232,24 +292,46 @@
 		m.listed = true
 		return
 	}
-	m.items = make(map[string]topo.Item, len(items))
+	adopted := make(map[string]topo.Item, len(items))
 	for _, item := range items {
-		m.items[item.Key] = item
+		adopted[item.Key] = item
 	}
+	batch := topo.Batch{After: m.revision, Revision: revision, Events: difference(m.items, adopted, revision)}
+	m.items = adopted
 	m.revision = revision
 	m.listed = true
 	revisionSeen.Set(float64(revision))
 	m.receiver.Replace(items, revision)
+	m.observer.Changed(batch)
+}
+
+// difference returns the changes that lead from one copy to another, which
+// reflects a revision.
+func difference(before, after map[string]topo.Item, revision int64) []topo.Event {
+	var events []topo.Event
+	for key, item := range after {
+		if before[key].Revision != item.Revision {
+			events = append(events, topo.Event{Item: item})
+		}
+	}
+	for key := range before {
+		if _, present := after[key]; !present {
+			events = append(events, topo.Event{Item: topo.Item{Key: key, Revision: revision}, Deleted: true})
+		}
+	}
+	return events
 }
 
-func (m *Mirror) apply(events []topo.Event, revision int64) {
+// Take takes all changes between two revisions, from the store or from another
+// node. It does nothing if the copy has not reached the first of them.
+func (m *Mirror) Take(batch topo.Batch) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if revision < m.revision {
+	if !m.listed || batch.Revision < m.revision || batch.After > m.revision {
 		return
 	}
-	fresh := events[:0]
-	for _, event := range events {
+	fresh := make([]topo.Event, 0, len(batch.Events))
+	for _, event := range batch.Events {
 		// A listing is no snapshot: it may hold later changes than the revision
 		// that the watch continues from.
 		if m.items[event.Key].Revision > event.Revision {
@@ -262,9 +344,13 @@
 		}
 		m.items[event.Key] = event.Item
 	}
-	m.revision = revision
-	revisionSeen.Set(float64(revision))
+	after := m.revision
+	m.revision = batch.Revision
+	revisionSeen.Set(float64(batch.Revision))
 	if len(fresh) > 0 {
-		m.receiver.Apply(fresh, revision)
+		m.receiver.Apply(fresh, batch.Revision)
+	}
+	if batch.Revision > after {
+		m.observer.Changed(topo.Batch{After: after, Revision: batch.Revision, Events: fresh})
 	}
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -68,7 +68,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = m.Run(ctx) })
-	group.Go(func() { _ = m.CheckFreshness(ctx, func() int { return 1 }, func(int64) {}) })
+	group.Go(func() {
+		_ = m.CheckFreshness(ctx, func() (time.Duration, bool) { return time.Second, true }, func(int64) {})
+	})
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
--- /dev/null
+++ b/internal/router/feed.go
@@ -0,0 +1,193 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/feed"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/transport"
+	"github.com/micahaven/micahaven/internal/view"
+	"github.com/micahaven/micahaven/internal/wire"
+)
+
+const (
+	// feedTick is the pause between two steps of the feed's clock.
+	feedTick = 50 * time.Millisecond
+	// fallbackInterval is the mean pause between two comparisons with the store's
+	// revision of any of the nodes that watch the store because they lost their
+	// watcher.
+	fallbackInterval = time.Second
+)
+
+// changeFeed drives the pure feed with this node's messages and clock. It
+// implements mirror.Observer. Its mutex is taken under the mirror's, so that the
+// mirror must not be called with it held.
+type changeFeed struct {
+	client *transport.Client
+	logger *zap.Logger
+	start  time.Time
+
+	mutex    sync.Mutex
+	core     *feed.Feed
+	watching bool
+}
+
+func newChangeFeed(self view.Node, client *transport.Client, logger *zap.Logger) *changeFeed {
+	return &changeFeed{client: client, logger: logger, start: time.Now(), core: feed.New(memberOf(self)), watching: true}
+}
+
+func memberOf(node view.Node) feed.Member {
+	return feed.Member{Name: node.Name, Zone: node.Zone, Address: node.Address, Share: node.Share}
+}
+
+func (c *changeFeed) now() time.Duration { return time.Since(c.start) }
+
+// follow takes in which nodes are registered.
+func (c *changeFeed) follow(current *view.View) {
+	members := make([]feed.Member, 0, len(current.Nodes))
+	for _, node := range current.Nodes {
+		members = append(members, memberOf(node))
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.core.SetMembers(c.now(), members)
+}
+
+// Changed implements mirror.Observer.
+func (c *changeFeed) Changed(batch topo.Batch) {
+	c.mutex.Lock()
+	messages := c.core.Changed(c.now(), batch)
+	c.mutex.Unlock()
+	c.send(messages)
+}
+
+// Confirmed implements mirror.Observer.
+func (c *changeFeed) Confirmed(at time.Time, revision int64) { c.confirm(at, revision) }
+
+// confirm takes in that the store had a revision at a moment. It reports whether
+// this node's copy had reached it.
+func (c *changeFeed) confirm(at time.Time, revision int64) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.core.Confirm(at.Sub(c.start), revision)
+}
+
+// Watching implements mirror.Observer.
+func (c *changeFeed) Watching() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.core.Watching(c.now())
+}
+
+// step takes in another node's message and returns the changes to take, if any.
+func (c *changeFeed) step(from string, message feed.Message) *topo.Batch {
+	c.mutex.Lock()
+	messages, batch := c.core.Step(c.now(), from, message)
+	c.mutex.Unlock()
+	c.send(messages)
+	return batch
+}
+
+// tick sends what is due and notes whether the node has to watch the store.
+func (c *changeFeed) tick() {
+	c.mutex.Lock()
+	now := c.now()
+	messages := c.core.Tick(now)
+	watching := c.core.Watching(now)
+	changed := watching != c.watching
+	c.watching = watching
+	upstream, following := c.core.Upstream()
+	designated := c.core.Designated()
+	c.mutex.Unlock()
+	c.send(messages)
+	if !changed {
+		return
+	}
+	feedChangesTotal.Inc()
+	c.logger.Info("source of changes", zap.Bool("store", watching), zap.Bool("designated", designated),
+		zap.Bool("following", following), zap.String("upstream", upstream.Name))
+}
+
+// schedule implements mirror.Schedule: of the nodes that are to watch the store,
+// one compares its copy and tells the others; the other nodes that watch it do so
+// the more seldom the more nodes there are.
+func (c *changeFeed) schedule(nodes int) (time.Duration, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := c.now()
+	if c.core.Designated() {
+		return feedTick, c.core.ConfirmationDue(now)
+	}
+	if !c.core.Watching(now) {
+		return fallbackInterval, false
+	}
+	return fallbackInterval * time.Duration(max(1, nodes)), true
+}
+
+func (c *changeFeed) watchers() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	addresses := make([]string, 0, len(c.core.Watchers()))
+	for _, watcher := range c.core.Watchers() {
+		addresses = append(addresses, watcher.Address)
+	}
+	return addresses
+}
+
+func (c *changeFeed) followers() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.core.Followers()
+}
+
+func (c *changeFeed) send(messages []feed.Message) {
+	for _, message := range messages {
+		c.client.Send(message.To, envelopeOf(message))
+	}
+}
+
+func envelopeOf(message feed.Message) *wire.Envelope {
+	switch {
+	case message.Follow != nil:
+		return &wire.Envelope{Body: &wire.Envelope_FollowRequest{FollowRequest: &wire.FollowRequest{
+			Revision: message.Follow.Revision,
+		}}}
+	case message.Heartbeat != nil:
+		return &wire.Envelope{Body: &wire.Envelope_FeedHeartbeat{FeedHeartbeat: &wire.FeedHeartbeat{
+			Revision:           message.Heartbeat.Revision,
+			ConfirmedAgeMillis: uint32(message.Heartbeat.ConfirmedAge.Milliseconds()),
+		}}}
+	default:
+		encoded := &wire.ChangeBatch{After: message.Batch.After, Revision: message.Batch.Revision}
+		for _, event := range message.Batch.Events {
+			encoded.Changes = append(encoded.Changes, &wire.StoreItem{
+				Key: event.Key, Value: event.Value, Revision: event.Revision, Lease: int64(event.Lease), Deleted: event.Deleted,
+			})
+		}
+		return &wire.Envelope{Body: &wire.Envelope_ChangeBatch{ChangeBatch: encoded}}
+	}
+}
+
+func heartbeatOf(received *wire.FeedHeartbeat) *feed.Heartbeat {
+	return &feed.Heartbeat{
+		Revision:     received.GetRevision(),
+		ConfirmedAge: time.Duration(received.GetConfirmedAgeMillis()) * time.Millisecond,
+	}
+}
+
+func batchOf(received *wire.ChangeBatch) *topo.Batch {
+	batch := &topo.Batch{After: received.GetAfter(), Revision: received.GetRevision()}
+	for _, change := range received.GetChanges() {
+		batch.Events = append(batch.Events, topo.Event{Item: itemOf(change), Deleted: change.GetDeleted()})
+	}
+	return batch
+}
+
+func itemOf(received *wire.StoreItem) topo.Item {
+	return topo.Item{
+		Key: received.GetKey(), Value: received.GetValue(), Revision: received.GetRevision(), Lease: topo.LeaseID(received.GetLease()),
+	}
+}
--- /dev/null
+++ b/internal/router/metrics.go
@@ -0,0 +1,11 @@
+package router
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+var feedChangesTotal = promauto.NewCounter(prometheus.CounterOpts{
+	Name: "micahaven_feed_source_changes_total",
+	Help: "How often this node began to watch the store itself, or to follow another node.",
+})
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -99,15 +99,19 @@
 func newNode(settings *Settings, path string, platform Platform, stdout io.Writer) (*Node, error) {
 	logger, output := routerlog.New(stdout, zapcore.InfoLevel)
 	logger = logger.With(zap.String("node", settings.Node))
-	self := view.Node{Name: settings.Node, Zone: settings.Zone, Address: settings.Listen.Nodes, Process: ulid.Make().String()}
+	self := view.Node{Name: settings.Node, Zone: settings.Zone, Address: settings.Listen.Nodes, Process: ulid.Make().String(), Share: settings.ProcessorShare}
 	n := &Node{settings: settings, logger: logger, output: output, headers: platform.Headers, path: path, drained: make(chan struct{})}
 	n.views = view.NewBuilder(platform.Layout, platform.Documents, logger)
 	n.dispatcher = dispatch.New(dispatchOptions(settings, platform.Headers), n.views, logger)
 	n.mirror = mirror.New(platform.Store, n.views, logger)
 	n.handler = ingress.NewHandler(platform.Headers, n.views, n.dispatcher, logger)
 	hello := &wire.Hello{Node: self.Name, Zone: self.Zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
+	client := transport.NewClient(hello, nil)
+	changes := newChangeFeed(self, client, logger)
+	n.views.Subscribe(changes.follow)
+	n.mirror.Observe(changes)
 	n.peers = &peers{
-		self: self, client: transport.NewClient(hello, nil),
+		self: self, client: client, feed: changes,
 		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
 	n.peers.setSeeds(settings.Seeds)
@@ -180,14 +184,18 @@
 	}
 	actor(n.mirror.Run)
 	actor(func(ctx context.Context) error {
-		return n.mirror.CheckFreshness(ctx, n.peers.nodes, n.peers.behind)
+		schedule := func() (time.Duration, bool) { return n.peers.feed.schedule(n.peers.nodes()) }
+		return n.mirror.CheckFreshness(ctx, schedule, n.peers.found)
+	})
+	actor(func(ctx context.Context) error {
+		return periodic.Run(ctx, feedTick, func(context.Context) { n.peers.feed.tick() })
 	})
 	actor(n.dispatcher.Run)
 	actor(func(ctx context.Context) error {
 		return periodic.Run(ctx, followInterval, func(context.Context) { n.managers.follow(ctx) })
 	})
 	actor(func(ctx context.Context) error { return periodic.Run(ctx, nodeKeep, n.registration.step) })
-	actor(func(ctx context.Context) error { return periodic.Run(ctx, reportInterval, n.peers.report) })
+	actor(n.peers.reportLoad)
 	actor(n.peers.exchangeState)
 	actor(n.watchSignals)
 	group.Add(n.inner.Serve, func(error) { n.inner.Close() })
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/feed"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/shardmanager"
@@ -21,8 +22,11 @@
 )
 
 const (
-	// reportInterval is the pause between two load reports to a manager.
-	reportInterval = 200 * time.Millisecond
+	// reportInterval is the pause between two load reports to a manager, as long
+	// as there are few nodes; nodesPerInterval more of them make it that much
+	// longer, so that the manager's work does not grow with their number.
+	reportInterval   = 200 * time.Millisecond
+	nodesPerInterval = 24
 	// stateInterval is the pause between two comparisons with another node, and
 	// stateIntervalLost that of a node that the store does not answer.
 	stateInterval     = 1 * time.Second
@@ -41,6 +45,7 @@
 	managers   *managers
 	// orders reaches servers from this node, for other nodes' orders.
 	orders shardmanager.Orders
+	feed   *changeFeed
 	logger *zap.Logger
 }
 
@@ -54,52 +59,100 @@
 	for _, r := range ranges {
 		notice.Ranges = append(notice.Ranges, &wire.ShardRange{Last: r.Last, Fence: r.Fence})
 	}
-	p.broadcast(&wire.Envelope{Body: &wire.Envelope_MoveNotice{MoveNotice: notice}})
+	p.toWatchers(moveEnvelope(notice, true))
+	p.toFollowers(moveEnvelope(notice, false))
+}
+
+func moveEnvelope(notice *wire.MoveNotice, forward bool) *wire.Envelope {
+	copied := &wire.MoveNotice{Service: notice.GetService(), Epoch: notice.GetEpoch(), Ranges: notice.GetRanges(), Forward: forward}
+	return &wire.Envelope{Body: &wire.Envelope_MoveNotice{MoveNotice: copied}}
+}
+
+func itemEnvelope(item topo.Item, forward bool) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_StoreItem{StoreItem: &wire.StoreItem{
+		Key: item.Key, Value: item.Value, Revision: item.Revision, Forward: forward,
+	}}}
 }
 
 // Written implements shardmanager.Notices.
 func (p *peers) Written(item topo.Item) {
 	p.mirror.Offer(item)
-	p.broadcast(&wire.Envelope{Body: &wire.Envelope_StoreItem{StoreItem: &wire.StoreItem{
-		Key: item.Key, Value: item.Value, Revision: item.Revision,
-	}}})
+	p.toWatchers(itemEnvelope(item, true))
+	p.toFollowers(itemEnvelope(item, false))
 }
 
-// behind tells the other nodes of a revision that this node's watch missed.
-func (p *peers) behind(revision int64) {
-	p.broadcast(&wire.Envelope{Body: &wire.Envelope_StateNotice{StateNotice: &wire.StateNotice{Revision: revision}}})
+// found tells the other watchers of a revision that the store had just now.
+func (p *peers) found(revision int64) {
+	p.toWatchers(&wire.Envelope{Body: &wire.Envelope_StateNotice{StateNotice: &wire.StateNotice{Revision: revision}}})
 }
 
-func (p *peers) nodes() int { return len(p.views.Current().Nodes) }
-
-// broadcast sends a message to all other nodes; each may miss it.
-func (p *peers) broadcast(envelope *wire.Envelope) {
-	for name, node := range p.views.Current().Nodes {
-		if name != p.self.Name {
-			p.client.Send(node.Address, envelope)
+// toWatchers sends a message to the other nodes that watch the store; each may
+// miss it.
+func (p *peers) toWatchers(envelope *wire.Envelope) {
+	for _, address := range p.feed.watchers() {
+		if address != p.self.Address {
+			p.client.Send(address, envelope)
 		}
 	}
 }
 
+// toFollowers sends a message to the nodes that follow this one; each may miss it.
+func (p *peers) toFollowers(envelope *wire.Envelope) {
+	for _, address := range p.feed.followers() {
+		p.client.Send(address, envelope)
+	}
+}
+
+// nodes returns how many nodes are registered.
+func (p *peers) nodes() int { return len(p.views.Current().Nodes) }
+
 // HandleMessage implements transport.Handler.
-func (p *peers) HandleMessage(_ *wire.Hello, envelope *wire.Envelope) {
+func (p *peers) HandleMessage(from *wire.Hello, envelope *wire.Envelope) {
 	switch body := envelope.GetBody().(type) {
 	case *wire.Envelope_MoveNotice:
-		var ranges []shards.Range
-		for _, r := range body.MoveNotice.GetRanges() {
-			ranges = append(ranges, shards.Range{Last: r.GetLast(), Fence: r.GetFence()})
-		}
-		p.dispatcher.Hold(body.MoveNotice.GetService(), ranges)
+		p.takeMoveNotice(body.MoveNotice)
 	case *wire.Envelope_StoreItem:
-		item := body.StoreItem
-		p.mirror.Offer(topo.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision()})
+		p.takeItem(body.StoreItem)
 	case *wire.Envelope_StateNotice:
-		go p.mirror.CatchUp(context.Background(), body.StateNotice.GetRevision())
+		p.takeRevision(body.StateNotice.GetRevision())
+	case *wire.Envelope_FollowRequest:
+		p.feed.step(from.GetAddress(), feed.Message{Follow: &feed.Follow{Revision: body.FollowRequest.GetRevision()}})
+	case *wire.Envelope_FeedHeartbeat:
+		p.feed.step(from.GetAddress(), feed.Message{Heartbeat: heartbeatOf(body.FeedHeartbeat)})
+	case *wire.Envelope_ChangeBatch:
+		if batch := p.feed.step(from.GetAddress(), feed.Message{Batch: batchOf(body.ChangeBatch)}); batch != nil {
+			p.mirror.Take(*batch)
+		}
 	case *wire.Envelope_LoadReport:
 		p.recordLoad(body.LoadReport)
 	}
 }
 
+func (p *peers) takeMoveNotice(notice *wire.MoveNotice) {
+	var ranges []shards.Range
+	for _, r := range notice.GetRanges() {
+		ranges = append(ranges, shards.Range{Last: r.GetLast(), Fence: r.GetFence()})
+	}
+	p.dispatcher.Hold(notice.GetService(), ranges)
+	if notice.GetForward() {
+		p.toFollowers(moveEnvelope(notice, false))
+	}
+}
+
+func (p *peers) takeItem(received *wire.StoreItem) {
+	item := itemOf(received)
+	if p.mirror.Offer(item) && received.GetForward() {
+		p.toFollowers(itemEnvelope(item, false))
+	}
+}
+
+// takeRevision takes in that the store had a revision when another watcher asked.
+func (p *peers) takeRevision(revision int64) {
+	if !p.feed.confirm(time.Now(), revision) {
+		go p.mirror.CatchUp(context.Background(), revision)
+	}
+}
+
 func (p *peers) recordLoad(report *wire.LoadReport) {
 	servers := make([]shardmanager.ServerLoad, 0, len(report.GetServers()))
 	for _, load := range report.GetServers() {
@@ -136,8 +189,17 @@
 	reply(&wire.Envelope{Body: &wire.Envelope_StateReply{StateReply: answer}})
 }
 
+// reportLoad reports until the context ends.
+func (p *peers) reportLoad(ctx context.Context) error {
+	for ctx.Err() == nil {
+		p.report()
+		periodic.Pause(ctx, reportInterval+reportInterval*time.Duration(p.nodes()/nodesPerInterval))
+	}
+	return nil
+}
+
 // report sends what this node saw of each key-divided service to its manager.
-func (p *peers) report(context.Context) {
+func (p *peers) report() {
 	current := p.views.Current()
 	if current.Table == nil {
 		return
@@ -172,7 +234,7 @@
 // not tell it.
 func (p *peers) compare(ctx context.Context) {
 	address := p.randomPeer()
-	if address == "" {
+	if address == "" || !p.feed.Watching() {
 		return
 	}
 	seen := p.askState(ctx, address, false)
@@ -189,9 +251,7 @@
 	}
 	items := make([]topo.Item, 0, len(answer.GetItems()))
 	for _, item := range answer.GetItems() {
-		items = append(items, topo.Item{
-			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Lease: topo.LeaseID(item.GetLease()),
-		})
+		items = append(items, itemOf(item))
 	}
 	p.logger.Info("state taken from another node", zap.String("address", address), zap.Int64("revision", answer.GetRevision()))
 	p.mirror.Adopt(items, answer.GetRevision())
--- a/internal/router/registration.go
+++ b/internal/router/registration.go
@@ -14,7 +14,7 @@
 
 const (
 	nodeTTL  = 6 * time.Second
-	nodeKeep = time.Second
+	nodeKeep = 2 * time.Second
 )
 
 // registration keeps this node's entry in the store. Its renewals also tell
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -45,8 +45,14 @@
 	MaxHoldMillis int `yaml:"max_hold_millis"`
 	// MemoryMegabytes is the memory that the process may use.
 	MemoryMegabytes int `yaml:"memory_megabytes"`
+	// ProcessorShare is the part of a processor that the process has; 1 if it is
+	// left out. Nodes with more of it are preferred for duties.
+	ProcessorShare float64 `yaml:"processor_share"`
 }
 
+// defaultProcessorShare stands for a share that the settings leave out.
+const defaultProcessorShare = 1
+
 // LoadSettings reads and checks a settings file. Unknown fields are skipped.
 func LoadSettings(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
@@ -58,7 +64,7 @@
 
 // ParseSettings reads and checks the text of a settings file.
 func ParseSettings(text []byte) (*Settings, error) {
-	parsed := &Settings{}
+	parsed := &Settings{ProcessorShare: defaultProcessorShare}
 	if err := yaml.Unmarshal(text, parsed); err != nil {
 		return nil, errors.Mark(errors.Newf("settings: %s", yaml.FormatError(err, false, true)), ErrInvalidSettings)
 	}
@@ -99,6 +105,7 @@
 		{"retry.window_seconds", s.Retry.WindowSeconds, 0.1, 3600},
 		{"max_hold_millis", float64(s.MaxHoldMillis), 500, 600000},
 		{"memory_megabytes", float64(s.MemoryMegabytes), 16, 1 << 20},
+		{"processor_share", s.ProcessorShare, 0.001, 1024},
 	}
 	for _, number := range numbers {
 		if number.value < number.low || number.value > number.high {
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -46,6 +46,10 @@
 	tickInterval  = 50 * time.Millisecond
 	releaseWait   = 6 * time.Second
 	campaignPause = 200 * time.Millisecond
+	// campaignStep is for how much longer than the next better node one waits
+	// before it campaigns, so that not all of them do; campaignSteps bounds that.
+	campaignStep  = 150 * time.Millisecond
+	campaignSteps = 6
 	// settleTime is how long no server must have registered before the first map
 	// is made, and settleLimit how long that is waited for.
 	settleTime  = 1500 * time.Millisecond
@@ -88,10 +92,14 @@
 // Run campaigns and manages until the context ends; then it gives the lock up.
 func (m *Manager) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if held := m.config.Views.Current().Managers[m.service]; held.Epoch != 0 {
+		if m.taken() {
 			periodic.Pause(ctx, campaignPause)
 			continue
 		}
+		periodic.Pause(ctx, m.campaignDelay())
+		if ctx.Err() != nil || m.taken() {
+			continue
+		}
 		lock, err := m.campaign(ctx)
 		if err != nil {
 			if !errors.Is(err, topo.ErrConflict) {
@@ -105,6 +113,22 @@
 	return nil
 }
 
+// taken reports whether a manager holds the service's lock.
+func (m *Manager) taken() bool { return m.config.Views.Current().Managers[m.service].Epoch != 0 }
+
+// campaignDelay is how long this node waits before it campaigns: the longer the
+// more nodes there are with a greater share of a processor.
+func (m *Manager) campaignDelay() time.Duration {
+	better := 0
+	for _, node := range m.config.Views.Current().Nodes {
+		if node.Share > m.config.Self.Share || (node.Share == m.config.Self.Share && node.Name < m.config.Self.Name) {
+			better++
+		}
+	}
+	delay := time.Duration(min(better, campaignSteps)) * campaignStep
+	return delay + time.Duration(rand.Int64N(int64(campaignStep/2)))
+}
+
 // lock is a manager's lock in the store.
 type lock struct {
 	lease topo.LeaseID
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -44,6 +44,15 @@
 	Deleted bool
 }
 
+// Batch holds all changes of the store between two revisions.
+type Batch struct {
+	// After is the revision before the first change.
+	After int64
+	// Revision is the one that the changes lead to.
+	Revision int64
+	Events   []Event
+}
+
 // Condition holds if a key is at a revision; revision 0 means it is absent.
 type Condition struct {
 	Key      string
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -24,9 +24,9 @@
 
 const (
 	// sendQueue is the number of envelopes that may wait for one connection.
-	sendQueue = 4096
+	sendQueue = 1024
 	// bufferBytes is the size of a connection's read and write buffers.
-	bufferBytes = 64 << 10
+	bufferBytes = 8 << 10
 	// writeTimeout is how long a peer may leave its receive window shut.
 	writeTimeout = 5 * time.Second
 )
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -65,6 +65,8 @@
 	Address string `json:"address"`
 	// Process differs between two lives of a node.
 	Process string `json:"process"`
+	// Share is the part of a processor that the node has.
+	Share float64 `json:"share"`
 }
 
 // Server is a server and what the view knows of its end.
@@ -119,6 +121,9 @@
 
 	mutex sync.Mutex
 	next  View
+	// started is true once there is a complete copy; until then the servers that
+	// it brings are not logged one by one.
+	started bool
 	// subscribers are called after each change, with the mutex not held.
 	subscribers []func(*View)
 }
@@ -155,9 +160,12 @@
 		b.put(item)
 	}
 	b.deleteMissing(present)
+	b.started = true
 	b.next.Revision = revision
 	published := b.publish()
 	b.mutex.Unlock()
+	b.logger.Info("state replaced", zap.Int64("revision", revision), zap.Int("servers", len(published.Servers)),
+		zap.Int("nodes", len(published.Nodes)), zap.Int("owner_maps", len(published.Owners)))
 	b.notify(published)
 }
 
@@ -254,7 +262,7 @@
 		server.DrainingSince = now
 		b.logger.Info("server draining", zap.String("server", id), zap.Int64("revision", item.Revision))
 	}
-	if before == nil || !before.GoneSince.IsZero() {
+	if b.started && (before == nil || !before.GoneSince.IsZero()) {
 		b.logger.Info("server registered", zap.String("server", id), zap.String("service", entry.Service),
 			zap.String("address", entry.Address), zap.Int64("revision", item.Revision))
 	}
