A heavy key no longer holds up the balance of the other servers

Besides, the fair load counted the heavy key, so that others never looked overloaded.

Change: servers from which nothing can be taken are passed over; keys that alone exceed their server's fair load count neither as load nor their server as capacity; with many servers more moves run at a time. Test: TestHeavyKeyDoesNotHoldUpTheBalanceOfOthers, seen failing (one server kept all of the other load).

--- a/internal/shards/balance.go
+++ b/internal/shards/balance.go
@@ -19,8 +19,10 @@
 	noiseFactor = 1.5
 	// minTotal is how many requests are needed to judge the load at all.
 	minTotal = 30
-	// maxMovesPerLook bounds the moves that one look starts.
+	// maxMovesPerLook bounds the moves that one look starts with few servers;
+	// with many there is one move at a time for each serversPerMove of them.
 	maxMovesPerLook = 6
+	serversPerMove  = 8
 	// heavyPart is the part of a mean server's fair load from which a key is
 	// heavy; minHeavy is the least number of requests for that.
 	heavyPart = 0.6
@@ -72,23 +74,39 @@
 	if total < minTotal || len(accepting) < 2 {
 		return
 	}
-	capacity := 0.0
-	for _, server := range accepting {
-		capacity += server.Capacity
-	}
-	fair := total / capacity
+	fair := m.fairLoad(now, accepting)
 	loads := m.serverLoads(now)
 	m.placeHeavyKeys(now, accepting, loads, fair)
 	if now < m.plan.nextLook {
 		return
 	}
 	m.plan.nextLook = now + balanceInterval
-	room := m.options.MaxMoves - m.moving()
-	for range min(room, maxMovesPerLook) {
-		if !m.moveOnce(now, accepting, loads, fair) {
-			return
+	most := max(m.options.MaxMoves, len(accepting)/serversPerMove)
+	m.moveSome(now, accepting, loads, fair, min(most-m.moving(), max(maxMovesPerLook, most/2)))
+}
+
+// fairLoad is the load that a server of capacity 1 should have. Keys that alone
+// are more than the fair load of their server count neither as load nor does
+// their server as capacity: nothing that is moved changes them.
+func (m *Manager) fairLoad(now time.Duration, accepting []Server) float64 {
+	total, capacity := m.load.Total(now), 0.0
+	for _, server := range accepting {
+		capacity += server.Capacity
+	}
+	full := make(map[discovery.ServerID]bool)
+	for _, s := range m.shards {
+		owner, known := m.servers[s.Owner]
+		if s.First != s.Last || !known || !owner.Accepting || full[s.Owner] {
+			continue
+		}
+		load := m.load.Between(now, s.First, s.Last)
+		if load > total/capacity*owner.Capacity && capacity > owner.Capacity {
+			full[s.Owner] = true
+			total -= load
+			capacity -= owner.Capacity
 		}
 	}
+	return total / capacity
 }
 
 // placeHeavyKeys gives each key that alone is much of a server's fair load a
@@ -180,33 +198,46 @@
 	return count
 }
 
-// moveOnce starts the one move that relieves the most loaded server. fair is the
-// load that a server of capacity 1 should have.
-func (m *Manager) moveOnce(now time.Duration, accepting []Server, loads map[discovery.ServerID]float64, fair float64) bool {
-	var source, target Server
+// moveSome starts up to most moves, each of which relieves the most loaded server
+// that anything can be taken from. fair is the load that a server of capacity 1
+// should have.
+func (m *Manager) moveSome(now time.Duration, accepting []Server, loads map[discovery.ServerID]float64, fair float64, most int) {
+	stuck := make(map[discovery.ServerID]bool)
+	for moves := 0; moves < most; {
+		source, target, amount := widestGap(accepting, loads, fair, stuck)
+		if source == "" || target == "" {
+			return
+		}
+		index, moved := m.choosePiece(now, source, amount)
+		if index < 0 {
+			stuck[source] = true
+			continue
+		}
+		m.startRelease(m.shards[index], now, target)
+		loads[source] -= moved
+		loads[target] += moved
+		moves++
+	}
+}
+
+// widestGap returns the server furthest above its fair load that is not stuck,
+// the one furthest below it, and how much load should move.
+func widestGap(
+	accepting []Server, loads map[discovery.ServerID]float64, fair float64, stuck map[discovery.ServerID]bool,
+) (source, target discovery.ServerID, amount float64) {
 	excess, room := 0.0, 0.0
 	for _, server := range accepting {
 		goal := fair * server.Capacity
 		above := loads[server.ID] - goal
 		threshold := goal*tolerance + noiseFactor*math.Sqrt(goal)
-		if above > threshold && above > excess {
-			source, excess = server, above
+		if above > threshold && above > excess && !stuck[server.ID] {
+			source, excess = server.ID, above
 		}
 		if below := -above; below > room {
-			target, room = server, below
+			target, room = server.ID, below
 		}
 	}
-	if source.ID == "" || target.ID == "" {
-		return false
-	}
-	index, moved := m.choosePiece(now, source.ID, min(excess, room))
-	if index < 0 {
-		return false
-	}
-	m.startRelease(m.shards[index], now, target.ID)
-	loads[source.ID] -= moved
-	loads[target.ID] += moved
-	return true
+	return source, target, min(excess, room)
 }
 
 // choosePiece finds, among the ranges of a server, a whole range or an end of
--- a/internal/shards/balance_test.go
+++ b/internal/shards/balance_test.go
@@ -131,3 +131,33 @@
 		}
 	}
 }
+
+// Seen on tintamezcla-gw-grown quiet-1: one key had 40% of the load, nothing else
+// could be moved from its server, and no other server was relieved meanwhile.
+func TestHeavyKeyDoesNotHoldUpTheBalanceOfOthers(t *testing.T) {
+	b := newBench(2, 2, 2, 2, 2, 2, 2, 2)
+	b.run(2*time.Second, nil)
+	const heavy = 40000
+	tick := 0
+	b.run(12*time.Second, func() {
+		tick++
+		keys := []uint32{heavy, heavy, heavy, heavy, heavy, heavy, heavy, heavy}
+		for index := range 8 {
+			// The rest of the load falls on a sixteenth of the keys.
+			keys = append(keys, uint32((tick*131+index*613)%(shards.KeyCount/16)))
+		}
+		b.core.RecordLoad(b.now, keys, 1)
+	})
+	loads := make(map[discovery.ServerID]int)
+	for key := uint32(0); key < shards.KeyCount/16; key++ {
+		loads[b.stored.Find(key).Owner]++
+	}
+	for id, count := range loads {
+		if part := float64(count) / (shards.KeyCount / 16); part > 0.3 {
+			t.Errorf("server %s has %.2f of the load beside the heavy key's", id, part)
+		}
+	}
+	if part := loads[b.stored.Find(heavy).Owner]; part > 0 {
+		t.Errorf("the server of the heavy key still has %d other keys with load", part)
+	}
+}
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -25,7 +25,8 @@
 	PreviousAuthority time.Duration
 	// Drift is how much longer a server's clock may count, as a factor.
 	Drift float64
-	// MaxMoves bounds how many ranges are released at a time for balance.
+	// MaxMoves bounds how many ranges are released at a time for balance, as long
+	// as there are few servers.
 	MaxMoves int
 }
 
