A fault soak that runs real router processes under random faults

Processes, loopback links and stand-ins of the platform; sixteen kinds of fault injected from outside by signals, links and the stand-ins; promises checked from what callers and servers see (orders run once, refusals are promises, answers belong to their requests, keys have one holder and rising fences, leaving servers get nothing, configurations come into force, everything is served again).

--- /dev/null
+++ b/internal/soak/link.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Mode is what a link does to the bytes that cross it.
+type Mode int32
+
+// The modes of a link.
+const (
+	// Pass lets everything through.
+	Pass Mode = iota
+	// Silent holds everything back, both ways, and says nothing.
+	Silent
+	// OneWay holds back what comes from the target.
+	OneWay
+	// Reset resets every connection.
+	Reset
+	// Slow delays everything by slowDelay.
+	Slow
+)
+
+const (
+	slowDelay = 150 * time.Millisecond
+	// modePoll is the pause between two looks of a held connection at the mode.
+	modePoll  = 20 * time.Millisecond
+	copyBytes = 16 << 10
+)
+
+// String names the mode.
+func (m Mode) String() string {
+	names := []string{"pass", "silent", "one way", "reset", "slow"}
+	if int(m) < len(names) {
+		return names[m]
+	}
+	return "unknown"
+}
+
+// Link is a proxy on the loopback interface in front of one address, through which
+// faults are injected from outside the processes on both sides.
+type Link struct {
+	// Address is where the link listens.
+	Address  string
+	target   string
+	listener net.Listener
+	mode     atomic.Int32
+
+	mutex       sync.Mutex
+	connections map[net.Conn]struct{}
+	closed      bool
+}
+
+// NewLink starts a link to a target.
+func NewLink(target string) (*Link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for link")
+	}
+	l := &Link{Address: listener.Addr().String(), target: target, listener: listener, connections: make(map[net.Conn]struct{})}
+	go l.accept()
+	return l, nil
+}
+
+// Set changes the mode. Connections are reset when it becomes Reset.
+func (l *Link) Set(mode Mode) {
+	l.mode.Store(int32(mode))
+	if mode == Reset {
+		l.resetAll()
+	}
+}
+
+// Close ends the link and all its connections.
+func (l *Link) Close() {
+	l.mutex.Lock()
+	l.closed = true
+	l.mutex.Unlock()
+	// The listener is gone either way; there is nobody to tell.
+	_ = l.listener.Close()
+	l.resetAll()
+}
+
+func (l *Link) current() Mode { return Mode(l.mode.Load()) }
+
+func (l *Link) resetAll() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for connection := range l.connections {
+		reset(connection)
+	}
+}
+
+func reset(connection net.Conn) {
+	if socket, ok := connection.(*net.TCPConn); ok {
+		// Without it the connection is closed in order, which ends it as well.
+		_ = socket.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
+func (l *Link) accept() {
+	for {
+		near, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.serve(near)
+	}
+}
+
+func (l *Link) serve(near net.Conn) {
+	if !l.add(near) {
+		return
+	}
+	defer l.remove(near)
+	if l.current() == Reset {
+		reset(near)
+		return
+	}
+	far, err := net.Dial("tcp", l.target)
+	if err != nil {
+		reset(near)
+		return
+	}
+	if !l.add(far) {
+		return
+	}
+	defer l.remove(far)
+	done := make(chan struct{}, 2)
+	go func() { l.copy(far, near, false); done <- struct{}{} }()
+	go func() { l.copy(near, far, true); done <- struct{}{} }()
+	<-done
+}
+
+func (l *Link) add(connection net.Conn) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.closed {
+		reset(connection)
+		return false
+	}
+	l.connections[connection] = struct{}{}
+	return true
+}
+
+func (l *Link) remove(connection net.Conn) {
+	l.mutex.Lock()
+	delete(l.connections, connection)
+	l.mutex.Unlock()
+	_ = connection.Close()
+}
+
+// copy passes bytes on as the mode allows until one side ends. backward is the
+// direction from the target.
+func (l *Link) copy(into io.Writer, from io.Reader, backward bool) {
+	buffer := make([]byte, copyBytes)
+	for {
+		count, err := from.Read(buffer)
+		if count > 0 {
+			if !l.hold(backward) {
+				return
+			}
+			if _, err := into.Write(buffer[:count]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hold waits until bytes may pass. It reports false if the link ended.
+func (l *Link) hold(backward bool) bool {
+	if l.current() == Slow {
+		time.Sleep(slowDelay)
+	}
+	for l.current() == Silent || (l.current() == OneWay && backward) {
+		time.Sleep(modePoll)
+		l.mutex.Lock()
+		closed := l.closed
+		l.mutex.Unlock()
+		if closed {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,184 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// contactTime is for how long a node must have been undisturbed before it is bound
+// by the promises that carry a time.
+const contactTime = 3 * time.Second
+
+// Node is one router process, its settings and its link to the store.
+type Node struct {
+	Name    string
+	Clients string
+	Ready   string
+
+	program string
+	folder  string
+	log     *os.File
+	link    *Link
+
+	mutex          sync.Mutex
+	process        *exec.Cmd
+	ended          chan struct{}
+	frozen         bool
+	disturbedUntil time.Time
+	// draining is true from the signal to stop until the next start.
+	draining bool
+}
+
+// freeAddress returns an address on the loopback interface that nobody uses.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+const settingsText = `
+node: %s
+zone: z%d
+listen: {clients: %q, ready: %q, nodes: %q, metrics: ""}
+seeds: []
+store: {address: %q}
+drain_millis: 2000
+grace_millis: 4000
+retry: {ratio: 0.2, slack: 50, window_seconds: 10}
+max_hold_millis: 10000
+memory_megabytes: 256
+`
+
+// NewNode prepares a node that reaches the store through a link of its own.
+func NewNode(program, folder string, index int, store string) (*Node, error) {
+	n := &Node{Name: fmt.Sprintf("n%d", index), program: program, folder: folder}
+	var inner string
+	for _, into := range []*string{&n.Clients, &n.Ready, &inner} {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*into = address
+	}
+	link, err := NewLink(store)
+	if err != nil {
+		return nil, err
+	}
+	n.link = link
+	text := fmt.Sprintf(settingsText, n.Name, index%3, n.Clients, n.Ready, inner, link.Address)
+	if err := os.WriteFile(n.settings(), []byte(text), 0o600); err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	n.log, err = os.Create(filepath.Join(folder, n.Name+".log"))
+	return n, errors.Wrap(err, "create log")
+}
+
+func (n *Node) settings() string { return filepath.Join(n.folder, n.Name+".yaml") }
+
+// Start starts the process.
+func (n *Node) Start() error {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	process := exec.Command(n.program, "--settings", n.settings())
+	process.Stdout, process.Stderr = n.log, n.log
+	if err := process.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", n.Name)
+	}
+	ended := make(chan struct{})
+	go func() {
+		// How it ended shows in its log.
+		_ = process.Wait()
+		close(ended)
+	}()
+	n.process, n.ended, n.frozen, n.draining = process, ended, false, false
+	n.disturb()
+	return nil
+}
+
+// disturb notes that the node was disturbed just now. The caller holds the mutex.
+func (n *Node) disturb() { n.disturbedUntil = time.Now().Add(contactTime) }
+
+// Signal sends a signal to the node's own process.
+func (n *Node) Signal(signal syscall.Signal) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.disturb()
+	if n.process == nil {
+		return
+	}
+	switch signal {
+	case syscall.SIGSTOP:
+		n.frozen = true
+	case syscall.SIGCONT:
+		n.frozen = false
+	case syscall.SIGTERM:
+		n.draining = true
+	}
+	// A process that has ended needs no signal.
+	_ = n.process.Process.Signal(signal)
+}
+
+// Wait waits until the process has ended, and kills it if that takes too long.
+func (n *Node) Wait(patience time.Duration) {
+	n.mutex.Lock()
+	process, ended := n.process, n.ended
+	n.mutex.Unlock()
+	if process == nil {
+		return
+	}
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		_ = process.Process.Kill()
+		<-ended
+	}
+}
+
+// Cut changes what the node's link to the store does.
+func (n *Node) Cut(mode Mode) {
+	n.mutex.Lock()
+	n.disturb()
+	n.mutex.Unlock()
+	n.link.Set(mode)
+}
+
+// Ended reports whether the process has ended.
+func (n *Node) Ended() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	select {
+	case <-n.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// InTouch reports whether the node has been undisturbed for long enough.
+func (n *Node) InTouch() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return !n.frozen && !n.draining && time.Now().After(n.disturbedUntil) && n.link.current() == Pass
+}
+
+// Stop ends the process, the link and the log.
+func (n *Node) Stop() {
+	n.Signal(syscall.SIGCONT)
+	n.Signal(syscall.SIGTERM)
+	const patience = 6 * time.Second
+	n.Wait(patience)
+	n.link.Close()
+	// What was logged is written; there is nothing to do about the rest.
+	_ = n.log.Close()
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,172 @@
+// Package soak runs real router processes on one machine against stand-ins of the
+// platform, injects random faults from outside the processes (signals, loopback
+// links, the stand-ins), and checks the router's promises from what callers and
+// servers see.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/micahaven/micahaven/platform/standin"
+)
+
+// Options describe one soak.
+type Options struct {
+	// Router is the path of the router's program.
+	Router string
+	// Folder takes the settings and logs of the processes.
+	Folder string
+	Seed   uint64
+	Nodes  int
+	// Length is for how long faults are injected.
+	Length time.Duration
+	Output io.Writer
+}
+
+// Result is what a soak saw.
+type Result struct {
+	Seed             uint64
+	Faults           int
+	Requests, Served int
+	// ServedAfter is the part of the requests that were served at the end, with no
+	// faults.
+	ServedAfter float64
+	// Breaches are the promises that were seen broken.
+	Breaches []string
+}
+
+const (
+	startPatience   = 20 * time.Second
+	recoverPatience = 12 * time.Second
+	finalTime       = 3 * time.Second
+	// leastServedAfter is the part of the requests that must be served once all
+	// faults are gone.
+	leastServedAfter = 0.95
+	maxBreaches      = 50
+)
+
+type soak struct {
+	options Options
+	nodes   []*Node
+	world   *world
+	clients *clients
+	started time.Time
+
+	mutex    sync.Mutex
+	breaches []string
+}
+
+// Run runs one soak. Its error means that the soak itself could not run.
+func Run(options Options) (*Result, error) {
+	world, err := newWorld()
+	if err != nil {
+		return nil, err
+	}
+	defer world.close()
+	s := &soak{options: options, world: world, started: time.Now()}
+	for index := range options.Nodes {
+		n, err := NewNode(options.Router, options.Folder, index, world.store.Address)
+		if err != nil {
+			return nil, err
+		}
+		s.nodes = append(s.nodes, n)
+		if err := n.Start(); err != nil {
+			return nil, err
+		}
+		defer n.Stop()
+	}
+	s.clients = &clients{nodes: s.nodes}
+	s.waitReady(startPatience)
+	return s.play(), nil
+}
+
+func (s *soak) play() *Result {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { s.clients.run(ctx, s.options.Seed) })
+	group.Go(func() { s.watch(ctx) })
+	count := s.inject(rand.New(rand.NewPCG(s.options.Seed, 0)), s.options.Length)
+	s.world.heal()
+	s.waitReady(startPatience)
+	time.Sleep(recoverPatience)
+	before := len(s.clients.results())
+	time.Sleep(finalTime)
+	after := s.clients.results()[before:]
+	cancel()
+	group.Wait()
+	return s.result(count, after)
+}
+
+func (s *soak) result(count int, after []outcome) *Result {
+	result := &Result{Seed: s.options.Seed, Faults: count}
+	for _, seen := range s.clients.results() {
+		result.Requests++
+		if seen.status == http.StatusOK {
+			result.Served++
+		}
+		s.checkOutcome(seen)
+	}
+	served := 0
+	for _, seen := range after {
+		if seen.status == http.StatusOK {
+			served++
+		}
+	}
+	result.ServedAfter = float64(served) / float64(max(1, len(after)))
+	if result.ServedAfter < leastServedAfter {
+		s.breach("after all faults %d of %d requests were served", served, len(after))
+	}
+	for _, text := range s.world.ledger.Breaches() {
+		s.breach("ownership: %s", text)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	result.Breaches = append([]string(nil), s.breaches...)
+	return result
+}
+
+// waitReady waits until all nodes say that they are ready.
+func (s *soak) waitReady(patience time.Duration) {
+	for _, n := range s.nodes {
+		deadline := time.Now().Add(patience)
+		for !ready(n) {
+			if time.Now().After(deadline) {
+				s.breach("%s is not ready after %v", n.Name, patience)
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func ready(n *Node) bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + n.Ready + standin.ReadyPath)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (s *soak) note(format string, arguments ...any) {
+	fmt.Fprintf(s.options.Output, "%7.2f s  %s\n", time.Since(s.started).Seconds(), fmt.Sprintf(format, arguments...))
+}
+
+// breach notes a broken promise.
+func (s *soak) breach(format string, arguments ...any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.breaches) >= maxBreaches {
+		return
+	}
+	text := fmt.Sprintf("%.2f s: %s", time.Since(s.started).Seconds(), fmt.Sprintf(format, arguments...))
+	s.breaches = append(s.breaches, text)
+	fmt.Fprintf(s.options.Output, "BROKEN %s\n", text)
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/topo/memory"
+	"github.com/micahaven/micahaven/platform/standin"
+)
+
+const (
+	dividedServers = 6
+	plainServers   = 4
+	serverWork     = 20 * time.Millisecond
+)
+
+// server is a server, its link, and when it began to leave.
+type server struct {
+	*standin.Server
+	link *Link
+	// leftAt is when the store acknowledged that the server leaves; zero if not.
+	leftAt time.Time
+}
+
+// world holds the store, the servers and the operator's configuration.
+type world struct {
+	store  *standin.Store
+	ledger *standin.Ledger
+
+	mutex   sync.Mutex
+	servers []*server
+	started int
+	// version and extra describe the configuration in force: extra is the number
+	// of the one route that changes with each version.
+	version        int
+	configuredAt   time.Time
+	faults         memory.Faults
+	storeDisturbed time.Time
+}
+
+func newWorld() (*world, error) {
+	w := &world{store: standin.NewStore(), ledger: standin.NewLedger()}
+	w.configure()
+	for index := range dividedServers + plainServers {
+		service := standin.DividedService
+		if index >= dividedServers {
+			service = standin.PlainService
+		}
+		if err := w.startServer(service); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// startServer starts one more server behind a link of its own.
+func (w *world) startServer(service string) error {
+	var link *Link
+	var failed error
+	w.mutex.Lock()
+	w.started++
+	id := fmt.Sprintf("s%d", w.started)
+	w.mutex.Unlock()
+	proxy := func(address string) string {
+		link, failed = NewLink(address)
+		if failed != nil {
+			return address
+		}
+		return link.Address
+	}
+	started := &server{Server: standin.NewServer(w.store, w.ledger, id, service, proxy)}
+	if failed != nil {
+		return failed
+	}
+	started.link = link
+	started.SetFaults(standin.Faults{Work: serverWork})
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.servers = append(w.servers, started)
+	return nil
+}
+
+// pick returns a server of a service that neither ended nor leaves, or nil.
+func (w *world) pick(random *rand.Rand, service string) *server {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var live []*server
+	for _, s := range w.servers {
+		if !s.Dead() && s.leftAt.IsZero() && s.Service == service {
+			live = append(live, s)
+		}
+	}
+	if len(live) < 3 {
+		return nil
+	}
+	return live[random.IntN(len(live))]
+}
+
+// configure writes the next version of the configuration: one route goes and
+// another one comes.
+func (w *world) configure() {
+	w.mutex.Lock()
+	w.version++
+	version := w.version
+	w.mutex.Unlock()
+	routes := append(standin.DefaultRoutes(), standin.Route{
+		Name: fmt.Sprintf("extra%d", version), Prefix: extraPath(version), Service: standin.PlainService, Repeatable: true,
+	})
+	standin.Configure(w.store, version, routes)
+	w.mutex.Lock()
+	w.configuredAt = time.Now()
+	w.mutex.Unlock()
+}
+
+func extraPath(version int) string { return fmt.Sprintf("/extra%d/", version) }
+
+// configuration returns the version in force and when it was acknowledged.
+func (w *world) configuration() (int, time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.version, w.configuredAt
+}
+
+// leave announces that a server leaves.
+func (w *world) leave(s *server) {
+	s.Announce("draining")
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	s.leftAt = time.Now()
+}
+
+// setFaults changes what is wrong with the store for everybody.
+func (w *world) setFaults(change func(*memory.Faults)) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	change(&w.faults)
+	w.store.SetFaults(w.faults)
+	w.disturbStore()
+}
+
+// disturbStore notes a disturbance of the store. The caller holds the mutex.
+func (w *world) disturbStore() { w.storeDisturbed = time.Now().Add(contactTime) }
+
+// compact makes the store forget its history.
+func (w *world) compact() {
+	w.store.Compact()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.disturbStore()
+}
+
+// storeStable reports whether nothing is and was wrong with the store lately.
+func (w *world) storeStable() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.faults == (memory.Faults{}) && time.Now().After(w.storeDisturbed)
+}
+
+// leftAt returns when servers began to leave.
+func (w *world) leftAt() map[string]time.Time {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	left := make(map[string]time.Time)
+	for _, s := range w.servers {
+		if !s.leftAt.IsZero() {
+			left[s.ID] = s.leftAt
+		}
+	}
+	return left
+}
+
+// heal takes every fault of servers and store away.
+func (w *world) heal() {
+	w.setFaults(func(faults *memory.Faults) { *faults = memory.Faults{} })
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, s := range w.servers {
+		s.link.Set(Pass)
+		s.SetFaults(standin.Faults{Work: serverWork})
+	}
+}
+
+func (w *world) close() {
+	w.mutex.Lock()
+	servers := append([]*server(nil), w.servers...)
+	w.mutex.Unlock()
+	for _, s := range servers {
+		s.Stop()
+		s.link.Close()
+	}
+	w.store.Close()
+}
