Changes of large values are passed on as deltas

Ruled out: deflate, whose window is smaller than the documents, and which costs more processor time than finding equal chunks.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -45,8 +45,10 @@
 	confirmStep     = 150 * time.Millisecond
 	// confirmSteps bounds the steps, so that every watcher asks within maxAge.
 	confirmSteps = 4
-	// logLimit is how many changes are kept for followers that missed some.
-	logLimit = 512
+	// logLimit is how many bytes of changes are kept for followers that missed
+	// some; changeBytes is what a change counts beside its value or delta.
+	logLimit    = 256 << 10
+	changeBytes = 64
 )
 
 // Message is what one node tells another. Exactly one field is set.
@@ -224,10 +226,10 @@
 		f.log, f.logged = nil, 0
 	}
 	f.revision = batch.Revision
-	f.log = append(f.log, batch)
-	f.logged += len(batch.Events)
+	f.log = append(f.log, withoutValues(batch))
+	f.logged += size(batch)
 	for len(f.log) > 1 && f.logged > logLimit {
-		f.logged -= len(f.log[0].Events)
+		f.logged -= size(f.log[0])
 		f.log = f.log[1:]
 	}
 	f.updateBehind(now)
@@ -238,6 +240,32 @@
 	return messages
 }
 
+// withoutValues returns a batch without the values for which there are deltas.
+func withoutValues(batch topo.Batch) topo.Batch {
+	stripped := batch
+	stripped.Events = append([]topo.Event(nil), batch.Events...)
+	for index := range stripped.Events {
+		if stripped.Events[index].Delta != nil {
+			stripped.Events[index].Value = nil
+		}
+	}
+	return stripped
+}
+
+// size returns how many bytes of the log a batch takes.
+func size(batch topo.Batch) int {
+	bytes := 0
+	for _, event := range batch.Events {
+		bytes += changeBytes
+		if event.Delta != nil {
+			bytes += len(event.Delta)
+			continue
+		}
+		bytes += len(event.Value)
+	}
+	return bytes
+}
+
 // passOn appends the changes that a follower has not been sent yet.
 func (f *Feed) passOn(messages []Message, address string) []Message {
 	known := f.followers[address]
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -311,7 +311,7 @@
 	var events []topo.Event
 	for key, item := range after {
 		if before[key].Revision != item.Revision {
-			events = append(events, topo.Event{Item: item})
+			events = append(events, withDelta(before[key], topo.Event{Item: item}))
 		}
 	}
 	for key := range before {
@@ -330,14 +330,13 @@
 	if !m.listed || batch.Revision < m.revision || batch.After > m.revision {
 		return
 	}
-	fresh := make([]topo.Event, 0, len(batch.Events))
-	for _, event := range batch.Events {
-		// A listing is no snapshot: it may hold later changes than the revision
-		// that the watch continues from.
-		if m.items[event.Key].Revision > event.Revision {
-			continue
-		}
-		fresh = append(fresh, event)
+	fresh, complete := m.resolve(batch.Events)
+	if !complete {
+		m.logger.Warn("change cannot be made from its delta, listing again", zap.Int64("revision", m.revision))
+		m.listed = false
+		return
+	}
+	for _, event := range fresh {
 		if event.Deleted {
 			delete(m.items, event.Key)
 			continue
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -140,3 +141,58 @@
 		t.Fatal("the copy is new and CatchUp listed again")
 	}
 }
+
+// Seen on umurage-gw-grown scale-1: a configuration of some hundred KB, passed on
+// whole to each node, filled the links, and heartbeats waited behind it.
+func TestLargeValuesArePassedOnAsDeltas(t *testing.T) {
+	store := memory.New()
+	large := func(version string) string {
+		text := version
+		for index := range 200 {
+			text += fmt.Sprintf(`{"route":%d}`, index)
+		}
+		return text
+	}
+	store.Write("config", []byte(large("1")))
+	first, passed := newRecorder(), make(chan topo.Batch, 16)
+	watcher := mirror.New(store, first, zap.NewNop())
+	watcher.Observe(observer{changed: passed, watching: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = watcher.Run(ctx) }()
+	first.waitFor(t, "config", large("1"))
+
+	second := newRecorder()
+	follower := mirror.New(store, second, zap.NewNop())
+	follower.Observe(observer{changed: make(chan topo.Batch, 16)})
+	go func() { _ = follower.Run(ctx) }()
+	second.waitFor(t, "config", large("1"))
+	<-passed
+
+	store.Write("config", []byte(large("2")))
+	batch := <-passed
+	if len(batch.Events) != 1 || len(batch.Events[0].Delta) == 0 || len(batch.Events[0].Delta) > 100 {
+		t.Fatalf("passed on: %d changes, delta of %d bytes", len(batch.Events), len(batch.Events[0].Delta))
+	}
+	batch.Events[0].Value = nil
+	follower.Take(batch)
+	second.waitFor(t, "config", large("2"))
+
+	// A delta that does not fit makes the follower list the store again.
+	store.Write("config", []byte(large("3")))
+	next := <-passed
+	next.Events[0].Value = nil
+	next.Events[0].BaseRevision--
+	next.Events[0].Revision++
+	follower.Take(next)
+	second.waitFor(t, "config", large("3"))
+}
+
+type observer struct {
+	changed  chan topo.Batch
+	watching bool
+}
+
+func (o observer) Changed(batch topo.Batch)   { o.changed <- batch }
+func (o observer) Confirmed(time.Time, int64) {}
+func (o observer) Watching() bool             { return o.watching }
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -165,6 +165,7 @@
 		for _, event := range message.Batch.Events {
 			encoded.Changes = append(encoded.Changes, &wire.StoreItem{
 				Key: event.Key, Value: event.Value, Revision: event.Revision, Lease: int64(event.Lease), Deleted: event.Deleted,
+				Delta: event.Delta, BaseRevision: event.BaseRevision,
 			})
 		}
 		return &wire.Envelope{Body: &wire.Envelope_ChangeBatch{ChangeBatch: encoded}}
@@ -181,7 +182,10 @@
 func batchOf(received *wire.ChangeBatch) *topo.Batch {
 	batch := &topo.Batch{After: received.GetAfter(), Revision: received.GetRevision()}
 	for _, change := range received.GetChanges() {
-		batch.Events = append(batch.Events, topo.Event{Item: itemOf(change), Deleted: change.GetDeleted()})
+		batch.Events = append(batch.Events, topo.Event{
+			Item: itemOf(change), Deleted: change.GetDeleted(),
+			Delta: change.GetDelta(), BaseRevision: change.GetBaseRevision(),
+		})
 	}
 	return batch
 }
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -42,6 +42,10 @@
 type Event struct {
 	Item
 	Deleted bool
+	// Delta, if there is one, leads to the value from the one that the key had at
+	// BaseRevision; Value may then be missing. A store reports none.
+	Delta        []byte
+	BaseRevision int64
 }
 
 // Batch holds all changes of the store between two revisions.
