--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -72,7 +72,11 @@
 	mutex    sync.Mutex
 	items    map[string]topo.Item
 	revision int64
-	listed   bool
+	// listed is true once the copy is complete.
+	listed bool
+	// wanted is a revision that the store has and that the watch did not bring; the
+	// store is listed again until the copy has reached it. 0 means none.
+	wanted int64
 	// lost is true while the store does not answer this node.
 	lost atomic.Bool
 	// cancelWatch ends the watch that is waiting.
@@ -107,7 +111,7 @@
 			continue
 		case errors.Is(err, topo.ErrCompacted):
 			m.logger.Info("history compacted, listing again", zap.Int64("revision", m.Revision()))
-			m.forceList()
+			m.listAgain(m.Revision() + 1)
 			continue
 		case errors.Is(err, context.Canceled):
 			continue
@@ -121,11 +125,12 @@
 }
 
 // follows reports whether the copy is kept through Take instead of a watch.
-func (m *Mirror) follows() bool {
+func (m *Mirror) follows() bool { return !m.mustList() && !m.observer.Watching() }
+
+func (m *Mirror) mustList() bool {
 	m.mutex.Lock()
-	listed := m.listed
-	m.mutex.Unlock()
-	return listed && !m.observer.Watching()
+	defer m.mutex.Unlock()
+	return !m.listed || m.wanted > 0
 }
 
 // Resume ends a watch that may have been cut off and asks for the changes since
@@ -159,20 +164,29 @@
 	return items, m.revision, m.listed
 }
 
-func (m *Mirror) forceList() {
+// listAgain makes the store be listed until the copy has reached a revision.
+func (m *Mirror) listAgain(revision int64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.listed = false
+	m.wanted = max(m.wanted, revision)
+}
+
+// reached takes in that the copy is at its revision. The caller holds the mutex.
+func (m *Mirror) reached() {
+	if m.revision >= m.wanted {
+		m.wanted = 0
+	}
+	revisionSeen.Set(float64(m.revision))
 }
 
 func (m *Mirror) step(ctx context.Context) error {
 	m.mutex.Lock()
-	listed, revision := m.listed, m.revision
+	revision := m.revision
 	watch, cancel := context.WithCancel(ctx)
 	m.cancelWatch = cancel
 	m.mutex.Unlock()
 	defer cancel()
-	if !listed {
+	if m.mustList() {
 		return m.list(ctx)
 	}
 	events, at, err := m.store.Watch(watch, "", revision, watchWait)
@@ -186,7 +200,7 @@
 	if missing := gaps(events, revision, at); missing > 0 {
 		m.logger.Warn("watch passed over changes, listing again",
 			zap.Int64("after", revision), zap.Int64("revision", at), zap.Int64("missing", missing))
-		m.forceList()
+		m.listAgain(at)
 		return nil
 	}
 	m.Take(topo.Batch{After: revision, Revision: at, Events: events})
@@ -205,6 +219,9 @@
 		return err
 	}
 	m.Adopt(items, at)
+	m.mutex.Lock()
+	m.wanted = 0
+	m.mutex.Unlock()
 	m.observer.Confirmed(sentAt, at)
 	return nil
 }
@@ -264,7 +281,7 @@
 		return false
 	}
 	m.logger.Warn("watch is silent, listing again", zap.Int64("revision", seen), zap.Int64("store", revision))
-	m.forceList()
+	m.listAgain(revision)
 	m.Resume()
 	return true
 }
@@ -289,7 +306,6 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if revision < m.revision {
-		m.listed = true
 		return
 	}
 	adopted := make(map[string]topo.Item, len(items))
@@ -300,7 +316,7 @@
 	m.items = adopted
 	m.revision = revision
 	m.listed = true
-	revisionSeen.Set(float64(revision))
+	m.reached()
 	m.receiver.Replace(items, revision)
 	m.observer.Changed(batch)
 }
@@ -333,7 +349,7 @@
 	fresh, complete := m.resolve(batch.Events)
 	if !complete {
 		m.logger.Warn("change cannot be made from its delta, listing again", zap.Int64("revision", m.revision))
-		m.listed = false
+		m.wanted = max(m.wanted, batch.Revision)
 		return
 	}
 	for _, event := range fresh {
@@ -345,7 +361,7 @@
 	}
 	after := m.revision
 	m.revision = batch.Revision
-	revisionSeen.Set(float64(batch.Revision))
+	m.reached()
 	if len(fresh) > 0 {
 		m.receiver.Apply(fresh, batch.Revision)
 	}
