Managers that were over are known by name, and late orders delay a retirement

The map said only whether every manager before its author was over; two managers in a row had not known that yet, and the record of a retirement held the last term of a service alone. Ruled out: releases (refused at once by dead servers, logs), the store.

Change: the map names the earlier managers that may still send orders; each is struck out when another process of its node registers or when it says that it retired, which each node does in a key of its own and repeats until it is done. By reasoning, found beside it: a manager that lost its lock could retire while a grant of its own without an answer might still be taken up to 13 s later; it now waits.

The soak took killed nodes for ended ones (its own fault, mended).

--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -188,14 +188,23 @@
 // any more, so that it need not wait for them.
 func (m *Manager) retire(ctx context.Context, t *term) {
 	t.orders.Wait()
+	if wait := t.lateOrders(); wait > 0 {
+		m.logger.Info("retirement waits for late orders", zap.Int64("epoch", t.lock.epoch), zap.Duration("wait", wait))
+		periodic.Pause(ctx, wait)
+	}
 	value, err := json.Marshal(view.Retirement{Process: m.config.Self.Process, Epoch: t.lock.epoch})
 	if err != nil {
 		m.logger.Error("retirement not encoded", zap.Error(err))
 		return
 	}
-	_, err = m.config.Store.Commit(ctx, topo.Transaction{
-		Puts: []topo.Put{{Key: view.RetiredKey(m.service), Value: value}},
-	})
+	retirement := topo.Transaction{Puts: []topo.Put{{Key: view.RetiredKey(m.service, m.config.Self.Name), Value: value}}}
+	for ctx.Err() == nil {
+		_, err = m.config.Store.Commit(ctx, retirement)
+		if err == nil {
+			break
+		}
+		periodic.Pause(ctx, campaignPause)
+	}
 	m.logger.Info("manager retired", zap.Int64("epoch", t.lock.epoch), zap.Error(err))
 }
 
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -34,9 +34,6 @@
 	firstSeen   time.Time
 	lastJoined  time.Time
 	known       map[discovery.ServerID]bool
-	// predecessor wrote the map that this term found, in its epoch.
-	predecessor      shards.Author
-	predecessorEpoch int64
 	// orders counts what is on its way to servers and the store.
 	orders sync.WaitGroup
 	// resigning is true once no more orders may be sent.
@@ -45,7 +42,7 @@
 
 func newTerm(m *Manager, held *lock, current *shards.Map, revision int64) *term {
 	now := time.Now()
-	author := shards.Author{Node: m.config.Self.Name, Process: m.config.Self.Process}
+	author := shards.Author{Node: m.config.Self.Name, Process: m.config.Self.Process, Epoch: uint64(held.epoch)}
 	t := &term{
 		manager:     m,
 		lock:        held,
@@ -57,23 +54,18 @@
 		speeds:      make(map[discovery.ServerID]*speed),
 		known:       make(map[discovery.ServerID]bool),
 	}
-	if current != nil {
-		t.predecessor = current.Author
-		t.predecessorEpoch = int64(current.Epoch)
-	}
 	return t
 }
 
-// lookAtPredecessor tells the core when the last manager sends no orders any more:
-// another life of its node has registered, or it has retired. The caller holds
-// the mutex.
-func (t *term) lookAtPredecessor(current *view.View) {
-	node, registered := current.Nodes[t.predecessor.Node]
-	ended := registered && node.Process != t.predecessor.Process
-	retired := t.predecessorEpoch != 0 && current.Retired[t.manager.service].Epoch == t.predecessorEpoch
-	if ended || retired {
-		t.core.PredecessorOver(t.now())
-	}
+// lookAtPredecessors tells the core which earlier managers send no orders any
+// more. The caller holds the mutex.
+func (t *term) lookAtPredecessors(current *view.View) {
+	self := t.manager.config.Self
+	t.core.AuthorsOver(t.now(), func(author shards.Author) bool {
+		// The orders of an earlier term of this process were waited for.
+		own := author.Node == self.Name && author.Process == self.Process
+		return own || !current.SendsOrders(t.manager.service, author.Node, author.Process, int64(author.Epoch))
+	})
 }
 
 func (t *term) now() time.Duration { return time.Since(t.start) }
@@ -158,7 +150,7 @@
 		return
 	}
 	t.lookAtServers(current)
-	t.lookAtPredecessor(current)
+	t.lookAtPredecessors(current)
 	t.core.SetStoreHealthy(!t.storeFailed && time.Since(t.keptAt) < lockTTL)
 	if !t.core.Started() && t.settled() {
 		t.core.Start()
@@ -226,6 +218,13 @@
 	}
 }
 
+// lateOrders is for how long grants that got no answer may still be carried out.
+func (t *term) lateOrders() time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.core.LateOrdersUntil() - t.now()
+}
+
 // resignWait is how long a manager that steps down waits for its orders.
 const resignWait = 1200 * time.Millisecond
 
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -97,7 +97,7 @@
 //
 // A manager sends no order before it has committed a map of its own epoch. So the
 // author of the map that a manager finds is the last one that sent orders, and the
-// orders of those before it are over if that map is settled.
+// orders of those before it are over but for the pending ones that the map names.
 type Manager struct {
 	service string
 	epoch   uint64
@@ -105,14 +105,10 @@
 	// installed is true once a map of this epoch is committed.
 	installed bool
 	resigned  bool
-	// inheritedUntil is when the last grant of earlier managers can end;
-	// previousSettled says whether that depends on the last of them only.
-	inheritedUntil  time.Duration
-	previousSettled bool
-	predecessorOver bool
-	predecessor     Author
-	// settledWritten is true once the committed map says that it is settled.
-	settledWritten bool
+	// inheritedUntil is when the last grant of earlier managers can end, and
+	// pending are those of them that may still send orders.
+	inheritedUntil time.Duration
+	pending        []Author
 	options        Options
 	nextSeq        uint64
 
@@ -148,12 +144,11 @@
 		plan:         planState{heavyMoved: make(map[uint32]time.Duration)},
 	}
 	if previous == nil {
-		m.installed, m.predecessorOver, m.previousSettled = true, true, true
+		m.installed = true
 		return m
 	}
 	m.uncommitted = true
-	m.previousSettled = previous.Settled
-	m.predecessor = previous.Author
+	m.pending = pendingAfter(previous)
 	m.inheritedUntil = now + options.PreviousAuthority + options.LateOrder + m.holdBound()
 	// Where one order got no answer, others may be under way that the author
 	// did not live to note.
@@ -168,9 +163,7 @@
 		}
 		m.shards = append(m.shards, s)
 	}
-	if previous.Resigned {
-		m.PredecessorOver(now)
-	}
+	m.lookAtPending(now)
 	return m
 }
 
@@ -186,7 +179,7 @@
 func (m *Manager) Map(now time.Duration) *Map {
 	current := &Map{
 		Service: m.service, Epoch: m.epoch, Ranges: make([]Range, 0, len(m.shards)),
-		Author: m.author, Settled: m.settled(now), Resigned: m.resigned,
+		Author: m.author, Pending: append([]Author(nil), m.pending...), Resigned: m.resigned,
 	}
 	for _, s := range m.shards {
 		current.Ranges = append(current.Ranges, s.Range)
@@ -245,10 +238,7 @@
 // Tick advances the manager to a moment and returns what is to be done.
 func (m *Manager) Tick(now time.Duration) Commands {
 	var commands Commands
-	if !m.settledWritten && m.settled(now) {
-		m.settledWritten = true
-		m.uncommitted = len(m.shards) > 0
-	}
+	m.forgetPending(now)
 	if !m.installed || m.resigned {
 		m.commit(now, &commands)
 		return commands
--- a/internal/shards/map.go
+++ b/internal/shards/map.go
@@ -38,11 +38,13 @@
 	Late bool
 }
 
-// Author is the manager that wrote a map.
+// Author is a manager that wrote a map.
 type Author struct {
 	Node string
 	// Process differs between two lives of a node.
 	Process string
+	// Epoch is the epoch of the manager's term.
+	Epoch uint64
 }
 
 // Map is the owner map of one service. It is immutable once published.
@@ -53,9 +55,8 @@
 	// Ranges are sorted, adjacent and cover the whole key space.
 	Ranges []Range
 	Author Author
-	// Settled is true once no manager before the author can still have sent
-	// orders that the author does not know of.
-	Settled bool
+	// Pending are managers before the author that may still send orders.
+	Pending []Author
 	// Resigned is true if the author sends no orders after this map.
 	Resigned bool
 }
@@ -83,7 +84,10 @@
 func (m *Map) Encode() ([]byte, error) {
 	stored := &wire.ShardMap{
 		Service: m.Service, Epoch: m.Epoch, Node: m.Author.Node, Process: m.Author.Process,
-		Settled: m.Settled, Resigned: m.Resigned,
+		Resigned: m.Resigned,
+	}
+	for _, author := range m.Pending {
+		stored.Pending = append(stored.Pending, &wire.ShardAuthor{Node: author.Node, Process: author.Process, Epoch: author.Epoch})
 	}
 	positions := make(map[discovery.ServerID]uint32)
 	for _, r := range m.Ranges {
@@ -109,8 +113,11 @@
 	}
 	decoded := &Map{
 		Service: stored.GetService(), Epoch: stored.GetEpoch(),
-		Author:  Author{Node: stored.GetNode(), Process: stored.GetProcess()},
-		Settled: stored.GetSettled(), Resigned: stored.GetResigned(),
+		Author:   Author{Node: stored.GetNode(), Process: stored.GetProcess(), Epoch: stored.GetEpoch()},
+		Resigned: stored.GetResigned(),
+	}
+	for _, author := range stored.GetPending() {
+		decoded.Pending = append(decoded.Pending, Author{Node: author.GetNode(), Process: author.GetProcess(), Epoch: author.GetEpoch()})
 	}
 	next := uint32(0)
 	for _, r := range stored.GetRanges() {
--- a/internal/shards/predecessor.go
+++ b/internal/shards/predecessor.go
@@ -2,26 +2,51 @@
 
 import "time"
 
-// PredecessorOver tells that the author of the map this manager found sends no
-// orders any more: it resigned, or its process has ended.
-func (m *Manager) PredecessorOver(now time.Duration) {
-	if m.predecessorOver {
+// pendingAfter returns the managers that may still have orders under way when a
+// new manager finds a map: those that the map's author did not know to be over,
+// and the author itself unless it resigned.
+func pendingAfter(previous *Map) []Author {
+	pending := append([]Author(nil), previous.Pending...)
+	if !previous.Resigned {
+		pending = append(pending, previous.Author)
+	}
+	return pending
+}
+
+// AuthorsOver takes out of the pending managers those that send no orders any
+// more, as over tells: they resigned, their process has ended, or they said so.
+// Their last grants then run out within one hold.
+func (m *Manager) AuthorsOver(now time.Duration, over func(Author) bool) {
+	var kept []Author
+	for _, author := range m.pending {
+		if !over(author) {
+			kept = append(kept, author)
+		}
+	}
+	if len(kept) == len(m.pending) {
 		return
 	}
-	m.predecessorOver = true
-	if m.previousSettled {
+	m.pending = kept
+	m.uncommitted = m.Started()
+	m.lookAtPending(now)
+}
+
+// lookAtPending shortens the wait for earlier managers' grants once none of them
+// can send more.
+func (m *Manager) lookAtPending(now time.Duration) {
+	if len(m.pending) == 0 {
 		m.inheritedUntil = min(m.inheritedUntil, now+m.holdBound())
 	}
 }
 
-// PredecessorProcess names the process of the author of the map that this manager
-// found, or is empty.
-func (m *Manager) PredecessorProcess() string { return m.predecessor.Process }
-
-// settled reports whether no order of an earlier manager can be under way that
-// this one does not know of.
-func (m *Manager) settled(now time.Duration) bool {
-	return (m.predecessorOver && m.previousSettled) || now > m.inheritedUntil
+// forgetPending drops managers whose orders would have run out by now whatever
+// became of them.
+func (m *Manager) forgetPending(now time.Duration) {
+	if len(m.pending) == 0 || now <= m.inheritedUntil {
+		return
+	}
+	m.pending = nil
+	m.uncommitted = m.Started()
 }
 
 // Resign makes the manager give no more orders; the map of the next commit says
@@ -30,3 +55,16 @@
 	m.resigned = true
 	m.uncommitted = true
 }
+
+// LateOrdersUntil is when the last grant that got no answer can be carried out. A
+// manager that lost its lock cannot note such grants in the map any more, so it
+// must not say before then that it is over.
+func (m *Manager) LateOrdersUntil() time.Duration {
+	latest := time.Duration(0)
+	for _, s := range m.shards {
+		if s.lateUntil > 0 {
+			latest = max(latest, s.lateUntil-m.holdBound())
+		}
+	}
+	return latest
+}
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -77,6 +77,8 @@
 	highest [sampledKeys]map[discovery.ServerID]uint64
 	options shards.Options
 	ended   map[string]bool
+	// retiring are managers without orders under way that have not said so yet.
+	retiring []*simManager
 }
 
 func newWorld(seed uint64, options shards.Options) *world {
@@ -115,7 +117,7 @@
 		return
 	}
 	w.epoch++
-	author := shards.Author{Node: "n", Process: fmt.Sprintf("p%d", w.epoch)}
+	author := shards.Author{Node: "n", Process: fmt.Sprintf("p%d", w.epoch), Epoch: w.epoch}
 	w.active = append(w.active, &simManager{
 		core:    shards.NewManager("s", w.epoch, author, w.stored, w.options, w.now),
 		process: author.Process,
@@ -155,16 +157,30 @@
 	var kept []*simManager
 	for _, manager := range w.active {
 		if manager.cutAt != 0 && w.now > manager.cutAt+authority {
-			w.ended[manager.process] = true
+			w.retiring = append(w.retiring, manager)
 			continue
 		}
 		kept = append(kept, manager)
 		w.drive(manager)
 	}
 	w.active = kept
+	w.retire()
 	w.check()
 }
 
+// retire lets managers that send no orders any more say so.
+func (w *world) retire() {
+	var kept []*simManager
+	for _, manager := range w.retiring {
+		if w.now <= manager.core.LateOrdersUntil() {
+			kept = append(kept, manager)
+			continue
+		}
+		w.ended[manager.process] = true
+	}
+	w.retiring = kept
+}
+
 func (w *world) drive(manager *simManager) {
 	results := manager.results
 	manager.results = nil
@@ -177,8 +193,8 @@
 		servers = append(servers, shards.Server{ID: s.id, Address: string(s.id), Capacity: 2, Accepting: s.up && s.reachable})
 	}
 	manager.core.SetServers(servers, nil)
-	if w.stored != nil && manager == w.holder() && w.predecessorEnded(manager) {
-		manager.core.PredecessorOver(w.now)
+	if manager == w.holder() {
+		manager.core.AuthorsOver(w.now, func(author shards.Author) bool { return w.ended[author.Process] })
 	}
 	manager.core.Start()
 	commands := manager.core.Tick(w.now)
@@ -193,12 +209,6 @@
 	}
 }
 
-// predecessorEnded reports whether every manager before this one has ended. The
-// core may be told so only of the last author; that is weaker and enough.
-func (w *world) predecessorEnded(manager *simManager) bool {
-	return manager.core.PredecessorProcess() != "" && w.ended[manager.core.PredecessorProcess()]
-}
-
 func (w *world) commit(manager *simManager, written *shards.Map) {
 	if manager != w.holder() {
 		return
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -33,8 +33,8 @@
 	ended          chan struct{}
 	frozen         bool
 	disturbedUntil time.Time
-	// draining is true from the signal to stop until the next start.
-	draining bool
+	// down is true from a signal that ends the process until the next start.
+	down bool
 }
 
 // freeAddress returns an address on the loopback interface that nobody uses.
@@ -101,7 +101,7 @@
 		_ = process.Wait()
 		close(ended)
 	}()
-	n.process, n.ended, n.frozen, n.draining = process, ended, false, false
+	n.process, n.ended, n.frozen, n.down = process, ended, false, false
 	n.disturb()
 	return nil
 }
@@ -122,8 +122,8 @@
 		n.frozen = true
 	case syscall.SIGCONT:
 		n.frozen = false
-	case syscall.SIGTERM:
-		n.draining = true
+	case syscall.SIGTERM, syscall.SIGKILL:
+		n.down = true
 	}
 	// A process that has ended needs no signal.
 	_ = n.process.Process.Signal(signal)
@@ -169,7 +169,7 @@
 func (n *Node) InTouch() bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return !n.frozen && !n.draining && time.Now().After(n.disturbedUntil) && n.link.current() == Pass
+	return !n.frozen && !n.down && time.Now().After(n.disturbedUntil) && n.link.current() == Pass
 }
 
 // Stop ends the process, the link and the log.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -35,11 +35,12 @@
 // OwnersKey holds the owner map of a service.
 func OwnersKey(service string) string { return ownersPrefix + service }
 
-// RetiredKey holds the last manager of a service that lost its lock and sends no
-// orders any more.
-func RetiredKey(service string) string { return retiredPrefix + service }
+// RetiredKey holds the last term of a node as the manager of a service that ended
+// with the loss of the lock.
+func RetiredKey(service, node string) string { return retiredPrefix + service + "/" + node }
 
-// Retirement says that a manager sends no orders any more.
+// Retirement says that a node sends no orders of a term or of those before it any
+// more.
 type Retirement struct {
 	Process string `json:"process"`
 	// Epoch is the epoch of the term that is over.
@@ -105,8 +106,9 @@
 	Services map[string][]*Server
 	Owners   map[string]Owners
 	Managers map[string]Manager
-	Retired  map[string]Retirement
-	Nodes    map[string]Node
+	// Retired holds retirements by RetiredKey.
+	Retired map[string]Retirement
+	Nodes   map[string]Node
 }
 
 // goneMemory is how long a missing server is remembered.
@@ -220,7 +222,7 @@
 	case strings.HasPrefix(item.Key, managerPrefix):
 		b.putManager(strings.TrimPrefix(item.Key, managerPrefix), item)
 	case strings.HasPrefix(item.Key, retiredPrefix):
-		b.putRetired(strings.TrimPrefix(item.Key, retiredPrefix), item)
+		b.putRetired(item)
 	case strings.HasPrefix(item.Key, nodePrefix):
 		b.putNode(strings.TrimPrefix(item.Key, nodePrefix), item)
 	}
@@ -290,13 +292,24 @@
 	b.next.Managers[service] = Manager{Node: node, Epoch: item.Revision}
 }
 
-func (b *Builder) putRetired(service string, item topo.Item) {
+func (b *Builder) putRetired(item topo.Item) {
 	var retired Retirement
 	if err := json.Unmarshal(item.Value, &retired); err != nil {
-		b.logger.Error("retirement refused", zap.String("service", service), zap.Error(err))
+		b.logger.Error("retirement refused", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
-	b.next.Retired[service] = retired
+	b.next.Retired[item.Key] = retired
+}
+
+// SendsOrders reports whether a node may still send orders of its term as the
+// manager of a service: neither has another process of it registered nor has it
+// retired from the term.
+func (v *View) SendsOrders(service, node, process string, epoch int64) bool {
+	if registered, known := v.Nodes[node]; known && registered.Process != process {
+		return false
+	}
+	retired := v.Retired[RetiredKey(service, node)]
+	return retired.Process != process || retired.Epoch < epoch
 }
 
 func (b *Builder) putNode(name string, item topo.Item) {
