A node that knows no other one follows those that speak to it

Cause: TestNodeThatTheStoreRefusesFollowsTheOthers failed twice in about ten runs beside other packages; the node's log: its list was made before the other node had registered, the store refused it from then on, and although the other node told it of newer revisions ('watch is silent, store: 5') it had no address to ask. Not load: the order of two starts decides.

Change: addresses of nodes that sent something are remembered and asked when no node is known; pauses between failed campaigns grow to 1.2 s, since refused calls cost too. Test: TestNodeThatKnowsNobodyFollowsThoseItHears, seen failing.

--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +49,33 @@
 	orders shardmanager.Orders
 	feed   *changeFeed
 	logger *zap.Logger
+
+	mutex sync.Mutex
+	// heardFrom holds addresses of nodes that sent something, the last one last:
+	// other ways to learn of nodes may be missing.
+	heardFrom []string
+}
+
+// maxHeardFrom bounds the addresses that are remembered.
+const maxHeardFrom = 8
+
+// hear remembers the address of a node that sent something.
+func (p *peers) hear(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if address == "" || slices.Contains(p.heardFrom, address) {
+		return
+	}
+	p.heardFrom = append(p.heardFrom, address)
+	if len(p.heardFrom) > maxHeardFrom {
+		p.heardFrom = p.heardFrom[1:]
+	}
+}
+
+func (p *peers) heard() []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return slices.Clone(p.heardFrom)
 }
 
 // setSeeds replaces the addresses at which other nodes may be found.
@@ -108,6 +137,7 @@
 
 // HandleMessage implements transport.Handler.
 func (p *peers) HandleMessage(from *wire.Hello, envelope *wire.Envelope) {
+	p.hear(from.GetAddress())
 	switch body := envelope.GetBody().(type) {
 	case *wire.Envelope_MoveNotice:
 		p.takeMoveNotice(body.MoveNotice)
@@ -296,9 +326,9 @@
 func (p *peers) randomPeer() string {
 	addresses := p.otherAddresses()
 	if len(addresses) == 0 {
-		for _, seed := range *p.seeds.Load() {
-			if seed != p.self.Address {
-				addresses = append(addresses, seed)
+		for _, address := range append(p.heard(), *p.seeds.Load()...) {
+			if address != p.self.Address {
+				addresses = append(addresses, address)
 			}
 		}
 	}
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -53,6 +53,9 @@
 	// before it campaigns, so that not all of them do; campaignSteps bounds that.
 	campaignStep  = 150 * time.Millisecond
 	campaignSteps = 6
+	// maxCampaignPause bounds the pause after campaigns that failed: each call
+	// costs, refused ones too.
+	maxCampaignPause = 1200 * time.Millisecond
 	// settleTime is how long no server must have registered before the first map
 	// is made, and settleLimit how long that is waited for.
 	settleTime  = 1500 * time.Millisecond
@@ -97,6 +100,7 @@
 
 // Run campaigns and manages until the context ends; then it gives the lock up.
 func (m *Manager) Run(ctx context.Context) error {
+	pause := campaignPause
 	for ctx.Err() == nil {
 		m.disown(ctx)
 		if m.taken() {
@@ -112,9 +116,11 @@
 			if !errors.Is(err, topo.ErrConflict) {
 				m.logger.Info("campaign failed", zap.Error(err))
 			}
-			periodic.Pause(ctx, campaignPause+time.Duration(rand.Int64N(int64(campaignPause))))
+			periodic.Pause(ctx, pause+time.Duration(rand.Int64N(int64(campaignPause))))
+			pause = min(2*pause, maxCampaignPause)
 			continue
 		}
+		pause = campaignPause
 		m.serve(ctx, elected)
 	}
 	return nil
