Log lines carry errors without stack traces

Each error of a lost store or a failed campaign was followed by its stack trace (errorVerbose), many times the length of the line; the volume of logs must stay bounded.

--- a/internal/routerlog/routerlog.go
+++ b/internal/routerlog/routerlog.go
@@ -97,6 +97,19 @@
 	return &limitedCore{Core: c.Core.With(fields), limiter: c.limiter, output: c.output}
 }
 
+// Write implements zapcore.Core. Errors are written without their stack traces,
+// which are many times longer than the line.
+func (c *limitedCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	short := make([]zapcore.Field, 0, len(fields))
+	for _, field := range fields {
+		if err, ok := field.Interface.(error); ok && field.Type == zapcore.ErrorType {
+			field = zap.String(field.Key, err.Error())
+		}
+		short = append(short, field)
+	}
+	return c.Core.Write(entry, short)
+}
+
 // Check implements zapcore.Core.
 func (c *limitedCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
 	if !c.Enabled(entry.Level) {
