No client connection is closed while a request waits on it unread

Ruled out by reading: answers broken off on purpose (those need a server's long answer or a client that left). Change: ConnectionLimits follows the first byte of each request and asks the kernel for unread bytes before it closes; header time-outs follow the operators' limits and are kept the same way; a stopping node closes idle connections itself, by the same rule, before it shuts down. sockets: what upstream asked the kernel is shared.

--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -43,10 +43,13 @@
 }
 
 const (
-	gcPercent      = 50
-	memoryPart     = 0.8
-	headerTimeout  = 5 * time.Second
-	idlePrune      = time.Second
+	gcPercent     = 50
+	memoryPart    = 0.8
+	headerTimeout = 5 * time.Second
+	idlePrune     = time.Second
+	// idleClosePause is the pause between two looks for idle connections while
+	// the node stops.
+	idleClosePause = 20 * time.Millisecond
 	headerBytes    = 64 << 10
 	metricsPath    = "/metrics"
 	followInterval = 100 * time.Millisecond
@@ -67,7 +70,7 @@
 	mirror       *mirror.Mirror
 	dispatcher   *dispatch.Dispatcher
 	handler      *ingress.Handler
-	idle         *ingress.IdleLimit
+	connections  *ingress.ConnectionLimits
 	managers     *managers
 	peers        *peers
 	registration *registration
@@ -77,7 +80,9 @@
 	metrics      *http.Server
 	headers      ingress.Headers
 	path         string
-	stopping     atomic.Bool
+	// listener is that of the clients; nil before it listens.
+	listener atomic.Pointer[net.Listener]
+	stopping atomic.Bool
 	// drained is closed when a stopping node has ended its requests.
 	drained chan struct{}
 }
@@ -106,7 +111,7 @@
 	n.dispatcher = dispatch.New(dispatchOptions(settings, platform.Headers), n.views, logger)
 	n.mirror = mirror.New(platform.Store, n.views, logger)
 	n.handler = ingress.NewHandler(platform.Headers, n.views, n.dispatcher, logger)
-	n.idle = ingress.NewIdleLimit(n.idleTimeout)
+	n.connections = ingress.NewConnectionLimits(n.connectionLimits)
 	hello := &wire.Hello{Node: self.Name, Zone: self.Zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
 	client := transport.NewClient(hello, nil)
 	changes := newChangeFeed(self, client, logger)
@@ -127,13 +132,13 @@
 	return n, n.listen(hello, platform.ReadyPath)
 }
 
-// idleTimeout is how long clients' connections may be idle; 0 while no
-// configuration is known.
-func (n *Node) idleTimeout() time.Duration {
+// connectionLimits returns how long clients' connections may be idle and how long
+// the header of a request may take; no limits while no configuration is known.
+func (n *Node) connectionLimits() (idle, header time.Duration) {
 	if table := n.views.Current().Table; table != nil {
-		return table.Limits().IdleTimeout
+		return table.Limits().IdleTimeout, table.Limits().HeaderTimeout
 	}
-	return 0
+	return 0, 0
 }
 
 func dispatchOptions(settings *Settings, headers ingress.Headers) dispatch.Options {
@@ -157,8 +162,8 @@
 	}
 	n.inner = transport.NewServer(hello, inner, nil, n.peers, n.logger)
 	n.clients = &http.Server{
-		Addr: n.settings.Listen.Clients, Handler: n.handler, ReadHeaderTimeout: headerTimeout,
-		ConnState: n.idle.Track, MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(n.logger),
+		Addr: n.settings.Listen.Clients, Handler: n.handler, ConnState: n.connections.Track,
+		MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(n.logger),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, n.answerReady)
@@ -207,7 +212,7 @@
 	})
 	actor(func(ctx context.Context) error { return periodic.Run(ctx, nodeKeep, n.registration.step) })
 	actor(func(ctx context.Context) error {
-		return periodic.Run(ctx, idlePrune, func(context.Context) { n.idle.Prune(time.Now()) })
+		return periodic.Run(ctx, idlePrune, func(context.Context) { n.connections.Prune(time.Now()) })
 	})
 	actor(n.peers.reportLoad)
 	actor(n.peers.exchangeState)
@@ -229,11 +234,20 @@
 
 // serveClients serves until the node stops, and then until it has drained.
 func (n *Node) serveClients() error {
-	err := serveHTTP(n.clients)
+	listener, err := net.Listen("tcp", n.clients.Addr)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	n.listener.Store(&listener)
+	err = n.clients.Serve(n.connections.Listener(listener))
 	if n.stopping.Load() {
 		<-n.drained
+		return nil
 	}
-	return err
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve clients")
 }
 
 func serveHTTP(server *http.Server) error {
@@ -291,8 +305,21 @@
 	periodic.Pause(ctx, time.Until(takeUntil))
 	bounded, cancel := context.WithDeadline(ctx, giveUpAt)
 	defer cancel()
-	// Shutdown closes the listener and idle connections and waits for the others.
-	if err := n.clients.Shutdown(bounded); err != nil {
+	n.closeIdleClients(bounded)
+	// What is left is being served; Shutdown waits for its end.
+	if err := n.clients.Shutdown(bounded); err != nil && !errors.Is(err, net.ErrClosed) {
 		n.logger.Warn("requests cut off at the end", zap.Int("active", n.handler.Active()), zap.Error(err))
 	}
 }
+
+// closeIdleClients takes no more connections and ends those that are idle. Unlike
+// http.Server.Shutdown it ends none with a request that was not read yet.
+func (n *Node) closeIdleClients(ctx context.Context) {
+	if listener := n.listener.Load(); listener != nil {
+		// It is closed again by Shutdown; an error says that it was closed before.
+		_ = (*listener).Close()
+	}
+	for n.connections.CloseIdle() > 0 && ctx.Err() == nil {
+		periodic.Pause(ctx, idleClosePause)
+	}
+}
--- a/internal/upstream/quiet.go
+++ b/internal/sockets/sockets.go
@@ -1,4 +1,6 @@
-package upstream
+// Package sockets asks the kernel about TCP connections: whether there is anything
+// to read, and what the peer has not acknowledged yet.
+package sockets
 
 import (
 	"net"
@@ -8,9 +10,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// quiet reports whether an idle connection is open and has nothing to read. An
-// idle server has nothing to say: bytes there belong to no request.
-func quiet(socket net.Conn) bool {
+// Quiet reports whether a connection is open and has nothing to read. It takes a
+// connection that has no descriptor as quiet.
+func Quiet(socket net.Conn) bool {
 	raw, ok := socket.(syscall.Conn)
 	if !ok {
 		return true
@@ -29,9 +31,9 @@
 	return err == nil && silent
 }
 
-// unacknowledged returns how many bytes that were written to a connection its
+// Unacknowledged returns how many bytes that were written to a connection its
 // peer has not acknowledged yet.
-func unacknowledged(socket net.Conn) (int, error) {
+func Unacknowledged(socket net.Conn) (int, error) {
 	raw, ok := socket.(syscall.Conn)
 	if !ok {
 		return 0, errors.New("connection has no descriptor")
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/sockets"
 )
 
 // Errors of an exchange.
@@ -137,10 +139,12 @@
 
 // undelivered reports whether written bytes are not acknowledged yet.
 func (c *connection) undelivered() bool {
-	queued, err := unacknowledged(c.socket)
+	queued, err := sockets.Unacknowledged(c.socket)
 	return err == nil && queued > 0
 }
 
+// take returns an idle connection that is open and silent: an idle server has
+// nothing to say, so bytes there belong to no request.
 func (p *Pool) take() *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -148,7 +152,7 @@
 		last := len(p.idle) - 1
 		c := p.idle[last]
 		p.idle = p.idle[:last]
-		if time.Since(c.idleSince) < c.usableFor && quiet(c.socket) {
+		if time.Since(c.idleSince) < c.usableFor && sockets.Quiet(c.socket) {
 			return c
 		}
 		c.close()
