--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -132,3 +132,27 @@
 		t.Fatal("closed with a request that was not read")
 	}
 }
+
+// net/http always reads from an idle connection; looking at one must not wait for
+// that.
+func TestIdleConnectionsArePrunedWhileTheyAreRead(t *testing.T) {
+	limits := ingress.NewConnectionLimits(func() (idle, header time.Duration) { return time.Second, 0 })
+	server, client := accepted(t, limits)
+	limits.Track(server, http.StateIdle)
+	go func() { _, _ = server.Read(make([]byte, 1)) }()
+	// The reader blocks within this time.
+	time.Sleep(50 * time.Millisecond)
+	pruned := make(chan struct{})
+	go func() {
+		defer close(pruned)
+		limits.Prune(time.Now().Add(time.Minute))
+	}()
+	select {
+	case <-pruned:
+	case <-time.After(5 * time.Second):
+		t.Fatal("waits for the reader")
+	}
+	if !closed(client) {
+		t.Fatal("open beyond the limit")
+	}
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -23,10 +23,10 @@
 	}
 	silent := false
 	var peeked [1]byte
-	err = control.Read(func(descriptor uintptr) bool {
+	// Control takes no lock, so that another goroutine may be reading meanwhile.
+	err = control.Control(func(descriptor uintptr) {
 		_, _, received := unix.Recvfrom(int(descriptor), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		silent = received == unix.EAGAIN
-		return true
 	})
 	return err == nil && silent
 }
