Entries that lapsed while the store was away may come back for two seconds

Change: the feed notes when the store was not confirmed for 1.8 s (entries need three missed heartbeats to lapse); entries that vanish then, or within 2 s of the return, count as there until those 2 s are over, and as gone from then on, for routing and for ownership. A server that drained before stays draining. Tests: internal/feed (both directions), internal/view (back in time, missing after it, a later end).

--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -38,8 +38,9 @@
 	owners, divided := d.owners(current, request)
 	if !divided {
 		sum, count := 0.0, 0
+		now := time.Now()
 		for _, candidate := range current.Services[request.Service] {
-			if s := d.servers[candidate.ID]; s != nil && s.Serving() && time.Now().After(s.blockedUntil) {
+			if s := d.servers[candidate.ID]; s != nil && s.Serving(now) && now.After(s.blockedUntil) {
 				places += s.capacity()
 				sum += s.expected()
 				count++
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -124,7 +124,7 @@
 
 // reachable reports whether requests may go to the server at all.
 func (s *server) reachable(now time.Time, leaveGrace time.Duration) bool {
-	if !s.GoneSince.IsZero() && now.Sub(s.GoneSince) > leaveGrace {
+	if s.Gone(now, leaveGrace) {
 		return false
 	}
 	return s.DrainingSince.IsZero() || now.Sub(s.DrainingSince) <= leaveGrace
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -45,6 +45,12 @@
 	confirmStep     = 150 * time.Millisecond
 	// confirmSteps bounds the steps, so that every watcher asks within maxAge.
 	confirmSteps = 4
+	// outageAge is the age of the last confirmation from which the store counts as
+	// away: entries of its servers lapse only after several missed heartbeats.
+	outageAge = 1800 * time.Millisecond
+	// lapseGrace is within which time after the store's return live servers have
+	// written their entries again.
+	lapseGrace = 2 * time.Second
 	// logLimit is how many bytes of changes are kept for followers that missed
 	// some; changeBytes is what a change counts beside its value or delta.
 	logLimit    = 256 << 10
@@ -97,6 +103,10 @@
 	confirmedAt time.Duration
 	confirmed   bool
 
+	// returnedAt is when the store was confirmed again after it had been away.
+	returned   bool
+	returnedAt time.Duration
+
 	// joined is true once the copy is complete.
 	joined bool
 
@@ -208,12 +218,31 @@
 	if f.revision < revision {
 		return false
 	}
+	if f.confirmed && at-f.confirmedAt > outageAge {
+		f.returned, f.returnedAt = true, at
+	}
 	if !f.confirmed || at > f.confirmedAt {
 		f.confirmed, f.confirmedAt = true, at
 	}
 	return true
 }
 
+// LapsedUntil tells until when entries that are found missing now may still come
+// back, because the store was away until a moment ago; false if it was not, as far
+// as this node knows.
+func (f *Feed) LapsedUntil(now time.Duration) (time.Duration, bool) {
+	switch {
+	case !f.confirmed:
+		return 0, false
+	case f.confirmedAge(now) > outageAge:
+		// The change that is being taken in is the first word since then.
+		return now + lapseGrace, true
+	default:
+		until := f.returnedAt + lapseGrace
+		return until, f.returned && now < until
+	}
+}
+
 // Changed takes in that this node's copy changed, the first time that it is there
 // at all, and returns what its followers have to be told.
 func (f *Feed) Changed(now time.Duration, batch topo.Batch) []Message {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -326,3 +326,33 @@
 		}
 	}
 }
+
+// Entries that vanish with an outage of the store may come back for a while after
+// it; those that vanish at any other time may not.
+func TestEntriesMayReturnOnlyAfterTheStoreWasAway(t *testing.T) {
+	core := feed.New(feed.Member{Name: "n"})
+	confirm := func(at time.Duration) { core.Confirm(at, 0) }
+	if _, lapsed := core.LapsedUntil(time.Second); lapsed {
+		t.Fatal("a node that never heard of the store takes it as returned")
+	}
+	confirm(time.Second)
+	confirm(2 * time.Second)
+	if _, lapsed := core.LapsedUntil(2500 * time.Millisecond); lapsed {
+		t.Fatal("calm store: an entry that vanishes is taken as lapsed")
+	}
+	// Nothing is heard until 7 s; the change that tells of it comes first.
+	until, lapsed := core.LapsedUntil(7 * time.Second)
+	if !lapsed || until != 9*time.Second {
+		t.Fatalf("first change after an outage: until %v, %v", until, lapsed)
+	}
+	confirm(7 * time.Second)
+	until, lapsed = core.LapsedUntil(8 * time.Second)
+	if !lapsed || until != 9*time.Second {
+		t.Fatalf("a second after the return: until %v, %v", until, lapsed)
+	}
+	confirm(8 * time.Second)
+	confirm(9 * time.Second)
+	if _, lapsed = core.LapsedUntil(9500 * time.Millisecond); lapsed {
+		t.Fatal("an entry that vanishes later is taken as lapsed")
+	}
+}
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -82,6 +82,14 @@
 	return c.core.Watching(c.now())
 }
 
+// lapsedUntil implements view.Lapse.
+func (c *changeFeed) lapsedUntil() (time.Time, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	until, lapsed := c.core.LapsedUntil(c.now())
+	return c.start.Add(until), lapsed
+}
+
 // step takes in another node's message and returns the changes to take, if any.
 func (c *changeFeed) step(from string, message feed.Message) *topo.Batch {
 	c.mutex.Lock()
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -115,6 +115,7 @@
 	hello := &wire.Hello{Node: self.Name, Zone: self.Zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
 	client := transport.NewClient(hello, nil)
 	changes := newChangeFeed(self, client, logger)
+	n.views.SetLapse(changes.lapsedUntil)
 	n.views.Subscribe(changes.follow)
 	n.mirror.Observe(changes)
 	n.peers = &peers{
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -209,7 +209,7 @@
 				dead = append(dead, s.ID)
 			}
 		}
-		accepting := s.DrainingSince.IsZero() && (s.GoneSince.IsZero() || now.Sub(s.GoneSince) < goneGrace)
+		accepting := s.DrainingSince.IsZero() && !s.Gone(now, goneGrace)
 		servers = append(servers, shards.Server{
 			ID: s.ID, Address: s.Address, Accepting: accepting, Capacity: t.capacity(s),
 		})
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -79,10 +79,27 @@
 	DrainingSince time.Time
 	// GoneSince is when its entry was first seen missing; zero if it is there.
 	GoneSince time.Time
+	// LapsedUntil is set if the entry may be missing only because the store was
+	// away: until then it may still come back.
+	LapsedUntil time.Time
+}
+
+// Gone reports whether the server counts as gone, if a missing entry is borne with
+// for some time. Entries that lapsed while the store was away have until a moment
+// of their own.
+func (s *Server) Gone(now time.Time, grace time.Duration) bool {
+	switch {
+	case s.GoneSince.IsZero():
+		return false
+	case !s.LapsedUntil.IsZero():
+		return now.After(s.LapsedUntil)
+	default:
+		return now.Sub(s.GoneSince) > grace
+	}
 }
 
 // Serving reports whether the server is neither draining nor gone.
-func (s *Server) Serving() bool { return s.DrainingSince.IsZero() && s.GoneSince.IsZero() }
+func (s *Server) Serving(now time.Time) bool { return s.DrainingSince.IsZero() && !s.Gone(now, 0) }
 
 // Owners is an owner map and the store's revision of it.
 type Owners struct {
@@ -114,6 +131,10 @@
 // goneMemory is how long a missing server is remembered.
 const goneMemory = 30 * time.Second
 
+// Lapse tells until when entries that are missing now may still come back, because
+// the store was away until a moment ago; false if it was not.
+type Lapse func() (until time.Time, lapsed bool)
+
 // Builder follows the store and publishes views. It implements mirror.Receiver.
 type Builder struct {
 	layout    Layout
@@ -123,6 +144,7 @@
 
 	mutex sync.Mutex
 	next  View
+	lapse Lapse
 	// started is true once there is a complete copy; until then the servers that
 	// it brings are not logged one by one.
 	started bool
@@ -133,6 +155,7 @@
 // NewBuilder returns a builder with an empty view.
 func NewBuilder(layout Layout, documents Documents, logger *zap.Logger) *Builder {
 	b := &Builder{layout: layout, documents: documents, logger: logger}
+	b.lapse = func() (time.Time, bool) { return time.Time{}, false }
 	b.next = View{
 		Servers:  make(map[discovery.ServerID]*Server),
 		Owners:   make(map[string]Owners),
@@ -147,6 +170,10 @@
 // Current returns the newest view.
 func (b *Builder) Current() *View { return b.current.Load() }
 
+// SetLapse sets how the builder learns that the store was away. It must be called
+// before the first change; lapse is called with the builder's mutex held.
+func (b *Builder) SetLapse(lapse Lapse) { b.lapse = lapse }
+
 // Subscribe calls changed after each change, on the goroutine that brought it.
 // It must be called before the first change.
 func (b *Builder) Subscribe(changed func(*View)) {
@@ -339,8 +366,12 @@
 	}
 	gone := *known
 	gone.GoneSince = time.Now()
+	if until, lapsed := b.lapse(); lapsed {
+		gone.LapsedUntil = until
+	}
 	b.next.Servers[id] = &gone
-	b.logger.Info("server gone", zap.String("server", string(id)), zap.Bool("draining", !gone.DrainingSince.IsZero()))
+	b.logger.Info("server gone", zap.String("server", string(id)), zap.Bool("draining", !gone.DrainingSince.IsZero()),
+		zap.Bool("may_return", !gone.LapsedUntil.IsZero()))
 }
 
 // publish makes the next view current. The caller holds the mutex.
--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,74 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/routing"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+type documents struct{}
+
+func (documents) Table([]byte) (routing.Spec, error) { return routing.Spec{}, nil }
+
+func (documents) Server(id string, _ []byte) (discovery.Server, error) {
+	return discovery.Server{ID: discovery.ServerID(id), Service: "formulas"}, nil
+}
+
+const serverKey = "servers/one"
+
+// withServer returns a builder that knows one server, and what its lapse returns.
+func withServer() (*view.Builder, *time.Time) {
+	until := new(time.Time)
+	builder := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, documents{}, zap.NewNop())
+	builder.SetLapse(func() (time.Time, bool) { return *until, !until.IsZero() })
+	builder.Replace([]topo.Item{{Key: serverKey, Revision: 1}}, 1)
+	return builder, until
+}
+
+func TestServerWhoseEntryIsMissingIsGone(t *testing.T) {
+	builder, _ := withServer()
+	builder.Apply([]topo.Event{{Item: topo.Item{Key: serverKey, Revision: 2}, Deleted: true}}, 2)
+	server := builder.Current().Servers["one"]
+	now := time.Now()
+	if !server.Gone(now.Add(time.Millisecond), 0) || server.Serving(now.Add(time.Millisecond)) {
+		t.Fatal("a server whose entry was removed serves")
+	}
+	if server.Gone(now.Add(500*time.Millisecond), time.Second) {
+		t.Fatal("gone before the grace is over")
+	}
+	if !server.Gone(now.Add(2*time.Second), time.Second) {
+		t.Fatal("not gone after the grace")
+	}
+}
+
+// Entries lapse while the store is away; a live server writes its own again soon
+// after its return, and until then nothing has happened to it.
+func TestServerWhoseEntryLapsedServesUntilItMustBeBack(t *testing.T) {
+	builder, until := withServer()
+	*until = time.Now().Add(2 * time.Second)
+	builder.Replace(nil, 5)
+	server := builder.Current().Servers["one"]
+	if server.Gone(until.Add(-time.Millisecond), 0) || !server.Serving(until.Add(-time.Millisecond)) {
+		t.Fatal("gone although its entry may have lapsed")
+	}
+	if !server.Gone(until.Add(time.Millisecond), time.Hour) {
+		t.Fatal("not gone although its entry is still missing")
+	}
+	builder.Apply([]topo.Event{{Item: topo.Item{Key: serverKey, Revision: 6}}}, 6)
+	server = builder.Current().Servers["one"]
+	if server.Gone(until.Add(time.Hour), 0) {
+		t.Fatal("gone although it is back")
+	}
+	// A later end is an end.
+	*until = time.Time{}
+	builder.Apply([]topo.Event{{Item: topo.Item{Key: serverKey, Revision: 7}, Deleted: true}}, 7)
+	if server = builder.Current().Servers["one"]; !server.Gone(time.Now().Add(time.Millisecond), 0) {
+		t.Fatal("an entry that is removed later counts as lapsed")
+	}
+}
