A manager that the store turns away hands over to its successor directly

The old manager renewed on, as it may without the store; the successor could not know when that would end, so the keys of a server that had died silently at 5.0 s, hot ones among them, had no owner until their address was used again at 12 s: about 2,000 of 3,300 refusals. Ruled out: the releases were relayed to three nodes and the server was silent to all of them. Change: a new manager sends the map of its term to the authors before it; a manager that sees a later epoch ends its term at once; it tells the new one by message that it is over (inner protocol, TermOver), beside writing it to the store. The invariant is unchanged: only the words travel another way. Test seen failing before: TestManagerThatTheStoreRefusesHandsOverDirectly (not within 10 s).

--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -111,6 +111,27 @@
 	p.toFollowers(itemEnvelope(event, false))
 }
 
+// Succeeded implements shardmanager.Notices.
+func (p *peers) Succeeded(predecessors []shards.Author, item topo.Item) {
+	nodes := p.views.Current().Nodes
+	for _, author := range predecessors {
+		if node, known := nodes[author.Node]; known && node.Name != p.self.Name {
+			p.client.Send(node.Address, itemEnvelope(topo.Event{Item: item}, false))
+		}
+	}
+}
+
+// TermOver implements shardmanager.Notices.
+func (p *peers) TermOver(service string, epoch uint64) {
+	manager, known := p.views.Current().Managers[service]
+	if !known || manager.Name == p.self.Name {
+		return
+	}
+	p.client.Send(manager.Address, &wire.Envelope{Body: &wire.Envelope_TermOver{TermOver: &wire.TermOver{
+		Service: service, Process: p.self.Process, Epoch: epoch,
+	}}})
+}
+
 // found tells the other watchers of a revision that the store had just now.
 func (p *peers) found(revision int64) {
 	p.toWatchers(&wire.Envelope{Body: &wire.Envelope_StateNotice{StateNotice: &wire.StateNotice{Revision: revision}}})
@@ -156,6 +177,10 @@
 		}
 	case *wire.Envelope_LoadReport:
 		p.recordLoad(body.LoadReport)
+	case *wire.Envelope_TermOver:
+		p.views.TakeRetirement(view.RetiredKey(body.TermOver.GetService(), from.GetNode()), view.Retirement{
+			Process: body.TermOver.GetProcess(), Epoch: int64(body.TermOver.GetEpoch()),
+		})
 	}
 }
 
--- a/internal/shardmanager/campaign_test.go
+++ b/internal/shardmanager/campaign_test.go
@@ -58,17 +58,28 @@
 
 func (notices) Moving(string, uint64, []shards.Range) {}
 func (notices) Written(topo.Item)                     {}
+func (notices) Succeeded([]shards.Author, topo.Item)  {}
+func (notices) TermOver(string, uint64)               {}
 
 // candidate runs a manager's node in one process and returns its orders and what
 // ends the process without a word.
 func candidate(t *testing.T, store topo.Store, name string) (*orders, func()) {
 	t.Helper()
-	views := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, documents{}, zap.NewNop())
+	return candidateWith(t, store, name, newViews(), notices{})
+}
+
+func newViews() *view.Builder {
+	return view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, documents{}, zap.NewNop())
+}
+
+// candidateWith is candidate with views and notices of the test.
+func candidateWith(t *testing.T, store topo.Store, name string, views *view.Builder, told shardmanager.Notices) (*orders, func()) {
+	t.Helper()
 	copied := mirror.New(store, views, zap.NewNop())
 	sent := &orders{}
 	manager := shardmanager.New(shardmanager.Config{
 		Self:  view.Node{Name: name, Process: "process of " + name, Share: 1},
-		Store: store, Views: views, Orders: sent, Notices: notices{}, Options: shards.DefaultOptions(), Logger: zap.NewNop(),
+		Store: store, Views: views, Orders: sent, Notices: told, Options: shards.DefaultOptions(), Logger: zap.NewNop(),
 	}, service)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -187,3 +198,61 @@
 	l.once.Do(func() { revision, err = 0, topo.ErrUnavailable })
 	return revision, err
 }
+
+// unserved is a store that turns one node away from a moment on, watches too.
+type unserved struct{ crashable }
+
+func (u *unserved) List(ctx context.Context, prefix string) ([]topo.Item, int64, error) {
+	if u.lost() {
+		return nil, 0, topo.ErrUnavailable
+	}
+	return u.Store.List(ctx, prefix)
+}
+
+func (u *unserved) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Event, int64, error) {
+	const short = 20 * time.Millisecond
+	events, at, err := u.Store.Watch(ctx, prefix, after, min(wait, short))
+	if u.lost() {
+		return nil, 0, topo.ErrUnavailable
+	}
+	return events, at, err
+}
+
+// linked passes notices on to the views of another node of the test.
+type linked struct {
+	notices
+	name  string
+	other *view.Builder
+}
+
+func (l linked) Succeeded(_ []shards.Author, item topo.Item) {
+	l.other.Apply([]topo.Event{{Item: item}}, l.other.Current().Revision)
+}
+
+func (l linked) TermOver(service string, epoch uint64) {
+	l.other.TakeRetirement(view.RetiredKey(service, l.name), view.Retirement{Process: "process of " + l.name, Epoch: int64(epoch)})
+}
+
+// Seen on kervran-hq trouble-1 (keys of a dead server refused for 7 s): the store
+// turned a manager's node away and gave its lock to another one. It renewed on
+// without the store, and its successor could not know when that would be over.
+func TestManagerThatTheStoreRefusesHandsOverDirectly(t *testing.T) {
+	store := memory.New()
+	store.Write("servers/a", []byte("address a"))
+	oldViews, newerViews := newViews(), newViews()
+	refused := &unserved{crashable{Store: store}}
+	sent, _ := candidateWith(t, refused, "n1", oldViews, linked{name: "n1", other: newerViews})
+	waitFor(t, "the first manager grants", func() bool { return sent.count() > 0 })
+	refused.crash()
+	candidateWith(t, store, "n2", newerViews, linked{name: "n2", other: oldViews})
+	waitFor(t, "the second manager knows that the first is over", func() bool {
+		owners := newerViews.Current().Owners[service]
+		return owners.Map != nil && owners.Author.Node == "n2" && len(owners.Pending) == 0
+	})
+	before := sent.count()
+	// Two renewals would come in this time.
+	time.Sleep(2 * shards.DefaultOptions().Renew)
+	if after := sent.count(); after != before {
+		t.Fatalf("the first manager sent %d grants after its successor began", after-before)
+	}
+}
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -36,6 +36,12 @@
 	Moving(service string, epoch uint64, ranges []shards.Range)
 	// Written passes on what was just written to the store.
 	Written(item topo.Item)
+	// Succeeded passes the map of a new term on to managers of earlier ones, which
+	// the store may not serve.
+	Succeeded(predecessors []shards.Author, item topo.Item)
+	// TermOver tells the service's present manager that this process sends no
+	// orders of a term, or of those before it, any more.
+	TermOver(service string, epoch uint64)
 }
 
 const (
@@ -181,6 +187,8 @@
 	}
 	key := view.RetiredKey(m.service, m.config.Self.Name)
 	for ctx.Err() == nil {
+		// The store may turn this node away, but not the present manager's.
+		m.config.Notices.TermOver(m.service, epoch)
 		_, err = m.config.Store.Commit(ctx, topo.Transaction{Puts: []topo.Put{{Key: key, Value: value}}})
 		if err == nil {
 			break
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -58,7 +58,9 @@
 		t.core.Installed(0)
 		t.mapRevision = won.lock.revision
 		t.written = won.written
-		m.config.Notices.Written(topo.Item{Key: view.OwnersKey(m.service), Value: won.encoded, Revision: won.lock.revision})
+		item := topo.Item{Key: view.OwnersKey(m.service), Value: won.encoded, Revision: won.lock.revision}
+		m.config.Notices.Written(item)
+		m.config.Notices.Succeeded(won.written.Pending, item)
 	}
 	return t
 }
@@ -160,6 +162,12 @@
 		t.mutex.Unlock()
 		return
 	}
+	if t.superseded(current) {
+		t.mutex.Unlock()
+		t.manager.logger.Warn("manager superseded", zap.Uint64("epoch", t.epoch), zap.Int64("revision", current.Revision))
+		t.ended()
+		return
+	}
 	if time.Since(t.keptAt) > outageAuthority {
 		t.mutex.Unlock()
 		t.ended()
@@ -176,6 +184,14 @@
 	t.mutex.Unlock()
 }
 
+// superseded reports whether a later term has begun, as other nodes tell: the
+// store may serve them and not this node. The lock of this term is over then,
+// because the map of a term is written together with its lock.
+func (t *term) superseded(current *view.View) bool {
+	owners := current.Owners[t.manager.service]
+	return owners.Map != nil && owners.Epoch > t.epoch
+}
+
 // settled reports whether all servers have probably registered.
 func (t *term) settled() bool {
 	if len(t.known) == 0 {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -328,6 +328,22 @@
 	b.next.Retired[item.Key] = retired
 }
 
+// TakeRetirement takes in a retirement that its node told directly, ahead of the
+// store.
+func (b *Builder) TakeRetirement(key string, retired Retirement) {
+	b.mutex.Lock()
+	known := b.next.Retired[key]
+	if known.Process == retired.Process && known.Epoch >= retired.Epoch {
+		b.mutex.Unlock()
+		return
+	}
+	b.next.Retired[key] = retired
+	published := b.publish()
+	b.mutex.Unlock()
+	b.logger.Info("retirement told", zap.String("key", key), zap.Int64("epoch", retired.Epoch))
+	b.notify(published)
+}
+
 // SendsOrders reports whether a node may still send orders of its term as the
 // manager of a service: neither has another process of it registered nor has it
 // retired from the term.
