Reading a request and closing an idle connection exclude each other

Change: limitedConnection takes bytes and notes it in one step under its mutex, which closing needs too. Test seen failing with reading and noting apart: TestRequestsThatAreBeingReadAreNotCutOff.

--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -17,38 +17,29 @@
 // header does not end, for longer than limits that may change at any time.
 //
 // Invariant: a connection is never closed while a request that has arrived on it
-// was not read. net/http's own time-outs do not keep that: on a busy machine a
-// request may wait in the socket until after the time-out.
+// waits to be read, or was read and is not served yet. It holds because reading
+// from a waiting connection and noting that it was read are one step under its
+// mutex, and so are looking for unread bytes and closing. net/http's own time-outs
+// and its Shutdown do not keep it: on a busy machine some time may pass between
+// the arrival of a request and the moment at which its connection is called active.
 type ConnectionLimits struct {
 	limits func() (idle, header time.Duration)
 
 	mutex sync.Mutex
-	// waiting holds the connections that serve no request.
-	waiting map[net.Conn]waitingConnection
-}
-
-// waitingConnection is a connection that serves no request.
-type waitingConnection struct {
-	since time.Time
-	// reading is true once the first byte of a request was read; since is then
-	// when that was.
-	reading bool
+	open  map[*limitedConnection]struct{}
 }
 
 // NewConnectionLimits returns limits; a limit of zero means that there is none.
 func NewConnectionLimits(limits func() (idle, header time.Duration)) *ConnectionLimits {
-	return &ConnectionLimits{limits: limits, waiting: make(map[net.Conn]waitingConnection)}
+	return &ConnectionLimits{limits: limits, open: make(map[*limitedConnection]struct{})}
 }
 
-// Listener returns a listener whose connections tell when a request begins.
+// Listener returns a listener whose connections the limits hold for.
 func (l *ConnectionLimits) Listener(inner net.Listener) net.Listener {
-	return &limitedListener{Listener: inner, limits: l}
+	return &limitedListener{inner}
 }
 
-type limitedListener struct {
-	net.Listener
-	limits *ConnectionLimits
-}
+type limitedListener struct{ net.Listener }
 
 // Accept implements net.Listener.
 func (l *limitedListener) Accept() (net.Conn, error) {
@@ -57,82 +48,117 @@
 		// The server that accepts needs the error as it is.
 		return nil, err
 	}
-	return &limitedConnection{Conn: socket, limits: l.limits}, nil
+	return &limitedConnection{Conn: socket, since: time.Now()}, nil
 }
 
+// limitedConnection is a client's connection. Until a server says that a request
+// on it is active, it waits for one.
 type limitedConnection struct {
 	net.Conn
-	limits *ConnectionLimits
+
+	// mutex guards what follows. Nothing that blocks is called with it held.
+	mutex  sync.Mutex
+	active bool
+	// reading is true once a byte of the next request was read; since is when that
+	// was, or else when the connection began to wait.
+	reading bool
+	since   time.Time
 }
 
 // Read implements net.Conn.
 func (c *limitedConnection) Read(into []byte) (int, error) {
-	count, err := c.Conn.Read(into)
-	if count > 0 {
-		c.limits.received(c)
-	}
-	return count, err
+	return sockets.Read(c.Conn, into, func(read func() (int, error)) (int, error) {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		count, err := read()
+		if count > 0 && !c.active && !c.reading {
+			c.reading, c.since = true, time.Now()
+		}
+		return count, err
+	})
 }
 
-// received notes that a byte of a connection's next request was read.
-func (l *ConnectionLimits) received(connection net.Conn) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if known, waits := l.waiting[connection]; waits && !known.reading {
-		l.waiting[connection] = waitingConnection{since: time.Now(), reading: true}
+// wait notes that the connection waits for a request from now on.
+func (c *limitedConnection) wait() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.active, c.reading, c.since = false, false, time.Now()
+}
+
+func (c *limitedConnection) begin() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.active = true
+}
+
+// closeIf closes a connection that waits if due agrees and no request has arrived.
+// It reports whether it did.
+func (c *limitedConnection) closeIf(due func(since time.Time, reading bool) bool) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.active || !due(c.since, c.reading) || !sockets.Quiet(c.Conn) {
+		return false
 	}
+	// The client sees the end of the connection; there is nobody to tell.
+	_ = c.Conn.Close()
+	return true
 }
 
 // Track follows the state of a connection. It is a http.Server's ConnState.
 func (l *ConnectionLimits) Track(connection net.Conn, state http.ConnState) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if state == http.StateIdle || state == http.StateNew {
-		l.waiting[connection] = waitingConnection{since: time.Now()}
+	limited, ok := connection.(*limitedConnection)
+	if !ok {
 		return
 	}
-	delete(l.waiting, connection)
+	switch state {
+	case http.StateNew:
+		l.mutex.Lock()
+		l.open[limited] = struct{}{}
+		l.mutex.Unlock()
+	case http.StateIdle:
+		limited.wait()
+	case http.StateActive:
+		limited.begin()
+	case http.StateClosed, http.StateHijacked:
+		l.mutex.Lock()
+		delete(l.open, limited)
+		l.mutex.Unlock()
+	}
 }
 
 // Prune ends the connections that have waited for too long.
 func (l *ConnectionLimits) Prune(now time.Time) {
 	idle, header := l.limits()
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for connection, known := range l.waiting {
-		limit := idle
-		if known.reading {
-			limit = header
-		}
-		if limit <= 0 || now.Sub(known.since) <= limit+idleGrace || !silent(connection) {
-			continue
-		}
-		// The client sees the end of the connection; there is nobody to tell.
-		_ = connection.Close()
-		delete(l.waiting, connection)
+	for _, connection := range l.connections() {
+		connection.closeIf(func(since time.Time, reading bool) bool {
+			limit := idle
+			if reading {
+				limit = header
+			}
+			return limit > 0 && now.Sub(since) > limit+idleGrace
+		})
 	}
 }
 
-// CloseIdle ends the connections that wait for a request, but for those with one
-// that was not read yet. It returns how many of those are left.
+// CloseIdle ends the connections that wait for a request. It returns how many are
+// left.
 func (l *ConnectionLimits) CloseIdle() int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for connection, known := range l.waiting {
-		if known.reading || !silent(connection) {
-			continue
+	left := 0
+	for _, connection := range l.connections() {
+		if !connection.closeIf(func(_ time.Time, reading bool) bool { return !reading }) {
+			left++
 		}
-		// The client sees the end of the connection; there is nobody to tell.
-		_ = connection.Close()
-		delete(l.waiting, connection)
 	}
-	return len(l.waiting)
+	return left
 }
 
-// silent reports whether nothing that a client sent waits to be read.
-func silent(connection net.Conn) bool {
-	if limited, ok := connection.(*limitedConnection); ok {
-		return sockets.Quiet(limited.Conn)
+// connections returns the open connections.
+func (l *ConnectionLimits) connections() []*limitedConnection {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	open := make([]*limitedConnection, 0, len(l.open))
+	for connection := range l.open {
+		open = append(open, connection)
 	}
-	return sockets.Quiet(connection)
+	return open
 }
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -26,6 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	limits.Track(server, http.StateNew)
 	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
 	return server, client
 }
@@ -156,3 +157,38 @@
 		t.Fatal("open beyond the limit")
 	}
 }
+
+// Seen on kervran-hq trouble-2 (LOST 2): a stopping node closed connections whose
+// requests it had just read. Reading and closing must not overlap.
+func TestRequestsThatAreBeingReadAreNotCutOff(t *testing.T) {
+	limits := ingress.NewConnectionLimits(func() (idle, header time.Duration) { return time.Minute, time.Minute })
+	const connections = 200
+	type outcome struct {
+		received int
+		closed   bool
+	}
+	outcomes := make(chan outcome, connections)
+	for range connections {
+		server, client := accepted(t, limits)
+		go func() {
+			received, _ := server.Read(make([]byte, 64))
+			// The server sees its own end only after what it received.
+			_, err := server.Write([]byte("HTTP/1.1 200 OK\r\n"))
+			outcomes <- outcome{received, err != nil}
+		}()
+		go func() { _, _ = client.Write([]byte("GET / HTTP/1.1\r\n\r\n")) }()
+	}
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		for range 50 {
+			limits.CloseIdle()
+		}
+	}()
+	for range connections {
+		if seen := <-outcomes; seen.received > 0 && seen.closed {
+			t.Fatal("a connection was closed after a request had been read from it")
+		}
+	}
+	<-stop
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -3,6 +3,7 @@
 package sockets
 
 import (
+	"io"
 	"net"
 	"syscall"
 
@@ -31,6 +32,49 @@
 	return err == nil && silent
 }
 
+// Read reads from a connection as net.Conn's Read does, but calls around with what
+// makes one attempt that does not wait, so that the caller can hold a lock while
+// bytes are taken and not while they are waited for.
+func Read(socket net.Conn, into []byte, around func(attempt func() (int, error)) (int, error)) (int, error) {
+	raw, ok := socket.(syscall.Conn)
+	if !ok || len(into) == 0 {
+		return socket.Read(into)
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var count int
+	var failed error
+	// The error of Read tells of a deadline or of a closed connection, as that of
+	// net.Conn does; net/http compares it.
+	err = control.Read(func(descriptor uintptr) bool {
+		count, failed = around(func() (int, error) { return attemptRead(int(descriptor), into) })
+		return failed != unix.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failed != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: socket.LocalAddr(), Addr: socket.RemoteAddr(), Err: failed}
+	case count == 0:
+		return 0, io.EOF
+	default:
+		return count, nil
+	}
+}
+
+// attemptRead reads what is there, or returns EAGAIN.
+func attemptRead(descriptor int, into []byte) (int, error) {
+	for {
+		count, err := unix.Read(descriptor, into)
+		if err == unix.EINTR {
+			continue
+		}
+		return max(0, count), err
+	}
+}
+
 // Unacknowledged returns how many bytes that were written to a connection its
 // peer has not acknowledged yet.
 func Unacknowledged(socket net.Conn) (int, error) {
