One node watches the store; the heads of the zones follow it

Hypothesis: heads of zones can follow one root by the same rules as their followers follow them, since an age is never renewed by a message. Change: feed.rootOf, heads that serve followers while they follow the root themselves, comparisons by the root and by heads that took its place. Tests: the losses of a root, a head, both and all heads within the same bound as before (1.5 s), one watcher instead of three or more.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,7 +1,7 @@
-// Package feed decides from where a node learns of changes in the store. A few
-// nodes watch the store themselves; all others follow one of them, which passes
-// the changes on, so that the number of calls to the store does not grow with the
-// number of nodes.
+// Package feed decides from where a node learns of changes in the store. One node,
+// the root, watches the store; the heads of the zones follow it, and all others
+// follow a head of their zone, so that the number of calls to the store does not
+// grow with the number of nodes.
 //
 // It is a pure state machine: messages, changes and ticks go in, messages and
 // changes to apply come out. There is neither I/O nor a clock inside, and it must
@@ -38,12 +38,12 @@
 	// joinPatience is how long a node waits for the first heartbeat of an upstream
 	// before it watches the store itself.
 	joinPatience = 500 * time.Millisecond
-	// confirmInterval is the age of its last confirmation at which the first
-	// watcher asks the store for its revision; each further one waits for
-	// confirmStep longer, because the first one tells the others.
+	// confirmInterval is the age of its last confirmation at which the root asks the
+	// store for its revision; each head that watches too waits for confirmStep
+	// longer, because the first one tells the others.
 	confirmInterval = 600 * time.Millisecond
 	confirmStep     = 150 * time.Millisecond
-	// confirmSteps bounds the steps, so that every watcher asks within maxAge.
+	// confirmSteps bounds the steps, so that every head asks within maxAge.
 	confirmSteps = 4
 	// outageAge is the age of the last confirmation from which the store counts as
 	// away: entries of its servers lapse only after several missed heartbeats.
@@ -88,11 +88,12 @@
 // Feed is the state of one node. Times are those of the node's own clock.
 type Feed struct {
 	self      Member
-	watchers  []Member
+	heads     []Member
 	upstream  Member
 	following bool
-	// designated is true if this node is to watch the store.
-	designated bool
+	// head is true if this node passes changes on to its zone, and root if it is to
+	// watch the store.
+	head, root bool
 
 	// revision is that of this node's copy; log holds the last changes to it.
 	revision int64
@@ -125,20 +126,20 @@
 
 // New returns the feed of a node that knows no other one.
 func New(self Member) *Feed {
-	return &Feed{self: self, designated: true, followers: make(map[string]*follower)}
+	return &Feed{self: self, head: true, root: true, followers: make(map[string]*follower)}
 }
 
 // SetMembers takes in which nodes are registered.
 func (f *Feed) SetMembers(now time.Duration, members []Member) {
-	f.watchers = watchersOf(members)
-	f.designated = len(members) == 0
-	for _, watcher := range f.watchers {
-		if watcher.Name == f.self.Name {
-			f.designated = true
-		}
-	}
-	upstream, found := upstreamOf(f.self, members, f.watchers)
-	if f.designated {
+	f.heads = headsOf(members)
+	root, _ := rootOf(f.heads)
+	f.root = len(members) == 0 || root.Name == f.self.Name
+	f.head = f.root
+	for _, head := range f.heads {
+		f.head = f.head || head.Name == f.self.Name
+	}
+	upstream, found := upstreamOf(f.self, members, f.heads)
+	if f.root {
 		f.following = false
 		return
 	}
@@ -150,8 +151,8 @@
 	f.followAt = now
 }
 
-// Watchers returns the nodes that are to watch the store.
-func (f *Feed) Watchers() []Member { return f.watchers }
+// Heads returns the nodes that pass changes on to their zones.
+func (f *Feed) Heads() []Member { return f.heads }
 
 // Followers returns the addresses of the nodes that follow this one.
 func (f *Feed) Followers() []string {
@@ -165,14 +166,14 @@
 // Upstream returns the node that this one follows, or false.
 func (f *Feed) Upstream() (Member, bool) { return f.upstream, f.following }
 
-// Designated reports whether this node is one of those that are to watch the
-// store.
-func (f *Feed) Designated() bool { return f.designated }
+// Compares reports whether this node is to compare its copy with the store's
+// revision: the root does, and a head that had to take its place.
+func (f *Feed) Compares(now time.Duration) bool { return f.root || f.head && f.Watching(now) }
 
 // Watching reports whether this node has to watch the store itself: it is to, or
 // it cannot rely on its upstream.
 func (f *Feed) Watching(now time.Duration) bool {
-	if f.designated || !f.following {
+	if f.root || !f.following {
 		return true
 	}
 	if !f.joined || f.confirmedAge(now) > maxAge {
@@ -199,15 +200,14 @@
 // ConfirmationDue reports whether this node is to ask the store for its revision,
 // to learn whether its watch has missed anything.
 func (f *Feed) ConfirmationDue(now time.Duration) bool {
-	if !f.designated {
+	if !f.Compares(now) {
 		return false
 	}
 	steps := 0
-	for _, watcher := range f.watchers {
-		if watcher.Name == f.self.Name {
-			break
+	for index, head := range f.heads {
+		if head.Name == f.self.Name && !f.root {
+			steps = index + 1
 		}
-		steps++
 	}
 	return f.confirmedAge(now) > confirmInterval+time.Duration(min(steps, confirmSteps))*confirmStep
 }
@@ -341,8 +341,11 @@
 	return nil, nil
 }
 
+// serves reports whether this node passes changes on.
+func (f *Feed) serves(now time.Duration) bool { return f.head || f.Watching(now) }
+
 func (f *Feed) stepFollow(now time.Duration, from string, ask *Follow) []Message {
-	if !f.Watching(now) {
+	if !f.serves(now) {
 		return nil
 	}
 	known := f.followers[from]
@@ -405,9 +408,9 @@
 		f.followAt = now + followInterval
 		messages = append(messages, Message{To: f.upstream.Address, Follow: &Follow{Revision: f.revision}})
 	}
-	watching := f.Watching(now)
+	serves := f.serves(now)
 	for address, known := range f.followers {
-		if !watching || now-known.askedAt > followMemory {
+		if !serves || now-known.askedAt > followMemory {
 			delete(f.followers, address)
 			continue
 		}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -115,14 +115,24 @@
 	c.fetch(n)
 }
 
-// compare asks the store for its revision, as a watcher does when it is due.
+// isHead reports whether a node passes changes on to its zone.
+func (c *cluster) isHead(n *node) bool {
+	for _, head := range c.nodes[0].core.Heads() {
+		if head.Name == n.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// compare asks the store for its revision, as the root does when it is due.
 func (c *cluster) compare(n *node) {
 	if n.cutOff || !n.core.ConfirmationDue(c.now) {
 		return
 	}
 	c.calls++
 	for _, other := range c.nodes {
-		told := other == n || (other.core.Designated() && !other.isolated && !n.isolated && !other.stopped)
+		told := other == n || (c.isHead(other) && !other.isolated && !n.isolated && !other.stopped)
 		if told && !other.core.Confirm(c.now, c.revision) && !other.cutOff {
 			c.fetch(other)
 		}
@@ -191,14 +201,12 @@
 
 func nobody(*node) bool { return false }
 
-func TestFewNodesWatchTheStore(t *testing.T) {
+func TestOneNodeWatchesTheStore(t *testing.T) {
 	for _, count := range []int{1, 2, 8, 70, 300} {
 		c := newCluster(t, count, 3)
 		c.start()
-		const perZone = 32
-		most := max(3, 3*(1+count/3/perZone))
-		if got := len(c.watching()); got > most {
-			t.Errorf("%d of %d nodes watch the store, want at most %d", got, count, most)
+		if got := len(c.watching()); got != 1 {
+			t.Errorf("%d of %d nodes watch the store, want one", got, count)
 		}
 		const quick = 100 * time.Millisecond
 		c.wantFresh(quick, nobody)
@@ -223,8 +231,9 @@
 	}
 }
 
-// A watcher that stops, freezes or is cut off leaves its followers to the store.
-func TestFollowersOfALostWatcherGoToTheStore(t *testing.T) {
+// A root or a head that stops, freezes or is cut off leaves its followers to the
+// store.
+func TestFollowersOfALostNodeGoToTheStore(t *testing.T) {
 	const bound = 1500 * time.Millisecond
 	losses := map[string]func(*node){
 		"stopped":               func(n *node) { n.stopped = true },
@@ -235,32 +244,38 @@
 		"silent without others": func(n *node) { n.silent, n.isolated = true, true },
 	}
 	for name, lose := range losses {
-		t.Run(name, func(t *testing.T) {
-			c := newCluster(t, 20, 3)
-			c.start()
-			lost := map[*node]bool{}
-			for _, n := range c.watching() {
-				if n.Zone == "z0" {
-					lose(n)
-					lost[n] = true
+		for _, position := range []string{"root", "head", "root and head", "all heads"} {
+			t.Run(name+", "+position, func(t *testing.T) {
+				c := newCluster(t, 20, 3)
+				c.start()
+				root := c.watching()[0]
+				lost := map[*node]bool{}
+				for _, n := range c.nodes {
+					isRoot, isHead := n == root, c.isHead(n) && n != root
+					first := len(lost) == 0 || len(lost) == 1 && lost[root]
+					chosen := isRoot && position != "head" || isHead && position == "all heads" || isHead && first && position != "root"
+					if chosen {
+						lose(n)
+						lost[n] = true
+					}
 				}
-			}
-			if len(lost) == 0 {
-				t.Fatal("no watcher in the zone")
-			}
-			// The change comes at any moment after the loss.
-			c.run(time.Duration(c.random.IntN(700)) * time.Millisecond)
-			c.wantFresh(bound, func(n *node) bool { return lost[n] && n.cutOff })
-		})
+				if len(lost) == 0 {
+					t.Fatal("nobody is lost")
+				}
+				// The change comes at any moment after the loss.
+				c.run(time.Duration(c.random.IntN(700)) * time.Millisecond)
+				c.wantFresh(bound, func(n *node) bool { return lost[n] && n.cutOff })
+			})
+		}
 	}
 }
 
-// All watchers may lose the store while the others reach it.
-func TestAllWatchersCutOffFromTheStore(t *testing.T) {
+// All heads may lose the store while the others reach it.
+func TestAllHeadsCutOffFromTheStore(t *testing.T) {
 	c := newCluster(t, 24, 3)
 	c.start()
-	for _, n := range c.watching() {
-		n.cutOff = true
+	for _, n := range c.nodes {
+		n.cutOff = c.isHead(n)
 	}
 	const bound = 1900 * time.Millisecond
 	c.wantFresh(bound, func(n *node) bool { return n.cutOff })
@@ -283,7 +298,7 @@
 	c.start()
 	var frozen *node
 	for _, n := range c.nodes {
-		if !n.core.Designated() {
+		if !c.isHead(n) {
 			frozen = n
 		}
 	}
@@ -303,7 +318,7 @@
 	c.start()
 	var missed *node
 	for _, n := range c.nodes {
-		if !n.core.Designated() {
+		if !c.isHead(n) {
 			missed = n
 		}
 	}
--- a/internal/feed/members.go
+++ b/internal/feed/members.go
@@ -3,11 +3,11 @@
 import "sort"
 
 const (
-	// followersPerWatcher bounds how many nodes of a zone follow one watcher.
-	followersPerWatcher = 32
-	// fewestWatchers is how many nodes watch the store at least, so that the loss
-	// of one leaves others that notice a silent watch.
-	fewestWatchers = 3
+	// followersPerHead bounds how many nodes of a zone follow one head.
+	followersPerHead = 32
+	// fewestHeads is how many heads there are at least, so that the loss of the one
+	// that watches the store leaves others that take its place at once.
+	fewestHeads = 3
 )
 
 // Member is a registered node.
@@ -34,9 +34,18 @@
 	return ranked
 }
 
-// watchersOf returns, in the order of their rank, the members that watch the
-// store: some of each zone, and the best of all until there are enough.
-func watchersOf(members []Member) []Member {
+// rootOf returns the one of the heads that watches the store. It is the last in
+// rank: the best nodes have other duties, which would be lost at the same time.
+func rootOf(heads []Member) (Member, bool) {
+	if len(heads) == 0 {
+		return Member{}, false
+	}
+	return heads[len(heads)-1], true
+}
+
+// headsOf returns, in the order of their rank, the members that pass changes on to
+// their zone: some of each zone, and the best of all until there are enough.
+func headsOf(members []Member) []Member {
 	ranked := Rank(members)
 	inZone := make(map[string]int)
 	for _, member := range ranked {
@@ -45,37 +54,43 @@
 	chosen := make(map[string]bool)
 	taken := make(map[string]int)
 	for _, member := range ranked {
-		if taken[member.Zone] < 1+(inZone[member.Zone]-1)/followersPerWatcher {
+		if taken[member.Zone] < 1+(inZone[member.Zone]-1)/followersPerHead {
 			taken[member.Zone]++
 			chosen[member.Name] = true
 		}
 	}
 	for _, member := range ranked {
-		if len(chosen) >= fewestWatchers {
+		if len(chosen) >= fewestHeads {
 			break
 		}
 		chosen[member.Name] = true
 	}
-	var watchers []Member
+	var heads []Member
 	for _, member := range ranked {
 		if chosen[member.Name] {
-			watchers = append(watchers, member)
+			heads = append(heads, member)
 		}
 	}
-	return watchers
+	return heads
 }
 
-// upstreamOf returns the watcher that a node follows: one of its own zone if
-// there is any. Nodes of a zone are spread over its watchers by their position.
-func upstreamOf(self Member, members, watchers []Member) (Member, bool) {
-	near := watchers[:0:0]
-	for _, watcher := range watchers {
-		if watcher.Zone == self.Zone {
-			near = append(near, watcher)
+// upstreamOf returns the node that a node follows: a head follows the root, any
+// other one a head of its own zone if there is any. Nodes of a zone are spread over
+// its heads by their position.
+func upstreamOf(self Member, members, heads []Member) (Member, bool) {
+	for _, head := range heads {
+		if head.Name == self.Name {
+			return rootOf(heads)
+		}
+	}
+	near := heads[:0:0]
+	for _, head := range heads {
+		if head.Zone == self.Zone {
+			near = append(near, head)
 		}
 	}
 	if len(near) == 0 {
-		near = watchers
+		near = heads
 	}
 	if len(near) == 0 {
 		return Member{}, false
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -108,25 +108,25 @@
 	changed := watching != c.watching
 	c.watching = watching
 	upstream, following := c.core.Upstream()
-	designated := c.core.Designated()
+	compares := c.core.Compares(now)
 	c.mutex.Unlock()
 	c.send(messages)
 	if !changed {
 		return
 	}
 	feedChangesTotal.Inc()
-	c.logger.Info("source of changes", zap.Bool("store", watching), zap.Bool("designated", designated),
+	c.logger.Info("source of changes", zap.Bool("store", watching), zap.Bool("compares", compares),
 		zap.Bool("following", following), zap.String("upstream", upstream.Name))
 }
 
-// schedule implements mirror.Schedule: of the nodes that are to watch the store,
-// one compares its copy and tells the others; the other nodes that watch it do so
-// the more seldom the more nodes there are.
+// schedule implements mirror.Schedule: the root compares its copy and tells the
+// heads; other nodes that have to watch the store do so the more seldom the more
+// nodes there are.
 func (c *changeFeed) schedule(nodes int) (time.Duration, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.now()
-	if c.core.Designated() {
+	if c.core.Compares(now) {
 		return feedTick, c.core.ConfirmationDue(now)
 	}
 	if !c.core.Watching(now) {
@@ -135,12 +135,12 @@
 	return fallbackInterval * time.Duration(max(1, nodes)), true
 }
 
-func (c *changeFeed) watchers() []string {
+func (c *changeFeed) heads() []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	addresses := make([]string, 0, len(c.core.Watchers()))
-	for _, watcher := range c.core.Watchers() {
-		addresses = append(addresses, watcher.Address)
+	addresses := make([]string, 0, len(c.core.Heads()))
+	for _, head := range c.core.Heads() {
+		addresses = append(addresses, head.Address)
 	}
 	return addresses
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -88,7 +88,7 @@
 	for _, r := range ranges {
 		notice.Ranges = append(notice.Ranges, &wire.ShardRange{Last: r.Last, Fence: r.Fence})
 	}
-	p.toWatchers(moveEnvelope(notice, true))
+	p.toHeads(moveEnvelope(notice, true))
 	p.toFollowers(moveEnvelope(notice, false))
 }
 
@@ -107,7 +107,7 @@
 // Written implements shardmanager.Notices.
 func (p *peers) Written(item topo.Item) {
 	event, _ := p.mirror.Offer(topo.Event{Item: item})
-	p.toWatchers(itemEnvelope(event, true))
+	p.toHeads(itemEnvelope(event, true))
 	p.toFollowers(itemEnvelope(event, false))
 }
 
@@ -132,15 +132,14 @@
 	}}})
 }
 
-// found tells the other watchers of a revision that the store had just now.
+// found tells the other heads of a revision that the store had just now.
 func (p *peers) found(revision int64) {
-	p.toWatchers(&wire.Envelope{Body: &wire.Envelope_StateNotice{StateNotice: &wire.StateNotice{Revision: revision}}})
+	p.toHeads(&wire.Envelope{Body: &wire.Envelope_StateNotice{StateNotice: &wire.StateNotice{Revision: revision}}})
 }
 
-// toWatchers sends a message to the other nodes that watch the store; each may
-// miss it.
-func (p *peers) toWatchers(envelope *wire.Envelope) {
-	for _, address := range p.feed.watchers() {
+// toHeads sends a message to the other heads; each may miss it.
+func (p *peers) toHeads(envelope *wire.Envelope) {
+	for _, address := range p.feed.heads() {
 		if address != p.self.Address {
 			p.client.Send(address, envelope)
 		}
@@ -202,7 +201,7 @@
 	}
 }
 
-// takeRevision takes in that the store had a revision when another watcher asked.
+// takeRevision takes in that the store had a revision when another head asked.
 func (p *peers) takeRevision(revision int64) {
 	if !p.feed.confirm(time.Now(), revision) {
 		go p.mirror.CatchUp(context.Background(), revision)
