--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// otherZoneCost is how much worse a server of another zone counts.
-	otherZoneCost = 1.7
+	// otherZoneCost is how much worse a server of another zone counts: bodies are
+	// larger than all else that nodes send, and they are dear between zones.
+	otherZoneCost = 4
 	// warmingCost is how much worse a server counts that has just started.
 	warmingCost = 1.8
 	// defaultLatency stands for a server that has not answered yet, in seconds.
