--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -17,15 +17,19 @@
 	set := newFlagSet("micahaven explain", errorOutput)
 	request := set.String("request", "", "id of a request")
 	key := set.Int("key", -1, "key whose owners are asked for")
+	causes := set.Int("causes", 0, "how many causes of failed requests to list, the most frequent first")
 	return &ffcli.Command{
 		Name:       "explain",
-		ShortUsage: "micahaven explain (--request ID | --key N) [LOG ...]",
-		ShortHelp:  "Tell what happened to a request or a key, from the nodes' logs.",
+		ShortUsage: "micahaven explain (--request ID | --key N | --causes N) [LOG ...]",
+		ShortHelp:  "Tell what happened to a request or a key, or why requests failed, from the nodes' logs.",
 		LongHelp:   "Reads the log files of any number of nodes, or standard input.",
 		FlagSet:    set,
 		Exec: func(_ context.Context, files []string) error {
-			if (*request == "") == (*key < 0) {
-				return usageError("give either --request or --key")
+			if *causes < 0 {
+				return usageError("field causes: %d, allowed: 1 and more", *causes)
+			}
+			if asked(*request != "", *key >= 0, *causes > 0) != 1 {
+				return usageError("give one of --request, --key and --causes")
 			}
 			if *key > shards.LastKey {
 				return usageError("field key: %d, allowed: 0 to %d", *key, shards.LastKey)
@@ -34,11 +38,29 @@
 			if err != nil {
 				return err
 			}
-			return tell(output, errorOutput, log, *request, *key)
+			return tell(output, errorOutput, log, question{*request, *key, *causes})
 		},
 	}
 }
 
+// asked counts what is true.
+func asked(given ...bool) int {
+	count := 0
+	for _, one := range given {
+		if one {
+			count++
+		}
+	}
+	return count
+}
+
+// question is what is asked of the logs: one of its fields is given.
+type question struct {
+	request string
+	key     int
+	causes  int
+}
+
 func readLogs(files []string) (*explain.Log, error) {
 	log := &explain.Log{}
 	if len(files) == 0 {
@@ -58,13 +80,16 @@
 	return log, nil
 }
 
-func tell(output, errorOutput io.Writer, log *explain.Log, request string, key int) error {
+func tell(output, errorOutput io.Writer, log *explain.Log, asked question) error {
 	var found bool
 	var err error
-	if request != "" {
-		found, err = log.Request(output, request)
-	} else {
-		found, err = log.Key(output, uint32(key))
+	switch {
+	case asked.request != "":
+		found, err = log.Request(output, asked.request)
+	case asked.causes > 0:
+		found, err = log.WriteCauses(output, asked.causes)
+	default:
+		found, err = log.Key(output, uint32(asked.key))
 	}
 	if err != nil {
 		return err
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -69,6 +69,7 @@
 		}
 		trace.Attempts++
 		trace.Server = string(s.id)
+		trace.MapRevision = d.views.Current().Owners[request.Service].Revision
 		answer, outcome, err := d.send(ctx, request, s, limit)
 		attemptsTotal.WithLabelValues(request.Service, outcome.String()).Inc()
 		if outcome == answered {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -73,6 +73,7 @@
 	Attempts int
 	// Queued is how long the request waited for a server.
 	Queued time.Duration
-	// MapRevision is the revision of the owner map that chose the server.
+	// MapRevision is the revision of the owner map when the server was chosen; 0
+	// if the service has none.
 	MapRevision int64
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -28,8 +28,12 @@
 	fieldService = "service"
 	fieldFirst   = "first"
 	fieldLast    = "last"
+	fieldError   = "error"
 )
 
+// messageFailed is the message of the line about a request that was not answered.
+const messageFailed = "request failed"
+
 // Line is one log line.
 type Line struct {
 	At      time.Time
@@ -163,6 +167,6 @@
 		parts = append(parts, fmt.Sprintf("%s=%v", name, line.Fields[name]))
 	}
 	_, err := fmt.Fprintf(writer, "%s %s %s: %s %s\n",
-		line.At.Format("15:04:05.000"), label, line.Node, line.Message, strings.Join(parts, " "))
+		line.At.Format(timeOfDay), label, line.Node, line.Message, strings.Join(parts, " "))
 	return errors.Wrap(err, "write story")
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -264,7 +264,7 @@
 		zap.Duration("took", time.Since(request.ArrivedAt)), zap.Int64("version", version),
 	}
 	if request.HasKey {
-		fields = append(fields, zap.Uint32("key", request.Key))
+		fields = append(fields, zap.Uint32("key", request.Key), zap.Int64("map", trace.MapRevision))
 	}
 	if err != nil {
 		h.logger.Warn("request failed", append(fields, zap.String("error", err.Error()))...)
--- a/internal/shardmanager/campaign_test.go
+++ b/internal/shardmanager/campaign_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -256,3 +258,46 @@
 		t.Fatalf("the first manager sent %d grants after its successor began", after-before)
 	}
 }
+
+// countsRetirements counts writes of retirements. Once it takes writes again it
+// still tells of no changes.
+type countsRetirements struct {
+	unserved
+	writable atomic.Bool
+	written  atomic.Int64
+}
+
+func (c *countsRetirements) Commit(ctx context.Context, transaction topo.Transaction) (int64, error) {
+	if !c.writable.Load() {
+		return c.unserved.Commit(ctx, transaction)
+	}
+	revision, err := c.Store.Commit(ctx, transaction)
+	if err == nil && len(transaction.Puts) == 1 && strings.HasPrefix(transaction.Puts[0].Key, view.RetiredKey(service, "")) {
+		c.written.Add(1)
+	}
+	return revision, err
+}
+
+// Seen on kervran-hq trouble-1: a node that heard late of its own write retired
+// from the same term six times, a priced call each.
+func TestRetirementIsWrittenOnce(t *testing.T) {
+	store := memory.New()
+	store.Write("servers/a", []byte("address a"))
+	oldViews, newerViews := newViews(), newViews()
+	refused := &countsRetirements{unserved: unserved{crashable{Store: store}}}
+	sent, _ := candidateWith(t, refused, "n1", oldViews, linked{name: "n1", other: newerViews})
+	waitFor(t, "the first manager grants", func() bool { return sent.count() > 0 })
+	refused.crash()
+	candidateWith(t, store, "n2", newerViews, linked{name: "n2", other: oldViews})
+	waitFor(t, "the second manager begins", func() bool {
+		owners := newerViews.Current().Owners[service]
+		return owners.Map != nil && owners.Author.Node == "n2"
+	})
+	refused.writable.Store(true)
+	waitFor(t, "the first manager has retired", func() bool { return refused.written.Load() > 0 })
+	// It would be repeated each 200 ms.
+	time.Sleep(time.Second)
+	if written := refused.written.Load(); written != 1 {
+		t.Fatalf("the retirement was written %d times, want once", written)
+	}
+}
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -180,7 +180,8 @@
 // writeRetirement writes that this node sends no orders of a term or of those
 // before it any more, and repeats that until it is done.
 func (m *Manager) writeRetirement(ctx context.Context, epoch uint64) {
-	value, err := json.Marshal(view.Retirement{Process: m.config.Self.Process, Epoch: int64(epoch)})
+	retirement := view.Retirement{Process: m.config.Self.Process, Epoch: int64(epoch)}
+	value, err := json.Marshal(retirement)
 	if err != nil {
 		m.logger.Error("retirement not encoded", zap.Error(err))
 		return
@@ -195,6 +196,8 @@
 		}
 		periodic.Pause(ctx, campaignPause)
 	}
+	// The store's word may take seconds to come back; it need not be written twice.
+	m.config.Views.TakeRetirement(key, retirement)
 	m.logger.Info("manager retired", zap.Uint64("epoch", epoch), zap.Error(err))
 }
 
