--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -41,6 +41,8 @@
 for variant in NOCHALLENGE NOWAIT NEWNOWAIT NOFLOOR; do check session fails $variant; done
 check once holds
 for variant in NOJOURNAL OPTIMIST; do check once fails $variant; done
+check managers holds
+for variant in NOPENDING NOLATE NOSTOP NOFLOOR EARLYGRANT; do check managers fails $variant; done
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
