--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -192,12 +192,13 @@
 		m.config.Notices.TermOver(m.service, epoch)
 		_, err = m.config.Store.Commit(ctx, topo.Transaction{Puts: []topo.Put{{Key: key, Value: value}}})
 		if err == nil {
+			// The store's word may take seconds to come back; it need not be written
+			// twice.
+			m.config.Views.TakeRetirement(key, retirement)
 			break
 		}
 		periodic.Pause(ctx, campaignPause)
 	}
-	// The store's word may take seconds to come back; it need not be written twice.
-	m.config.Views.TakeRetirement(key, retirement)
 	m.logger.Info("manager retired", zap.Uint64("epoch", epoch), zap.Error(err))
 }
 
