Nodes that start take their copy of the store from the heads; a missed change is asked for with a watch

Change: the root writes who the heads are; a node that starts reads that with one call and asks a head for its copy, packed, with the age of its confirmation; a node gives eight copies in 250 ms and then names those who have one; after 0.3 to 0.6 s without success, or with at most 200 keys, the store is listed. A change that others do not bring is asked for with a watch first, and all keys only if that fails. A list that is made again comes from another node if one has it.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -131,6 +131,9 @@
 
 	// joined is true once the copy is complete.
 	joined bool
+	// giver is the node that gave this one its first copy, if one did; it is followed
+	// until registered nodes are known.
+	giver *Member
 
 	// upstreamSince is when this node began to follow its upstream; what follows
 	// is what the upstream told last.
@@ -158,15 +161,27 @@
 	ranked := Rank(members)
 	f.heads = headsOf(ranked)
 	root, _ := rootOf(f.heads)
-	f.root = len(members) == 0 || root.Name == f.self.Name
+	f.root = len(members) == 0 && f.giver == nil || root.Name == f.self.Name
 	f.head = f.root || positionOf(f.self, f.heads) >= 0
 	f.upstreams = nil
-	if !f.root {
+	switch {
+	case f.root:
+	case len(members) == 0:
+		f.upstreams = []Member{*f.giver}
+	default:
 		f.upstreams = upstreamsOf(f.self, ranked, f.heads)
 	}
 	f.chooseUpstream(now)
 }
 
+// Given takes in which node gives this one its copy.
+func (f *Feed) Given(now time.Duration, giver Member) {
+	f.giver = &giver
+	if len(f.heads) == 0 {
+		f.SetMembers(now, nil)
+	}
+}
+
 // chooseUpstream turns to the preferred one of the upstreams that did not fail lately,
 // or else to the one that is to be tried again first.
 func (f *Feed) chooseUpstream(now time.Duration) {
@@ -225,6 +240,9 @@
 // Heads returns the nodes that pass changes on to their zones.
 func (f *Feed) Heads() []Member { return f.heads }
 
+// Root reports whether this node is to watch the store for all others.
+func (f *Feed) Root() bool { return f.root && len(f.heads) > 0 }
+
 // Followers returns the addresses of the nodes that follow this one.
 func (f *Feed) Followers() []string {
 	addresses := make([]string, 0, len(f.followers))
@@ -414,8 +432,12 @@
 	return nil, nil
 }
 
-// serves reports whether this node passes changes on.
-func (f *Feed) serves(now time.Duration) bool { return f.head || f.Watching(now) }
+// serves reports whether this node passes changes on. Besides the heads and those that
+// watch the store, each node with a new copy does: while many nodes register at once,
+// they do not agree yet on who the heads are.
+func (f *Feed) serves(now time.Duration) bool {
+	return f.head || f.Watching(now) || f.confirmedAge(now) <= switchAge
+}
 
 func (f *Feed) stepFollow(now time.Duration, from string, ask *Follow) []Message {
 	if !f.serves(now) {
--- a/internal/mirror/metrics.go
+++ b/internal/mirror/metrics.go
@@ -17,6 +17,19 @@
 	})
 )
 
+var copiesTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+	Name: "micahaven_mirror_copies_total",
+	Help: "Attempts to take a whole copy from another node, by result.",
+}, []string{"result"})
+
+func countCopy(found bool) {
+	result := "taken"
+	if !found {
+		result = "none"
+	}
+	copiesTotal.WithLabelValues(result).Inc()
+}
+
 func countCall(call string, err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -55,18 +55,35 @@
 	Watching() bool
 }
 
-// alone is the observer of a mirror that always watches.
+// Copy is a complete copy of the store at a revision.
+type Copy struct {
+	Items    []topo.Item
+	Revision int64
+	// ConfirmedAt is when the store surely had nothing newer.
+	ConfirmedAt time.Time
+}
+
+// Copies gets copies of the store from other nodes, which spares the store a list.
+type Copies interface {
+	// Copy returns a copy at a revision or a later one, or false if no node gave one.
+	Copy(ctx context.Context, atLeast int64) (Copy, bool)
+}
+
+// alone is the observer of a mirror that always watches, and its copies are none.
 type alone struct{}
 
 func (alone) Changed(topo.Batch)         {}
 func (alone) Confirmed(time.Time, int64) {}
 func (alone) Watching() bool             { return true }
 
+func (alone) Copy(context.Context, int64) (Copy, bool) { return Copy{}, false }
+
 // Mirror follows the store. Its copy never goes back to an older revision.
 type Mirror struct {
 	store    topo.Store
 	receiver Receiver
 	observer Observer
+	copies   Copies
 	logger   *zap.Logger
 
 	mutex sync.Mutex
@@ -77,8 +94,11 @@
 	// listed is true once the copy is complete.
 	listed bool
 	// wanted is a revision that the store has and that the watch did not bring; the
-	// store is listed again until the copy has reached it. 0 means none.
+	// copy is made anew until it has reached it. 0 means none.
 	wanted int64
+	// awaited is a revision that the store has and that the copy lacks: until it is
+	// reached the node watches the store, whatever the observer says.
+	awaited int64
 	// lost is true while the store does not answer this node.
 	lost atomic.Bool
 	// cancelWatch ends the watch that is waiting.
@@ -87,12 +107,15 @@
 
 // New returns a mirror that has nothing yet.
 func New(store topo.Store, receiver Receiver, logger *zap.Logger) *Mirror {
-	return &Mirror{store: store, receiver: receiver, observer: alone{}, logger: logger, items: make(map[string]topo.Item), offered: make(map[string]offeredDelta)}
+	return &Mirror{store: store, receiver: receiver, observer: alone{}, copies: alone{}, logger: logger, items: make(map[string]topo.Item), offered: make(map[string]offeredDelta)}
 }
 
 // Observe sets the observer. It must be called before Run.
 func (m *Mirror) Observe(observer Observer) { m.observer = observer }
 
+// TakeFrom sets where copies come from. It must be called before Run.
+func (m *Mirror) TakeFrom(copies Copies) { m.copies = copies }
+
 // Run follows the store until the context ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	retry := retryPause
@@ -127,7 +150,13 @@
 }
 
 // follows reports whether the copy is kept through Take instead of a watch.
-func (m *Mirror) follows() bool { return !m.mustList() && !m.observer.Watching() }
+func (m *Mirror) follows() bool { return !m.mustList() && !m.mustWatch() && !m.observer.Watching() }
+
+func (m *Mirror) mustWatch() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.awaited > m.revision
+}
 
 func (m *Mirror) mustList() bool {
 	m.mutex.Lock()
@@ -155,6 +184,13 @@
 	return m.revision
 }
 
+// Size returns how many keys the copy has.
+func (m *Mirror) Size() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return len(m.items)
+}
+
 // Snapshot returns all items and their revision, and false before the first list.
 func (m *Mirror) Snapshot() ([]topo.Item, int64, bool) {
 	m.mutex.Lock()
@@ -194,6 +230,8 @@
 	events, at, err := m.store.Watch(watch, "", revision, watchWait)
 	countCall("watch", err)
 	if err != nil {
+		// Without the store, what is awaited can only come from other nodes.
+		m.stopAwaiting()
 		if watch.Err() != nil && ctx.Err() == nil {
 			return errors.Mark(err, context.Canceled)
 		}
@@ -213,7 +251,25 @@
 	return nil
 }
 
+// list makes the copy anew: from another node if one has what is wanted, because a
+// list takes a call for each page of keys, and otherwise from the store.
 func (m *Mirror) list(ctx context.Context) error {
+	m.mutex.Lock()
+	wanted := m.wanted
+	m.mutex.Unlock()
+	copied, found := m.copies.Copy(ctx, wanted)
+	countCopy(found)
+	if !found {
+		return m.listStore(ctx)
+	}
+	m.logger.Info("copy taken from another node", zap.Int64("revision", copied.Revision), zap.Int("items", len(copied.Items)),
+		zap.Duration("confirmed_ago", time.Since(copied.ConfirmedAt)))
+	m.Adopt(copied.Items, copied.Revision)
+	m.observer.Confirmed(copied.ConfirmedAt, copied.Revision)
+	return nil
+}
+
+func (m *Mirror) listStore(ctx context.Context) error {
 	sentAt := time.Now()
 	items, at, err := m.store.List(ctx, "")
 	countCall("list", err)
@@ -270,14 +326,20 @@
 	}
 }
 
-// CatchUp makes sure that the copy reaches a revision that the store surely had.
-// It reports whether the watch had missed it.
+// CatchUp makes sure that the copy reaches a revision that the store surely had. What
+// does not come by itself is asked for with a new watch, and if that brings nothing
+// either, the copy is made anew. It reports whether that had to be done.
 func (m *Mirror) CatchUp(ctx context.Context, revision int64) bool {
 	if revision <= m.Revision() {
 		return false
 	}
 	// Give the watch the time that it normally takes.
 	periodic.Pause(ctx, freshnessSlack)
+	if m.Revision() >= revision || ctx.Err() != nil {
+		return false
+	}
+	m.watchAgain(revision)
+	periodic.Pause(ctx, freshnessSlack)
 	seen := m.Revision()
 	if seen >= revision || ctx.Err() != nil {
 		return false
@@ -288,6 +350,20 @@
 	return true
 }
 
+func (m *Mirror) stopAwaiting() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.awaited = 0
+}
+
+// watchAgain asks the store for the changes up to a revision with a new watch.
+func (m *Mirror) watchAgain(revision int64) {
+	m.mutex.Lock()
+	m.awaited = max(m.awaited, revision)
+	m.mutex.Unlock()
+	m.Resume()
+}
+
 // Offer takes one item that a node has just written, ahead of the watch. The
 // copy's revision stays: the watch tells of the same change later. It returns the
 // change with its value and, if that is worth it, its delta, and reports whether
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -249,3 +249,28 @@
 		t.Fatal("a delta from another base was taken")
 	}
 }
+
+// A node that follows others and is told of a change that they do not bring asks the
+// store for the change, and not for all keys.
+func TestWhatOthersDoNotBringIsAskedForWithAWatch(t *testing.T) {
+	store := memory.New()
+	store.Write("a", []byte("1"))
+	received := newRecorder()
+	m := mirror.New(store, received, zap.NewNop())
+	m.Observe(observer{changed: make(chan topo.Batch, 16)})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = m.Run(ctx) })
+	defer group.Wait()
+	defer cancel()
+	received.waitFor(t, "a", "1")
+	lists := store.Calls("list")
+	revision := store.Write("a", []byte("2"))
+	if m.CatchUp(ctx, revision) {
+		t.Error("the copy was made anew although a watch brings the change")
+	}
+	received.waitFor(t, "a", "2")
+	if more := store.Calls("list") - lists; more != 0 {
+		t.Errorf("the store was listed %d times, want none", more)
+	}
+}
--- /dev/null
+++ b/internal/router/copies_test.go
@@ -0,0 +1,173 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/micahaven/micahaven/internal/mirror"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/topo/memory"
+	"github.com/micahaven/micahaven/internal/transport"
+	"github.com/micahaven/micahaven/internal/view"
+	"github.com/micahaven/micahaven/internal/wire"
+)
+
+// copyNode is the part of a node that gives and takes copies.
+type copyNode struct {
+	*peers
+	mirror *mirror.Mirror
+}
+
+func newCopyNode(t *testing.T, store topo.Store, name string) *copyNode {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := view.Node{Name: name, Zone: "z1", Address: listener.Addr().String(), Process: name}
+	hello := &wire.Hello{Node: self.Name, Zone: self.Zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
+	client := transport.NewClient(hello, nil)
+	views := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, jsonDocuments{}, zap.NewNop())
+	copied := mirror.New(store, views, zap.NewNop())
+	changes := newChangeFeed(self, client, zap.NewNop())
+	views.Subscribe(changes.follow)
+	copied.Observe(changes)
+	p := &peers{self: self, client: client, feed: changes, views: views, mirror: copied, logger: zap.NewNop()}
+	p.copies = &copyGiver{mirror: copied, feed: changes}
+	p.setSeeds(nil)
+	copied.TakeFrom(copyTaker{p, &headsRecord{store: store, feed: changes, mirror: copied, logger: zap.NewNop()}})
+	server := transport.NewServer(hello, listener, nil, p, zap.NewNop())
+	go func() { _ = server.Serve() }()
+	t.Cleanup(func() {
+		server.Close()
+		client.Close()
+	})
+	return &copyNode{peers: p, mirror: copied}
+}
+
+// run lets a node follow the store until the test ends, and returns when it has a copy.
+func (n *copyNode) run(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.mirror.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	const patience = 5 * time.Second
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if _, _, listed := n.mirror.Snapshot(); listed {
+			return
+		}
+	}
+	t.Fatal("the node has no copy")
+}
+
+// storeWith returns a store with many keys, as a large deployment has.
+func storeWith(keys int) *memory.Store {
+	store := memory.New()
+	for index := range keys {
+		store.Write(fmt.Sprintf("other/%d", index), []byte("value"))
+	}
+	return store
+}
+
+func record(t *testing.T, store *memory.Store, keys uint32, heads ...string) {
+	t.Helper()
+	content := &wire.HeadsRecord{Keys: keys}
+	for _, address := range heads {
+		content.Heads = append(content.Heads, &wire.NodeAddress{Address: address, Zone: "z1"})
+	}
+	value, err := proto.Marshal(content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Write(view.HeadsKey, value)
+}
+
+// Seen on the large deployments: each of 295 nodes listed a thousand keys in pages of
+// 50 when it started, and 5,000 of 7,500 calls to the store were such pages.
+func TestNodeThatStartsTakesItsCopyFromAHead(t *testing.T) {
+	const keys = 500
+	store := storeWith(keys)
+	head, started := newCopyNode(t, store, "head"), newCopyNode(t, store, "started")
+	record(t, store, keys, head.self.Address)
+	head.run(t)
+	before := store.Calls("list")
+	started.run(t)
+	if lists := store.Calls("list") - before; lists != 1 {
+		t.Errorf("the store was asked for keys %d times, want once, for the record of the heads", lists)
+	}
+	items, revision, _ := started.mirror.Snapshot()
+	if wanted := head.mirror.Revision(); len(items) != keys+1 || revision != wanted {
+		t.Errorf("%d keys at revision %d, want %d at %d", len(items), revision, keys+1, wanted)
+	}
+}
+
+func TestNodeListsTheStoreIfNoHeadAnswers(t *testing.T) {
+	const keys = 500
+	store := storeWith(keys)
+	record(t, store, keys, "127.0.0.1:1")
+	started := newCopyNode(t, store, "started")
+	startedAt := time.Now()
+	started.run(t)
+	const bound = startPatience + startSpread + stateTimeout
+	if took := time.Since(startedAt); took > bound {
+		t.Errorf("the copy came after %v, want within %v", took, bound)
+	}
+}
+
+// With few keys a list is sooner than a copy from a node that has to start as well.
+func TestNodeListsAFewKeysItself(t *testing.T) {
+	store := storeWith(fewKeys / 2)
+	head, started := newCopyNode(t, store, "head"), newCopyNode(t, store, "started")
+	record(t, store, fewKeys, head.self.Address)
+	head.run(t)
+	before := store.Calls("list")
+	started.run(t)
+	if lists := store.Calls("list") - before; lists != 2 {
+		t.Errorf("the store was asked for keys %d times, want twice: for the record and for all", lists)
+	}
+}
+
+// A node gives no more copies than its link bears; who comes later is told who has one.
+func TestGiverNamesOthersOnceItGaveEnough(t *testing.T) {
+	head := newCopyNode(t, storeWith(1), "head")
+	head.run(t)
+	asking := func(number int) *wire.Hello { return &wire.Hello{Address: fmt.Sprint("address ", number), Zone: "z"} }
+	head.copies.intervalStart = time.Now().Add(time.Hour)
+	for number := range copiesPerInterval {
+		answer, err := head.copies.reply(asking(number))
+		if err != nil || !answer.GetComplete() {
+			t.Fatalf("copy %d: complete %v, %v", number, answer.GetComplete(), err)
+		}
+	}
+	answer, err := head.copies.reply(asking(copiesPerInterval))
+	if err != nil || answer.GetComplete() || len(answer.GetOthers()) != copiesPerInterval {
+		t.Errorf("complete %v, %d others, %v; want %d others", answer.GetComplete(), len(answer.GetOthers()), err, copiesPerInterval)
+	}
+}
+
+func TestDamagedCopyIsRefused(t *testing.T) {
+	packed, err := packItems([]topo.Item{{Key: "a", Value: []byte("1"), Revision: 3, Lease: 4}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	items, err := unpackItems(packed)
+	if err != nil || len(items) != 1 || items[0].Key != "a" || items[0].Revision != 3 || items[0].Lease != 4 {
+		t.Fatalf("unpacked %v, %v", items, err)
+	}
+	if _, err := unpackItems(packed[:len(packed)/2]); err == nil {
+		t.Error("a copy that was cut short was taken")
+	}
+}
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -138,11 +138,39 @@
 	return fallbackInterval * time.Duration(max(1, nodes)), true
 }
 
-func (c *changeFeed) heads() []string {
+// confirmedAge returns how long ago the store surely had nothing newer than this
+// node's copy; false if that was never known.
+func (c *changeFeed) confirmedAge() (time.Duration, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.core.ConfirmedAge(c.now())
+}
+
+// given takes in which node gives this one a copy.
+func (c *changeFeed) given(giver feed.Member) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.core.Given(c.now(), giver)
+}
+
+// root reports whether this node is to watch the store for all others.
+func (c *changeFeed) root() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.core.Root()
+}
+
+// headMembers returns the nodes that pass changes on to their zones.
+func (c *changeFeed) headMembers() []feed.Member {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	addresses := make([]string, 0, len(c.core.Heads()))
-	for _, head := range c.core.Heads() {
+	return c.core.Heads()
+}
+
+func (c *changeFeed) heads() []string {
+	heads := c.headMembers()
+	addresses := make([]string, 0, len(heads))
+	for _, head := range heads {
 		addresses = append(addresses, head.Address)
 	}
 	return addresses
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -74,6 +74,7 @@
 	managers     *managers
 	peers        *peers
 	registration *registration
+	record       *headsRecord
 	inner        *transport.Server
 	clients      *http.Server
 	ready        *http.Server
@@ -122,6 +123,9 @@
 		self: self, client: client, feed: changes,
 		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
+	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes}
+	n.record = &headsRecord{store: platform.Store, feed: changes, mirror: n.mirror, logger: logger}
+	n.mirror.TakeFrom(copyTaker{n.peers, n.record})
 	n.peers.setSeeds(settings.Seeds)
 	options := shards.DefaultOptions()
 	options.Hold = min(options.Hold, time.Duration(settings.MaxHoldMillis)*time.Millisecond)
@@ -212,6 +216,7 @@
 		return periodic.Run(ctx, followInterval, func(context.Context) { n.managers.follow(ctx) })
 	})
 	actor(func(ctx context.Context) error { return periodic.Run(ctx, nodeKeep, n.registration.step) })
+	actor(func(ctx context.Context) error { return periodic.Run(ctx, recordInterval, n.record.step) })
 	actor(func(ctx context.Context) error {
 		return periodic.Run(ctx, idlePrune, func(context.Context) { n.connections.Prune(time.Now()) })
 	})
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -48,6 +48,7 @@
 	// orders reaches servers from this node, for other nodes' orders.
 	orders shardmanager.Orders
 	feed   *changeFeed
+	copies *copyGiver
 	logger *zap.Logger
 
 	mutex sync.Mutex
@@ -221,7 +222,7 @@
 }
 
 // HandleCall implements transport.Handler.
-func (p *peers) HandleCall(_ *wire.Hello, envelope *wire.Envelope, reply func(*wire.Envelope)) {
+func (p *peers) HandleCall(from *wire.Hello, envelope *wire.Envelope, reply func(*wire.Envelope)) {
 	if order := envelope.GetRelayOrder(); order.GetRelease() {
 		go p.passOn(order, reply)
 		return
@@ -231,15 +232,20 @@
 		reply(&wire.Envelope{Body: &wire.Envelope_Failure{Failure: &wire.Failure{Message: "unknown call"}}})
 		return
 	}
-	answer := &wire.StateReply{Revision: p.mirror.Revision()}
 	if request.GetItems() {
-		items, revision, listed := p.mirror.Snapshot()
-		answer.Revision, answer.Complete = revision, listed
-		for _, item := range items {
-			answer.Items = append(answer.Items, &wire.StoreItem{
-				Key: item.Key, Value: item.Value, Revision: item.Revision, Lease: int64(item.Lease),
-			})
-		}
+		go p.giveCopy(from, reply)
+		return
+	}
+	answer := &wire.StateReply{Revision: p.mirror.Revision()}
+	reply(&wire.Envelope{Body: &wire.Envelope_StateReply{StateReply: answer}})
+}
+
+func (p *peers) giveCopy(from *wire.Hello, reply func(*wire.Envelope)) {
+	answer, err := p.copies.reply(from)
+	if err != nil {
+		p.logger.Error("copy not given", zap.String("to", from.GetNode()), zap.Error(err))
+		reply(&wire.Envelope{Body: &wire.Envelope_Failure{Failure: &wire.Failure{Message: "copy cannot be packed"}}})
+		return
 	}
 	reply(&wire.Envelope{Body: &wire.Envelope_StateReply{StateReply: answer}})
 }
@@ -304,9 +310,10 @@
 	if !answer.GetComplete() || answer.GetRevision() <= p.mirror.Revision() {
 		return
 	}
-	items := make([]topo.Item, 0, len(answer.GetItems()))
-	for _, item := range answer.GetItems() {
-		items = append(items, itemOf(item))
+	items, err := unpackItems(answer.GetPacked())
+	if err != nil {
+		p.logger.Warn("state of another node refused", zap.String("address", address), zap.Error(err))
+		return
 	}
 	p.logger.Info("state taken from another node", zap.String("address", address), zap.Int64("revision", answer.GetRevision()))
 	p.mirror.Adopt(items, answer.GetRevision())
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -18,6 +18,10 @@
 	retiredPrefix = "micahaven/retired/"
 )
 
+// HeadsKey holds the addresses of the nodes that pass changes on to their zones, for
+// nodes that start.
+const HeadsKey = "micahaven/heads"
+
 // NodeKey is the key under which a node registers.
 func NodeKey(node string) string { return nodePrefix + node }
 
