Only nodes with half of the greatest share of a processor are heads, while there are enough

Change: heads are taken from the nodes with half of the greatest share; zones without any follow heads of others; there are as many heads as there were for the number of nodes. Test seen failing: TestSmallNodesAreNoHeadsWhileThereAreLargerOnes.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -390,6 +390,31 @@
 
 // Entries that vanish with an outage of the store may come back for a while after
 // it; those that vanish at any other time may not.
+// Seen on tintamezcla-gw-large trouble-1: while the store refused most of the larger
+// nodes of a zone, one of the smallest became a head, and its followers were seconds
+// behind (CONFIG 1).
+func TestSmallNodesAreNoHeadsWhileThereAreLargerOnes(t *testing.T) {
+	c := newCluster(t, 60, 5)
+	for index, n := range c.nodes {
+		n.Share = 0.16
+		if large := n.Zone != "z3" && index < 20; large {
+			n.Share = 0.8
+		}
+	}
+	for _, n := range c.nodes {
+		n.core = feed.New(n.Member)
+		n.core.SetMembers(0, c.members())
+	}
+	for _, head := range c.nodes[0].core.Heads() {
+		if head.Share < 0.8 {
+			t.Errorf("%s of %s with %v of a processor is a head", head.Name, head.Zone, head.Share)
+		}
+	}
+	c.start()
+	const quick = 100 * time.Millisecond
+	c.wantFresh(quick, nobody)
+}
+
 func TestEntriesMayReturnOnlyAfterTheStoreWasAway(t *testing.T) {
 	core := feed.New(feed.Member{Name: "n"})
 	confirm := func(at time.Duration) { core.Confirm(at, 0) }
--- a/internal/feed/members.go
+++ b/internal/feed/members.go
@@ -57,24 +57,31 @@
 	return members[0], true
 }
 
+// strongShare is the part of the greatest share of a processor that a head has at
+// least: what a head passes on to its followers takes a machine with a fifth of the
+// greatest share all of its processor, and its followers fall behind.
+const strongShare = 0.5
+
 // headsOf returns, in the order of their rank, those of ranked members that pass
-// changes on to their zone: some of each zone, and the best of all until there are
-// enough.
+// changes on to their zone: some of each zone that has strong ones, and the best of all
+// until there are enough for the number of members.
 func headsOf(ranked []Member) []Member {
+	strong := strongOf(ranked)
 	inZone := make(map[string]int)
 	for _, member := range ranked {
 		inZone[member.Zone]++
 	}
 	chosen := make(map[string]bool)
 	taken := make(map[string]int)
-	for _, member := range ranked {
+	for _, member := range strong {
 		if taken[member.Zone] < 1+(inZone[member.Zone]-1)/followersPerHead {
 			taken[member.Zone]++
 			chosen[member.Name] = true
 		}
 	}
+	enough := max(fewestHeads, (len(ranked)+followersPerHead-1)/followersPerHead)
 	for _, member := range ranked {
-		if len(chosen) >= fewestHeads {
+		if len(chosen) >= enough {
 			break
 		}
 		chosen[member.Name] = true
@@ -88,6 +95,16 @@
 	return heads
 }
 
+// strongOf returns those of ranked members that may be heads.
+func strongOf(ranked []Member) []Member {
+	for index, member := range ranked {
+		if member.Share < strongShare*ranked[0].Share {
+			return ranked[:index]
+		}
+	}
+	return ranked
+}
+
 // upstreamsOf returns the nodes that a node may follow, the preferred one first.
 //
 // A head follows the root, or else one of the heads that come before it in their order:
