Nodes stay with their head while others register

Cause: which head of its zone a node follows went by its position among all nodes, so that each of a hundred registrations after an outage for some nodes made about half of the others change their upstream. Change: rendezvous hashing of the node and the head. Tests: the upstream changes at most twice while 100 nodes register (TestNodesStayWithTheirHeadWhileOthersRegister), and each head has 15 to 45 followers.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -178,7 +178,7 @@
 	case len(members) == 0:
 		f.upstreams = []Member{*f.giver}
 	default:
-		f.upstreams = upstreamsOf(f.self, ranked, f.order)
+		f.upstreams = upstreamsOf(f.self, f.order)
 	}
 	f.chooseUpstream(now)
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -415,6 +415,47 @@
 	c.wantFresh(quick, nobody)
 }
 
+// While a hundred nodes register again after the store turned them away, the others
+// must not change their upstream with each of them.
+func TestNodesStayWithTheirHeadWhileOthersRegister(t *testing.T) {
+	c := newCluster(t, 300, 5)
+	c.start()
+	all := c.members()
+	present := append([]feed.Member(nil), all[:200]...)
+	self := c.nodes[150].core
+	self.SetMembers(c.now, present)
+	before, _ := self.Upstream()
+	changes := 0
+	for _, added := range all[200:] {
+		present = append(present, added)
+		self.SetMembers(c.now, present)
+		upstream, _ := self.Upstream()
+		if upstream.Name != before.Name {
+			changes++
+		}
+		before = upstream
+	}
+	const most = 2
+	if changes > most {
+		t.Errorf("the upstream changed %d times, want at most %d", changes, most)
+	}
+}
+
+func TestNodesAreSpreadOverTheHeadsOfTheirZone(t *testing.T) {
+	c := newCluster(t, 300, 5)
+	followers := make(map[string]int)
+	for _, n := range c.nodes {
+		if upstream, following := n.core.Upstream(); following && !c.isHead(n) {
+			followers[upstream.Name]++
+		}
+	}
+	for _, head := range c.nodes[0].core.Heads() {
+		if count := followers[head.Name]; count < 15 || count > 45 {
+			t.Errorf("%d nodes follow %s, want about 29", count, head.Name)
+		}
+	}
+}
+
 func TestEntriesMayReturnOnlyAfterTheStoreWasAway(t *testing.T) {
 	core := feed.New(feed.Member{Name: "n"})
 	confirm := func(at time.Duration) { core.Confirm(at, 0) }
--- a/internal/feed/members.go
+++ b/internal/feed/members.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"cmp"
+	"hash/fnv"
 	"slices"
 	"sort"
 )
@@ -109,34 +111,36 @@
 //
 // A head follows the root, or else one of the heads that come before it in their order:
 // it never follows a head that may follow it. Any other node follows a head of its own
-// zone, or else one of another zone; the nodes are spread over the heads by their
-// position among the ranked members.
-func upstreamsOf(self Member, ranked, order []Member) []Member {
+// zone, or else one of another zone; which of them it prefers does not depend on what
+// other nodes there are, so that nodes stay with their heads while others come and go.
+func upstreamsOf(self Member, order []Member) []Member {
 	if index := positionOf(self, order); index >= 0 {
 		return order[:index]
 	}
-	var near, far []Member
-	for _, head := range order {
-		if head.Zone == self.Zone {
-			near = append(near, head)
-			continue
+	upstreams := slices.Clone(order)
+	slices.SortFunc(upstreams, func(a, b Member) int {
+		if near := a.Zone == self.Zone; near != (b.Zone == self.Zone) {
+			if near {
+				return -1
+			}
+			return 1
 		}
-		far = append(far, head)
-	}
-	position := max(0, positionOf(self, ranked))
-	return append(rotated(near, position), rotated(far, position)...)
+		return cmp.Compare(preference(self, b), preference(self, a))
+	})
+	return upstreams
+}
+
+// preference is how much a node prefers a head among those of the same zone: a number
+// that spreads the nodes evenly over them (rendezvous hashing).
+func preference(node, head Member) uint64 {
+	hash := fnv.New64a()
+	// The names of heads differ in their ends, which must be mixed by what follows.
+	// Writing to a hash never fails.
+	_, _ = hash.Write([]byte(head.Name + "\x00" + node.Name))
+	return hash.Sum64()
 }
 
 // positionOf returns the position of a node among members, or -1.
 func positionOf(node Member, members []Member) int {
 	return slices.IndexFunc(members, func(member Member) bool { return member.Name == node.Name })
 }
-
-// rotated returns members in their order, beginning at a position.
-func rotated(members []Member, position int) []Member {
-	if len(members) == 0 {
-		return nil
-	}
-	first := position % len(members)
-	return append(slices.Clone(members[first:]), members[:first]...)
-}
