--- a/internal/feed/members.go
+++ b/internal/feed/members.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"sort"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -133,11 +134,7 @@
 // preference is how much a node prefers a head among those of the same zone: a number
 // that spreads the nodes evenly over them (rendezvous hashing).
 func preference(node, head Member) uint64 {
-	hash := fnv.New64a()
-	// The names of heads differ in their ends, which must be mixed by what follows.
-	// Writing to a hash never fails.
-	_, _ = hash.Write([]byte(head.Name + "\x00" + node.Name))
-	return hash.Sum64()
+	return xxhash.Sum64String(node.Name + "\x00" + head.Name)
 }
 
 // positionOf returns the position of a node among members, or -1.
