A request that reached no server goes on to another; new connections are watched for a round trip

Where nothing was sent, a repeat still had to come out of the budget. Change: a new connection is watched for as long as its opening took, at most 5 ms, before anything is sent; one that ends by then is ErrTurnedAway and ErrNotSent. What was not sent goes to another server up to three times, without counting as an attempt or a repeat, because no server is loaded by it. A server that refuses connections is passed over for 30 ms, doubled with each refusal in a row up to 480 ms, instead of counting as failed.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/discovery"
@@ -305,8 +306,12 @@
 }
 
 // fault takes in that a server did not answer or could not be reached.
-func (d *Dispatcher) fault(s *server) {
+func (d *Dispatcher) fault(s *server, cause error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if errors.Is(cause, upstream.ErrTurnedAway) {
+		s.turnedAway(time.Now())
+		return
+	}
 	s.failed(time.Now())
 }
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -33,6 +33,8 @@
 const (
 	// answered means that the server's answer is final.
 	answered attempt = iota
+	// notSent means that nothing of the request reached the server.
+	notSent
 	// rejected means that the server has surely not run the request.
 	rejected
 	// failedOver means that the request may have run.
@@ -67,10 +69,14 @@
 		if s == nil {
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
-		trace.Attempts++
 		trace.Server = string(s.id)
 		trace.MapRevision = d.views.Current().Owners[request.Service].Revision
 		answer, outcome, err := d.send(ctx, request, s, limit)
+		if outcome == notSent {
+			trace.NotSent++
+		} else {
+			trace.Attempts++
+		}
 		attemptsTotal.WithLabelValues(request.Service, outcome.String()).Inc()
 		if outcome == answered {
 			return answer, trace, nil
@@ -81,8 +87,8 @@
 			lastAnswer = answer
 		}
 		excluded[s.id] = true
-		if ctx.Err() != nil || !d.mayRepeat(request, trace.Attempts, outcome, limit) {
-			if outcome == rejected && !mayHaveRun {
+		if ctx.Err() != nil || !d.mayRepeat(request, trace, outcome, limit) {
+			if outcome != failedOver && !mayHaveRun {
 				return nil, trace, &Refusal{Reason: err.Error(), RetryAfter: comeBack()}
 			}
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer, cause)
@@ -97,17 +103,25 @@
 	return b
 }
 
+// maxNotSent bounds how often a request goes on to another server because nothing of
+// it reached the one before. Servers are not loaded by that, so neither the route's
+// attempts nor the budget of repeats bound it.
+const maxNotSent = 3
+
 // mayRepeat decides whether a request goes to another server.
-func (d *Dispatcher) mayRepeat(request *Request, attempts int, outcome attempt, limit time.Time) bool {
+func (d *Dispatcher) mayRepeat(request *Request, trace Trace, outcome attempt, limit time.Time) bool {
 	if outcome == failedOver && !request.Route.Repeatable {
 		return false
 	}
-	if attempts >= request.Route.MaxAttempts || request.Rest != nil {
+	if trace.Attempts >= request.Route.MaxAttempts || request.Rest != nil {
 		return false
 	}
 	if time.Until(limit) < minAttemptTime {
 		return false
 	}
+	if outcome == notSent {
+		return trace.NotSent <= maxNotSent
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.budget(request.Service).take() {
@@ -142,11 +156,11 @@
 	took := time.Since(startedAt)
 	if err != nil {
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			d.fault(s)
+			d.fault(s, err)
 		}
 		d.finish(s, took, request.Route.Objective, false)
 		if errors.Is(err, upstream.ErrNotSent) {
-			return nil, rejected, err
+			return nil, notSent, err
 		}
 		return nil, failedOver, err
 	}
@@ -218,8 +232,7 @@
 		}
 		return
 	}
-	const pause = 30 * time.Millisecond
-	s.blockedUntil = time.Now().Add(pause)
+	s.pause(time.Now())
 }
 
 // cancelingReader ends the request's context with its body.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -28,6 +28,8 @@
 	switch a {
 	case answered:
 		return "answered"
+	case notSent:
+		return "not sent"
 	case rejected:
 		return "rejected"
 	default:
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -69,8 +69,11 @@
 
 // Trace is what happened to a request, for the log.
 type Trace struct {
-	Server   string
+	Server string
+	// Attempts is to how many servers the request was sent.
 	Attempts int
+	// NotSent is for how many servers nothing of it could be sent.
+	NotSent int
 	// Queued is how long the request waited for a server.
 	Queued time.Duration
 	// MapRevision is the revision of the owner map when the server was chosen; 0
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -30,7 +30,9 @@
 	// latency is the moving mean of the answers' times, in seconds.
 	latency float64
 	// failures counts failures in a row; blockedUntil follows from them.
-	failures     int
+	failures int
+	// refusals counts connections in a row that the server refused.
+	refusals     int
 	blockedUntil time.Time
 	// attempts and busy sum up what is to be reported.
 	attempts uint32
@@ -39,7 +41,7 @@
 
 func (s *server) succeeded(took, objective time.Duration) {
 	s.adapt(took, objective)
-	s.failures = 0
+	s.failures, s.refusals = 0, 0
 	s.blockedUntil = time.Time{}
 	s.observe(took)
 }
@@ -63,6 +65,23 @@
 	}
 }
 
+// fullPause is for how long a server that said that it is full is passed over: about
+// as long as it takes to work off a few requests.
+const fullPause = 30 * time.Millisecond
+
+// maxFullPause bounds that pause for a server that goes on refusing connections: each
+// one that it refuses costs it time as well.
+const maxFullPause = 480 * time.Millisecond
+
+// pause passes the server over for a moment, because it is full but well.
+func (s *server) pause(now time.Time) { s.blockedUntil = now.Add(fullPause) }
+
+// turnedAway takes in that the server refused a connection.
+func (s *server) turnedAway(now time.Time) {
+	s.blockedUntil = now.Add(min(fullPause<<min(s.refusals, 4), maxFullPause))
+	s.refusals++
+}
+
 func (s *server) failed(now time.Time) {
 	backoff := firstBackoff << min(s.failures, 6)
 	s.failures++
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -260,7 +260,7 @@
 	fields := []zap.Field{
 		zap.String("request", request.ID), zap.String("route", request.Route.Name),
 		zap.String("service", request.Service), zap.String("server", trace.Server),
-		zap.Int("attempts", trace.Attempts), zap.Duration("queued", trace.Queued),
+		zap.Int("attempts", trace.Attempts), zap.Int("not_sent", trace.NotSent), zap.Duration("queued", trace.Queued),
 		zap.Duration("took", time.Since(request.ArrivedAt)), zap.Int64("version", version),
 	}
 	if request.HasKey {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -14,10 +14,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/sockets"
 )
 
@@ -25,6 +27,9 @@
 var (
 	// ErrNotSent means that no byte of the request reached the server's process.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrTurnedAway means, besides, that the server ended a new connection at once: it
+	// runs, and has as many connections as it takes.
+	ErrTurnedAway = errors.New("server takes no more connections")
 	// ErrNoAnswer means that the request may have run and no answer came.
 	ErrNoAnswer = errors.New("no answer")
 	// ErrUndelivered means, besides, that the server's machine had not
@@ -38,6 +43,11 @@
 
 const (
 	dialTimeout = 400 * time.Millisecond
+	// maxSettle bounds how long a new connection is watched before anything is sent on
+	// it. It is watched for one round trip, as its opening took: a server beyond its
+	// limit of connections accepts one and resets it at once, and a request that was
+	// sent meanwhile might have run.
+	maxSettle = 5 * time.Millisecond
 	// defaultIdle is how long an idle connection is kept if the server does not
 	// say; reuse stops idleMargin before the server closes it.
 	defaultIdle = 8 * time.Second
@@ -85,6 +95,8 @@
 	mutex  sync.Mutex
 	idle   []*connection
 	closed bool
+	// idleCount is the length of idle, to be read without the mutex.
+	idleCount atomic.Int32
 }
 
 type connection struct {
@@ -97,6 +109,12 @@
 // NewPool returns a pool for a server's address.
 func NewPool(address string) *Pool { return &Pool{address: address} }
 
+// HasIdle reports whether an idle connection is kept; it may be found to be over.
+func (p *Pool) HasIdle() bool { return p.idleCount.Load() > 0 }
+
+// noteIdle takes in how many connections are idle. The caller holds the mutex.
+func (p *Pool) noteIdle() { p.idleCount.Store(int32(len(p.idle))) }
+
 // Close ends idle connections; those in use end with their request.
 func (p *Pool) Close() {
 	p.mutex.Lock()
@@ -106,6 +124,7 @@
 		c.close()
 	}
 	p.idle = nil
+	p.noteIdle()
 }
 
 // Prune ends connections that have been idle for too long.
@@ -121,6 +140,7 @@
 		kept = append(kept, c)
 	}
 	p.idle = kept
+	p.noteIdle()
 }
 
 func (c *connection) close() {
@@ -148,6 +168,7 @@
 func (p *Pool) take() *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	defer p.noteIdle()
 	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
 		c := p.idle[last]
@@ -169,17 +190,28 @@
 	}
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
+	p.noteIdle()
 }
 
 func (p *Pool) open(ctx context.Context) (*connection, error) {
 	if c := p.take(); c != nil {
 		return c, nil
 	}
+	startedAt := time.Now()
 	dialer := net.Dialer{Timeout: dialTimeout}
 	socket, err := dialer.DialContext(ctx, "tcp", p.address)
+	if errors.Is(err, syscall.ECONNRESET) {
+		err = errors.Mark(err, ErrTurnedAway)
+	}
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", p.address), ErrNotSent)
 	}
+	periodic.Pause(ctx, min(time.Since(startedAt), maxSettle))
+	if !sockets.Quiet(socket) {
+		// It was ended by the server; there is nobody to tell.
+		_ = socket.Close()
+		return nil, errors.Mark(errors.Wrapf(ErrTurnedAway, "connect to %s", p.address), ErrNotSent)
+	}
 	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, bufferBytes), usableFor: defaultIdle - idleMargin}, nil
 }
 
