A root that the store turns away follows the node next to it, and is not relied on by it

The root itself hears of changes only by comparing with random nodes (version 7 in force there 1.5 s later than elsewhere). Change: the age that a node tells heads does not count what heads behind it in the order told; the root follows the next head while the store does not answer it.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,6 +18,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"github.com/micahaven/micahaven/internal/topo"
@@ -132,6 +133,12 @@
 	// confirmedAt is when the store surely had nothing newer than this copy.
 	confirmedAt time.Duration
 	confirmed   bool
+	// passedAt is the same as this node tells it to heads: from its own calls to the
+	// store, and from its upstream unless it is the root. What the heads behind it in the
+	// order found out is not passed back to them: they would rely on each other, and none
+	// would ask the store.
+	passedAt time.Duration
+	passes   bool
 
 	// returnedAt is when the store was confirmed again after it had been away.
 	returned   bool
@@ -172,9 +179,9 @@
 	root, _ := first(f.order)
 	f.root = len(members) == 0 && f.giver == nil || root.Name == f.self.Name
 	f.head = f.root || positionOf(f.self, f.heads) >= 0
-	f.upstreams = nil
 	switch {
 	case f.root:
+		f.upstreams = withoutSelf(f.self, f.order)
 	case len(members) == 0:
 		f.upstreams = []Member{*f.giver}
 	default:
@@ -194,7 +201,7 @@
 // chooseUpstream turns to the preferred one of the upstreams that did not fail lately,
 // or else to the one that is to be tried again first.
 func (f *Feed) chooseUpstream(now time.Duration) {
-	if len(f.upstreams) == 0 {
+	if len(f.upstreams) == 0 || f.root && !f.storeLost(now) {
 		f.following = false
 		return
 	}
@@ -239,6 +246,12 @@
 	return switchAge
 }
 
+// storeLost reports whether the root's own calls to the store have had no answer for
+// some time, so that it has to follow another node meanwhile.
+func (f *Feed) storeLost(now time.Duration) bool {
+	return f.passes && now-f.passedAt > headSwitchAge
+}
+
 // leaveUpstream turns to another upstream, if there is one.
 func (f *Feed) leaveUpstream(now time.Duration) {
 	f.failures++
@@ -321,12 +334,25 @@
 	return f.confirmedAge(now) > confirmInterval+time.Duration(min(steps, confirmSteps))*confirmStep
 }
 
-// Confirm takes in that the store had a revision at a moment. It reports whether
-// this node's copy had reached it.
+// Confirm takes in that the store answered this node and had a revision at a moment. It
+// reports whether this node's copy had reached it.
 func (f *Feed) Confirm(at time.Duration, revision int64) bool {
+	return f.confirm(at, revision, true)
+}
+
+// ConfirmTold takes in that another node asked the store and told its revision. It
+// reports whether this node's copy had reached it.
+func (f *Feed) ConfirmTold(at time.Duration, revision int64) bool {
+	return f.confirm(at, revision, false)
+}
+
+func (f *Feed) confirm(at time.Duration, revision int64, passOn bool) bool {
 	if f.revision < revision {
 		return false
 	}
+	if passOn && (!f.passes || at > f.passedAt) {
+		f.passes, f.passedAt = true, at
+	}
 	if f.confirmed && at-f.confirmedAt > outageAge {
 		f.returned, f.returnedAt = true, at
 	}
@@ -481,11 +507,21 @@
 // beat appends a heartbeat if one is due.
 func (f *Feed) beat(messages []Message, now time.Duration, address string) []Message {
 	known := f.followers[address]
-	if now < known.beatAt || !f.confirmed {
+	age, confirmed := f.toldAge(now, address)
+	if now < known.beatAt || !confirmed {
 		return messages
 	}
 	known.beatAt = now + heartbeatInterval
-	return append(messages, Message{To: address, Heartbeat: &Heartbeat{Revision: f.revision, ConfirmedAge: f.confirmedAge(now)}})
+	return append(messages, Message{To: address, Heartbeat: &Heartbeat{Revision: f.revision, ConfirmedAge: age}})
+}
+
+// toldAge is the age of the confirmation that a follower is told.
+func (f *Feed) toldAge(now time.Duration, address string) (time.Duration, bool) {
+	toHead := slices.ContainsFunc(f.heads, func(head Member) bool { return head.Address == address })
+	if toHead {
+		return now - f.passedAt, f.passes
+	}
+	return f.ConfirmedAge(now)
 }
 
 func (f *Feed) stepHeartbeat(now time.Duration, from string, heartbeat *Heartbeat) {
@@ -505,7 +541,7 @@
 // what confirms the upstream's copy confirms this one.
 func (f *Feed) updateBehind(now time.Duration) {
 	if f.following && f.heard {
-		f.Confirm(f.upstreamConfirmedAt, f.upstreamRevision)
+		f.confirm(f.upstreamConfirmedAt, f.upstreamRevision, !f.root)
 	}
 	behind := f.following && f.heard && f.revision < f.upstreamRevision
 	if behind && !f.behind {
@@ -532,8 +568,9 @@
 	var messages []Message
 	if f.following && f.joined && f.upstreamFailed(now) {
 		f.leaveUpstream(now)
-	} else if now >= f.reviewAt {
-		// An upstream that is preferred may be turned to again.
+	} else if f.root || now >= f.reviewAt {
+		// An upstream that is preferred may be turned to again, and the root follows
+		// one only while the store does not answer it.
 		f.reviewAt = now + avoidance
 		f.chooseUpstream(now)
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -141,7 +141,14 @@
 	c.calls++
 	for _, other := range c.nodes {
 		told := other == n || (c.isHead(other) && !other.isolated && !n.isolated && !other.stopped)
-		if told && !other.core.Confirm(c.now, c.revision) && !other.cutOff {
+		if !told {
+			continue
+		}
+		confirm := other.core.ConfirmTold
+		if other == n {
+			confirm = other.core.Confirm
+		}
+		if !confirm(c.now, c.revision) && !other.cutOff {
 			c.fetch(other)
 		}
 	}
@@ -456,6 +463,28 @@
 	}
 }
 
+// Seen on tintamezcla-gw-large trouble-1: the store turned the root away for 9 s; the
+// node next to it watched the store, told the root of its revision, took the root's word
+// for it again, and after a second nobody had asked the store.
+func TestRootThatTheStoreTurnsAwayIsNotReliedOn(t *testing.T) {
+	c := newCluster(t, 300, 5)
+	c.start()
+	c.watching()[0].cutOff = true
+	c.run(1500 * time.Millisecond)
+	watched := map[*node]bool{}
+	for range 25 {
+		const quick = 300 * time.Millisecond
+		c.wantFresh(quick, nobody)
+		for _, n := range c.watching() {
+			watched[n] = true
+		}
+	}
+	const most = 2
+	if len(watched) > most {
+		t.Errorf("%d nodes watched the store, want the root and the one next to it", len(watched))
+	}
+}
+
 func TestEntriesMayReturnOnlyAfterTheStoreWasAway(t *testing.T) {
 	core := feed.New(feed.Member{Name: "n"})
 	confirm := func(at time.Duration) { core.Confirm(at, 0) }
--- a/internal/feed/members.go
+++ b/internal/feed/members.go
@@ -131,6 +131,11 @@
 	return upstreams
 }
 
+// withoutSelf returns members without a node.
+func withoutSelf(self Member, members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(member Member) bool { return member.Name == self.Name })
+}
+
 // preference is how much a node prefers a head among those of the same zone: a number
 // that spreads the nodes evenly over them (rendezvous hashing).
 func preference(node, head Member) uint64 {
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -68,14 +68,18 @@
 }
 
 // Confirmed implements mirror.Observer.
-func (c *changeFeed) Confirmed(at time.Time, revision int64) { c.confirm(at, revision) }
+func (c *changeFeed) Confirmed(at time.Time, revision int64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.core.Confirm(at.Sub(c.start), revision)
+}
 
-// confirm takes in that the store had a revision at a moment. It reports whether
-// this node's copy had reached it.
-func (c *changeFeed) confirm(at time.Time, revision int64) bool {
+// told takes in that another node asked the store and told its revision just now. It
+// reports whether this node's copy had reached it.
+func (c *changeFeed) told(revision int64) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.core.Confirm(at.Sub(c.start), revision)
+	return c.core.ConfirmTold(c.now(), revision)
 }
 
 // Watching implements mirror.Observer.
