Owners keep their numbers from one map to the next; deltas find smaller equal parts

Cause: nodes are sent what differs from the last owner map, but a stored map numbered its owners by their first range, so that a range with another owner changed the numbers of most others: 27,704 bytes lead from one map of 1,200 ranges (35,748 bytes) to the next with six ranges changed. Change: each owner has a number of its own that it keeps (lowest free one for a new owner); maps without numbers can still be read. Chunks of deltas end at one byte of 32 instead of one of 256 in binary data.

--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -19,10 +19,11 @@
 )
 
 const (
-	// boundary ends a chunk. Values are split at it, so that equal parts of two
-	// values fall into equal chunks wherever they stand: it is the byte that ends
-	// an object in JSON, and as good as any in binary data.
-	boundary = '}'
+	// boundary ends a chunk, as the lower bits of a byte. Values are split at it, so
+	// that equal parts of two values fall into equal chunks wherever they stand. The
+	// byte that ends an object in JSON has it, and one byte of 32 in binary data.
+	boundary     = '}' & boundaryMask
+	boundaryMask = 0x1f
 	// maxChunk bounds chunks of values that seldom have the boundary.
 	maxChunk = 512
 	// checksumBytes is the length of the checksum that begins a delta.
@@ -84,7 +85,7 @@
 	var chunks []span
 	from := 0
 	for at, b := range value {
-		if b == boundary || at+1-from == maxChunk {
+		if b&boundaryMask == boundary || at+1-from == maxChunk {
 			chunks = append(chunks, span{from, at + 1})
 			from = at + 1
 		}
--- a/internal/shards/decode.go
+++ b/internal/shards/decode.go
@@ -27,6 +27,7 @@
 
 	serverID      = 1
 	serverAddress = 2
+	serverNumber  = 3
 
 	rangeLast     = 1
 	rangeOwner    = 2
@@ -39,14 +40,17 @@
 // the servers included, as counted on maps of large deployments. It only sizes a slice.
 const bytesPerRange = 48
 
-// owner is a server that ranges of a stored map refer to by its position.
+// maxNumber bounds the numbers of owners: a map has no more owners than keys.
+const maxNumber = KeyCount
+
+// owner is a server that ranges of a stored map refer to by its number.
 type owner struct {
 	id      discovery.ServerID
 	address string
 }
 
-// storedRange is a range as it is stored: without its first key, and with its owner
-// as a position among the servers plus one; 0 means none.
+// storedRange is a range as it is stored: without its first key, and with the number of
+// its owner; 0 means none.
 type storedRange struct {
 	last, owner uint64
 	fence       uint64
@@ -57,8 +61,10 @@
 // mapDecoder collects the fields of a stored map.
 type mapDecoder struct {
 	decoded *Map
-	owners  []owner
-	ranges  []storedRange
+	// owners holds the owner with number 1 first; those that no number refers to are
+	// empty.
+	owners []owner
+	ranges []storedRange
 }
 
 // DecodeMap reads a stored map and checks that it covers the key space. It reads the
@@ -119,17 +125,29 @@
 
 func (d *mapDecoder) takeServer(f field) error {
 	var server owner
+	number := uint64(len(d.owners)) + 1
 	err := f.message().each(func(inner field) error {
 		switch inner.number {
 		case serverID:
 			server.id = discovery.ServerID(inner.text)
 		case serverAddress:
 			server.address = inner.text
+		case serverNumber:
+			number = inner.value
 		}
 		return nil
 	})
-	d.owners = append(d.owners, server)
-	return err
+	if err != nil {
+		return err
+	}
+	if number == 0 || number > maxNumber {
+		return errors.Wrapf(ErrBadMap, "field number: %d, allowed: 1 to %d", number, maxNumber)
+	}
+	for uint64(len(d.owners)) < number {
+		d.owners = append(d.owners, owner{})
+	}
+	d.owners[number-1] = server
+	return nil
 }
 
 func (d *mapDecoder) takeRange(f field) error {
@@ -169,6 +187,9 @@
 		}
 		if stored.owner > 0 {
 			server := d.owners[stored.owner-1]
+			if server.id == "" {
+				return errors.Wrapf(ErrBadMap, "field owner: %d, allowed: the number of a server", stored.owner)
+			}
 			entry.Owner, entry.Address = server.id, server.address
 		}
 		d.decoded.Ranges = append(d.decoded.Ranges, entry)
--- a/internal/shards/decode_test.go
+++ b/internal/shards/decode_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/micahaven/micahaven/internal/delta"
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/wire"
 )
 
 // manyRanges returns a map of the size that a large deployment has.
@@ -45,6 +50,61 @@
 	}
 }
 
+// Seen on tintamezcla-gw-large: owners were numbered by their first range, so that a
+// range with another owner changed the numbers of most others, deltas of maps were as
+// long as the maps, and the links of the heads were full.
+func TestMapWithAFewOtherOwnersDiffersLittle(t *testing.T) {
+	const count, moves, plays = 1200, 6, 50
+	before := manyRanges(count)
+	before.numbers = numberOwners(nil, before.Ranges)
+	encoded, err := before.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	total := 0
+	for range plays {
+		next := *before
+		next.Ranges = slices.Clone(before.Ranges)
+		for range moves {
+			moved, from := random.IntN(count), random.IntN(count)
+			next.Ranges[moved].Owner, next.Ranges[moved].Address = before.Ranges[from].Owner, before.Ranges[from].Address
+			next.Ranges[moved].Fence++
+		}
+		next.numbers = numberOwners(before.numbers, next.Ranges)
+		changed, err := next.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		total += len(delta.Make(encoded, changed))
+		decoded, err := DecodeMap(changed)
+		if err != nil || !reflect.DeepEqual(decoded.Ranges, next.Ranges) {
+			t.Fatalf("the map is another one after it was stored: %v", err)
+		}
+		before, encoded = &next, changed
+	}
+	if mean := total / plays; mean > len(encoded)/10 {
+		t.Errorf("%d bytes lead to the next map, which has %d", mean, len(encoded))
+	}
+}
+
+// A map of the form before, whose servers have no numbers, can be read.
+func TestServersWithoutNumbersCountByPosition(t *testing.T) {
+	stored := &wire.ShardMap{
+		Service: "formulas",
+		Servers: []*wire.ShardServer{{Id: "a", Address: "1"}, {Id: "b", Address: "2"}},
+		Ranges:  []*wire.ShardRange{{Last: 9, Owner: 2}, {Last: LastKey, Owner: 1}},
+	}
+	encoded, err := proto.Marshal(stored)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := DecodeMap(encoded)
+	if err != nil || decoded.Find(3).Owner != "b" || decoded.Find(LastKey).Owner != "a" {
+		t.Errorf("decoded %+v, %v", decoded, err)
+	}
+}
+
 // A map comes from the store, where anything may stand: it is refused with an error.
 func TestDamagedMapsAreRefused(t *testing.T) {
 	encoded, err := manyRanges(40).Encode()
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -114,6 +114,8 @@
 
 	shards  []*shard
 	servers map[discovery.ServerID]Server
+	// numbers are those of the owners in the last map.
+	numbers map[discovery.ServerID]uint32
 	dead    map[discovery.ServerID]bool
 
 	// uncommitted is true while the map differs from the one in the store;
@@ -184,6 +186,8 @@
 	for _, s := range m.shards {
 		current.Ranges = append(current.Ranges, s.Range)
 	}
+	m.numbers = numberOwners(m.numbers, current.Ranges)
+	current.numbers = m.numbers
 	return current
 }
 
--- a/internal/shards/map.go
+++ b/internal/shards/map.go
@@ -4,6 +4,8 @@
 package shards
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"github.com/cockroachdb/errors"
@@ -59,6 +61,9 @@
 	Pending []Author
 	// Resigned is true if the author sends no orders after this map.
 	Resigned bool
+	// numbers are those by which the stored map refers to the owners; nil if they are
+	// to be given anew.
+	numbers map[discovery.ServerID]uint32
 }
 
 // Find returns the range of a key. The key must be at most LastKey.
@@ -89,18 +94,47 @@
 	for _, author := range m.Pending {
 		stored.Pending = append(stored.Pending, &wire.ShardAuthor{Node: author.Node, Process: author.Process, Epoch: author.Epoch})
 	}
-	positions := make(map[discovery.ServerID]uint32)
+	numbers := m.numbers
+	if numbers == nil {
+		numbers = numberOwners(nil, m.Ranges)
+	}
+	listed := make(map[discovery.ServerID]bool, len(numbers))
 	for _, r := range m.Ranges {
-		position := positions[r.Owner]
-		if r.Owner != "" && position == 0 {
-			stored.Servers = append(stored.Servers, &wire.ShardServer{Id: string(r.Owner), Address: r.Address})
-			position = uint32(len(stored.Servers))
-			positions[r.Owner] = position
+		if r.Owner != "" && !listed[r.Owner] {
+			listed[r.Owner] = true
+			stored.Servers = append(stored.Servers, &wire.ShardServer{Id: string(r.Owner), Address: r.Address, Number: numbers[r.Owner]})
 		}
 		stored.Ranges = append(stored.Ranges, &wire.ShardRange{
-			Last: r.Last, Owner: position, Fence: r.Fence, Handover: r.Handover, Late: r.Late,
+			Last: r.Last, Owner: numbers[r.Owner], Fence: r.Fence, Handover: r.Handover, Late: r.Late,
 		})
 	}
+	slices.SortFunc(stored.Servers, func(a, b *wire.ShardServer) int { return cmp.Compare(a.GetNumber(), b.GetNumber()) })
 	encoded, err := proto.Marshal(stored)
 	return encoded, errors.Wrap(err, "encode owner map")
 }
+
+// numberOwners gives each owner of ranges a number: the one that it had before, or the
+// lowest that is free. An owner that changes its number would change all its ranges in
+// the stored map, and nodes are sent what differs from the map before.
+func numberOwners(before map[discovery.ServerID]uint32, ranges []Range) map[discovery.ServerID]uint32 {
+	numbers := make(map[discovery.ServerID]uint32, len(before))
+	taken := make(map[uint32]bool, len(before))
+	for _, r := range ranges {
+		if number, known := before[r.Owner]; known {
+			numbers[r.Owner] = number
+			taken[number] = true
+		}
+	}
+	next := uint32(1)
+	for _, r := range ranges {
+		if _, known := numbers[r.Owner]; known || r.Owner == "" {
+			continue
+		}
+		for taken[next] {
+			next++
+		}
+		numbers[r.Owner] = next
+		taken[next] = true
+	}
+	return numbers
+}
