A node gives as many copies as half of its link carries

Change: the setting link_megabits (20 if it is left out, checked) bounds the copies instead. Test: TestGiverNamesOthersOnceItGaveEnough.

--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -22,12 +22,12 @@
 )
 
 const (
-	// copiesPerInterval is how many whole copies a node gives in a copyInterval; those
-	// who ask for more are sent to the nodes that got one. A packed copy of a large
-	// deployment has some 80 KB: eight in 250 ms fill a link of 20 Mbit/s, which the
-	// smallest machines have.
-	copiesPerInterval = 8
-	copyInterval      = 250 * time.Millisecond
+	// copyLinkPart is the part of its link that a node uses for copies in each
+	// copyInterval; those who ask for more are sent to the nodes that got one. A packed
+	// copy of a large deployment has some 80 KB, so that a link of 20 Mbit/s gives four
+	// of them in 250 ms.
+	copyLinkPart = 0.5
+	copyInterval = 250 * time.Millisecond
 	// packedMemory is how long a packed copy is given although there is a newer one:
 	// packing takes a small machine some 20 ms, and the changes since then follow.
 	packedMemory = 250 * time.Millisecond
@@ -55,12 +55,15 @@
 type copyGiver struct {
 	mirror *mirror.Mirror
 	feed   *changeFeed
+	// linkBytes is how many bytes this node's link carries in a second.
+	linkBytes float64
 
 	mutex         sync.Mutex
 	packed        packedCopy
 	intervalStart time.Time
-	given         int
-	receivers     []*wire.NodeAddress
+	// given is how many bytes of copies were given since intervalStart.
+	given     int
+	receivers []*wire.NodeAddress
 }
 
 // packedCopy is a copy of the store as it is sent.
@@ -81,14 +84,14 @@
 	if now.Sub(g.intervalStart) > copyInterval {
 		g.intervalStart, g.given = now, 0
 	}
-	if g.given >= copiesPerInterval {
+	if float64(g.given) >= copyLinkPart*g.linkBytes*copyInterval.Seconds() {
 		return &wire.StateReply{Revision: g.mirror.Revision(), Others: slices.Clone(g.receivers)}, nil
 	}
 	listed, err := g.pack(now)
 	if err != nil || !listed {
 		return &wire.StateReply{}, err
 	}
-	g.given++
+	g.given += len(g.packed.content)
 	g.remember(&wire.NodeAddress{Address: from.GetAddress(), Zone: from.GetZone()})
 	return &wire.StateReply{
 		Revision: g.packed.revision, Complete: true, Packed: g.packed.content, Confirmed: g.packed.confirmed,
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -39,7 +39,7 @@
 	views.Subscribe(changes.follow)
 	copied.Observe(changes)
 	p := &peers{self: self, client: client, feed: changes, views: views, mirror: copied, logger: zap.NewNop()}
-	p.copies = &copyGiver{mirror: copied, feed: changes}
+	p.copies = &copyGiver{mirror: copied, feed: changes, linkBytes: 1e6}
 	p.setSeeds(nil)
 	copied.TakeFrom(copyTaker{p, &headsRecord{store: store, feed: changes, mirror: copied, logger: zap.NewNop()}})
 	server := transport.NewServer(hello, listener, nil, p, zap.NewNop())
@@ -146,15 +146,18 @@
 	head.run(t)
 	asking := func(number int) *wire.Hello { return &wire.Hello{Address: fmt.Sprint("address ", number), Zone: "z"} }
 	head.copies.intervalStart = time.Now().Add(time.Hour)
-	for number := range copiesPerInterval {
+	const copies = 5
+	for number := range copies {
 		answer, err := head.copies.reply(asking(number))
 		if err != nil || !answer.GetComplete() {
 			t.Fatalf("copy %d: complete %v, %v", number, answer.GetComplete(), err)
 		}
+		// As many bytes as the link bears are given with the last copy.
+		head.copies.linkBytes = float64(len(answer.GetPacked())*copies) / copyLinkPart / copyInterval.Seconds()
 	}
-	answer, err := head.copies.reply(asking(copiesPerInterval))
-	if err != nil || answer.GetComplete() || len(answer.GetOthers()) != copiesPerInterval {
-		t.Errorf("complete %v, %d others, %v; want %d others", answer.GetComplete(), len(answer.GetOthers()), err, copiesPerInterval)
+	answer, err := head.copies.reply(asking(copies))
+	if err != nil || answer.GetComplete() || len(answer.GetOthers()) != copies {
+		t.Errorf("complete %v, %d others, %v; want %d others", answer.GetComplete(), len(answer.GetOthers()), err, copies)
 	}
 }
 
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -123,7 +123,7 @@
 		self: self, client: client, feed: changes,
 		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
-	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes}
+	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes, linkBytes: settings.linkBytes()}
 	n.record = &headsRecord{store: platform.Store, feed: changes, mirror: n.mirror, logger: logger}
 	n.mirror.TakeFrom(copyTaker{n.peers, n.record})
 	n.peers.setSeeds(settings.Seeds)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -48,10 +48,17 @@
 	// ProcessorShare is the part of a processor that the process has; 1 if it is
 	// left out. Nodes with more of it are preferred for duties.
 	ProcessorShare float64 `yaml:"processor_share"`
+	// LinkMegabits is what the machine's link carries in a second; 20 if it is left
+	// out. It bounds how many copies of the store the node gives to others.
+	LinkMegabits float64 `yaml:"link_megabits"`
 }
 
-// defaultProcessorShare stands for a share that the settings leave out.
-const defaultProcessorShare = 1
+// Values that stand for settings that are left out: a whole processor, and the slowest
+// link of the users' deployments.
+const (
+	defaultProcessorShare = 1
+	defaultLinkMegabits   = 20
+)
 
 // LoadSettings reads and checks a settings file. Unknown fields are skipped.
 func LoadSettings(path string) (*Settings, error) {
@@ -64,7 +71,7 @@
 
 // ParseSettings reads and checks the text of a settings file.
 func ParseSettings(text []byte) (*Settings, error) {
-	parsed := &Settings{ProcessorShare: defaultProcessorShare}
+	parsed := &Settings{ProcessorShare: defaultProcessorShare, LinkMegabits: defaultLinkMegabits}
 	if err := yaml.Unmarshal(text, parsed); err != nil {
 		return nil, errors.Mark(errors.Newf("settings: %s", yaml.FormatError(err, false, true)), ErrInvalidSettings)
 	}
@@ -106,6 +113,7 @@
 		{"max_hold_millis", float64(s.MaxHoldMillis), 500, 600000},
 		{"memory_megabytes", float64(s.MemoryMegabytes), 16, 1 << 20},
 		{"processor_share", s.ProcessorShare, 0.001, 1024},
+		{"link_megabits", s.LinkMegabits, 0.1, 1e6},
 	}
 	for _, number := range numbers {
 		if number.value < number.low || number.value > number.high {
@@ -115,6 +123,12 @@
 	return nil
 }
 
+// linkBytes is how many bytes the machine's link carries in a second.
+func (s *Settings) linkBytes() float64 {
+	const bytesPerMegabit = 1e6 / 8
+	return s.LinkMegabits * bytesPerMegabit
+}
+
 func invalidSetting(field string, value any, allowed string) error {
 	return errors.Wrapf(ErrInvalidSettings, "field %s: %v, allowed: %s", field, value, allowed)
 }
