--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,7 +18,6 @@
 package feed
 
 import (
-	"slices"
 	"time"
 
 	"github.com/micahaven/micahaven/internal/topo"
@@ -198,113 +197,12 @@
 	}
 }
 
-// chooseUpstream turns to the preferred one of the upstreams that did not fail lately,
-// or else to the one that is to be tried again first.
-func (f *Feed) chooseUpstream(now time.Duration) {
-	if len(f.upstreams) == 0 || f.root && !f.storeLost(now) {
-		f.following = false
-		return
-	}
-	chosen := f.upstreams[0]
-	for _, candidate := range f.upstreams {
-		if f.avoided[candidate.Address] <= now {
-			chosen = candidate
-			break
-		}
-		if f.avoided[candidate.Address] < f.avoided[chosen.Address] {
-			chosen = candidate
-		}
-	}
-	if f.following && chosen.Address == f.upstream.Address {
-		return
-	}
-	f.upstream, f.following, f.upstreamSince = chosen, true, now
-	f.heard, f.behind = false, false
-	f.followAt = now
-}
-
-// upstreamFailed reports whether the upstream is silent or knows nothing newer than
-// what this node should know.
-func (f *Feed) upstreamFailed(now time.Duration) bool {
-	patience := tryPatience
-	if f.failures == 0 {
-		patience = joinPatience
-	}
-	if !f.heard {
-		return now-f.upstreamSince > patience
-	}
-	if now-f.heardAt > silence {
-		return true
-	}
-	return now-f.upstreamConfirmedAt > f.switchAge() && now-f.upstreamSince > patience
-}
-
-func (f *Feed) switchAge() time.Duration {
-	if f.head {
-		return headSwitchAge
-	}
-	return switchAge
-}
-
-// storeLost reports whether the root's own calls to the store have had no answer for
-// some time, so that it has to follow another node meanwhile.
-func (f *Feed) storeLost(now time.Duration) bool {
-	return f.passes && now-f.passedAt > headSwitchAge
-}
-
-// leaveUpstream turns to another upstream, if there is one.
-func (f *Feed) leaveUpstream(now time.Duration) {
-	f.failures++
-	f.avoided[f.upstream.Address] = now + avoidance
-	f.reviewAt = now + avoidance
-	f.chooseUpstream(now)
-}
-
-// followPause is the pause between two requests to follow.
-func (f *Feed) followPause() time.Duration {
-	if f.heard {
-		return followInterval
-	}
-	return firstFollowInterval
-}
-
 // Heads returns the nodes that pass changes on to their zones.
 func (f *Feed) Heads() []Member { return f.heads }
 
 // Root reports whether this node is to watch the store for all others.
 func (f *Feed) Root() bool { return f.root && len(f.heads) > 0 }
 
-// Followers returns the addresses of the nodes that follow this one.
-func (f *Feed) Followers() []string {
-	addresses := make([]string, 0, len(f.followers))
-	for address := range f.followers {
-		addresses = append(addresses, address)
-	}
-	return addresses
-}
-
-// Upstream returns the node that this one follows, or false.
-func (f *Feed) Upstream() (Member, bool) { return f.upstream, f.following }
-
-// Compares reports whether this node is to compare its copy with the store's
-// revision: the root does, and a head that had to take its place.
-func (f *Feed) Compares(now time.Duration) bool { return f.root || f.head && f.Watching(now) }
-
-// Watching reports whether this node has to watch the store itself: it is to, or
-// it cannot rely on its upstream.
-func (f *Feed) Watching(now time.Duration) bool {
-	if f.root || !f.following {
-		return true
-	}
-	if !f.joined || f.confirmedAge(now) > maxAge {
-		return true
-	}
-	if f.failures >= min(triesBeforeStore, len(f.upstreams)) {
-		return true
-	}
-	return f.behind && now-f.behindSince > lagLimit
-}
-
 // ConfirmedAge returns how long ago the store surely had nothing newer than this
 // node's copy; false if that was never known.
 func (f *Feed) ConfirmedAge(now time.Duration) (time.Duration, bool) {
@@ -410,64 +308,6 @@
 	return messages
 }
 
-// withoutValues returns a batch without the values for which there are deltas.
-func withoutValues(batch topo.Batch) topo.Batch {
-	stripped := batch
-	stripped.Events = append([]topo.Event(nil), batch.Events...)
-	for index := range stripped.Events {
-		if stripped.Events[index].Delta != nil {
-			stripped.Events[index].Value = nil
-		}
-	}
-	return stripped
-}
-
-// size returns how many bytes of the log a batch takes.
-func size(batch topo.Batch) int {
-	bytes := 0
-	for _, event := range batch.Events {
-		bytes += changeBytes
-		if event.Delta != nil {
-			bytes += len(event.Delta)
-			continue
-		}
-		bytes += len(event.Value)
-	}
-	return bytes
-}
-
-// passOn appends the changes that a follower has not been sent yet.
-func (f *Feed) passOn(messages []Message, address string) []Message {
-	known := f.followers[address]
-	for _, batch := range f.log {
-		if batch.Revision <= known.sent {
-			continue
-		}
-		if batch.After > known.sent {
-			// The follower is too far behind; it will find out by its lag.
-			return messages
-		}
-		missing := newerThan(batch, known.sent)
-		messages = append(messages, Message{To: address, Batch: &missing})
-		known.sent = batch.Revision
-	}
-	return messages
-}
-
-// newerThan returns the part of a batch that a copy at a revision lacks.
-func newerThan(batch topo.Batch, revision int64) topo.Batch {
-	if batch.After == revision {
-		return batch
-	}
-	missing := topo.Batch{After: max(batch.After, revision), Revision: batch.Revision}
-	for _, event := range batch.Events {
-		if event.Revision > revision {
-			missing.Events = append(missing.Events, event)
-		}
-	}
-	return missing
-}
-
 // Step takes in a message from another node's address. It returns messages to
 // send and the changes that this node's copy has to take, if any.
 func (f *Feed) Step(now time.Duration, from string, message Message) ([]Message, *topo.Batch) {
@@ -482,87 +322,6 @@
 	return nil, nil
 }
 
-// serves reports whether this node passes changes on. Besides the heads and those that
-// watch the store, each node with a new copy does: while many nodes register at once,
-// they do not agree yet on who the heads are.
-func (f *Feed) serves(now time.Duration) bool {
-	return f.head || f.Watching(now) || f.confirmedAge(now) <= switchAge
-}
-
-func (f *Feed) stepFollow(now time.Duration, from string, ask *Follow) []Message {
-	if !f.serves(now) {
-		return nil
-	}
-	known := f.followers[from]
-	if known == nil {
-		known = &follower{beatAt: now}
-		f.followers[from] = known
-	}
-	known.askedAt = now
-	known.sent = ask.Revision
-	messages := f.passOn(nil, from)
-	return f.beat(messages, now, from)
-}
-
-// beat appends a heartbeat if one is due.
-func (f *Feed) beat(messages []Message, now time.Duration, address string) []Message {
-	known := f.followers[address]
-	age, confirmed := f.toldAge(now, address)
-	if now < known.beatAt || !confirmed {
-		return messages
-	}
-	known.beatAt = now + heartbeatInterval
-	return append(messages, Message{To: address, Heartbeat: &Heartbeat{Revision: f.revision, ConfirmedAge: age}})
-}
-
-// toldAge is the age of the confirmation that a follower is told.
-func (f *Feed) toldAge(now time.Duration, address string) (time.Duration, bool) {
-	toHead := slices.ContainsFunc(f.heads, func(head Member) bool { return head.Address == address })
-	if toHead {
-		return now - f.passedAt, f.passes
-	}
-	return f.ConfirmedAge(now)
-}
-
-func (f *Feed) stepHeartbeat(now time.Duration, from string, heartbeat *Heartbeat) {
-	if !f.following || from != f.upstream.Address {
-		return
-	}
-	f.heard, f.heardAt = true, now
-	f.upstreamRevision = heartbeat.Revision
-	f.upstreamConfirmedAt = now - heartbeat.ConfirmedAge
-	if heartbeat.ConfirmedAge <= f.switchAge() {
-		f.failures = 0
-	}
-	f.updateBehind(now)
-}
-
-// updateBehind takes in whether the upstream has changes that this node lacks. If not,
-// what confirms the upstream's copy confirms this one.
-func (f *Feed) updateBehind(now time.Duration) {
-	if f.following && f.heard {
-		f.confirm(f.upstreamConfirmedAt, f.upstreamRevision, !f.root)
-	}
-	behind := f.following && f.heard && f.revision < f.upstreamRevision
-	if behind && !f.behind {
-		f.behindSince = now
-		// Ask for what is missing at once.
-		f.followAt = now
-	}
-	f.behind = behind
-}
-
-func (f *Feed) stepBatch(now time.Duration, from string, batch *topo.Batch) ([]Message, *topo.Batch) {
-	if !f.following || from != f.upstream.Address || batch.Revision <= f.revision {
-		return nil, nil
-	}
-	if batch.After > f.revision {
-		f.followAt = now + followInterval
-		return []Message{{To: from, Follow: &Follow{Revision: f.revision}}}, nil
-	}
-	return nil, batch
-}
-
 // Tick advances the feed to a moment and returns the messages that are due.
 func (f *Feed) Tick(now time.Duration) []Message {
 	var messages []Message
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,20 +54,6 @@
 	Watching() bool
 }
 
-// Copy is a complete copy of the store at a revision.
-type Copy struct {
-	Items    []topo.Item
-	Revision int64
-	// ConfirmedAt is when the store surely had nothing newer.
-	ConfirmedAt time.Time
-}
-
-// Copies gets copies of the store from other nodes, which spares the store a list.
-type Copies interface {
-	// Copy returns a copy at a revision or a later one, or false if no node gave one.
-	Copy(ctx context.Context, atLeast int64) (Copy, bool)
-}
-
 // alone is the observer of a mirror that always watches, and its copies are none.
 type alone struct{}
 
@@ -152,12 +137,6 @@
 // follows reports whether the copy is kept through Take instead of a watch.
 func (m *Mirror) follows() bool { return !m.mustList() && !m.mustWatch() && !m.observer.Watching() }
 
-func (m *Mirror) mustWatch() bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.awaited > m.revision
-}
-
 func (m *Mirror) mustList() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -202,13 +181,6 @@
 	return items, m.revision, m.listed
 }
 
-// listAgain makes the store be listed until the copy has reached a revision.
-func (m *Mirror) listAgain(revision int64) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.wanted = max(m.wanted, revision)
-}
-
 // reached takes in that the copy is at its revision. The caller holds the mutex.
 func (m *Mirror) reached() {
 	if m.revision >= m.wanted {
@@ -251,119 +223,6 @@
 	return nil
 }
 
-// list makes the copy anew: from another node if one has what is wanted, because a
-// list takes a call for each page of keys, and otherwise from the store.
-func (m *Mirror) list(ctx context.Context) error {
-	m.mutex.Lock()
-	wanted := m.wanted
-	m.mutex.Unlock()
-	copied, found := m.copies.Copy(ctx, wanted)
-	countCopy(found)
-	if !found {
-		return m.listStore(ctx)
-	}
-	m.logger.Info("copy taken from another node", zap.Int64("revision", copied.Revision), zap.Int("items", len(copied.Items)),
-		zap.Duration("confirmed_ago", time.Since(copied.ConfirmedAt)))
-	m.Adopt(copied.Items, copied.Revision)
-	m.observer.Confirmed(copied.ConfirmedAt, copied.Revision)
-	return nil
-}
-
-func (m *Mirror) listStore(ctx context.Context) error {
-	sentAt := time.Now()
-	items, at, err := m.store.List(ctx, "")
-	countCall("list", err)
-	if err != nil {
-		return err
-	}
-	m.Adopt(items, at)
-	m.mutex.Lock()
-	m.wanted = 0
-	m.mutex.Unlock()
-	m.observer.Confirmed(sentAt, at)
-	return nil
-}
-
-// gaps returns how many revisions a watch of all keys passed over: each revision
-// is a change of at least one key.
-func gaps(events []topo.Event, after, at int64) int64 {
-	seen := make(map[int64]struct{}, len(events))
-	for _, event := range events {
-		seen[event.Revision] = struct{}{}
-	}
-	return at - after - int64(len(seen))
-}
-
-// Schedule says how long to wait before the next comparison with the store's
-// revision, and whether to make it then.
-type Schedule func() (pause time.Duration, compare bool)
-
-// CheckFreshness compares the copy with the store's revision until the context
-// ends: a watch may be cut off, or stay silent although there were changes,
-// without an error. It passes each revision that the store had to found, before
-// this node has caught up with it.
-func (m *Mirror) CheckFreshness(ctx context.Context, schedule Schedule, found func(revision int64)) error {
-	for {
-		pause, compare := schedule()
-		spread := 0.8 + 0.4*rand.Float64()
-		periodic.Pause(ctx, time.Duration(spread*float64(pause)))
-		if ctx.Err() != nil {
-			return nil
-		}
-		if !compare {
-			continue
-		}
-		sentAt := time.Now()
-		current, err := m.store.Revision(ctx)
-		countCall("revision", err)
-		if err != nil {
-			periodic.Pause(ctx, maxRetryPause/2)
-			continue
-		}
-		m.observer.Confirmed(sentAt, current)
-		found(current)
-		m.CatchUp(ctx, current)
-	}
-}
-
-// CatchUp makes sure that the copy reaches a revision that the store surely had. What
-// does not come by itself is asked for with a new watch, and if that brings nothing
-// either, the copy is made anew. It reports whether that had to be done.
-func (m *Mirror) CatchUp(ctx context.Context, revision int64) bool {
-	if revision <= m.Revision() {
-		return false
-	}
-	// Give the watch the time that it normally takes.
-	periodic.Pause(ctx, freshnessSlack)
-	if m.Revision() >= revision || ctx.Err() != nil {
-		return false
-	}
-	m.watchAgain(revision)
-	periodic.Pause(ctx, freshnessSlack)
-	seen := m.Revision()
-	if seen >= revision || ctx.Err() != nil {
-		return false
-	}
-	m.logger.Warn("watch is silent, listing again", zap.Int64("revision", seen), zap.Int64("store", revision))
-	m.listAgain(revision)
-	m.Resume()
-	return true
-}
-
-func (m *Mirror) stopAwaiting() {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.awaited = 0
-}
-
-// watchAgain asks the store for the changes up to a revision with a new watch.
-func (m *Mirror) watchAgain(revision int64) {
-	m.mutex.Lock()
-	m.awaited = max(m.awaited, revision)
-	m.mutex.Unlock()
-	m.Resume()
-}
-
 // Offer takes one item that a node has just written, ahead of the watch. The
 // copy's revision stays: the watch tells of the same change later. It returns the
 // change with its value and, if that is worth it, its delta, and reports whether
@@ -385,51 +244,6 @@
 	return resolved, true
 }
 
-// Adopt takes a complete copy, from the store or from another node, unless this
-// one is newer.
-func (m *Mirror) Adopt(items []topo.Item, revision int64) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if revision < m.revision {
-		return
-	}
-	adopted := make(map[string]topo.Item, len(items))
-	for _, item := range items {
-		adopted[item.Key] = item
-	}
-	batch := topo.Batch{After: m.revision, Revision: revision, Events: difference(m.items, adopted, revision)}
-	first := !m.listed
-	m.items = adopted
-	m.revision = revision
-	m.listed = true
-	m.reached()
-	if first {
-		m.receiver.Replace(items, revision)
-	} else {
-		// Most entries are as they were; decoding all again would take a small
-		// machine some hundred milliseconds.
-		m.receiver.Apply(batch.Events, revision)
-	}
-	m.observer.Changed(batch)
-}
-
-// difference returns the changes that lead from one copy to another, which
-// reflects a revision.
-func difference(before, after map[string]topo.Item, revision int64) []topo.Event {
-	var events []topo.Event
-	for key, item := range after {
-		if before[key].Revision != item.Revision {
-			events = append(events, withDelta(before[key], topo.Event{Item: item}))
-		}
-	}
-	for key := range before {
-		if _, present := after[key]; !present {
-			events = append(events, topo.Event{Item: topo.Item{Key: key, Revision: revision}, Deleted: true})
-		}
-	}
-	return events
-}
-
 // Take takes all changes between two revisions, from the store or from another
 // node. It does nothing if the copy has not reached the first of them.
 func (m *Mirror) Take(batch topo.Batch) {
