--- a/internal/mirror/list.go
+++ b/internal/mirror/list.go
@@ -37,7 +37,7 @@
 	m.logger.Info("copy taken from another node", zap.Int64("revision", copied.Revision), zap.Int("items", len(copied.Items)),
 		zap.Duration("confirmed_ago", time.Since(copied.ConfirmedAt)))
 	m.Adopt(copied.Items, copied.Revision)
-	m.observer.Confirmed(copied.ConfirmedAt, copied.Revision)
+	m.observer.Told(copied.ConfirmedAt, copied.Revision)
 	return nil
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -46,9 +46,10 @@
 	// Changed is called with each change of the copy, in order, under the mirror's
 	// lock.
 	Changed(batch topo.Batch)
-	// Confirmed is called when the store is known to have had a revision at a
-	// moment.
+	// Confirmed is called when the store told this node that it had a revision at a
+	// moment, and Told when another node did.
 	Confirmed(at time.Time, revision int64)
+	Told(at time.Time, revision int64)
 	// Watching reports whether the mirror has to watch the store. Otherwise
 	// changes come through Take.
 	Watching() bool
@@ -59,6 +60,7 @@
 
 func (alone) Changed(topo.Batch)         {}
 func (alone) Confirmed(time.Time, int64) {}
+func (alone) Told(time.Time, int64)      {}
 func (alone) Watching() bool             { return true }
 
 func (alone) Copy(context.Context, int64) (Copy, bool) { return Copy{}, false }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -195,6 +195,7 @@
 
 func (o observer) Changed(batch topo.Batch)   { o.changed <- batch }
 func (o observer) Confirmed(time.Time, int64) {}
+func (o observer) Told(time.Time, int64)      {}
 func (o observer) Watching() bool             { return o.watching }
 
 // The sweep at 300 machines paid a third of a day's worth for owner maps that were
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -74,12 +74,15 @@
 	c.core.Confirm(at.Sub(c.start), revision)
 }
 
-// told takes in that another node asked the store and told its revision just now. It
+// Told implements mirror.Observer.
+func (c *changeFeed) Told(at time.Time, revision int64) { c.told(at, revision) }
+
+// told takes in that another node asked the store, which had a revision at a moment. It
 // reports whether this node's copy had reached it.
-func (c *changeFeed) told(revision int64) bool {
+func (c *changeFeed) told(at time.Time, revision int64) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.core.ConfirmTold(c.now(), revision)
+	return c.core.ConfirmTold(at.Sub(c.start), revision)
 }
 
 // Watching implements mirror.Observer.
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -204,7 +204,7 @@
 
 // takeRevision takes in that the store had a revision when another head asked.
 func (p *peers) takeRevision(revision int64) {
-	if !p.feed.told(revision) {
+	if !p.feed.told(time.Now(), revision) {
 		go p.mirror.CatchUp(context.Background(), revision)
 	}
 }
