The first start of a whole system reads no record of the heads

Each of 295 nodes read a key that cannot be there yet: 295 priced calls. The platform says whether it is the first start of the whole system.

--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -173,6 +173,8 @@
 type copyTaker struct {
 	*peers
 	record *headsRecord
+	// firstStart is true if no record of the heads can be there yet.
+	firstStart bool
 }
 
 // Copy implements mirror.Copies. A node that knows others asks a few of them. One that
@@ -182,6 +184,9 @@
 	if known := t.knownHeads(); len(known) > 0 {
 		return t.ask(ctx, known, atLeast, copyTries)
 	}
+	if t.firstStart {
+		return mirror.Copy{}, false
+	}
 	record, err := t.record.read(ctx)
 	if err != nil {
 		// A store that does not answer cannot be listed either.
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -41,7 +41,7 @@
 	p := &peers{self: self, client: client, feed: changes, views: views, mirror: copied, logger: zap.NewNop()}
 	p.copies = &copyGiver{mirror: copied, feed: changes, linkBytes: 1e6}
 	p.setSeeds(nil)
-	copied.TakeFrom(copyTaker{p, &headsRecord{store: store, feed: changes, mirror: copied, logger: zap.NewNop()}})
+	copied.TakeFrom(copyTaker{peers: p, record: &headsRecord{store: store, feed: changes, mirror: copied, logger: zap.NewNop()}})
 	server := transport.NewServer(hello, listener, nil, p, zap.NewNop())
 	go func() { _ = server.Serve() }()
 	t.Cleanup(func() {
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -125,7 +125,7 @@
 	}
 	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes, linkBytes: settings.linkBytes()}
 	n.record = &headsRecord{store: platform.Store, feed: changes, mirror: n.mirror, logger: logger}
-	n.mirror.TakeFrom(copyTaker{n.peers, n.record})
+	n.mirror.TakeFrom(copyTaker{peers: n.peers, record: n.record, firstStart: settings.FirstStart})
 	n.peers.setSeeds(settings.Seeds)
 	options := shards.DefaultOptions()
 	options.Hold = min(options.Hold, time.Duration(settings.MaxHoldMillis)*time.Millisecond)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -51,6 +51,9 @@
 	// LinkMegabits is what the machine's link carries in a second; 20 if it is left
 	// out. It bounds how many copies of the store the node gives to others.
 	LinkMegabits float64 `yaml:"link_megabits"`
+	// FirstStart is true if the whole system starts for the first time: the store has
+	// no record of the heads then.
+	FirstStart bool `yaml:"first_start"`
 }
 
 // Values that stand for settings that are left out: a whole processor, and the slowest
