--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -95,8 +95,6 @@
 	mutex  sync.Mutex
 	idle   []*connection
 	closed bool
-	// idleCount is the length of idle, to be read without the mutex.
-	idleCount atomic.Int32
 }
 
 type connection struct {
@@ -109,12 +107,6 @@
 // NewPool returns a pool for a server's address.
 func NewPool(address string) *Pool { return &Pool{address: address} }
 
-// HasIdle reports whether an idle connection is kept; it may be found to be over.
-func (p *Pool) HasIdle() bool { return p.idleCount.Load() > 0 }
-
-// noteIdle takes in how many connections are idle. The caller holds the mutex.
-func (p *Pool) noteIdle() { p.idleCount.Store(int32(len(p.idle))) }
-
 // Close ends idle connections; those in use end with their request.
 func (p *Pool) Close() {
 	p.mutex.Lock()
@@ -124,7 +116,6 @@
 		c.close()
 	}
 	p.idle = nil
-	p.noteIdle()
 }
 
 // Prune ends connections that have been idle for too long.
@@ -140,7 +131,6 @@
 		kept = append(kept, c)
 	}
 	p.idle = kept
-	p.noteIdle()
 }
 
 func (c *connection) close() {
@@ -168,7 +158,6 @@
 func (p *Pool) take() *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	defer p.noteIdle()
 	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
 		c := p.idle[last]
@@ -190,7 +179,6 @@
 	}
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
-	p.noteIdle()
 }
 
 func (p *Pool) open(ctx context.Context) (*connection, error) {
