--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -23,27 +23,29 @@
 
 const (
 	// copyLinkPart is the part of its link that a node uses for copies in each
-	// copyInterval; those who ask for more are sent to the nodes that got one. A packed
-	// copy of a large deployment has some 80 KB, so that a link of 20 Mbit/s gives four
-	// of them in 250 ms.
+	// copyInterval; those who ask for more are sent to the nodes that got one. The
+	// other half is left for clients, servers and changes.
 	copyLinkPart = 0.5
 	copyInterval = 250 * time.Millisecond
 	// packedMemory is how long a packed copy is given although there is a newer one:
-	// packing takes a small machine some 20 ms, and the changes since then follow.
+	// packing takes time, and the changes since then follow through the feed.
 	packedMemory = 250 * time.Millisecond
 	// maxReceivers is how many receivers of copies a node remembers.
 	maxReceivers = 32
-	// maxCopyAge is how long ago the store must have had nothing newer than a copy.
+	// maxCopyAge is how long ago the store must have had nothing newer than a copy: less
+	// than what makes a node look for a newer confirmation (package feed).
 	maxCopyAge = time.Second
 	// maxUnpackedBytes bounds what an unpacked copy may take.
 	maxUnpackedBytes = 64 << 20
 	// startPatience is how long a node that starts looks for a copy before it lists
-	// the store, at least; up to startSpread is added so that not all do at once. A
-	// list of a large deployment takes a small machine about as long.
+	// the store, at least; up to startSpread is added so that not all do at once. They
+	// bound what a start loses if no head answers; 0.7 and 0.9 s cost more than the
+	// lists that they saved, on twins of large days.
 	startPatience = 300 * time.Millisecond
 	startSpread   = 300 * time.Millisecond
 	// fewKeys is how many keys take so few pages that each node that starts may list
-	// them: that is sooner than a copy of a node that has to start too.
+	// them: that is sooner than a copy of a node that has to start too. With 70 keys
+	// copies cost worth on twins, with 1,000 they spare 20 calls a node.
 	fewKeys = 200
 	// askPause is the pause between two rounds of questions.
 	askPause = 30 * time.Millisecond
