--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,8 +10,9 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 )
 
-// ProtocolVersion is sent in every Hello; nodes refuse a different one.
-const ProtocolVersion = 1
+// ProtocolVersion is sent in every Hello; nodes refuse a different one. Version 2 packs
+// copies of the store: a node of version 1 would take one for an empty copy.
+const ProtocolVersion = 2
 
 // MaxFrameBytes is the largest frame that is read or written.
 const MaxFrameBytes = 64 << 20
