Maps with numbered owners cannot be read by nodes that know positions only

Found on reading the diff: while a system is replaced node by node, a node of the version before would have taken an owner's number for its position in the list of servers, that is, another server for the owner; as a manager it would then have given keys away that their owner still held. The ranges stand in a field of their own now, so that such a node finds none and refuses the map, as it does any map that does not cover the key space. Test: TestMapWithNumbersHasNoRangesForEarlierNodes (the field did not exist before).

--- a/internal/shards/decode.go
+++ b/internal/shards/decode.go
@@ -21,6 +21,8 @@
 	mapResigned = 8
 	mapPending  = 9
 
+	mapNumberedRanges = 10
+
 	authorNode    = 1
 	authorProcess = 2
 	authorEpoch   = 3
@@ -100,7 +102,7 @@
 		return d.takePending(f)
 	case mapServers:
 		return d.takeServer(f)
-	case mapRanges:
+	case mapRanges, mapNumberedRanges:
 		return d.takeRange(f)
 	}
 	return nil
--- a/internal/shards/decode_test.go
+++ b/internal/shards/decode_test.go
@@ -105,6 +105,22 @@
 	}
 }
 
+// A node of the form before would take numbers for positions, and so another server for
+// the owner: it must find no ranges, and refuse the map.
+func TestMapWithNumbersHasNoRangesForEarlierNodes(t *testing.T) {
+	encoded, err := manyRanges(9).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored := &wire.ShardMap{}
+	if err := proto.Unmarshal(encoded, stored); err != nil {
+		t.Fatal(err)
+	}
+	if len(stored.GetRanges()) != 0 || len(stored.GetNumberedRanges()) != 9 {
+		t.Errorf("%d ranges by position, %d by number, want 0 and 9", len(stored.GetRanges()), len(stored.GetNumberedRanges()))
+	}
+}
+
 // A map comes from the store, where anything may stand: it is refused with an error.
 func TestDamagedMapsAreRefused(t *testing.T) {
 	encoded, err := manyRanges(40).Encode()
--- a/internal/shards/map.go
+++ b/internal/shards/map.go
@@ -104,7 +104,7 @@
 			listed[r.Owner] = true
 			stored.Servers = append(stored.Servers, &wire.ShardServer{Id: string(r.Owner), Address: r.Address, Number: numbers[r.Owner]})
 		}
-		stored.Ranges = append(stored.Ranges, &wire.ShardRange{
+		stored.NumberedRanges = append(stored.NumberedRanges, &wire.ShardRange{
 			Last: r.Last, Owner: numbers[r.Owner], Fence: r.Fence, Handover: r.Handover, Late: r.Late,
 		})
 	}
