--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -272,13 +272,12 @@
 	return heads
 }
 
-// unregistered returns where other nodes may be found while none is known.
+// unregistered returns where other nodes may be found while none is known; their zones
+// are not known either.
 func (t copyTaker) unregistered() []*wire.NodeAddress {
 	var found []*wire.NodeAddress
-	for _, address := range append(t.heard(), *t.seeds.Load()...) {
-		if address != t.self.Address {
-			found = append(found, &wire.NodeAddress{Address: address})
-		}
+	for _, address := range t.unregisteredAddresses() {
+		found = append(found, &wire.NodeAddress{Address: address})
 	}
 	return found
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -358,14 +358,22 @@
 func (p *peers) randomPeer() string {
 	addresses := p.otherAddresses()
 	if len(addresses) == 0 {
-		for _, address := range append(p.heard(), *p.seeds.Load()...) {
-			if address != p.self.Address {
-				addresses = append(addresses, address)
-			}
-		}
+		addresses = p.unregisteredAddresses()
 	}
 	if len(addresses) == 0 {
 		return ""
 	}
 	return addresses[rand.IntN(len(addresses))]
 }
+
+// unregisteredAddresses returns where other nodes may be found while none is known to
+// be registered.
+func (p *peers) unregisteredAddresses() []string {
+	var addresses []string
+	for _, address := range append(p.heard(), *p.seeds.Load()...) {
+		if address != p.self.Address {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
