Log lines tell how long servers had a request, and a request that the node cuts off is not logged as one whose client left

New field at_servers, error 'cut off by the end of the node', counter micahaven_ingress_cut_off_total. No change of behaviour.

--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -71,7 +71,9 @@
 		}
 		trace.Server = string(s.id)
 		trace.MapRevision = d.views.Current().Owners[request.Service].Revision
+		sentAt := time.Now()
 		answer, outcome, err := d.send(ctx, request, s, limit)
+		trace.AtServers += time.Since(sentAt)
 		if outcome == notSent {
 			trace.NotSent++
 		} else {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -76,6 +76,8 @@
 	NotSent int
 	// Queued is how long the request waited for a server.
 	Queued time.Duration
+	// AtServers is how long servers had the request, answered or given up.
+	AtServers time.Duration
 	// MapRevision is the revision of the owner map when the server was chosen; 0
 	// if the service has none.
 	MapRevision int64
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -20,6 +20,10 @@
 	"github.com/micahaven/micahaven/internal/view"
 )
 
+// errCutOff means that the node itself closed the connection of a request that was
+// not answered, because its time to stop was over.
+var errCutOff = errors.New("cut off by the end of the node")
+
 // Headers are the names of the headers between clients, router and servers.
 type Headers struct {
 	// RequestID names a client attempt; answers carry it too.
@@ -56,7 +60,9 @@
 	// sequence spreads requests over the parts of a split route.
 	sequence atomic.Uint64
 	draining atomic.Bool
-	active   atomic.Int64
+	// ended is set once the node closes connections whether requests run or not.
+	ended  atomic.Bool
+	active atomic.Int64
 }
 
 // NewHandler returns a handler.
@@ -75,6 +81,10 @@
 // Drain makes every answer ask the client to use another connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// End notes that the node closes its clients' connections now, so that a request that
+// is cut off is not taken for one whose client left.
+func (h *Handler) End() { h.ended.Store(true) }
+
 // Active returns how many requests are being served.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
@@ -115,6 +125,10 @@
 		return
 	}
 	answer, trace, err := h.dispatcher.Do(incoming.Context(), request)
+	if errors.Is(err, dispatch.ErrCanceled) && h.ended.Load() {
+		err = errCutOff
+		cutOffTotal.Inc()
+	}
 	h.log(request, trace, answer, err, table.Version())
 	requestSeconds.WithLabelValues(request.Service, outcomeOf(answer, err)).Observe(time.Since(arrivedAt).Seconds())
 	h.answer(writer, answer, err)
@@ -133,6 +147,8 @@
 		return "timed out"
 	case errors.Is(err, dispatch.ErrCanceled):
 		return "client left"
+	case errors.Is(err, errCutOff):
+		return "cut off"
 	default:
 		return "unknown"
 	}
@@ -214,7 +230,7 @@
 		refuse(writer, refusal.Reason, refusal.RetryAfter)
 	case errors.Is(err, dispatch.ErrTimeout):
 		http.Error(writer, "timed out; the request may have run", http.StatusGatewayTimeout)
-	case errors.Is(err, dispatch.ErrCanceled):
+	case errors.Is(err, dispatch.ErrCanceled), errors.Is(err, errCutOff):
 		panic(http.ErrAbortHandler)
 	default:
 		http.Error(writer, "no answer; the request may have run", http.StatusBadGateway)
@@ -261,7 +277,7 @@
 		zap.String("request", request.ID), zap.String("route", request.Route.Name),
 		zap.String("service", request.Service), zap.String("server", trace.Server),
 		zap.Int("attempts", trace.Attempts), zap.Int("not_sent", trace.NotSent), zap.Duration("queued", trace.Queued),
-		zap.Duration("took", time.Since(request.ArrivedAt)), zap.Int64("version", version),
+		zap.Duration("at_servers", trace.AtServers), zap.Duration("took", time.Since(request.ArrivedAt)), zap.Int64("version", version),
 	}
 	if request.HasKey {
 		fields = append(fields, zap.Uint32("key", request.Key), zap.Int64("map", trace.MapRevision))
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -10,3 +10,8 @@
 	Help:    "Time from reading a client's request to its final answer.",
 	Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 }, []string{"service", "outcome"})
+
+var cutOffTotal = promauto.NewCounter(prometheus.CounterOpts{
+	Name: "micahaven_ingress_cut_off_total",
+	Help: "Requests that had been read and were cut off without an answer when the node ended.",
+})
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -314,6 +314,7 @@
 	n.closeIdleClients(bounded)
 	// What is left is being served; Shutdown waits for its end.
 	if err := n.clients.Shutdown(bounded); err != nil && !errors.Is(err, net.ErrClosed) {
+		n.handler.End()
 		n.logger.Warn("requests cut off at the end", zap.Int("active", n.handler.Active()), zap.Error(err))
 	}
 }
