A stopping node gives everything that it has read its final answer before it ends

Cause: a request's time limit knew its client's deadline and its route's timeout, but not the end of the node. At 0.9 of the grace all connections were closed, and what was still at a server, or waited for one, ended without an answer. Any request is struck whose limit is later than the node's end: here board reads (route 5 s, grace 6 s) at servers that had just started, in whose queues they waited. Ruled out: the race of reading and closing (the ends fit the limit of the stop to 8 ms; the log has attempts 1), and waits in the dispatcher's queue (queued 0). Change: package ending, the moment by which the requests of a node have their answers. A request is bounded by it, whether it came before SIGTERM or after it: what waits for a server is refused as not executed, what is at a server is answered with 504 (may have run), what no server can be expected to answer in time is refused at once, and servers are told how little time is left, so that they answer themselves. Connections are closed at 0.95 of the grace, when those answers are written. Answers to requests from before SIGTERM also ask for another connection now.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
 )
@@ -53,6 +54,7 @@
 	moving  map[movingRange]time.Time
 	samples map[string]*samples
 	nodes   int
+	ending  *ending.Ending
 }
 
 // movingRange names a range that its owner does not serve any more.
@@ -83,6 +85,7 @@
 		moving:  make(map[movingRange]time.Time),
 		samples: make(map[string]*samples),
 		nodes:   1,
+		ending:  ending.New(),
 	}
 	views.Subscribe(d.update)
 	return d
@@ -265,8 +268,25 @@
 }
 
 // acquire returns a server for the request, waiting until limit. It returns nil
-// if there is none by then or the context ends.
+// if there is none by then, if its answer would come too late for a node that stops,
+// or if the context ends.
 func (d *Dispatcher) acquire(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool, limit time.Time) *server {
+	chosen := d.await(ctx, request, excluded, limit)
+	if chosen == nil {
+		return nil
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.tooLate(time.Now(), request, chosen, limit) {
+		return chosen
+	}
+	chosen.outstanding--
+	d.pump(chosen.Service)
+	return nil
+}
+
+// await waits for a server until limit or the end of the context.
+func (d *Dispatcher) await(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool, limit time.Time) *server {
 	d.mutex.Lock()
 	if chosen := d.choose(time.Now(), request, excluded); chosen != nil {
 		chosen.outstanding++
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/upstream"
 )
 
@@ -44,14 +45,15 @@
 // Do sends a request to servers until one answers, or it must be given up.
 func (d *Dispatcher) Do(ctx context.Context, request *Request) (*upstream.Answer, Trace, error) {
 	d.sample(request)
-	limit := request.limit()
-	ctx, cancel := context.WithDeadline(ctx, limit)
-	answer, trace, err := d.attempts(ctx, request, limit)
+	ctx, bounds := d.ending.Bound(ctx, request.limit())
+	answer, trace, err := d.attempts(ctx, request, d.limit(request))
 	if answer != nil && answer.Rest != nil {
-		answer.Rest = &cancelingReader{answer.Rest, cancel}
+		// An answer that has begun is passed on as long as there is a connection for it.
+		bounds.Outlive()
+		answer.Rest = &cancelingReader{answer.Rest, bounds.Release}
 		return answer, trace, nil
 	}
-	cancel()
+	bounds.Release()
 	return answer, trace, err
 }
 
@@ -137,12 +139,14 @@
 // server's failure is the answer. cause is why the last attempt failed.
 func (d *Dispatcher) giveUp(ctx context.Context, request *Request, mayHaveRun bool, last *upstream.Answer, cause error) error {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !ending.Ended(ctx):
 		return ErrCanceled
 	case last != nil:
 		return nil
 	case !mayHaveRun:
 		return &Refusal{Reason: d.whyNone(request), RetryAfter: comeBack()}
+	case ending.Ended(ctx):
+		return errors.Wrapf(ErrNodeEnds, "%v", cause)
 	case ctx.Err() != nil:
 		return errors.Wrapf(ErrTimeout, "%v", cause)
 	default:
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -10,6 +10,15 @@
 func (d *Dispatcher) whyNone(request *Request) string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	reason := d.whyNoServer(request)
+	if _, stops := d.ending.At(); !stops {
+		return reason
+	}
+	return "the node stops; " + reason
+}
+
+// whyNoServer says why no server is free for a request. The caller holds the mutex.
+func (d *Dispatcher) whyNoServer(request *Request) string {
 	now := time.Now()
 	current := d.views.Current()
 	owners, divided := d.owners(current, request)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -22,6 +22,9 @@
 	// ErrTimeout means that the time for the request is over and that it may
 	// have run.
 	ErrTimeout = errors.New("request timed out")
+	// ErrNodeEnds means that the node stopped before a server answered, and that the
+	// request may have run.
+	ErrNodeEnds = errors.New("the node stops")
 	// ErrCanceled means that the client left.
 	ErrCanceled = errors.New("client left")
 )
--- /dev/null
+++ b/internal/ending/ending_test.go
@@ -0,0 +1,74 @@
+package ending_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/ending"
+)
+
+const (
+	soon  = 20 * time.Millisecond
+	later = time.Minute
+)
+
+// A context ends with the node whether it was made before the node was told to stop,
+// between that and its end, or after the end.
+func TestContextsEndWithTheNode(t *testing.T) {
+	end := ending.New()
+	limit := time.Now().Add(later)
+	before, beforeBounds := end.Bound(context.Background(), limit)
+	defer beforeBounds.Release()
+	end.Set(time.Now().Add(soon))
+	between, betweenBounds := end.Bound(context.Background(), limit)
+	defer betweenBounds.Release()
+	<-before.Done()
+	<-between.Done()
+	after, afterBounds := end.Bound(context.Background(), limit)
+	defer afterBounds.Release()
+	<-after.Done()
+	for name, ctx := range map[string]context.Context{"before": before, "between": between, "after": after} {
+		if !ending.Ended(ctx) || !errors.Is(ctx.Err(), context.Canceled) {
+			t.Errorf("%s: ended with %v because of %v", name, ctx.Err(), context.Cause(ctx))
+		}
+	}
+}
+
+// Other ends are not taken for that of the node.
+func TestOtherEndsAreNotTheNodes(t *testing.T) {
+	end := ending.New()
+	timed, timedBounds := end.Bound(context.Background(), time.Now().Add(soon))
+	defer timedBounds.Release()
+	parent, leave := context.WithCancel(context.Background())
+	left, leftBounds := end.Bound(parent, time.Now().Add(later))
+	defer leftBounds.Release()
+	leave()
+	<-timed.Done()
+	<-left.Done()
+	if ending.Ended(timed) || !errors.Is(timed.Err(), context.DeadlineExceeded) {
+		t.Errorf("limit: %v", context.Cause(timed))
+	}
+	if ending.Ended(left) || !errors.Is(left.Err(), context.Canceled) {
+		t.Errorf("client that left: %v", context.Cause(left))
+	}
+}
+
+func TestContextMayOutliveTheNode(t *testing.T) {
+	end := ending.New()
+	ctx, bounds := end.Bound(context.Background(), time.Now().Add(later))
+	defer bounds.Release()
+	other, otherBounds := end.Bound(context.Background(), time.Now().Add(later))
+	defer otherBounds.Release()
+	bounds.Outlive()
+	end.Set(time.Now())
+	<-other.Done()
+	if ctx.Err() != nil {
+		t.Errorf("ended with %v", ctx.Err())
+	}
+	if at, stops := end.At(); !stops || at.IsZero() {
+		t.Errorf("stops %v at %v", stops, at)
+	}
+}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -81,6 +81,13 @@
 // Drain makes every answer ask the client to use another connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// closeIfDraining makes an answer ask for that if the node drains.
+func (h *Handler) closeIfDraining(writer http.ResponseWriter) {
+	if h.draining.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+}
+
 // End notes that the node closes its clients' connections now, so that a request that
 // is cut off is not taken for one whose client left.
 func (h *Handler) End() { h.ended.Store(true) }
@@ -93,9 +100,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	arrivedAt := time.Now()
-	if h.draining.Load() {
-		writer.Header().Set("Connection", "close")
-	}
+	h.closeIfDraining(writer)
 	table := h.views.Current().Table
 	if table == nil {
 		refuse(writer, "no configuration is known yet", notReadyRetry)
@@ -145,6 +150,8 @@
 		return "not executed"
 	case errors.Is(err, dispatch.ErrTimeout):
 		return "timed out"
+	case errors.Is(err, dispatch.ErrNodeEnds):
+		return "node stopped"
 	case errors.Is(err, dispatch.ErrCanceled):
 		return "client left"
 	case errors.Is(err, errCutOff):
@@ -222,6 +229,8 @@
 }
 
 func (h *Handler) answer(writer http.ResponseWriter, answer *upstream.Answer, err error) {
+	// The node may have begun to drain since the request came.
+	h.closeIfDraining(writer)
 	var refusal *dispatch.Refusal
 	switch {
 	case err == nil && answer != nil:
@@ -230,6 +239,8 @@
 		refuse(writer, refusal.Reason, refusal.RetryAfter)
 	case errors.Is(err, dispatch.ErrTimeout):
 		http.Error(writer, "timed out; the request may have run", http.StatusGatewayTimeout)
+	case errors.Is(err, dispatch.ErrNodeEnds):
+		http.Error(writer, "the node stops; the request may have run", http.StatusGatewayTimeout)
 	case errors.Is(err, dispatch.ErrCanceled), errors.Is(err, errCutOff):
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -56,9 +56,14 @@
 	// notReadyPart is the part of the grace in which a stopping node still takes
 	// new connections, until everybody has seen that it is not ready.
 	notReadyPart = 0.45
-	// stopPart is the part of the grace after which a stopping node ends even if
-	// requests are still running.
-	stopPart = 0.9
+	// answerPart is the part of the grace after which every request that was read has
+	// its final answer. The platform takes it as planned that a request which a server
+	// still works on in the last sixth is given up; see docs/PLATFORM.md.
+	answerPart = 0.9
+	// closePart is the part of the grace after which connections are closed in any
+	// case: between the two the last answers are written, and the rest of the grace is
+	// for the process to end.
+	closePart = 0.95
 )
 
 // Node is a running router node.
@@ -307,9 +312,10 @@
 	n.managers.stop()
 	grace := n.settings.grace()
 	takeUntil := startedAt.Add(time.Duration(notReadyPart * float64(grace)))
-	giveUpAt := startedAt.Add(time.Duration(stopPart * float64(grace)))
+	closeAt := startedAt.Add(time.Duration(closePart * float64(grace)))
+	n.dispatcher.EndBy(startedAt.Add(time.Duration(answerPart * float64(grace))))
 	periodic.Pause(ctx, time.Until(takeUntil))
-	bounded, cancel := context.WithDeadline(ctx, giveUpAt)
+	bounded, cancel := context.WithDeadline(ctx, closeAt)
 	defer cancel()
 	n.closeIdleClients(bounded)
 	// What is left is being served; Shutdown waits for its end.
