--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math"
@@ -17,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/backend"
+	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/identity"
 	"github.com/micahaven/micahaven/internal/table"
 	"github.com/micahaven/micahaven/internal/wire"
@@ -56,7 +56,9 @@
 	Forwarder    *Forwarder
 	Table        func() *table.Table
 	MaxBodyBytes int64
-	Logger       *zap.Logger
+	// Ending is when callers must have their answers because the node stops.
+	Ending *ending.Ending
+	Logger *zap.Logger
 }
 
 // Register adds the callers' routes: any method on /{service}/{key}, with an
@@ -72,8 +74,8 @@
 	if err != nil {
 		return h.refuse(c, request, err)
 	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), timeout)
-	defer cancel()
+	ctx, bounds := h.Ending.Bound(c.Request().Context(), time.Now().Add(timeout))
+	defer bounds.Release()
 	response := h.Forwarder.Forward(ctx, request)
 	requestSeconds.WithLabelValues(request.GetService(), outcomeName(response.GetOutcome())).Observe(time.Since(started).Seconds())
 	return h.write(c, response)
--- a/internal/node/actors.go
+++ b/internal/node/actors.go
@@ -24,7 +24,9 @@
 	handOverPause = 5 * time.Millisecond
 	// successorLimit bounds the wait for the successors to report.
 	successorLimit = time.Second
-	// shutdownLimit bounds how long callers' requests may take to end.
+	// answerLimit bounds how long callers' requests may run on while the node stops, and
+	// shutdownLimit, a little later, when their connections are closed.
+	answerLimit   = 9 * time.Second
 	shutdownLimit = 10 * time.Second
 )
 
@@ -62,8 +64,8 @@
 }
 
 // Drain prepares a planned stop: it hands every group that this node leads to
-// another member, then waits for the requests of callers to end. Nothing is cut
-// off. It must run before the actors are interrupted.
+// another member, then waits for the requests of callers to end. What takes too long
+// is answered as unknown or not run. It must run before the actors are interrupted.
 func (n *Node) Drain() {
 	deadline := time.Now().Add(handOverLimit)
 	for time.Now().Before(deadline) {
@@ -73,6 +75,7 @@
 		time.Sleep(handOverPause)
 	}
 	n.waitForSuccessors()
+	n.ending.Set(time.Now().Add(answerLimit))
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
 	if err := n.callers.Server.Shutdown(ctx); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/micahaven/micahaven/internal/backend"
 	"github.com/micahaven/micahaven/internal/certificates"
 	"github.com/micahaven/micahaven/internal/clock"
+	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/entry"
 	"github.com/micahaven/micahaven/internal/gossip"
 	"github.com/micahaven/micahaven/internal/group"
@@ -55,6 +56,7 @@
 	exchange *gossip.Exchange
 	views    *views.Views
 	registry *groups.Registry
+	ending   *ending.Ending
 	table    *tablestore.Tablestore
 
 	callers   *echo.Echo
@@ -118,6 +120,7 @@
 		requests:  workers.NewPool(config.Limits.RequestWorkers, requestQueue),
 		sessions:  workers.NewPool(config.Limits.SessionWorkers, requestQueue),
 		items:     gossip.NewItems(),
+		ending:    ending.New(),
 	}
 	if err := n.buildTransport(hello); err != nil {
 		return nil, err
@@ -208,6 +211,7 @@
 		Forwarder:    forwarder,
 		Table:        n.views.Table,
 		MaxBodyBytes: int64(n.settings.Limits.BodyKilobytes) << 10,
+		Ending:       n.ending,
 		Logger:       n.logger,
 	}
 	n.callers = newEcho()
