--- /dev/null
+++ b/internal/ingress/answer.go
@@ -0,0 +1,109 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/upstream"
+)
+
+// answer gives a client its final answer: a server's, or one that says what is known.
+func (h *Handler) answer(writer http.ResponseWriter, answer *upstream.Answer, err error) {
+	// The node may have begun to drain since the request came.
+	h.closeIfDraining(writer)
+	var refusal *dispatch.Refusal
+	switch {
+	case err == nil && answer != nil:
+		h.pass(writer, answer)
+	case errors.As(err, &refusal):
+		refuse(writer, refusal.Reason, refusal.RetryAfter)
+	case errors.Is(err, dispatch.ErrTimeout):
+		http.Error(writer, "timed out; the request may have run", http.StatusGatewayTimeout)
+	case errors.Is(err, dispatch.ErrNodeEnds):
+		http.Error(writer, "the node stops; the request may have run", http.StatusGatewayTimeout)
+	case errors.Is(err, dispatch.ErrCanceled), errors.Is(err, errCutOff):
+		panic(http.ErrAbortHandler)
+	default:
+		http.Error(writer, "no answer; the request may have run", http.StatusBadGateway)
+	}
+}
+
+func refuse(writer http.ResponseWriter, reason string, after time.Duration) {
+	writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	http.Error(writer, reason, http.StatusServiceUnavailable)
+}
+
+// pass writes a server's answer to the client.
+func (h *Handler) pass(writer http.ResponseWriter, answer *upstream.Answer) {
+	named := connectionNamed(answer.Header)
+	into := writer.Header()
+	for name, values := range answer.Header {
+		if h.hopByHop[name] || named[name] {
+			continue
+		}
+		into[name] = values
+	}
+	if answer.Rest == nil {
+		if answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
+			into.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		}
+		writer.WriteHeader(answer.Status)
+		// A client that has left is noticed by the server's own reading.
+		_, _ = writer.Write(answer.Body)
+		return
+	}
+	defer answer.Rest.Close()
+	writer.WriteHeader(answer.Status)
+	if _, err := writer.Write(answer.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := io.Copy(writer, answer.Rest); err != nil {
+		// The rest is missing, and the client must see that.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// outcomeOf names how a request ended, for the metrics.
+func outcomeOf(answer *upstream.Answer, err error) string {
+	switch {
+	case err == nil && answer != nil && answer.Status < http.StatusBadRequest:
+		return "served"
+	case err == nil:
+		return "failed by server"
+	case errors.Is(err, dispatch.ErrNotExecuted):
+		return "not executed"
+	case errors.Is(err, dispatch.ErrTimeout):
+		return "timed out"
+	case errors.Is(err, dispatch.ErrNodeEnds):
+		return "node stopped"
+	case errors.Is(err, dispatch.ErrCanceled):
+		return "client left"
+	case errors.Is(err, errCutOff):
+		return "cut off"
+	default:
+		return "unknown"
+	}
+}
+
+func (h *Handler) log(request *dispatch.Request, trace dispatch.Trace, answer *upstream.Answer, err error, version int64) {
+	fields := []zap.Field{
+		zap.String("request", request.ID), zap.String("route", request.Route.Name),
+		zap.String("service", request.Service), zap.String("server", trace.Server),
+		zap.Int("attempts", trace.Attempts), zap.Int("not_sent", trace.NotSent), zap.Duration("queued", trace.Queued),
+		zap.Duration("at_servers", trace.AtServers), zap.Duration("took", time.Since(request.ArrivedAt)), zap.Int64("version", version),
+	}
+	if request.HasKey {
+		fields = append(fields, zap.Uint32("key", request.Key), zap.Int64("map", trace.MapRevision))
+	}
+	if err != nil {
+		h.logger.Warn("request failed", append(fields, zap.String("error", err.Error()))...)
+		return
+	}
+	h.logger.Info("request answered", append(fields, zap.Int("status", answer.Status))...)
+}
