Reasons of refusals are typed, counted with how long requests had waited, and listed for callers

Before: strings made where the refusal was; nobody could count them but from logs. No change of when or what is refused.

--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -47,6 +47,10 @@
 	d.sample(request)
 	ctx, bounds := d.ending.Bound(ctx, request.limit())
 	answer, trace, err := d.attempts(ctx, request, d.limit(request))
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		refusalSeconds.WithLabelValues(refusal.Reason.String()).Observe(time.Since(request.ArrivedAt).Seconds())
+	}
 	if answer != nil && answer.Rest != nil {
 		// An answer that has begun is passed on as long as there is a connection for it.
 		bounds.Outlive()
@@ -93,7 +97,7 @@
 		excluded[s.id] = true
 		if ctx.Err() != nil || !d.mayRepeat(request, trace, outcome, limit) {
 			if outcome != failedOver && !mayHaveRun {
-				return nil, trace, &Refusal{Reason: err.Error(), RetryAfter: comeBack()}
+				return nil, trace, refusalBy(outcome, err)
 			}
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
@@ -144,7 +148,7 @@
 	case last != nil:
 		return nil
 	case !mayHaveRun:
-		return &Refusal{Reason: d.whyNone(request), RetryAfter: comeBack()}
+		return d.refusal(request)
 	case ending.Ended(ctx):
 		return errors.Wrapf(ErrNodeEnds, "%v", cause)
 	case ctx.Err() != nil:
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -17,6 +17,12 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
 	}, []string{"service"})
 
+	refusalSeconds = promauto.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "micahaven_dispatch_refusal_seconds",
+		Help:    "Time from reading a request to refusing it, by reason.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 4, 7),
+	}, []string{"reason"})
+
 	repeatsDeniedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_dispatch_repeats_denied_total",
 		Help: "Repeats that the retry budget did not allow.",
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -5,43 +5,90 @@
 	"time"
 )
 
-// whyNone says why no server could be found for a request, for its client and
-// the log.
-func (d *Dispatcher) whyNone(request *Request) string {
+// Reason is why a request was refused. docs/CALLERS.md lists all of them for callers.
+type Reason int
+
+// The reasons.
+const (
+	// ReasonNoOwner: no server owns the key.
+	ReasonNoOwner Reason = iota
+	// ReasonOwnerGone: the key's owner leaves, is gone or is not registered.
+	ReasonOwnerGone
+	// ReasonOwnerFailing: requests to the key's owner failed lately.
+	ReasonOwnerFailing
+	// ReasonMoving: the key is on its way to another owner.
+	ReasonMoving
+	// ReasonOwnerBusy: the key's owner has all the requests that it takes.
+	ReasonOwnerBusy
+	// ReasonNoServer: no server of the service is free.
+	ReasonNoServer
+	// ReasonServerRefused: the last server that was asked refused.
+	ReasonServerRefused
+	// ReasonUnreachable: nothing of the request reached the last server.
+	ReasonUnreachable
+	// ReasonNodeStops: this node stops before an answer can be expected.
+	ReasonNodeStops
+	reasonCount
+)
+
+// String names the reason in metrics and in docs/CALLERS.md.
+func (r Reason) String() string {
+	names := [reasonCount]string{
+		"no owner", "owner gone", "owner failing", "moving", "owner busy",
+		"no server", "server refused", "unreachable", "node stops",
+	}
+	if r < 0 || r >= reasonCount {
+		return "unknown"
+	}
+	return names[r]
+}
+
+// refusal returns the refusal of a request for which there is no server.
+func (d *Dispatcher) refusal(request *Request) *Refusal {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	reason := d.whyNoServer(request)
-	if _, stops := d.ending.At(); !stops {
-		return reason
+	reason, detail := d.whyNoServer(request)
+	if _, stops := d.ending.At(); stops {
+		reason, detail = ReasonNodeStops, "the node stops; "+detail
+	}
+	return &Refusal{Reason: reason, Detail: detail, RetryAfter: comeBack()}
+}
+
+// refusalBy returns the refusal of a request whose last attempt surely did not run it.
+func refusalBy(outcome attempt, cause error) *Refusal {
+	reason := ReasonServerRefused
+	if outcome == notSent {
+		reason = ReasonUnreachable
 	}
-	return "the node stops; " + reason
+	return &Refusal{Reason: reason, Detail: cause.Error(), RetryAfter: comeBack()}
 }
 
 // whyNoServer says why no server is free for a request. The caller holds the mutex.
-func (d *Dispatcher) whyNoServer(request *Request) string {
+func (d *Dispatcher) whyNoServer(request *Request) (Reason, string) {
 	now := time.Now()
 	current := d.views.Current()
 	owners, divided := d.owners(current, request)
 	if !divided {
-		return d.whyNoneOf(now, request)
+		return ReasonNoServer, d.whyNoneOf(now, request)
 	}
 	owner := d.ownerOf(request, owners)
 	if owner == nil {
-		return "the key has no owner"
+		return ReasonNoOwner, "the key has no owner"
 	}
 	s := d.servers[owner.Owner]
 	switch {
 	case s == nil:
-		return fmt.Sprintf("owner %s is not registered", owner.Owner)
+		return ReasonOwnerGone, fmt.Sprintf("owner %s is not registered", owner.Owner)
 	case !s.reachable(now, d.options.LeaveGrace):
-		return fmt.Sprintf("owner %s leaves or is gone", owner.Owner)
+		return ReasonOwnerGone, fmt.Sprintf("owner %s leaves or is gone", owner.Owner)
 	case now.Before(s.blockedUntil):
-		return fmt.Sprintf("owner %s failed %d times in a row", owner.Owner, s.failures)
+		return ReasonOwnerFailing, fmt.Sprintf("owner %s failed %d times in a row", owner.Owner, s.failures)
 	}
 	if until, held := d.moving[movingRange{request.Service, owner.Fence, owner.Last}]; held && now.Before(until) {
-		return fmt.Sprintf("key is moving from %s", owner.Owner)
+		return ReasonMoving, fmt.Sprintf("key is moving from %s", owner.Owner)
 	}
-	return fmt.Sprintf("owner %s is busy: %d of %d, answers take %.0f ms", owner.Owner, s.outstanding, s.capacity(), s.expected()*millisPerSecond)
+	return ReasonOwnerBusy, fmt.Sprintf("owner %s is busy: %d of %d, answers take %.0f ms",
+		owner.Owner, s.outstanding, s.capacity(), s.expected()*millisPerSecond)
 }
 
 const millisPerSecond = 1000
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -31,12 +31,14 @@
 
 // Refusal is an error that matches ErrNotExecuted and says when to come back.
 type Refusal struct {
-	Reason     string
+	Reason Reason
+	// Detail says what the reason rests on, for the log and the client.
+	Detail     string
 	RetryAfter time.Duration
 }
 
 // Error implements error.
-func (r *Refusal) Error() string { return "not executed: " + r.Reason }
+func (r *Refusal) Error() string { return "not executed: " + r.Detail }
 
 // Is makes a refusal match ErrNotExecuted.
 func (r *Refusal) Is(target error) bool { return target == ErrNotExecuted }
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -22,7 +22,7 @@
 	case err == nil && answer != nil:
 		h.pass(writer, answer)
 	case errors.As(err, &refusal):
-		refuse(writer, refusal.Reason, refusal.RetryAfter)
+		refuse(writer, refusal.Detail, refusal.RetryAfter)
 	case errors.Is(err, dispatch.ErrTimeout):
 		http.Error(writer, "timed out; the request may have run", http.StatusGatewayTimeout)
 	case errors.Is(err, dispatch.ErrNodeEnds):
