The soak plays planned work, with clients that account for each request

Cause: under planned restarts a request that a stopping node had read got neither an answer nor a refusal, and the soak could not see it: it stopped one node at a time, its clients (net/http) hid how connections end and were not held to an answer for each request, and its requests (2 s) ended long before a node's grace (4 s) did. Clients on raw kept connections (eager, idle, slow, leaving; short, keyed, unsafe and long requests of 5 s) record the life of each request; series restart half of the nodes while the first still stop, with SIGHUP and changed settings around SIGTERM, a second SIGTERM, configurations, drains, and servers that hang, are slow, lose answers or reset within them. New checks: planned work loses no request, and a stopping node ends within its grace; delays of the soak's own process are measured and not held against nodes. Up to 150 nodes; servers and clients scale. Ports of nodes are below those of outgoing connections, one of which could have a node's port while it restarts. Tests: the checks fail on hand-made records (TestRequestIsLostIfItWasReadAndNotAnswered, TestNodesAreLateAfterTheirGrace, TestLostRequestIsToldWithItsStory), TestConnectionEndsAreSeenAsTheyAre; internal/soak passes with the race detector.

--- a/cmd/micahaven-soak/main.go
+++ b/cmd/micahaven-soak/main.go
@@ -5,27 +5,36 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/micahaven/micahaven/internal/soak"
 )
 
+// mostNodes bounds the number of processes; each takes some 30 MB.
+const mostNodes = 150
+
 func main() {
 	router := flag.String("router", "bin/micahaven-router", "path of the router's program")
 	seed := flag.Uint64("seed", uint64(time.Now().UnixNano()), "seed of the first round; each further one has the next seed")
 	rounds := flag.Int("rounds", 1, "number of rounds")
-	nodes := flag.Int("nodes", 4, "number of router processes, 1 to 24")
+	nodes := flag.Int("nodes", 4, fmt.Sprintf("number of router processes, 1 to %d", mostNodes))
 	length := flag.Duration("length", 30*time.Second, "how long faults are injected in a round")
+	planned := flag.Bool("planned", false, "play planned work beside servers that misbehave instead of random faults")
+	logs := flag.String("logs", "", "folder in which the logs are kept; the system's one for temporary files if left out")
 	flag.Parse()
-	if *nodes < 1 || *nodes > 24 {
-		fmt.Fprintf(os.Stderr, "field nodes: %d, allowed: 1 to 24\n", *nodes)
+	if *nodes < 1 || *nodes > mostNodes {
+		fmt.Fprintf(os.Stderr, "field nodes: %d, allowed: 1 to %d\n", *nodes, mostNodes)
 		os.Exit(2)
 	}
 	broken := 0
 	for round := range *rounds {
-		broken += play(*router, *seed+uint64(round), *nodes, *length)
+		broken += play(*logs, soak.Options{
+			Router: *router, Seed: *seed + uint64(round), Nodes: *nodes, Length: *length, Planned: *planned,
+		})
 	}
 	if broken > 0 {
 		os.Exit(1)
@@ -33,8 +42,8 @@
 }
 
 // play runs one round and returns how many promises were broken.
-func play(router string, seed uint64, nodes int, length time.Duration) int {
-	folder, err := os.MkdirTemp("", "micahaven-soak-")
+func play(logs string, options soak.Options) int {
+	folder, err := os.MkdirTemp(logs, "micahaven-soak-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
@@ -45,13 +54,13 @@
 		os.Exit(2)
 	}
 	defer trace.Close()
-	result, err := soak.Run(soak.Options{Router: router, Folder: folder, Seed: seed, Nodes: nodes, Length: length, Output: trace})
+	options.Folder, options.Output = folder, trace
+	result, err := soak.Run(options)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %.3f served, %.3f after the faults, %d promises broken\n",
-		seed, result.Faults, result.Requests, float64(result.Served)/float64(max(1, result.Requests)), result.ServedAfter, len(result.Breaches))
+	report(options, result)
 	for _, breach := range result.Breaches {
 		fmt.Println("  " + breach)
 	}
@@ -63,3 +72,18 @@
 	}
 	return len(result.Breaches)
 }
+
+// report prints the figures of a round.
+func report(options soak.Options, result *soak.Result) {
+	fmt.Printf("seed %d: %d processes (%d started), %d faults in %v, %d requests, %.3f served, %.3f after the faults, %d promises broken\n",
+		result.Seed, result.Processes, result.Started, result.Faults, options.Length, result.Requests,
+		float64(result.Served)/float64(max(1, result.Requests)), result.ServedAfter, len(result.Breaches))
+	if !options.Planned {
+		return
+	}
+	fmt.Printf("  planned work: %d requests lost, longest stop %v", result.Lost, result.LongestStop.Round(time.Millisecond))
+	for _, end := range slices.Sorted(maps.Keys(result.Ends)) {
+		fmt.Printf(", %d %s", result.Ends[end], end)
+	}
+	fmt.Println()
+}
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -37,6 +37,9 @@
 	status     int
 	// broken says what was wrong with an answer that looked like a success.
 	broken string
+	// unjudged requests do not count where the share of served ones does: their
+	// client left, or did not send them whole.
+	unjudged bool
 }
 
 // clients send requests and remember what they saw.
@@ -93,16 +96,23 @@
 func judge(response *http.Response, method, path, body string) string {
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		// The client sees that it is not complete.
+		return ""
+	}
+	return wrongAnswer(response, content, method, path, body)
+}
+
+// wrongAnswer says what is wrong with a whole answer that looks like a success.
+func wrongAnswer(response *http.Response, content []byte, method, path, body string) string {
 	if response.StatusCode != http.StatusOK {
 		return ""
 	}
+	request := method + " " + path + " " + body
 	switch {
-	case err != nil:
-		// The client sees that it is not complete.
-		return ""
 	case !standin.Signed(response):
 		return "success without a server's signature"
-	case !strings.HasSuffix(string(content), strings.TrimRight(method+" "+path+" "+body, " ")) && !strings.HasSuffix(string(content), method+" "+path+" "+body):
+	case !strings.HasSuffix(string(content), strings.TrimRight(request, " ")) && !strings.HasSuffix(string(content), request):
 		return fmt.Sprintf("body %q is not the answer to the request", content)
 	}
 	return ""
--- /dev/null
+++ b/internal/soak/judge_test.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micahaven/micahaven/platform/standin"
+)
+
+var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return testStart.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// closedRecord is a long read on a kept connection: sent 1.3 s after SIGTERM (at 10 s)
+// and closed without an answer at 0.9 of the grace.
+func closedRecord() *record {
+	return &record{
+		id: "n1-c2-3", node: &Node{Name: "n1"}, class: longReads, connection: 4, position: 5,
+		connectedAt: at(9), beganAt: at(11.3), headSentAt: at(11.3), sentAt: at(11.3), endedAt: at(13.6), end: closed,
+	}
+}
+
+func stopEvents() []nodeEvent {
+	return []nodeEvent{
+		{at: at(0), kind: processStarted}, {at: at(9.9), kind: reloadSignal}, {at: at(10), kind: termSignal}, {at: at(13.62), kind: processEnded},
+	}
+}
+
+// with returns the events of a stop with another one among them.
+func with(kind nodeEventKind, seconds float64, detail string) []nodeEvent {
+	var events []nodeEvent
+	added := nodeEvent{at: at(seconds), kind: kind, detail: detail}
+	for _, event := range stopEvents() {
+		if event.at.After(added.at) && added.detail != "added" {
+			events = append(events, added)
+			added.detail = "added"
+		}
+		events = append(events, event)
+	}
+	return events
+}
+
+func TestRequestIsLostIfItWasReadAndNotAnswered(t *testing.T) {
+	reached := []standin.Arrival{{Request: "n1-c2-3", Server: "s1", At: at(11.31)}}
+	for _, test := range []struct {
+		name   string
+		change func(r *record, known *evidence)
+		lost   bool
+	}{
+		{"closed at the end of the grace", func(*record, *evidence) {}, true},
+		{"sent just before the connection ended", func(r *record, _ *evidence) { r.endedAt = at(11.45) }, false},
+		{"the same, and a server saw it", func(r *record, known *evidence) {
+			r.endedAt = at(11.45)
+			known.arrivals = reached
+		}, true},
+		{"the same, and its answer had begun", func(r *record, _ *evidence) {
+			r.endedAt = at(11.45)
+			r.headArrived = true
+		}, true},
+		{"sent 200 ms before the connection ended", func(r *record, _ *evidence) { r.endedAt = at(11.5) }, true},
+		{"the same while the soak stalled", func(r *record, known *evidence) {
+			r.endedAt = at(11.5)
+			known.stalled = 50 * time.Millisecond
+		}, false},
+		{"answered", func(r *record, _ *evidence) { r.end = answered }, false},
+		{"refused", func(r *record, _ *evidence) { r.end = refused }, false},
+		{"client left", func(r *record, _ *evidence) { r.end = left }, false},
+		{"client's time over", func(r *record, _ *evidence) { r.end = expired }, false},
+		{"not sent whole", func(r *record, _ *evidence) { r.end = notSent }, false},
+		{"route's time over", func(r *record, _ *evidence) {
+			r.headSentAt, r.sentAt = at(8.5), at(9)
+		}, false},
+		{"node killed", func(_ *record, known *evidence) { known.events = with(killSignal, 12, "") }, false},
+		{"earlier process killed", func(_ *record, known *evidence) { known.events = with(killSignal, -1, "") }, true},
+		{"node frozen before", func(_ *record, known *evidence) { known.events = with(freezeSignal, 5, "") }, false},
+		{"node cut off meanwhile", func(_ *record, known *evidence) { known.events = with(linkCut, 12, Silent.String()) }, false},
+		{"node cut off and healed before", func(_ *record, known *evidence) { known.events = with(linkCut, 5, Pass.String()) }, true},
+		{"server broke its answer off after the head", func(r *record, known *evidence) {
+			known.brokenOff, r.headArrived = true, true
+		}, false},
+		{"server broke its answer off, and no head came", func(_ *record, known *evidence) { known.brokenOff = true }, true},
+		{"not stopping at all", func(_ *record, known *evidence) { known.events = known.events[:1] }, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, known := closedRecord(), evidence{events: stopEvents()}
+			test.change(r, &known)
+			if lost := r.lost(known); lost != test.lost {
+				t.Errorf("lost: %v, want %v", lost, test.lost)
+			}
+		})
+	}
+}
+
+func TestNodesAreLateAfterTheirGrace(t *testing.T) {
+	none := func(time.Time, time.Time) time.Duration { return 0 }
+	second := nodeEvent{at: at(12), kind: termSignal}
+	for _, test := range []struct {
+		name   string
+		events []nodeEvent
+		stops  int
+		late   bool
+	}{
+		{"in time", stopEvents(), 1, false},
+		{"after its grace", append(stopEvents()[:3:3], nodeEvent{at: at(14.01), kind: processEnded}), 1, true},
+		{"killed by the soak", append(stopEvents()[:3:3], nodeEvent{at: at(18), kind: killSignal}, nodeEvent{at: at(18.01), kind: processEnded}), 1, true},
+		{"killed within its grace", append(stopEvents()[:3:3], nodeEvent{at: at(11), kind: killSignal}, nodeEvent{at: at(11.01), kind: processEnded}), 1, false},
+		{"told twice", append(stopEvents()[:3:3], second, nodeEvent{at: at(14.5), kind: processEnded}), 1, true},
+		{"frozen meanwhile", append(stopEvents()[:3:3], nodeEvent{at: at(11), kind: freezeSignal}, nodeEvent{at: at(18), kind: processEnded}), 0, false},
+		{"never told", append(stopEvents()[:2:2], nodeEvent{at: at(18), kind: processEnded}), 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			found := stops(test.events, none)
+			late := false
+			for _, one := range found {
+				late = late || one.late(grace)
+			}
+			if len(found) != test.stops || late != test.late {
+				t.Errorf("%d stops, late: %v, want %d, %v", len(found), late, test.stops, test.late)
+			}
+		})
+	}
+}
+
+// The check as a whole, on hand-made records: a breach tells the seed and the story.
+func TestLostRequestIsToldWithItsStory(t *testing.T) {
+	n := &Node{Name: "n1", events: append(stopEvents()[:3:3], nodeEvent{at: at(14.2), kind: processEnded})}
+	r := closedRecord()
+	r.node = n
+	fine := *r
+	fine.end = answered
+	var output strings.Builder
+	s := &soak{
+		options: Options{Seed: 77, Output: &output}, nodes: []*Node{n}, started: testStart,
+		world:  &world{ledger: standin.NewLedger()},
+		pooled: &pooledClients{records: []*record{r, &fine}},
+	}
+	s.history.spans = []*faultSpan{
+		{name: "server s1 hangs", from: at(9), until: at(12)}, {name: "drain of server s2", from: at(1), until: at(2)},
+	}
+	result := &Result{}
+	s.checkPlannedWork(result)
+	if result.Lost != 1 || len(s.breaches) != 2 {
+		t.Fatalf("%d lost, broken: %q, want 1 lost and a late stop", result.Lost, s.breaches)
+	}
+	if late := s.breaches[0]; !strings.Contains(late, "seed 77: n1 was told to stop at 10.000 s and ended after 4.2s") {
+		t.Errorf("late stop told as %q", late)
+	}
+	told := s.breaches[1]
+	for _, part := range []string{
+		"seed 77", "long read n1-c2-3 to n1 (connection 4, request 5 on it)", "times from SIGTERM", "last byte +1.300 s",
+		"connection closed without a whole answer at +3.600 s", "reached no server", "SIGHUP -0.100 s", "in force: server s1 hangs",
+	} {
+		if !strings.Contains(told, part) {
+			t.Errorf("%q is not in %q", part, told)
+		}
+	}
+	if strings.Contains(told, "s2") {
+		t.Errorf("a fault that was over is told: %q", told)
+	}
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -23,6 +24,8 @@
 	Clients string
 	Ready   string
 
+	index   int
+	inner   string
 	program string
 	folder  string
 	log     *os.File
@@ -35,36 +38,64 @@
 	disturbedUntil time.Time
 	// down is true from a signal that ends the process until the next start.
 	down bool
+	// events is the history of the node's processes, and starts how many there were.
+	events []nodeEvent
+	starts int
 }
 
+const (
+	// lowestPort and highestPort bound the ports of nodes. They are below those that
+	// Linux gives to outgoing connections (from 32768), one of which could otherwise
+	// have a node's port while the node is being started again.
+	lowestPort, highestPort = 15000, 32000
+	portAttempts            = 100
+)
+
 // freeAddress returns an address on the loopback interface that nobody uses.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
+	var failed error
+	for range portAttempts {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			failed = err
+			continue
+		}
+		defer listener.Close()
+		return listener.Addr().String(), nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.Wrap(failed, "find a free port")
+}
+
+// grace is within what time a node that is told to stop must have ended.
+const grace = 4 * time.Second
+
+// changeable are the settings that a node reads again on SIGHUP.
+type changeable struct {
+	drain time.Duration
+	// retrySlack is the number of repeats that are always allowed.
+	retrySlack int
 }
 
+var firstSettings = changeable{drain: 2 * time.Second, retrySlack: 50}
+
 const settingsText = `
 node: %s
 zone: z%d
 listen: {clients: %q, ready: %q, nodes: %q, metrics: ""}
 seeds: []
 store: {address: %q}
-drain_millis: 2000
-grace_millis: 4000
-retry: {ratio: 0.2, slack: 50, window_seconds: 10}
+drain_millis: %d
+grace_millis: %d
+retry: {ratio: 0.2, slack: %d, window_seconds: 10}
 max_hold_millis: 10000
 memory_megabytes: 256
 `
 
 // NewNode prepares a node that reaches the store through a link of its own.
 func NewNode(program, folder string, index int, store string) (*Node, error) {
-	n := &Node{Name: fmt.Sprintf("n%d", index), program: program, folder: folder}
-	var inner string
-	for _, into := range []*string{&n.Clients, &n.Ready, &inner} {
+	n := &Node{Name: fmt.Sprintf("n%d", index), index: index, program: program, folder: folder}
+	for _, into := range []*string{&n.Clients, &n.Ready, &n.inner} {
 		address, err := freeAddress()
 		if err != nil {
 			return nil, err
@@ -76,14 +107,24 @@
 		return nil, err
 	}
 	n.link = link
-	text := fmt.Sprintf(settingsText, n.Name, index%3, n.Clients, n.Ready, inner, link.Address)
-	if err := os.WriteFile(n.settings(), []byte(text), 0o600); err != nil {
-		return nil, errors.Wrap(err, "write settings")
+	if err := n.writeSettings(firstSettings); err != nil {
+		return nil, err
 	}
 	n.log, err = os.Create(filepath.Join(folder, n.Name+".log"))
 	return n, errors.Wrap(err, "create log")
 }
 
+// writeSettings replaces the settings file in one step.
+func (n *Node) writeSettings(values changeable) error {
+	text := fmt.Sprintf(settingsText, n.Name, n.index%3, n.Clients, n.Ready, n.inner, n.link.Address,
+		values.drain.Milliseconds(), grace.Milliseconds(), values.retrySlack)
+	next := n.settings() + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	return errors.Wrap(os.Rename(next, n.settings()), "replace settings")
+}
+
 func (n *Node) settings() string { return filepath.Join(n.folder, n.Name+".yaml") }
 
 // Start starts the process.
@@ -95,10 +136,15 @@
 	if err := process.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", n.Name)
 	}
+	n.starts++
+	n.happened(processStarted, "")
 	ended := make(chan struct{})
 	go func() {
-		// How it ended shows in its log.
+		// How it ended is in the process's state.
 		_ = process.Wait()
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		n.happened(processEnded, process.ProcessState.String())
 		close(ended)
 	}()
 	n.process, n.ended, n.frozen, n.down = process, ended, false, false
@@ -106,6 +152,25 @@
 	return nil
 }
 
+// happened adds to the history. The caller holds the mutex.
+func (n *Node) happened(kind nodeEventKind, detail string) {
+	n.events = append(n.events, nodeEvent{at: time.Now(), kind: kind, detail: detail})
+}
+
+// history returns what happened to the node's processes.
+func (n *Node) history() []nodeEvent {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return append([]nodeEvent(nil), n.events...)
+}
+
+// Starts returns how many processes were started.
+func (n *Node) Starts() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.starts
+}
+
 // disturb notes that the node was disturbed just now. The caller holds the mutex.
 func (n *Node) disturb() { n.disturbedUntil = time.Now().Add(contactTime) }
 
@@ -120,10 +185,18 @@
 	switch signal {
 	case syscall.SIGSTOP:
 		n.frozen = true
+		n.happened(freezeSignal, "")
 	case syscall.SIGCONT:
 		n.frozen = false
-	case syscall.SIGTERM, syscall.SIGKILL:
+		n.happened(thawSignal, "")
+	case syscall.SIGTERM:
+		n.down = true
+		n.happened(termSignal, "")
+	case syscall.SIGKILL:
 		n.down = true
+		n.happened(killSignal, "")
+	case syscall.SIGHUP:
+		n.happened(reloadSignal, "")
 	}
 	// A process that has ended needs no signal.
 	_ = n.process.Process.Signal(signal)
@@ -140,7 +213,7 @@
 	select {
 	case <-ended:
 	case <-time.After(patience):
-		_ = process.Process.Kill()
+		n.Signal(syscall.SIGKILL)
 		<-ended
 	}
 }
@@ -149,6 +222,7 @@
 func (n *Node) Cut(mode Mode) {
 	n.mutex.Lock()
 	n.disturb()
+	n.happened(linkCut, mode.String())
 	n.mutex.Unlock()
 	n.link.Set(mode)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,7 +26,10 @@
 	Nodes  int
 	// Length is for how long faults are injected.
 	Length time.Duration
-	Output io.Writer
+	// Planned plays the operator's planned work, beside servers that misbehave,
+	// instead of random faults, with clients that account for each request.
+	Planned bool
+	Output  io.Writer
 }
 
 // Result is what a soak saw.
@@ -34,6 +37,15 @@
 	Seed             uint64
 	Faults           int
 	Requests, Served int
+	// Processes is how many router processes ran at the same time, and Started how
+	// many were started in all.
+	Processes, Started int
+	// Lost is how many requests were lost in planned work, LongestStop the longest
+	// time that a stopping node took, and Ends counts how requests ended; only
+	// planned work has them.
+	Lost        int
+	LongestStop time.Duration
+	Ends        map[string]int
 	// ServedAfter is the part of the requests that were served at the end, with no
 	// faults.
 	ServedAfter float64
@@ -54,11 +66,23 @@
 	maxBreaches      = 50
 )
 
+// load is what sends requests.
+type load interface {
+	// run sends requests until the context ends.
+	run(ctx context.Context, seed uint64)
+	// results returns what was seen of the requests that have ended.
+	results() []outcome
+}
+
 type soak struct {
 	options Options
 	nodes   []*Node
 	world   *world
-	clients *clients
+	clients load
+	// pooled are the clients of planned work; nil otherwise.
+	pooled  *pooledClients
+	history faultHistory
+	stalls  stallWatch
 	started time.Time
 
 	mutex    sync.Mutex
@@ -67,7 +91,7 @@
 
 // Run runs one soak. Its error means that the soak itself could not run.
 func Run(options Options) (*Result, error) {
-	world, err := newWorld()
+	world, err := newWorld(options.Nodes)
 	if err != nil {
 		return nil, err
 	}
@@ -85,6 +109,10 @@
 		defer n.Stop()
 	}
 	s.clients = &clients{nodes: s.nodes}
+	if options.Planned {
+		s.pooled = &pooledClients{nodes: s.nodes}
+		s.clients = s.pooled
+	}
 	s.waitReady(startPatience)
 	return s.play(), nil
 }
@@ -94,10 +122,20 @@
 	var group sync.WaitGroup
 	group.Go(func() { s.clients.run(ctx, s.options.Seed) })
 	group.Go(func() { s.watch(ctx) })
-	count := s.inject(rand.New(rand.NewPCG(s.options.Seed, 0)), s.options.Length)
+	group.Go(func() { s.stalls.run(ctx.Done()) })
+	if s.options.Planned {
+		s.waitOwned(startPatience)
+	}
+	random := rand.New(rand.NewPCG(s.options.Seed, 0))
+	count, recovery := 0, recoverPatience
+	if s.options.Planned {
+		count, recovery = s.planWork(random, s.options.Length), plannedRecovery
+	} else {
+		count = s.inject(random, s.options.Length)
+	}
 	s.world.heal()
 	s.waitReady(startPatience)
-	time.Sleep(recoverPatience)
+	time.Sleep(recovery)
 	before := len(s.clients.results())
 	time.Sleep(finalTime)
 	after := s.clients.results()[before:]
@@ -107,7 +145,13 @@
 }
 
 func (s *soak) result(count int, after []outcome) *Result {
-	result := &Result{Seed: s.options.Seed, Faults: count}
+	result := &Result{Seed: s.options.Seed, Faults: count, Processes: len(s.nodes)}
+	for _, n := range s.nodes {
+		result.Started += n.Starts()
+	}
+	if s.pooled != nil {
+		s.checkPlannedWork(result)
+	}
 	for _, seen := range s.clients.results() {
 		result.Requests++
 		if seen.status == http.StatusOK {
@@ -115,15 +159,19 @@
 		}
 		s.checkOutcome(seen)
 	}
-	served := 0
+	served, counted := 0, 0
 	for _, seen := range after {
+		if seen.unjudged {
+			continue
+		}
+		counted++
 		if seen.status == http.StatusOK {
 			served++
 		}
 	}
-	result.ServedAfter = float64(served) / float64(max(1, len(after)))
+	result.ServedAfter = float64(served) / float64(max(1, counted))
 	if result.ServedAfter < leastServedAfter {
-		s.breach("after all faults %d of %d requests were served", served, len(after))
+		s.breach("after all faults %d of %d requests were served", served, counted)
 	}
 	for _, text := range s.world.ledger.Breaches() {
 		s.breach("ownership: %s", text)
@@ -137,13 +185,17 @@
 // waitReady waits until all nodes say that they are ready.
 func (s *soak) waitReady(patience time.Duration) {
 	for _, n := range s.nodes {
-		deadline := time.Now().Add(patience)
-		for !ready(n) {
-			if time.Now().After(deadline) {
-				s.breach("%s is not ready after %v", n.Name, patience)
-				break
-			}
-			time.Sleep(50 * time.Millisecond)
+		s.waitNodeReady(n, patience)
+	}
+}
+
+// waitNodeReady waits until a node says that it is ready.
+func (s *soak) waitNodeReady(n *Node, patience time.Duration) {
+	const pause = 50 * time.Millisecond
+	for deadline := time.Now().Add(patience); !ready(n); time.Sleep(pause) {
+		if time.Now().After(deadline) {
+			s.breach("%s is not ready after %v", n.Name, patience)
+			return
 		}
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,9 @@
 	dividedServers = 6
 	plainServers   = 4
 	serverWork     = 60 * time.Millisecond
+	// nodesPerServer is how many nodes there are for each server of a service if
+	// there are many nodes.
+	nodesPerServer = 4
 )
 
 // server is a server, its link, and when it began to leave.
@@ -40,12 +44,14 @@
 	storeDisturbed time.Time
 }
 
-func newWorld() (*world, error) {
+// newWorld starts a store and as many servers as a number of nodes needs.
+func newWorld(nodes int) (*world, error) {
 	w := &world{store: standin.NewStore(), ledger: standin.NewLedger()}
 	w.configure()
-	for index := range dividedServers + plainServers {
+	divided, plain := max(dividedServers, nodes/nodesPerServer), max(plainServers, nodes/nodesPerServer)
+	for index := range divided + plain {
 		service := standin.DividedService
-		if index >= dividedServers {
+		if index >= divided {
 			service = standin.PlainService
 		}
 		if err := w.startServer(service); err != nil {
@@ -82,8 +88,8 @@
 	return nil
 }
 
-// pick returns a server of a service that neither ended nor leaves, or nil.
-func (w *world) pick(random *rand.Rand, service string) *server {
+// live returns the servers of a service that neither ended nor leave.
+func (w *world) live(service string) []*server {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	var live []*server
@@ -92,7 +98,26 @@
 			live = append(live, s)
 		}
 	}
-	if len(live) < 3 {
+	return live
+}
+
+// owned reports whether servers hold all keys that clients ask for.
+func (w *world) owned() bool {
+	servers := w.live(standin.DividedService)
+	for index := range keyCount {
+		holds := func(s *server) bool { return s.Holds(index * keySpread) }
+		if !slices.ContainsFunc(servers, holds) {
+			return false
+		}
+	}
+	return true
+}
+
+// pick returns a server of a service that neither ended nor leaves, or nil.
+func (w *world) pick(random *rand.Rand, service string) *server {
+	live := w.live(service)
+	const leastLive = 3
+	if len(live) < leastLive {
 		return nil
 	}
 	return live[random.IntN(len(live))]
@@ -106,6 +131,8 @@
 	version := w.version
 	w.mutex.Unlock()
 	routes := append(standin.DefaultRoutes(), standin.Route{
+		Name: "long", Prefix: longPrefix, Service: standin.PlainService, Repeatable: true, Timeout: longTimeout,
+	}, standin.Route{
 		Name: fmt.Sprintf("extra%d", version), Prefix: extraPath(version), Service: standin.PlainService, Repeatable: true,
 	})
 	standin.Configure(w.store, version, routes)
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,12 +1,20 @@
 #!/usr/bin/env bash
-# Plays the fault soak: the seeds that ever failed, then fresh ones.
-# ROUNDS is the number of fresh seeds, LENGTH how long faults last in a round.
+# Plays the fault soak: the seeds that ever failed, then fresh ones, of random faults
+# and of planned work.
+# ROUNDS is the number of fresh seeds of each, LENGTH how long faults last in a round,
+# NODES the number of processes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o bin/ ./cmd/micahaven-router ./cmd/micahaven-soak
+nodes="${NODES:-4}"
+length="${LENGTH:-25s}"
 failed=0
 for seed in $(grep -v '^#' internal/soak/seeds.txt | cut -d' ' -f1); do
-  ./bin/micahaven-soak --seed "$seed" --length "${LENGTH:-25s}" || failed=1
+  planned=""
+  case "$seed" in planned:*) planned=--planned ;; esac
+  ./bin/micahaven-soak $planned --seed "${seed#planned:}" --nodes "$nodes" --length "$length" || failed=1
+done
+for planned in "" --planned; do
+  ./bin/micahaven-soak $planned --rounds "${ROUNDS:-3}" --nodes "$nodes" --length "$length" || failed=1
 done
-./bin/micahaven-soak --rounds "${ROUNDS:-3}" --length "${LENGTH:-25s}" || failed=1
 exit $failed
