--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,17 +9,15 @@
 	"github.com/micahaven/micahaven/internal/soak"
 )
 
-// A short round with the real program; scripts/soak.sh plays long ones.
-func TestPromisesHoldUnderFaults(t *testing.T) {
-	folder := t.TempDir()
-	program := filepath.Join(folder, "router")
-	build := exec.Command("go", "build", "-o", program, "../../cmd/micahaven-router")
+// play builds the real program and plays a round with it.
+func play(t *testing.T, options soak.Options) *soak.Result {
+	t.Helper()
+	options.Folder, options.Output = t.TempDir(), t.Output()
+	options.Router = filepath.Join(options.Folder, "router")
+	build := exec.Command("go", "build", "-o", options.Router, "../../cmd/micahaven-router")
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build the router: %v\n%s", err, output)
 	}
-	options := soak.Options{
-		Router: program, Folder: folder, Seed: 101, Nodes: 3, Length: 10 * time.Second, Output: t.Output(),
-	}
 	result, err := soak.Run(options)
 	if err != nil {
 		t.Fatal(err)
@@ -30,4 +28,25 @@
 	for _, breach := range result.Breaches {
 		t.Error(breach)
 	}
+	return result
+}
+
+// A short round; scripts/soak.sh plays long ones.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	play(t, soak.Options{Seed: 101, Nodes: 3, Length: 10 * time.Second})
+}
+
+// Rolling restarts that overlap, beside servers that misbehave, with clients that
+// account for each request. The round takes a minute and plays each kind of trouble.
+func TestPlannedWorkLosesNoRequest(t *testing.T) {
+	const (
+		troubles = 5
+		length   = 45 * time.Second
+	)
+	result := play(t, soak.Options{Seed: 201, Nodes: 4, Length: length, Planned: true})
+	t.Logf("%d processes, %d started, %d series, %d requests, %d lost, longest stop %v, ends: %v",
+		result.Processes, result.Started, result.Faults, result.Requests, result.Lost, result.LongestStop, result.Ends)
+	if result.Faults < troubles {
+		t.Errorf("%d series, want one at least for each of %d troubles", result.Faults, troubles)
+	}
 }
