The soak stops its nodes at the same time

Cause: at its end it stopped them one after the other: 40 nodes took over a minute. Change: all are told first. Measured: TestPromisesHoldUnderFaults passes with the race detector.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -97,6 +97,7 @@
 	}
 	defer world.close()
 	s := &soak{options: options, world: world, started: time.Now()}
+	defer s.stopNodes()
 	for index := range options.Nodes {
 		n, err := NewNode(options.Router, options.Folder, index, world.store.Address)
 		if err != nil {
@@ -106,7 +107,6 @@
 		if err := n.Start(); err != nil {
 			return nil, err
 		}
-		defer n.Stop()
 	}
 	s.clients = &clients{nodes: s.nodes}
 	if options.Planned {
@@ -117,6 +117,15 @@
 	return s.play(), nil
 }
 
+// stopNodes stops all nodes at the same time.
+func (s *soak) stopNodes() {
+	var group sync.WaitGroup
+	for _, n := range s.nodes {
+		group.Go(n.Stop)
+	}
+	group.Wait()
+}
+
 func (s *soak) play() *Result {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
