A manager that stops before its first map writes none

Change: without a map there is nothing to say; the lock's lease is ended as before. Test: TestManagerThatStopsBeforeItsFirstMapWritesNone; failed before (the map cannot be decoded, no grant within 10 s), passes with the race detector, three runs of the package.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -276,6 +276,12 @@
 		return
 	}
 	t.mutex.Lock()
+	if !t.core.Started() {
+		// Without a map there were no orders, and a map without ranges could not be
+		// read by the next manager.
+		t.mutex.Unlock()
+		return
+	}
 	t.core.Resign()
 	commands := t.core.Tick(t.now())
 	t.mutex.Unlock()
