No two nodes of a soak get the same port, and a process that ended is told of once

Change: ports are reserved within a process, and each soak's nodes are on a loopback address of its own, so that soaks at the same time do not collide; checkEnds tells of each process once. Clients that leave do so early more often, while servers still work.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -41,11 +41,12 @@
 // watch checks what has a time bound while the soak runs.
 func (s *soak) watch(ctx context.Context) {
 	overlaps := make(map[int]time.Time)
+	endsTold := make(map[*Node]int)
 	client := &http.Client{Timeout: time.Second}
 	for turn := 0; ctx.Err() == nil; turn++ {
 		s.checkDrained()
 		s.checkOwners(overlaps)
-		s.checkEnds()
+		s.checkEnds(endsTold)
 		if turn%3 == 0 {
 			s.checkConfiguration(client)
 		}
@@ -107,10 +108,13 @@
 	}
 }
 
-// checkEnds looks for processes that ended by themselves.
-func (s *soak) checkEnds() {
+// checkEnds looks for processes that ended by themselves. told holds how many
+// processes of a node had been started when it was last told of.
+func (s *soak) checkEnds(told map[*Node]int) {
 	for _, n := range s.nodes {
-		if n.InTouch() && n.Ended() {
+		starts := n.Starts()
+		if n.InTouch() && n.Ended() && told[n] != starts {
+			told[n] = starts
 			s.breach("%s ended by itself", n.Name)
 		}
 	}
--- a/internal/soak/pooledclients.go
+++ b/internal/soak/pooledclients.go
@@ -15,8 +15,11 @@
 	mostEager = 24
 	// redialPause is how long a client waits after a connection was refused.
 	redialPause = 100 * time.Millisecond
-	// leaveShare is the part of their requests that leaving clients break off.
+	// leaveShare is the part of their requests that leaving clients break off, most of
+	// them within earlyLeave, in which servers that are well answer.
 	leaveShare = 0.4
+	earlyShare = 0.7
+	earlyLeave = 2 * serverWork
 )
 
 // habit is how a client behaves.
@@ -174,7 +177,11 @@
 		s.key = c.random.IntN(keyCount) * keySpread
 	}
 	if c.habit.leaves && c.random.Float64() < leaveShare {
-		s.leaveAfter = 1 + time.Duration(c.random.Int64N(int64(chosen.deadline)))
+		within := chosen.deadline
+		if c.random.Float64() < earlyShare {
+			within = earlyLeave
+		}
+		s.leaveAfter = 1 + upTo(c.random, within)
 	}
 	return s
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -43,30 +41,6 @@
 	starts int
 }
 
-const (
-	// lowestPort and highestPort bound the ports of nodes. They are below those that
-	// Linux gives to outgoing connections (from 32768), one of which could otherwise
-	// have a node's port while the node is being started again.
-	lowestPort, highestPort = 15000, 32000
-	portAttempts            = 100
-)
-
-// freeAddress returns an address on the loopback interface that nobody uses.
-func freeAddress() (string, error) {
-	var failed error
-	for range portAttempts {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			failed = err
-			continue
-		}
-		defer listener.Close()
-		return listener.Addr().String(), nil
-	}
-	return "", errors.Wrap(failed, "find a free port")
-}
-
 // grace is within what time a node that is told to stop must have ended.
 const grace = 4 * time.Second
 
