A further signal must not end a node that is stopping

Change: the soak of planned work breaks if SIGTERM or SIGHUP ends a process that was told to stop before it ended by itself. Test: TestFurtherSignalsMustNotEndANode shows the check failing.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strings"
 	"time"
 
 	"github.com/micahaven/micahaven/platform/standin"
@@ -83,8 +84,14 @@
 	toldAt, endedAt time.Time
 	// stalled is for how long the soak itself did not run meanwhile.
 	stalled time.Duration
+	// how says how the process ended, in the words of os.ProcessState.
+	how string
 }
 
+// cutShort reports whether a signal ended the process before it had stopped by
+// itself. A further SIGTERM or SIGHUP must not do that.
+func (s stop) cutShort() bool { return strings.HasPrefix(s.how, "signal: ") }
+
 // late reports whether a node ended, or was killed, after its grace was over.
 func (s stop) late(grace time.Duration) bool {
 	return s.endedAt.Sub(s.toldAt) > grace+s.stalled
@@ -107,7 +114,7 @@
 		case killSignal, processEnded:
 			justBefore := event.at.Add(-time.Nanosecond)
 			if !told.IsZero() && !known.disturbed(told, justBefore) {
-				found = append(found, stop{toldAt: told, endedAt: event.at, stalled: stalled(told, event.at)})
+				found = append(found, stop{toldAt: told, endedAt: event.at, stalled: stalled(told, event.at), how: event.detail})
 			}
 			told = time.Time{}
 		}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -124,9 +124,21 @@
 	}
 }
 
+func TestFurtherSignalsMustNotEndANode(t *testing.T) {
+	none := func(time.Time, time.Time) time.Duration { return 0 }
+	for how, short := range map[string]bool{"exit status 0": false, "signal: hangup": true, "signal: terminated": true} {
+		events := stopEvents()
+		events[len(events)-1].detail = how
+		found := stops(events, none)
+		if len(found) != 1 || found[0].cutShort() != short {
+			t.Errorf("%s: %+v, want one stop, cut short: %v", how, found, short)
+		}
+	}
+}
+
 // The check as a whole, on hand-made records: a breach tells the seed and the story.
 func TestLostRequestIsToldWithItsStory(t *testing.T) {
-	n := &Node{Name: "n1", events: append(stopEvents()[:3:3], nodeEvent{at: at(14.2), kind: processEnded})}
+	n := &Node{Name: "n1", events: append(stopEvents()[:3:3], nodeEvent{at: at(14.2), kind: processEnded, detail: "exit status 0"})}
 	r := closedRecord()
 	r.node = n
 	fine := *r
--- a/internal/soak/plannedchecks.go
+++ b/internal/soak/plannedchecks.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// checkStops checks that a node ended within its grace each time.
+// checkStops checks that a node ended by itself and within its grace each time.
 func (s *soak) checkStops(n *Node, events []nodeEvent, result *Result) {
 	for _, one := range stops(events, s.stalls.between) {
 		took := one.endedAt.Sub(one.toldAt)
@@ -37,5 +37,9 @@
 			s.breach("seed %d: %s was told to stop at %.3f s and ended after %v; its grace is %v",
 				s.options.Seed, n.Name, one.toldAt.Sub(s.started).Seconds(), took.Round(time.Millisecond), grace)
 		}
+		if one.cutShort() {
+			s.breach("seed %d: %s was told to stop at %.3f s, and a further signal ended it after %v (%s)",
+				s.options.Seed, n.Name, one.toldAt.Sub(s.started).Seconds(), took.Round(time.Millisecond), one.how)
+		}
 	}
 }
