Failing tests: a request that came before SIGTERM and gets a server after it

Its limit is computed once, when Do begins, so neither the server's deadline nor tooLate know the end. Seen failing on: the server was told 59949 ms, at most 9880 are left; and 1 request at the server, whose answers take 40 s, want a refusal and none.

--- /dev/null
+++ b/internal/dispatch/ending_queue_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// freePlaces gives a server's places back and lets requests that wait have them.
+func freePlaces(d *Dispatcher, id string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for known, s := range d.servers {
+		if string(known) == id {
+			s.outstanding = 0
+			d.pump(s.Service)
+		}
+	}
+}
+
+// A request that came before the node was told to stop, and gets a server after that,
+// has no more time than one that came later: its server is told so.
+func TestServersOfQueuedRequestsAreToldWhenTheNodeEnds(t *testing.T) {
+	var told atomic.Int64
+	d, _ := stopping(t, func(writer http.ResponseWriter, incoming *http.Request) {
+		millis, _ := strconv.ParseInt(incoming.Header.Get("Deadline"), 10, 64)
+		told.Store(millis)
+		writer.Header().Set("Signature", "signed")
+	})
+	d.servers["a"].outstanding = 100
+	const left = 10 * time.Second
+	time.AfterFunc(50*time.Millisecond, func() {
+		d.EndBy(time.Now().Add(left))
+		freePlaces(d, "a")
+	})
+	request := patient()
+	request.ID = ""
+	if _, _, err := d.Do(context.Background(), request); err != nil {
+		t.Fatal(err)
+	}
+	if latest := (left - answerMargin).Milliseconds(); told.Load() <= 0 || told.Load() > latest {
+		t.Errorf("server was told %d ms, at most %d are left", told.Load(), latest)
+	}
+}
+
+// The same request is refused, and reaches no server, if its answer would come too late.
+func TestHopelessQueuedRequestOfAStoppingNodeReachesNoServer(t *testing.T) {
+	d, arrived := stopping(t, untilLeft)
+	d.servers["a"].outstanding, d.servers["a"].latency = 100, 40
+	request := patient()
+	time.AfterFunc(50*time.Millisecond, func() {
+		d.EndBy(time.Now().Add(time.Second))
+		freePlaces(d, "a")
+	})
+	_, _, err := d.Do(context.Background(), request)
+	var refusal *Refusal
+	if !errors.As(err, &refusal) || arrived.Load() != 0 {
+		t.Errorf("%v with %d requests at the server, want a refusal and none", err, arrived.Load())
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if outstanding := d.servers["a"].outstanding; outstanding != 0 {
+		t.Errorf("%d places at the server are still taken", outstanding)
+	}
+}
