--- /dev/null
+++ b/internal/dispatch/ending_choice_test.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// The server that is chosen first may be too slow for a stopping node, and another one
+// not.
+func TestStoppingNodeTurnsToAServerThatAnswersInTime(t *testing.T) {
+	d, arrived := stopping(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Signature", "signed")
+	})
+	// The fast one is in another zone, which makes it count four times as slow.
+	d.servers["a"].latency = 1
+	slow, slowArrived := stopping(t, untilLeft)
+	other := slow.servers["a"]
+	other.id, other.latency = "b", 3
+	view := *other.Server
+	view.ID, view.Zone = "b", d.options.Zone
+	far := *d.servers["a"].Server
+	far.Zone = "far"
+	d.servers["a"].Server = &far
+	other.Server = &view
+	d.servers["b"] = other
+	d.views.Current().Services[far.Service] = append(d.views.Current().Services[far.Service], &view)
+	d.EndBy(time.Now().Add(2 * time.Second))
+	request := patient()
+	request.ID = ""
+	_, _, err := d.Do(context.Background(), request)
+	if err != nil || arrived.Load() != 1 || slowArrived.Load() != 0 {
+		t.Errorf("%v with %d requests at the fast server and %d at the slow one", err, arrived.Load(), slowArrived.Load())
+	}
+}
