--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -267,17 +267,18 @@
 	}
 }
 
-// acquire returns a server for the request, waiting until limit. It returns nil
+// acquire returns a server for the request, waiting until its limit. It returns nil
 // if there is none by then, if its answer would come too late for a node that stops,
 // or if the context ends.
-func (d *Dispatcher) acquire(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool, limit time.Time) *server {
-	chosen := d.await(ctx, request, excluded, limit)
+func (d *Dispatcher) acquire(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool) *server {
+	chosen := d.await(ctx, request, excluded, d.limit(request))
 	if chosen == nil {
 		return nil
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if !d.tooLate(time.Now(), request, chosen, limit) {
+	// The node may have been told to stop while the request waited.
+	if !d.tooLate(time.Now(), request, chosen, d.limit(request)) {
 		return chosen
 	}
 	chosen.outstanding--
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -46,7 +46,7 @@
 func (d *Dispatcher) Do(ctx context.Context, request *Request) (*upstream.Answer, Trace, error) {
 	d.sample(request)
 	ctx, bounds := d.ending.Bound(ctx, request.limit())
-	answer, trace, err := d.attempts(ctx, request, d.limit(request))
+	answer, trace, err := d.attempts(ctx, request)
 	if answer != nil && answer.Rest != nil {
 		// An answer that has begun is passed on as long as there is a connection for it.
 		bounds.Outlive()
@@ -57,7 +57,7 @@
 	return answer, trace, err
 }
 
-func (d *Dispatcher) attempts(ctx context.Context, request *Request, limit time.Time) (*upstream.Answer, Trace, error) {
+func (d *Dispatcher) attempts(ctx context.Context, request *Request) (*upstream.Answer, Trace, error) {
 	var trace Trace
 	var lastAnswer *upstream.Answer
 	mayHaveRun := false
@@ -65,7 +65,7 @@
 	excluded := make(map[discovery.ServerID]bool)
 	for {
 		queuedAt := time.Now()
-		s := d.acquire(ctx, request, excluded, limit)
+		s := d.acquire(ctx, request, excluded)
 		trace.Queued += time.Since(queuedAt)
 		queueSeconds.WithLabelValues(request.Service).Observe(time.Since(queuedAt).Seconds())
 		if s == nil {
@@ -73,6 +73,7 @@
 		}
 		trace.Server = string(s.id)
 		trace.MapRevision = d.views.Current().Owners[request.Service].Revision
+		limit := d.limit(request)
 		sentAt := time.Now()
 		answer, outcome, err := d.send(ctx, request, s, limit)
 		trace.AtServers += time.Since(sentAt)
