--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,7 +50,11 @@
 	}
 }
 
-// Serve accepts connections until Close.
+// acceptPause is how long the server waits while its process has no file descriptor left.
+const acceptPause = 20 * time.Millisecond
+
+// Serve accepts connections until Close. A shortage of file descriptors passes, and
+// does not end it.
 func (s *Server) Serve() error {
 	for {
 		socket, err := s.listener.Accept()
@@ -57,6 +62,11 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				s.logger.Warn("peer connection not accepted", zap.Error(err))
+				time.Sleep(acceptPause)
+				continue
+			}
 			return errors.Wrap(err, "accept peer connection")
 		}
 		go s.serveConnection(socket)
