A manager that stops gives up orders in flight in time to write that it resigned (a proposal)

Not checked against model/managers.pml; a relayed release may still be under way at another node for up to 3 s after the resignation.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -24,6 +24,9 @@
 	epoch uint64
 	start time.Time
 	ended context.CancelFunc
+	// calls is the context of orders to servers; endCalls ends them.
+	calls    context.Context
+	endCalls context.CancelFunc
 
 	mutex       sync.Mutex
 	core        *shards.Manager
@@ -90,6 +93,8 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	defer cancel()
 	t.ended = cancel
+	t.calls, t.endCalls = context.WithCancel(ctx)
+	defer t.endCalls()
 	go t.keepLock(ctx)
 	go func() {
 		_ = periodic.Run(ctx, pruneInterval, func(context.Context) { t.manager.config.Orders.Prune(time.Now()) })
@@ -243,7 +248,7 @@
 		t.orders.Go(func() { t.release(ctx, release) })
 	}
 	for _, grant := range commands.Grants {
-		t.orders.Go(func() { t.grant(ctx, grant) })
+		t.orders.Go(func() { t.grant(grant) })
 	}
 	if commands.Commit != nil {
 		t.orders.Go(func() { t.commit(ctx, commands.Commit.Map) })
@@ -257,8 +262,13 @@
 	return t.core.LateOrdersUntil() - t.now()
 }
 
-// resignWait is how long a manager that steps down waits for its orders.
-const resignWait = 1200 * time.Millisecond
+const (
+	// resignWait is how long a manager that steps down waits for its orders.
+	resignWait = 1200 * time.Millisecond
+	// releasesWait is after how much of that it gives up orders without an answer: a
+	// release waits for what runs on its keys, which may take far longer.
+	releasesWait = 800 * time.Millisecond
+)
 
 // resign waits until no order is on its way and writes that none will follow, so
 // that the next manager need not wait for them.
@@ -270,9 +280,12 @@
 		t.orders.Wait()
 		close(done)
 	}()
+	hurry := time.AfterFunc(releasesWait, t.endCalls)
+	defer hurry.Stop()
 	select {
 	case <-done:
 	case <-ctx.Done():
+		t.manager.logger.Warn("manager ends without resigning", zap.Uint64("epoch", t.epoch))
 		return
 	}
 	t.mutex.Lock()
@@ -284,9 +297,9 @@
 	}
 }
 
-func (t *term) grant(ctx context.Context, grant shards.Grant) {
+func (t *term) grant(grant shards.Grant) {
 	sentAt := t.now()
-	bounded, cancel := context.WithTimeout(ctx, t.manager.config.Options.CallTimeout)
+	bounded, cancel := context.WithTimeout(t.calls, t.manager.config.Options.CallTimeout)
 	defer cancel()
 	outcome := t.manager.config.Orders.Grant(bounded, grant)
 	ordersTotal.WithLabelValues(t.manager.service, "grant", outcome.String()).Inc()
@@ -300,7 +313,7 @@
 }
 
 func (t *term) release(ctx context.Context, release shards.Release) {
-	bounded, cancel := context.WithTimeout(ctx, releaseWait)
+	bounded, cancel := context.WithTimeout(t.calls, releaseWait)
 	defer cancel()
 	startedAt := time.Now()
 	outcome, handover := t.manager.config.Orders.Release(bounded, release)
