--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -89,8 +89,12 @@
 }
 
 // End notes that the node closes its clients' connections now, so that a request that
-// is cut off is not taken for one whose client left.
-func (h *Handler) End() { h.ended.Store(true) }
+// is cut off is not taken for one whose client left. It counts what is cut off: bodies
+// that still arrive, and answers that are not written.
+func (h *Handler) End() {
+	h.ended.Store(true)
+	cutOffTotal.Add(float64(h.active.Load()))
+}
 
 // Active returns how many requests are being served.
 func (h *Handler) Active() int { return int(h.active.Load()) }
@@ -132,7 +136,6 @@
 	answer, trace, err := h.dispatcher.Do(incoming.Context(), request)
 	if errors.Is(err, dispatch.ErrCanceled) && h.ended.Load() {
 		err = errCutOff
-		cutOffTotal.Inc()
 	}
 	h.log(request, trace, answer, err, table.Version())
 	requestSeconds.WithLabelValues(request.Service, outcomeOf(answer, err)).Observe(time.Since(arrivedAt).Seconds())
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -13,5 +13,5 @@
 
 var cutOffTotal = promauto.NewCounter(prometheus.CounterOpts{
 	Name: "micahaven_ingress_cut_off_total",
-	Help: "Requests that had been read and were cut off without an answer when the node ended.",
+	Help: "Requests that were cut off before their answer was written when the node ended.",
 })
