--- a/internal/dispatch/ending_queue_test.go
+++ b/internal/dispatch/ending_queue_test.go
@@ -68,3 +68,51 @@
 		t.Errorf("%d places at the server are still taken", outstanding)
 	}
 }
+
+// A place that a hopeless request gives back goes to the next one at once.
+func TestPlaceOfAHopelessRequestGoesToTheNext(t *testing.T) {
+	d, arrived := stopping(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Signature", "signed")
+	})
+	a := d.servers["a"]
+	a.limit, a.outstanding, a.latency = 1, 1, 0.001
+	results := make(chan error, 2)
+	queue := func(request *Request, waiting int) {
+		request.ID = ""
+		go func() {
+			_, _, err := d.Do(context.Background(), request)
+			results <- err
+		}()
+		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			d.mutex.Lock()
+			count := d.countWaiting()
+			d.mutex.Unlock()
+			if count == waiting {
+				return
+			}
+		}
+		t.Fatalf("no %d requests wait", waiting)
+	}
+	queue(patient(), 1)
+	// The second one has less time than the node, and so may be served to the last.
+	brief := patient()
+	brief.Deadline = time.Now().Add(5 * time.Second)
+	queue(brief, 2)
+	d.EndBy(time.Now().Add(30 * time.Second))
+	d.mutex.Lock()
+	a.latency = 40
+	d.mutex.Unlock()
+	freePlaces(d, "a")
+	served, refused := 0, 0
+	for range 2 {
+		switch err := <-results; {
+		case err == nil:
+			served++
+		case errors.Is(err, ErrNotExecuted):
+			refused++
+		}
+	}
+	if served != 1 || refused != 1 || arrived.Load() != 1 {
+		t.Errorf("%d served, %d refused, %d at the server, want one each", served, refused, arrived.Load())
+	}
+}
