--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -278,12 +278,20 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	// The node may have been told to stop while the request waited.
-	if !d.tooLate(time.Now(), request, chosen, d.limit(request)) {
-		return chosen
+	now, limit := time.Now(), d.limit(request)
+	for chosen != nil && d.tooLate(now, request, chosen, limit) {
+		chosen.outstanding--
+		d.pump(chosen.Service)
+		if excluded[chosen.id] {
+			// It is the only one for the request's key.
+			return nil
+		}
+		excluded[chosen.id] = true
+		if chosen = d.choose(now, request, excluded); chosen != nil {
+			chosen.outstanding++
+		}
 	}
-	chosen.outstanding--
-	d.pump(chosen.Service)
-	return nil
+	return chosen
 }
 
 // await waits for a server until limit or the end of the context.
