--- a/internal/node/actors.go
+++ b/internal/node/actors.go
@@ -53,6 +53,10 @@
 		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve HTTP")
 		}
+		if n.draining.Load() {
+			// The first actor that returns ends all others.
+			<-n.drained
+		}
 		return nil
 	}, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
@@ -67,6 +71,8 @@
 // another member, then waits for the requests of callers to end. What takes too long
 // is answered as unknown or not run. It must run before the actors are interrupted.
 func (n *Node) Drain() {
+	n.draining.Store(true)
+	defer close(n.drained)
 	deadline := time.Now().Add(handOverLimit)
 	for time.Now().Before(deadline) {
 		if n.handOverAll() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,7 +58,10 @@
 	views    *views.Views
 	registry *groups.Registry
 	ending   *ending.Ending
-	table    *tablestore.Tablestore
+	draining atomic.Bool
+	// drained is closed when Drain has ended.
+	drained chan struct{}
+	table   *tablestore.Tablestore
 
 	callers   *echo.Echo
 	operators *echo.Echo
@@ -121,6 +125,7 @@
 		sessions:  workers.NewPool(config.Limits.SessionWorkers, requestQueue),
 		items:     gossip.NewItems(),
 		ending:    ending.New(),
+		drained:   make(chan struct{}),
 	}
 	if err := n.buildTransport(hello); err != nil {
 		return nil, err
