--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -56,6 +56,9 @@
 	// notReadyPart is the part of the grace in which a stopping node still takes
 	// new connections, until everybody has seen that it is not ready.
 	notReadyPart = 0.45
+	// notReadyMost bounds that. Two questions a second apart take 2 s, and what is sent
+	// later than 3 s after the signal has to be answered however long a server takes.
+	notReadyMost = 2700 * time.Millisecond
 	// answerPart is the part of the grace after which every request that was read has
 	// its final answer. The platform takes it as planned that a request which a server
 	// still works on in the last sixth is given up; see docs/PLATFORM.md.
@@ -311,7 +314,7 @@
 	n.handler.Drain()
 	n.managers.stop()
 	grace := n.settings.grace()
-	takeUntil := startedAt.Add(time.Duration(notReadyPart * float64(grace)))
+	takeUntil := startedAt.Add(min(notReadyMost, time.Duration(notReadyPart*float64(grace))))
 	closeAt := startedAt.Add(time.Duration(closePart * float64(grace)))
 	n.dispatcher.EndBy(startedAt.Add(time.Duration(answerPart * float64(grace))))
 	periodic.Pause(ctx, time.Until(takeUntil))
