--- a/internal/entry/ending_test.go
+++ b/internal/entry/ending_test.go
@@ -73,4 +73,7 @@
 	if outcome := answered.Header().Get(entry.HeaderOutcome); outcome != entry.OutcomeUnknown {
 		t.Errorf("outcome %q (%d %s) of a request that a leader has, want %q", outcome, answered.Code, answered.Body, entry.OutcomeUnknown)
 	}
+	if reason := answered.Header().Get(entry.HeaderReason); reason != "stopping" {
+		t.Errorf("reason %q, want that the node stops", reason)
+	}
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/group"
 	"github.com/micahaven/micahaven/internal/transport"
 	"github.com/micahaven/micahaven/internal/wire"
@@ -62,11 +63,11 @@
 		case err != nil && !errors.Is(err, transport.ErrNotSent):
 			mayHaveRun = true
 			if !mayAskAgain(request) {
-				return f.giveUp(request, mayHaveRun)
+				return giveUp(ctx, request, mayHaveRun)
 			}
 		}
 		if !wait(ctx, pause.NextBackOff(), changed) {
-			return f.giveUp(request, mayHaveRun)
+			return giveUp(ctx, request, mayHaveRun)
 		}
 	}
 }
@@ -169,13 +170,16 @@
 	f.Caller.Send(address, &wire.Envelope{Body: &wire.Envelope_Cancel{Cancel: message}})
 }
 
-func (f *Forwarder) giveUp(request *wire.Request, mayHaveRun bool) *wire.Response {
+func giveUp(ctx context.Context, request *wire.Request, mayHaveRun bool) *wire.Response {
 	response := &wire.Response{
 		RequestId:       request.GetRequestId(),
 		Outcome:         wire.Outcome_OUTCOME_NOT_RUN,
 		Reason:          wire.Reason_REASON_DEADLINE,
 		RetryAfterNanos: int64(noLeaderRetryAfter),
 	}
+	if ending.Ended(ctx) {
+		response.Reason = wire.Reason_REASON_STOPPING
+	}
 	if mayHaveRun {
 		response.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 	}
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -35,6 +35,9 @@
 	// idleClosePause is the pause between two looks for idle connections while
 	// the node stops.
 	idleClosePause = 20 * time.Millisecond
+	// lastAnswers is for how long a node that ends without having drained writes the
+	// answers to what it has read.
+	lastAnswers = 250 * time.Millisecond
 )
 
 // watchSignals reloads the settings on SIGHUP and stops the node on SIGTERM.
@@ -104,3 +107,20 @@
 		periodic.Pause(ctx, idleClosePause)
 	}
 }
+
+// endClients closes the clients' connections. A node that did not drain, because a part
+// of it failed, answers what it has read before that.
+func (n *Node) endClients() {
+	if !n.stopping.Load() {
+		n.handler.Drain()
+		n.dispatcher.EndBy(time.Now())
+		ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+		defer cancel()
+		if err := n.clients.Shutdown(ctx); err != nil {
+			n.handler.End()
+			n.logger.Warn("requests cut off at the end", zap.Int("active", n.handler.Active()), zap.Error(err))
+		}
+	}
+	// Nothing is left but connections that Shutdown would not wait for.
+	_ = n.clients.Close()
+}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -216,7 +216,7 @@
 	if n.settings.Listen.Metrics != "" {
 		group.Add(func() error { return serveHTTP(n.metrics) }, func(error) { _ = n.metrics.Close() })
 	}
-	group.Add(n.serveClients, func(error) { _ = n.clients.Close() })
+	group.Add(n.serveClients, func(error) { n.endClients() })
 	err := group.Run()
 	n.managers.wait()
 	n.registration.end()
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -107,7 +107,6 @@
 		case <-parent.Done():
 			t.stopOrders()
 			t.resign()
-			t.manager.logger.Info("manager resigned", zap.Uint64("epoch", t.epoch))
 			return
 		case <-ctx.Done():
 			t.stopOrders()
@@ -270,11 +269,21 @@
 	releasesWait = 800 * time.Millisecond
 )
 
-// resign waits until no order is on its way and writes that none will follow, so
-// that the next manager need not wait for them.
+// resign writes that no order will follow, so that the next manager need not wait for
+// those of this one.
 func (t *term) resign() {
 	ctx, cancel := context.WithTimeout(context.Background(), resignWait)
 	defer cancel()
+	if !t.endOrders(ctx) || !t.writeResignation(ctx) {
+		t.manager.logger.Warn("manager ends without resigning", zap.Uint64("epoch", t.epoch))
+		return
+	}
+	t.manager.logger.Info("manager resigned", zap.Uint64("epoch", t.epoch))
+}
+
+// endOrders waits until no order is on its way, and gives those up that take too long.
+// It reports whether none is.
+func (t *term) endOrders(ctx context.Context) bool {
 	done := make(chan struct{})
 	go func() {
 		t.orders.Wait()
@@ -284,23 +293,25 @@
 	defer hurry.Stop()
 	select {
 	case <-done:
+		return true
 	case <-ctx.Done():
-		t.manager.logger.Warn("manager ends without resigning", zap.Uint64("epoch", t.epoch))
-		return
+		return false
 	}
+}
+
+// writeResignation reports whether the store has the last word of this manager. One
+// without a map gave no orders, and a map without ranges could not be read by the next
+// manager: it writes nothing.
+func (t *term) writeResignation(ctx context.Context) bool {
 	t.mutex.Lock()
 	if !t.core.Started() {
-		// Without a map there were no orders, and a map without ranges could not be
-		// read by the next manager.
 		t.mutex.Unlock()
-		return
+		return true
 	}
 	t.core.Resign()
 	commands := t.core.Tick(t.now())
 	t.mutex.Unlock()
-	if commands.Commit != nil {
-		t.commit(ctx, commands.Commit.Map)
-	}
+	return commands.Commit != nil && t.commit(ctx, commands.Commit.Map)
 }
 
 func (t *term) grant(grant shards.Grant) {
@@ -336,13 +347,14 @@
 }
 
 // commit writes the map if this manager still holds the lock and the map is the
-// one it knows. An unanswered write is settled by reading before anything else.
-func (t *term) commit(ctx context.Context, written *shards.Map) {
+// one it knows, and reports whether it did. An unanswered write is settled by reading
+// before anything else.
+func (t *term) commit(ctx context.Context, written *shards.Map) bool {
 	encoded, err := written.Encode()
 	if err != nil {
 		t.manager.logger.Error("owner map not encoded", zap.Error(err))
 		t.ended()
-		return
+		return false
 	}
 	t.mutex.Lock()
 	expected := t.mapRevision
@@ -360,15 +372,16 @@
 		if err == nil {
 			t.manager.config.Notices.Written(topo.Item{Key: key, Value: encoded, Revision: revision})
 			t.committed(ctx, revision, written)
-			return
+			return true
 		}
 		if errors.Is(err, topo.ErrConflict) {
 			t.manager.logger.Warn("owner map changed by another manager", zap.Uint64("epoch", t.epoch))
 			t.ended()
-			return
+			return false
 		}
 		periodic.Pause(ctx, campaignPause)
 	}
+	return false
 }
 
 // settle finds out whether a write that failed was done after all.
--- a/internal/soak/rawconnection_test.go
+++ b/internal/soak/rawconnection_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/micahaven/micahaven/platform/standin"
 )
 
 // answerer is a server of the tests: it reads one request and lets answer end it.
@@ -41,7 +43,7 @@
 
 func TestConnectionEndsAreSeenAsTheyAre(t *testing.T) {
 	refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\nConnection: close\r\n\r\nno"
-	success := "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Response-Signature: s\r\n\r\n%s"
+	success := "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" + standin.SignatureHeader + ": s\r\n\r\n%s"
 	for _, test := range []struct {
 		name   string
 		answer func(connection net.Conn, request *http.Request)
