--- a/internal/dispatch/ending_queue_test.go
+++ b/internal/dispatch/ending_queue_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,12 +24,8 @@
 // A request that came before the node was told to stop, and gets a server after that,
 // has no more time than one that came later: its server is told so.
 func TestServersOfQueuedRequestsAreToldWhenTheNodeEnds(t *testing.T) {
-	var told atomic.Int64
-	d, _ := stopping(t, func(writer http.ResponseWriter, incoming *http.Request) {
-		millis, _ := strconv.ParseInt(incoming.Header.Get("Deadline"), 10, 64)
-		told.Store(millis)
-		writer.Header().Set("Signature", "signed")
-	})
+	serve, told := telling()
+	d, _ := stopping(t, serve)
 	d.servers["a"].outstanding = 100
 	const left = 10 * time.Second
 	time.AfterFunc(50*time.Millisecond, func() {
--- a/internal/dispatch/ending_test.go
+++ b/internal/dispatch/ending_test.go
@@ -95,14 +95,21 @@
 	}
 }
 
-// Servers must know how little time is left, so that they answer before the node ends.
-func TestServersAreToldWhenTheNodeEnds(t *testing.T) {
+// telling returns a server's handler that answers, and what the last request told it of
+// the time that is left, in milliseconds.
+func telling() (http.HandlerFunc, *atomic.Int64) {
 	var told atomic.Int64
-	d, _ := stopping(t, func(writer http.ResponseWriter, incoming *http.Request) {
+	return func(writer http.ResponseWriter, incoming *http.Request) {
 		millis, _ := strconv.ParseInt(incoming.Header.Get("Deadline"), 10, 64)
 		told.Store(millis)
 		writer.Header().Set("Signature", "signed")
-	})
+	}, &told
+}
+
+// Servers must know how little time is left, so that they answer before the node ends.
+func TestServersAreToldWhenTheNodeEnds(t *testing.T) {
+	serve, told := telling()
+	d, _ := stopping(t, serve)
 	const left = 10 * time.Second
 	d.EndBy(time.Now().Add(left))
 	request := patient()
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -9,35 +8,12 @@
 	"time"
 
 	"github.com/micahaven/micahaven/internal/entry"
-	"github.com/micahaven/micahaven/internal/identity"
-	"github.com/micahaven/micahaven/internal/lab/platform"
-	"github.com/micahaven/micahaven/internal/lab/server"
-	"github.com/micahaven/micahaven/internal/machines"
 )
 
 // workLonger is longer than a node that stops waits for its callers, and not by much, because
 // the test waits for its end.
 const workLonger = 15 * time.Second
 
-// slowSystem is three nodes and servers that take far longer than a node that stops.
-func slowSystem(t *testing.T) *system {
-	t.Helper()
-	s := &system{t: t, platformURL: "http://" + serveHTTP(t, platform.New().Register)}
-	for i := range 3 {
-		s.startNode(fmt.Sprintf("n%d", i+1), fmt.Sprintf("zone-%d", i+1))
-	}
-	for _, service := range []string{"formula", "dispense", "restock"} {
-		for i, site := range []string{"old", "new"} {
-			id := fmt.Sprintf("%s-%d", service, i+1)
-			address := serveHTTP(t, server.New(server.Options{ID: id, Slots: 2, Work: workLonger}).Register)
-			s.list(machines.Machine{ID: id, Kind: machines.KindServer, Service: identity.ServiceName(service), Site: site, Zone: "zone-1", Address: address, State: machines.StateLive})
-		}
-	}
-	s.loadTable()
-	s.wait("all slices to be served", func() bool { return s.isServed() })
-	return s
-}
-
 // follower returns a node that does not lead a group.
 func (s *system) follower(group string) *Node {
 	for _, candidate := range s.nodes {
@@ -53,7 +29,7 @@
 // A node that stops answers its callers before it closes their connections, and takes
 // part in its groups until it has.
 func TestDrainAnswersCallersWhoseRequestsRunOn(t *testing.T) {
-	s := slowSystem(t)
+	s := startSystemOf(t, workLonger)
 	stopping := s.follower("formula")
 	addresses := stopping.Addresses()
 	request, err := http.NewRequest(http.MethodPost, "http://"+addresses.Callers+"/formula/red", strings.NewReader(""))
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -51,6 +51,12 @@
 }
 
 func startSystem(t *testing.T) *system {
+	t.Helper()
+	return startSystemOf(t, time.Millisecond)
+}
+
+// startSystemOf starts a system whose servers work on a request for a given time.
+func startSystemOf(t *testing.T, work time.Duration) *system {
 	t.Helper()
 	s := &system{t: t, platformURL: "http://" + serveHTTP(t, platform.New().Register)}
 	for i := range 3 {
@@ -59,7 +65,7 @@
 	for _, service := range []string{"formula", "dispense", "restock"} {
 		for i, site := range []string{"old", "new"} {
 			id := fmt.Sprintf("%s-%d", service, i+1)
-			address := serveHTTP(t, server.New(server.Options{ID: id, Slots: 2, Work: time.Millisecond}).Register)
+			address := serveHTTP(t, server.New(server.Options{ID: id, Slots: 2, Work: work}).Register)
 			s.list(machines.Machine{ID: id, Kind: machines.KindServer, Service: identity.ServiceName(service), Site: site, Zone: "zone-1", Address: address, State: machines.StateLive})
 		}
 	}
