--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/micahaven/micahaven/internal/group"
 	"github.com/micahaven/micahaven/internal/transport"
+	"github.com/micahaven/micahaven/internal/views"
 	"github.com/micahaven/micahaven/internal/wire"
 )
 
@@ -65,7 +66,7 @@
 				return f.giveUp(request, mayHaveRun)
 			}
 		}
-		if !wait(ctx, pause.NextBackOff(), changed) {
+		if !views.Wait(ctx, pause.NextBackOff(), changed) {
 			return f.giveUp(request, mayHaveRun)
 		}
 	}
@@ -181,17 +182,3 @@
 	}
 	return response
 }
-
-// wait pauses, or less when a view changes, and reports whether there is time
-// left.
-func wait(ctx context.Context, pause time.Duration, changed <-chan struct{}) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-changed:
-	case <-timer.C:
-	}
-	return ctx.Err() == nil
-}
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -3,8 +3,10 @@
 package views
 
 import (
+	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -71,6 +73,20 @@
 	return v.leaders[group], v.changed
 }
 
+// Wait pauses, or less when a view changes, and reports whether there is time
+// left. The channel is the one that Leader returned.
+func Wait(ctx context.Context, pause time.Duration, changed <-chan struct{}) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return ctx.Err() == nil
+}
+
 // Table returns the latest table. The caller must not change it.
 func (v *Views) Table() *table.Table {
 	v.mutex.Lock()
