A change of the table is checked against the table that operators are shown

`GET table` reads the items; the check of a change read the table of the views, which is replaced only after the items were merged, and waits for earlier news to be taken in by the groups. On a slow machine a request falls between the two.

Ruled out: a lost write. The policy was in the items that the test waits for (`waitForPolicies`) before the row was sent.

Change: the operators' interface checks changes against `Views.LatestTable`, built from the items, instead of `Views.Table`. What the groups and callers use is as before.

Conclusion: a row of a service that a node shows is no longer refused by the same node for want of the service.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -220,7 +220,7 @@
 		Node:     n.self.GetNode(),
 		Zone:     n.self.GetZone(),
 		Tokens:   tokens,
-		Table:    n.views.Table,
+		Table:    n.views.LatestTable,
 		Items:    n.items,
 		Store:    n.table,
 		Groups:   n.registry.All,
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -26,9 +26,11 @@
 
 // API serves the operators.
 type API struct {
-	Node     string
-	Zone     string
-	Tokens   *Tokens
+	Node   string
+	Zone   string
+	Tokens *Tokens
+	// Table returns the table that Items hold, so that a change is checked
+	// against what operators were shown.
 	Table    func() *table.Table
 	Items    *gossip.Items
 	Store    *tablestore.Tablestore
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -108,7 +108,7 @@
 		tableChanged = true
 	}
 	if tableChanged {
-		v.setTable(v.readTable())
+		v.setTable(v.LatestTable())
 	}
 	if leaderChanged {
 		v.readLeaders()
@@ -122,9 +122,10 @@
 	v.current = latest
 }
 
-// readTable builds the table from the stored entries. An entry that cannot be
-// read, which only a foreign writer can have caused, is left out and logged.
-func (v *Views) readTable() *table.Table {
+// LatestTable builds the table from the stored entries. It may be newer than
+// Table, which changes when the views are told of the news. An entry that cannot
+// be read, which only a foreign writer can have caused, is left out and logged.
+func (v *Views) LatestTable() *table.Table {
 	latest := &table.Table{}
 	for _, item := range v.items.WithPrefix(table.Prefix) {
 		var change table.Change
