--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -13,10 +13,6 @@
 	"github.com/micahaven/micahaven/internal/table"
 )
 
-func errTimeout(server string) error {
-	return errors.Newf("server %s did not become free in time", server)
-}
-
 func newCheckCommand(output, errorOutput io.Writer) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "check",
