--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -3,8 +3,10 @@
 package views
 
 import (
+	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -71,6 +73,20 @@
 	return v.leaders[group], v.changed
 }
 
+// Wait pauses, or less when a view changes, and reports whether there is time
+// left. The channel is the one that Leader returned.
+func Wait(ctx context.Context, pause time.Duration, changed <-chan struct{}) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return ctx.Err() == nil
+}
+
 // Table returns the latest table. The caller must not change it.
 func (v *Views) Table() *table.Table {
 	v.mutex.Lock()
@@ -92,7 +108,7 @@
 		tableChanged = true
 	}
 	if tableChanged {
-		v.setTable(v.readTable())
+		v.setTable(v.LatestTable())
 	}
 	if leaderChanged {
 		v.readLeaders()
@@ -106,9 +122,10 @@
 	v.current = latest
 }
 
-// readTable builds the table from the stored entries. An entry that cannot be
-// read, which only a foreign writer can have caused, is left out and logged.
-func (v *Views) readTable() *table.Table {
+// LatestTable builds the table from the stored entries. It may be newer than
+// Table, which changes when the views are told of the news. An entry that cannot
+// be read, which only a foreign writer can have caused, is left out and logged.
+func (v *Views) LatestTable() *table.Table {
 	latest := &table.Table{}
 	for _, item := range v.items.WithPrefix(table.Prefix) {
 		var change table.Change
