A follower that misses a change asks for it once, not with each change that comes after it

Change: what is missing is asked for once in 150 ms. TestMissedChangesAreAskedForOnce: 40 requests within 40 ms before, one now; TestMissedChangesAreAskedForAgain.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -31,6 +31,9 @@
 	// firstFollowInterval is that pause until the upstream answers: what is sent while
 	// the connection to it is made is lost.
 	firstFollowInterval = 100 * time.Millisecond
+	// missedPause is the pause between two requests for changes that were missed: longer
+	// than what was sent before the first one takes to arrive, as a rule.
+	missedPause = 150 * time.Millisecond
 	// followMemory is how long a follower that is not heard is still served.
 	followMemory = 1500 * time.Millisecond
 	// silence is after how long without a heartbeat an upstream counts as lost.
@@ -161,8 +164,11 @@
 	behindSince         time.Duration
 	behind              bool
 
-	followAt  time.Duration
-	followers map[string]*follower
+	// followAt is when the upstream is asked next to pass changes on, and askMissedAt from
+	// when it may be asked for those that were missed.
+	followAt    time.Duration
+	askMissedAt time.Duration
+	followers   map[string]*follower
 }
 
 // New returns the feed of a node that knows no other one.
--- a/internal/feed/upstream.go
+++ b/internal/feed/upstream.go
@@ -133,8 +133,19 @@
 		return nil, nil
 	}
 	if batch.After > f.revision {
-		f.followAt = now + followInterval
-		return []Message{{To: from, Follow: &Follow{Revision: f.revision}}}, nil
+		return f.askForMissed(now), nil
 	}
 	return nil, batch
 }
+
+// askForMissed asks the upstream for all changes since this node's copy. It does so once
+// in missedPause: each request brings all of them again, so that one for each change that
+// comes meanwhile would multiply them.
+func (f *Feed) askForMissed(now time.Duration) []Message {
+	if now < f.askMissedAt {
+		return nil
+	}
+	f.askMissedAt = now + missedPause
+	f.followAt = now + followInterval
+	return []Message{{To: f.upstream.Address, Follow: &Follow{Revision: f.revision}}}
+}
