--- a/internal/soak/plannedchecks.go
+++ b/internal/soak/plannedchecks.go
@@ -17,10 +17,15 @@
 			events: histories[r.node], arrivals: s.world.ledger.ArrivalsOf(r.id),
 			brokenOff: s.world.ledger.BrokenOff(r.id), stalled: s.stalls.between(r.sentAt, r.endedAt),
 		}
+		if r.end != closed {
+			continue
+		}
+		story := r.story(known.events, known.arrivals, s.history.during(r.beganAt, r.endedAt))
 		if r.lost(known) {
 			result.Lost++
-			story := r.story(known.events, known.arrivals, s.history.during(r.beganAt, r.endedAt))
 			s.breach("seed %d: lost %s", s.options.Seed, story)
+		} else {
+			s.note("not lost: %s", story)
 		}
 	}
 	if failure := s.pooled.failure; failure != nil {
