--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -26,7 +27,10 @@
 
 // faults are all kinds. Each is injected from outside the processes: by a signal,
 // a link, or the stand-ins.
-var faults = []fault{
+var faults = slices.Concat(nodeFaults, storeFaults, otherFaults)
+
+// nodeFaults are the faults of a single node, or of all.
+var nodeFaults = []fault{
 	{"kill a node", func(s *soak, random *rand.Rand) func() {
 		n := s.node(random)
 		n.Signal(syscall.SIGKILL)
@@ -61,6 +65,10 @@
 		n.Cut([]Mode{Silent, OneWay, Reset, Slow}[random.IntN(4)])
 		return func() { n.Cut(Pass) }
 	}},
+}
+
+// storeFaults are what goes wrong with the store for everybody.
+var storeFaults = []fault{
 	{"store down", func(s *soak, _ *rand.Rand) func() {
 		s.world.setFaults(func(f *memory.Faults) { f.Down = true })
 		return func() { s.world.setFaults(func(f *memory.Faults) { f.Down = false }) }
@@ -80,6 +88,10 @@
 			s.world.compact()
 		}
 	}},
+}
+
+// otherFaults are the operator's work and the faults of servers.
+var otherFaults = []fault{
 	{"configuration changes", func(s *soak, _ *rand.Rand) func() {
 		s.world.configure()
 		return func() {}
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -25,6 +25,8 @@
 	mostToSecondTerm = 3 * time.Second
 	mostSeriesPause  = time.Second
 	mostMiddlePause  = 1500 * time.Millisecond
+	// mostStoreFault bounds how long the store is away, beyond minFault.
+	mostStoreFault = 2 * time.Second
 	// troubleLead is how long servers misbehave before the first node is told to stop.
 	troubleLead = 300 * time.Millisecond
 	// troubledShare is the part of the plain servers that misbehave in a series.
@@ -44,6 +46,8 @@
 	// configurations and drains are how often the configuration changes and how many
 	// servers are drained meanwhile.
 	configurations, drains int
+	// store is what is wrong with the store for a part of the series; nil if nothing.
+	store *fault
 }
 
 // drawSeries draws the series with a number. The troubles come in turn, so that each
@@ -58,6 +62,9 @@
 		configurations: random.IntN(4), drains: random.IntN(3),
 	}
 	drawn.slow = drawn.trouble == standin.NoTrouble
+	if coin() {
+		drawn.store = &storeFaults[random.IntN(len(storeFaults))]
+	}
 	return drawn
 }
 
@@ -72,6 +79,9 @@
 			text = append(text, one.name)
 		}
 	}
+	if p.store != nil {
+		text = append(text, p.store.name)
+	}
 	return strings.Join(append(text, fmt.Sprintf("%d configurations, %d drains", p.configurations, p.drains)), ", ")
 }
 
@@ -107,6 +117,8 @@
 	endTrouble := s.troubleServers(drawn, random)
 	time.Sleep(troubleLead)
 	var group sync.WaitGroup
+	store := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+	group.Go(func() { s.troubleStore(drawn.store, store) })
 	middle := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 	group.Go(func() { s.workMeanwhile(drawn, middle) })
 	for _, index := range chosen {
@@ -182,6 +194,18 @@
 	group.Wait()
 }
 
+// troubleStore injects a fault of the store for a while.
+func (s *soak) troubleStore(chosen *fault, random *rand.Rand) {
+	if chosen == nil {
+		return
+	}
+	time.Sleep(upTo(random, mostMiddlePause))
+	defer s.history.begin("%s", chosen.name)()
+	end := chosen.begin(s, random)
+	time.Sleep(minFault + upTo(random, mostStoreFault))
+	end()
+}
+
 // drainServer replaces a server, lets it leave, and ends it.
 func (s *soak) drainServer(leaving *server) {
 	defer s.history.begin("drain of server %s", leaving.ID)()
