--- a/cmd/micahaven-soak/main.go
+++ b/cmd/micahaven-soak/main.go
@@ -86,4 +86,7 @@
 		fmt.Printf(", %d %s", result.Ends[end], end)
 	}
 	fmt.Println()
+	for _, story := range result.Excused {
+		fmt.Println("  not counted as lost: " + story)
+	}
 }
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -141,13 +141,14 @@
 	n := &Node{Name: "n1", events: append(stopEvents()[:3:3], nodeEvent{at: at(14.2), kind: processEnded, detail: "exit status 0"})}
 	r := closedRecord()
 	r.node = n
-	fine := *r
+	fine, crossing := *r, *r
 	fine.end = answered
+	crossing.sentAt, crossing.endedAt = at(13.59), at(13.6)
 	var output strings.Builder
 	s := &soak{
 		options: Options{Seed: 77, Output: &output}, nodes: []*Node{n}, started: testStart,
 		world:  &world{ledger: standin.NewLedger()},
-		pooled: &pooledClients{records: []*record{r, &fine}},
+		pooled: &pooledClients{records: []*record{r, &fine, &crossing}},
 	}
 	s.history.spans = []*faultSpan{
 		{name: "server s1 hangs", from: at(9), until: at(12)}, {name: "drain of server s2", from: at(1), until: at(2)},
@@ -160,6 +161,9 @@
 	if late := s.breaches[0]; !strings.Contains(late, "seed 77: n1 was told to stop at 10.000 s and ended after 4.2s") {
 		t.Errorf("late stop told as %q", late)
 	}
+	if len(result.Excused) != 1 {
+		t.Errorf("%q are told as not lost, want one", result.Excused)
+	}
 	told := s.breaches[1]
 	for _, part := range []string{
 		"seed 77", "long read n1-c2-3 to n1 (connection 4, request 5 on it)", "times from SIGTERM", "last byte +1.300 s",
--- a/internal/soak/plannedchecks.go
+++ b/internal/soak/plannedchecks.go
@@ -25,7 +25,7 @@
 			result.Lost++
 			s.breach("seed %d: lost %s", s.options.Seed, story)
 		} else {
-			s.note("not lost: %s", story)
+			result.Excused = append(result.Excused, story)
 		}
 	}
 	if failure := s.pooled.failure; failure != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -46,6 +46,9 @@
 	Lost        int
 	LongestStop time.Duration
 	Ends        map[string]int
+	// Excused are the stories of requests that ended without an answer and are not
+	// counted as lost.
+	Excused []string
 	// ServedAfter is the part of the requests that were served at the end, with no
 	// faults.
 	ServedAfter float64
