The soak checks that answers of a stopping node ask for another connection

The router decides that at a request's arrival, so answers to requests that arrived before SIGTERM do not ask, up to the moment at which idle connections are closed (0.45 of the grace), and pools send their next request into the close. Change: from 0.5 s after SIGTERM an answer without Connection: close is a breach. The router is not mended here. Test: TestAnswersOfStoppingNodesAskForAnotherConnection shows the check failing.

--- a/cmd/micahaven-soak/main.go
+++ b/cmd/micahaven-soak/main.go
@@ -81,7 +81,8 @@
 	if !options.Planned {
 		return
 	}
-	fmt.Printf("  planned work: %d requests lost, longest stop %v", result.Lost, result.LongestStop.Round(time.Millisecond))
+	fmt.Printf("  planned work: %d requests lost, %d connections kept by stopping nodes, longest stop %v",
+		result.Lost, result.Kept, result.LongestStop.Round(time.Millisecond))
 	for _, end := range slices.Sorted(maps.Keys(result.Ends)) {
 		fmt.Printf(", %d %s", result.Ends[end], end)
 	}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -14,6 +14,9 @@
 	// patienceSlack is how much earlier than the soak thinks a request's time may be
 	// over for the node, whose clock begins with the head.
 	patienceSlack = 100 * time.Millisecond
+	// noticeTime is how long after SIGTERM a node's answers must ask for another
+	// connection. On a busy machine it may learn of the signal late.
+	noticeTime = 500 * time.Millisecond
 )
 
 // evidence is what is known of a request besides its record.
@@ -44,6 +47,16 @@
 	return known.wasRead(r)
 }
 
+// keepsStopping reports whether an answer of a stopping node let its client go on
+// using the connection, which the node closes soon.
+func (r *record) keepsStopping(events []nodeEvent) bool {
+	if (r.end != answered && r.end != refused) || r.endsConnection {
+		return false
+	}
+	told, found := firstTerm(events, r.endedAt)
+	return found && r.endedAt.Sub(told) >= noticeTime
+}
+
 // wasRead reports whether the node must have read a request whose connection ended.
 func (known evidence) wasRead(r *record) bool {
 	if len(known.arrivals) > 0 || r.headArrived {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -94,6 +94,30 @@
 	}
 }
 
+func TestAnswersOfStoppingNodesAskForAnotherConnection(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(r *record)
+		keeps  bool
+	}{
+		{"long after SIGTERM", func(*record) {}, true},
+		{"a refusal", func(r *record) { r.end = refused }, true},
+		{"asks for another connection", func(r *record) { r.endsConnection = true }, false},
+		{"just after SIGTERM", func(r *record) { r.endedAt = at(10.4) }, false},
+		{"before SIGTERM", func(r *record) { r.endedAt = at(9.5) }, false},
+		{"no answer", func(r *record) { r.end = expired }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := closedRecord()
+			r.end = answered
+			test.change(r)
+			if keeps := r.keepsStopping(stopEvents()); keeps != test.keeps {
+				t.Errorf("keeps the connection: %v, want %v", keeps, test.keeps)
+			}
+		})
+	}
+}
+
 func TestNodesAreLateAfterTheirGrace(t *testing.T) {
 	none := func(time.Time, time.Time) time.Duration { return 0 }
 	second := nodeEvent{at: at(12), kind: termSignal}
@@ -142,7 +166,7 @@
 	r := closedRecord()
 	r.node = n
 	fine, crossing := *r, *r
-	fine.end = answered
+	fine.end, fine.endsConnection = answered, true
 	crossing.sentAt, crossing.endedAt = at(13.59), at(13.6)
 	var output strings.Builder
 	s := &soak{
--- a/internal/soak/plannedchecks.go
+++ b/internal/soak/plannedchecks.go
@@ -17,14 +17,19 @@
 			events: histories[r.node], arrivals: s.world.ledger.ArrivalsOf(r.id),
 			brokenOff: s.world.ledger.BrokenOff(r.id), stalled: s.stalls.between(r.sentAt, r.endedAt),
 		}
-		if r.end != closed {
+		keeps := r.keepsStopping(known.events)
+		if r.end != closed && !keeps {
 			continue
 		}
 		story := r.story(known.events, known.arrivals, s.history.during(r.beganAt, r.endedAt))
-		if r.lost(known) {
+		switch {
+		case keeps:
+			result.Kept++
+			s.breach("seed %d: the answer does not ask for another connection: %s", s.options.Seed, story)
+		case r.lost(known):
 			result.Lost++
 			s.breach("seed %d: lost %s", s.options.Seed, story)
-		} else {
+		default:
 			result.Excused = append(result.Excused, story)
 		}
 	}
--- a/internal/soak/rawconnection.go
+++ b/internal/soak/rawconnection.go
@@ -161,6 +161,7 @@
 		}
 		r.headArrived = true
 		c.ending = response.Close
+		r.endsConnection = response.Close
 		content, err := io.ReadAll(response.Body)
 		return response, content, errors.Wrap(err, "read body of answer")
 	}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -83,8 +83,9 @@
 	connectedAt, beganAt, headSentAt, sentAt, endedAt time.Time
 	end                                               end
 	status                                            int
-	// headArrived says that the head of an answer came.
-	headArrived bool
+	// headArrived says that the head of an answer came, and endsConnection that it
+	// asked for another connection.
+	headArrived, endsConnection bool
 	// cause is the error with which the connection ended.
 	cause error
 	// broken says what was wrong with an answer that looked like a success.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -43,7 +43,9 @@
 	// Lost is how many requests were lost in planned work, LongestStop the longest
 	// time that a stopping node took, and Ends counts how requests ended; only
 	// planned work has them.
-	Lost        int
+	Lost int
+	// Kept counts answers of stopping nodes that did not ask for another connection.
+	Kept        int
 	LongestStop time.Duration
 	Ends        map[string]int
 	// Excused are the stories of requests that ended without an answer and are not
