--- a/internal/soak/rawconnection_test.go
+++ b/internal/soak/rawconnection_test.go
@@ -7,8 +7,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/micahaven/micahaven/platform/standin"
 )
 
 // answerer is a server of the tests: it reads one request and lets answer end it.
@@ -41,7 +44,13 @@
 
 func TestConnectionEndsAreSeenAsTheyAre(t *testing.T) {
 	refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\nConnection: close\r\n\r\nno"
-	success := "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Response-Signature: s\r\n\r\n%s"
+	signature := make(http.Header)
+	standin.Sign(signature, "s1")
+	var signed strings.Builder
+	if err := signature.Write(&signed); err != nil {
+		t.Fatal(err)
+	}
+	success := "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" + signed.String() + "\r\n%s"
 	for _, test := range []struct {
 		name   string
 		answer func(connection net.Conn, request *http.Request)
@@ -52,7 +61,7 @@
 		ending bool
 	}{
 		{"whole answer", func(connection net.Conn, request *http.Request) {
-			body := "s1 POST /orders/x order " + request.Header.Get("X-Request-Id")
+			body := "s1 POST /orders/x order " + standin.RequestID(request)
 			fmt.Fprintf(connection, success, len(body), body)
 		}, nil, answered, true, false, false},
 		{"answer of another request", func(connection net.Conn, _ *http.Request) {
