--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -35,16 +35,23 @@
 	// idleClosePause is the pause between two looks for idle connections while
 	// the node stops.
 	idleClosePause = 20 * time.Millisecond
+	// signalQueue is how many signals may wait while one is acted on.
+	signalQueue = 4
 	// lastAnswers is for how long a node that ends without having drained writes the
 	// answers to what it has read.
 	lastAnswers = 250 * time.Millisecond
 )
 
-// watchSignals reloads the settings on SIGHUP and stops the node on SIGTERM.
-func (n *Node) watchSignals(ctx context.Context) error {
-	signals := make(chan os.Signal, 4)
+// notifySignals returns the signals that the node reacts to, and what ends that. Until
+// then none of them ends the process by itself, also when the node stops already.
+func notifySignals() (received <-chan os.Signal, stop func()) {
+	signals := make(chan os.Signal, signalQueue)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals, func() { signal.Stop(signals) }
+}
+
+// watchSignals reloads the settings on SIGHUP and stops the node on SIGTERM.
+func (n *Node) watchSignals(ctx context.Context, signals <-chan os.Signal) error {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -177,6 +177,8 @@
 }
 
 func (n *Node) run(parent context.Context) error {
+	signals, stopSignals := notifySignals()
+	defer stopSignals()
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	logging, endLogging := context.WithCancel(context.Background())
@@ -210,7 +212,7 @@
 	})
 	actor(n.peers.reportLoad)
 	actor(n.peers.exchangeState)
-	actor(n.watchSignals)
+	actor(func(ctx context.Context) error { return n.watchSignals(ctx, signals) })
 	group.Add(n.inner.Serve, func(error) { n.inner.Close() })
 	group.Add(func() error { return serveHTTP(n.ready) }, func(error) { _ = n.ready.Close() })
 	if n.settings.Listen.Metrics != "" {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -94,6 +94,30 @@
 	}
 }
 
+func TestAnswersOfStoppingNodesAskForAnotherConnection(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(r *record)
+		keeps  bool
+	}{
+		{"long after SIGTERM", func(*record) {}, true},
+		{"a refusal", func(r *record) { r.end = refused }, true},
+		{"asks for another connection", func(r *record) { r.endsConnection = true }, false},
+		{"just after SIGTERM", func(r *record) { r.endedAt = at(10.4) }, false},
+		{"before SIGTERM", func(r *record) { r.endedAt = at(9.5) }, false},
+		{"no answer", func(r *record) { r.end = expired }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := closedRecord()
+			r.end = answered
+			test.change(r)
+			if keeps := r.keepsStopping(stopEvents()); keeps != test.keeps {
+				t.Errorf("keeps the connection: %v, want %v", keeps, test.keeps)
+			}
+		})
+	}
+}
+
 func TestNodesAreLateAfterTheirGrace(t *testing.T) {
 	none := func(time.Time, time.Time) time.Duration { return 0 }
 	second := nodeEvent{at: at(12), kind: termSignal}
@@ -141,13 +165,14 @@
 	n := &Node{Name: "n1", events: append(stopEvents()[:3:3], nodeEvent{at: at(14.2), kind: processEnded, detail: "exit status 0"})}
 	r := closedRecord()
 	r.node = n
-	fine := *r
-	fine.end = answered
+	fine, crossing := *r, *r
+	fine.end, fine.endsConnection = answered, true
+	crossing.sentAt, crossing.endedAt = at(13.59), at(13.6)
 	var output strings.Builder
 	s := &soak{
 		options: Options{Seed: 77, Output: &output}, nodes: []*Node{n}, started: testStart,
 		world:  &world{ledger: standin.NewLedger()},
-		pooled: &pooledClients{records: []*record{r, &fine}},
+		pooled: &pooledClients{records: []*record{r, &fine, &crossing}},
 	}
 	s.history.spans = []*faultSpan{
 		{name: "server s1 hangs", from: at(9), until: at(12)}, {name: "drain of server s2", from: at(1), until: at(2)},
@@ -160,6 +185,9 @@
 	if late := s.breaches[0]; !strings.Contains(late, "seed 77: n1 was told to stop at 10.000 s and ended after 4.2s") {
 		t.Errorf("late stop told as %q", late)
 	}
+	if len(result.Excused) != 1 {
+		t.Errorf("%q are told as not lost, want one", result.Excused)
+	}
 	told := s.breaches[1]
 	for _, part := range []string{
 		"seed 77", "long read n1-c2-3 to n1 (connection 4, request 5 on it)", "times from SIGTERM", "last byte +1.300 s",
