Changes are passed on as differences from what all nodes have at a revision, not from what some were offered

A whole copy could also take what was offered back to an older version. Change: items are the keys as of the copy's revision; what was offered since is kept beside them, ahead, until the changes reach it. Deltas are made from items. Copies for other nodes are as of their revision.

--- a/internal/mirror/list.go
+++ b/internal/mirror/list.go
@@ -81,12 +81,17 @@
 	m.revision = revision
 	m.listed = true
 	m.reached()
+	for key, offered := range m.ahead {
+		if offered.Revision <= revision {
+			delete(m.ahead, key)
+		}
+	}
 	if first {
 		m.receiver.Replace(items, revision)
 	} else {
 		// Most entries are as they were; decoding all again would take a small
 		// machine some hundred milliseconds.
-		m.receiver.Apply(batch.Events, revision)
+		m.receiver.Apply(m.news(batch.Events), revision)
 	}
 	m.observer.Changed(batch)
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -74,9 +74,11 @@
 	logger   *zap.Logger
 
 	mutex sync.Mutex
-	items map[string]topo.Item
-	// offered holds the deltas of items that came ahead of the watch.
-	offered  map[string]offeredDelta
+	// items are the keys as of revision, and ahead those that were offered since and are
+	// newer. Changes are passed on as deltas of items, because all nodes have the same
+	// ones at a revision, and not of what some of them were offered.
+	items    map[string]topo.Item
+	ahead    map[string]topo.Item
 	revision int64
 	// listed is true once the copy is complete.
 	listed bool
@@ -94,7 +96,7 @@
 
 // New returns a mirror that has nothing yet.
 func New(store topo.Store, receiver Receiver, logger *zap.Logger) *Mirror {
-	return &Mirror{store: store, receiver: receiver, observer: alone{}, copies: alone{}, logger: logger, items: make(map[string]topo.Item), offered: make(map[string]offeredDelta)}
+	return &Mirror{store: store, receiver: receiver, observer: alone{}, copies: alone{}, logger: logger, items: make(map[string]topo.Item), ahead: make(map[string]topo.Item)}
 }
 
 // Observe sets the observer. It must be called before Run.
@@ -232,16 +234,21 @@
 func (m *Mirror) Offer(event topo.Event) (topo.Event, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	own := m.items[event.Key]
+	own, offered := m.ahead[event.Key]
+	if !offered {
+		own = m.items[event.Key]
+	}
 	if !m.listed || own.Revision >= event.Revision || event.Revision <= m.revision {
 		return event, false
 	}
-	resolved, complete := m.valueOf(own, event)
+	resolved, complete := valueFrom(own, event)
+	if !complete && offered {
+		resolved, complete = valueFrom(m.items[event.Key], event)
+	}
 	if !complete {
 		return event, false
 	}
-	m.items[event.Key] = resolved.Item
-	m.offered[event.Key] = offeredDelta{revision: resolved.Revision, base: resolved.BaseRevision, delta: resolved.Delta}
+	m.ahead[event.Key] = resolved.Item
 	m.receiver.Apply([]topo.Event{{Item: resolved.Item}}, m.revision)
 	return resolved, true
 }
@@ -270,10 +277,24 @@
 	after := m.revision
 	m.revision = batch.Revision
 	m.reached()
-	if len(fresh) > 0 {
-		m.receiver.Apply(fresh, batch.Revision)
+	if news := m.news(fresh); len(news) > 0 {
+		m.receiver.Apply(news, batch.Revision)
 	}
 	if batch.Revision > after {
 		m.observer.Changed(topo.Batch{After: after, Revision: batch.Revision, Events: fresh})
 	}
 }
+
+// news returns those of some changes that are no older than what was offered of their
+// keys. What was offered is not ahead any more then. The caller holds the mutex.
+func (m *Mirror) news(events []topo.Event) []topo.Event {
+	news := make([]topo.Event, 0, len(events))
+	for _, event := range events {
+		if m.ahead[event.Key].Revision > event.Revision {
+			continue
+		}
+		delete(m.ahead, event.Key)
+		news = append(news, event)
+	}
+	return news
+}
--- a/internal/mirror/resolve.go
+++ b/internal/mirror/resolve.go
@@ -40,21 +40,24 @@
 	return fresh, true
 }
 
-// offeredDelta is the delta of an item that came ahead of the watch.
-type offeredDelta struct {
-	revision, base int64
-	delta          []byte
-}
-
-// valueOf completes a change of an item, which this node has as own. The caller
-// holds the mutex.
+// valueOf completes a change of an item, which this node has as own at the copy's
+// revision. The caller holds the mutex.
 func (m *Mirror) valueOf(own topo.Item, event topo.Event) (topo.Event, bool) {
-	if own.Revision == event.Revision && event.Delta == nil {
-		// The item came ahead of the watch; its delta is known from then.
-		if known := m.offered[event.Key]; known.revision == event.Revision {
-			event.Delta, event.BaseRevision = known.delta, known.base
-		}
+	offered := m.ahead[event.Key]
+	if offered.Revision != event.Revision {
+		return valueFrom(own, event)
 	}
+	// The value is known; what is passed on is a delta from what other nodes have.
+	event.Value = offered.Value
+	if event.BaseRevision != own.Revision {
+		event.Delta = nil
+	}
+	return withDelta(own, event), true
+}
+
+// valueFrom completes a change of an item from what a node has of it. It reports false
+// if the change has a delta from something else.
+func valueFrom(own topo.Item, event topo.Event) (topo.Event, bool) {
 	switch {
 	case event.Value != nil || event.Delta == nil:
 		return withDelta(own, event), true
