Cold servers get what they bear from two nodes; evacuated zones get nothing

Neither what a service's cold servers bear nor the operators' evacuations were read.

The manager gives cold servers no keys while there are warm ones. Evacuated zones get nothing; keys move, and their servers count as cold for the warm-up time after the end. An entry that says that its server is cold counts anew each time.

Ruled out: limits of each node alone (rate/79 is one request in 12 s).

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -16,6 +16,9 @@
 	otherZoneCost = 4
 	// warmingCost is how much worse a server counts that has just started.
 	warmingCost = 1.8
+	// rightCost is how much better a warming server counts for a node that has the right
+	// to send it a request now: rights that are not used lapse, and they are few.
+	rightCost = 0.2
 	// defaultLatency stands for a server that has not answered yet, in seconds.
 	defaultLatency = 0.1
 	// movingMemory is how long a refused range is held back if no newer map comes.
@@ -26,7 +29,7 @@
 func (d *Dispatcher) choose(now time.Time, request *Request, excluded map[discovery.ServerID]bool) *server {
 	current := d.views.Current()
 	if owners, divided := d.owners(current, request); divided {
-		return d.chooseOwner(now, request, owners)
+		return d.chooseOwner(now, current, request, owners)
 	}
 	var best *server
 	bestCost := math.Inf(1)
@@ -35,7 +38,15 @@
 		if s == nil || excluded[candidate.ID] || !s.usable(now, 0) {
 			continue
 		}
-		if cost := d.cost(now, s); cost < bestCost {
+		may, bounded := d.maySend(now, current, s)
+		if !may {
+			continue
+		}
+		cost := d.cost(now, s)
+		if bounded {
+			cost *= rightCost
+		}
+		if cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
@@ -52,13 +63,16 @@
 	return current.Owners[request.Service], service.KeyDivided
 }
 
-func (d *Dispatcher) chooseOwner(now time.Time, request *Request, owners view.Owners) *server {
+func (d *Dispatcher) chooseOwner(now time.Time, current *view.View, request *Request, owners view.Owners) *server {
 	owner := d.ownerOf(request, owners)
 	if owner == nil {
 		return nil
 	}
 	s := d.servers[owner.Owner]
-	if s == nil || !s.usable(now, d.options.LeaveGrace) {
+	if s == nil || !s.usable(now, d.ownerGrace(s)) {
+		return nil
+	}
+	if may, _ := d.maySend(now, current, s); !may {
 		return nil
 	}
 	if until, held := d.moving[movingRange{request.Service, owner.Fence, owner.Last}]; held && now.Before(until) {
@@ -67,6 +81,14 @@
 	return s
 }
 
+// ownerGrace is how long the owner of a key gets requests after it was seen leaving.
+func (d *Dispatcher) ownerGrace(s *server) time.Duration {
+	if s.evacuated {
+		return max(d.options.LeaveGrace, d.options.EvacuationGrace)
+	}
+	return d.options.LeaveGrace
+}
+
 func (d *Dispatcher) ownerOf(request *Request, owners view.Owners) *shards.Range {
 	if owners.Map == nil || !request.HasKey || request.Key > shards.LastKey {
 		return nil
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,15 +12,25 @@
 	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
+	"github.com/micahaven/micahaven/internal/warmup"
 )
 
 // Options are the bounds that the operators set.
 type Options struct {
+	// Node is this node's name.
+	Node string
 	// Zone is this node's zone; servers there are preferred.
 	Zone string
 	// LeaveGrace is how long after a server was seen leaving or gone it still
 	// gets requests.
 	LeaveGrace time.Duration
+	// EvacuationGrace is how long after its zone was seen evacuated the owner of a key
+	// still gets requests for it; LeaveGrace if that is longer.
+	EvacuationGrace time.Duration
+	// WarmUpOver and WarmUpSlack bound what reaches a server that warms up within a
+	// second: its rate times the one, and the other.
+	WarmUpOver  float64
+	WarmUpSlack float64
 	// RetryRatio and RetrySlack bound repeats within RetryWindow over all nodes.
 	RetryRatio  float64
 	RetrySlack  float64
@@ -54,9 +64,17 @@
 	moving  map[movingRange]time.Time
 	samples map[string]*samples
 	nodes   int
+	// rights are those to send to servers that warm up; copyAge says how new this node's
+	// copy of the store is.
+	rights  *warmup.Rights
+	copyAge CopyAge
 	ending  *ending.Ending
 }
 
+// CopyAge returns how long ago the store surely had nothing newer than this node's copy;
+// false if that was never known. It is called with the dispatcher's mutex held.
+type CopyAge func() (age time.Duration, known bool)
+
 // movingRange names a range that its owner does not serve any more.
 type movingRange struct {
 	service string
@@ -85,12 +103,18 @@
 		moving:  make(map[movingRange]time.Time),
 		samples: make(map[string]*samples),
 		nodes:   1,
+		rights:  warmup.NewRights(options.Node),
+		copyAge: func() (time.Duration, bool) { return 0, true },
 		ending:  ending.New(),
 	}
 	views.Subscribe(d.update)
 	return d
 }
 
+// SetCopyAge sets how the dispatcher learns how new the node's copy of the store is. It
+// must be called before the first request; without it the copy counts as new.
+func (d *Dispatcher) SetCopyAge(copyAge CopyAge) { d.copyAge = copyAge }
+
 // SetOptions replaces the bounds. Budgets follow with their next request.
 func (d *Dispatcher) SetOptions(options Options) {
 	d.mutex.Lock()
@@ -108,8 +132,9 @@
 		for _, b := range d.budgets {
 			b.share(d.options, d.nodes)
 		}
+		d.rights.SetNodes(time.Now(), registeredNodes(current))
 	}
-	if current.Same != (view.Parts{Table: true, Servers: true, Nodes: true}) {
+	if current.Same != (view.Parts{Table: true, Servers: true, Nodes: true, Evacuations: true}) {
 		d.updateServers(current)
 	}
 	for service := range d.waiting {
@@ -129,6 +154,7 @@
 			}
 			known.Server = seen
 			known.places = places
+			known.evacuatedSince, known.evacuated = current.Evacuated(seen.Zone)
 		}
 	}
 	if len(d.servers) == len(current.Servers) {
@@ -137,6 +163,7 @@
 	for id, known := range d.servers {
 		if current.Servers[id] == nil {
 			known.pool.Close()
+			d.rights.Forget(string(id))
 			delete(d.servers, id)
 		}
 	}
@@ -223,7 +250,7 @@
 			kept = append(kept, w)
 			continue
 		}
-		chosen.outstanding++
+		d.occupy(now, chosen)
 		w.chosen <- chosen
 	}
 	if len(kept) == 0 {
@@ -288,7 +315,7 @@
 		}
 		excluded[chosen.id] = true
 		if chosen = d.choose(now, request, excluded); chosen != nil {
-			chosen.outstanding++
+			d.occupy(now, chosen)
 		}
 	}
 	return chosen
@@ -297,8 +324,9 @@
 // await waits for a server until limit or the end of the context.
 func (d *Dispatcher) await(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool, limit time.Time) *server {
 	d.mutex.Lock()
-	if chosen := d.choose(time.Now(), request, excluded); chosen != nil {
-		chosen.outstanding++
+	now := time.Now()
+	if chosen := d.choose(now, request, excluded); chosen != nil {
+		d.occupy(now, chosen)
 		d.mutex.Unlock()
 		return chosen
 	}
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -17,6 +17,9 @@
 func (d *Dispatcher) patience(request *Request, limit time.Time) (time.Time, bool) {
 	objective := request.Route.Objective
 	now := time.Now()
+	if _, warms := d.ownerWarms(now, request); warms {
+		return limit, false
+	}
 	left := time.Duration(safePart*float64(objective)) - now.Sub(request.ArrivedAt)
 	ahead, places, answer := d.backlog(request)
 	if places == 0 {
@@ -40,7 +43,10 @@
 		sum, count := 0.0, 0
 		now := time.Now()
 		for _, candidate := range current.Services[request.Service] {
-			if s := d.servers[candidate.ID]; s != nil && s.Serving(now) && now.After(s.blockedUntil) {
+			if s := d.servers[candidate.ID]; s != nil && s.reachable(now, 0) && now.After(s.blockedUntil) {
+				if _, bounded := d.warming(now, current, s); bounded {
+					continue
+				}
 				places += s.capacity()
 				sum += s.expected()
 				count++
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -28,6 +28,8 @@
 	ReasonUnreachable
 	// ReasonNodeStops: this node stops before an answer can be expected.
 	ReasonNodeStops
+	// ReasonOwnerWarming: the key's owner warms up and bears only a few requests.
+	ReasonOwnerWarming
 	reasonCount
 )
 
@@ -35,7 +37,7 @@
 func (r Reason) String() string {
 	names := [reasonCount]string{
 		"no owner", "owner gone", "owner failing", "moving", "owner busy",
-		"no server", "server refused", "unreachable", "node stops",
+		"no server", "server refused", "unreachable", "node stops", "owner warming",
 	}
 	if r < 0 || r >= reasonCount {
 		return "unknown"
@@ -51,7 +53,12 @@
 	if _, stops := d.ending.At(); stops {
 		reason, detail = ReasonNodeStops, "the node stops; "+detail
 	}
-	return &Refusal{Reason: reason, Detail: detail, RetryAfter: comeBack()}
+	after := comeBack()
+	if reason == ReasonOwnerWarming {
+		left, _ := d.ownerWarms(time.Now(), request)
+		after += max(0, left)
+	}
+	return &Refusal{Reason: reason, Detail: detail, RetryAfter: after}
 }
 
 // refusalBy returns the refusal of a request whose last attempt surely did not run it.
@@ -79,11 +86,14 @@
 	switch {
 	case s == nil:
 		return ReasonOwnerGone, fmt.Sprintf("owner %s is not registered", owner.Owner)
-	case !s.reachable(now, d.options.LeaveGrace):
+	case !s.reachable(now, d.ownerGrace(s)):
 		return ReasonOwnerGone, fmt.Sprintf("owner %s leaves or is gone", owner.Owner)
 	case now.Before(s.blockedUntil):
 		return ReasonOwnerFailing, fmt.Sprintf("owner %s failed %d times in a row", owner.Owner, s.failures)
 	}
+	if left, warms := d.ownerWarms(now, request); warms {
+		return ReasonOwnerWarming, fmt.Sprintf("owner %s warms up for %v", owner.Owner, left.Round(time.Millisecond))
+	}
 	if until, held := d.moving[movingRange{request.Service, owner.Fence, owner.Last}]; held && now.Before(until) {
 		return ReasonMoving, fmt.Sprintf("key is moving from %s", owner.Owner)
 	}
@@ -96,21 +106,25 @@
 // whyNoneOf says why none of a service's servers was free. The caller holds the
 // mutex.
 func (d *Dispatcher) whyNoneOf(now time.Time, request *Request) string {
-	known, leaving, blocked, busy := 0, 0, 0, 0
-	for _, candidate := range d.views.Current().Services[request.Service] {
+	known, leaving, blocked, warmingUp, busy := 0, 0, 0, 0, 0
+	current := d.views.Current()
+	for _, candidate := range current.Services[request.Service] {
 		s := d.servers[candidate.ID]
 		if s == nil {
 			continue
 		}
 		known++
+		may, _ := d.maySend(now, current, s)
 		switch {
 		case !s.reachable(now, 0):
 			leaving++
 		case now.Before(s.blockedUntil):
 			blocked++
+		case !may:
+			warmingUp++
 		case s.outstanding >= s.capacity():
 			busy++
 		}
 	}
-	return fmt.Sprintf("of %d servers %d leave, %d failed lately, %d are busy", known, leaving, blocked, busy)
+	return fmt.Sprintf("of %d servers %d leave, %d failed lately, %d warm up, %d are busy", known, leaving, blocked, warmingUp, busy)
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -25,6 +25,10 @@
 	outstanding int
 	// limit is how many requests this node has at the server at a time.
 	limit float64
+	// evacuated is true while nothing is to be sent to the server's zone, and
+	// evacuatedSince when that was first seen.
+	evacuated      bool
+	evacuatedSince time.Time
 	// places is this node's part of the server's connections; 0 means no bound.
 	places int
 	// latency is the moving mean of the answers' times, in seconds.
@@ -146,5 +150,8 @@
 	if s.Gone(now, leaveGrace) {
 		return false
 	}
+	if s.evacuated && now.Sub(s.evacuatedSince) > leaveGrace {
+		return false
+	}
 	return s.DrainingSince.IsZero() || now.Sub(s.DrainingSince) <= leaveGrace
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -105,6 +105,7 @@
 	client := transport.NewClient(hello, nil)
 	changes := newChangeFeed(self, client, logger)
 	n.views.SetLapse(changes.lapsedUntil)
+	n.dispatcher.SetCopyAge(changes.confirmedAge)
 	n.views.Subscribe(changes.follow)
 	n.mirror.Observe(changes)
 	n.peers = &peers{
@@ -136,11 +137,16 @@
 
 func dispatchOptions(settings *Settings, headers ingress.Headers) dispatch.Options {
 	return dispatch.Options{
-		Zone:        settings.Zone,
-		LeaveGrace:  settings.drain() / 2,
-		RetryRatio:  settings.Retry.Ratio,
-		RetrySlack:  settings.Retry.Slack,
-		RetryWindow: time.Duration(settings.Retry.WindowSeconds * float64(time.Second)),
+		Node: settings.Node,
+		Zone: settings.Zone,
+		// Half of what is allowed is for the news to arrive and for requests on their way.
+		LeaveGrace:      settings.drain() / 2,
+		EvacuationGrace: settings.evacuation() / 2,
+		WarmUpOver:      settings.WarmUp.Over,
+		WarmUpSlack:     settings.WarmUp.Slack,
+		RetryRatio:      settings.Retry.Ratio,
+		RetrySlack:      settings.Retry.Slack,
+		RetryWindow:     time.Duration(settings.Retry.WindowSeconds * float64(time.Second)),
 		Headers: dispatch.Headers{
 			RequestID: headers.RequestID, Deadline: headers.Deadline, Signature: headers.Signature,
 			Target: headers.Target, NotExecuted: headers.NotExecuted,
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -36,7 +36,16 @@
 	DrainMillis int `yaml:"drain_millis"`
 	// GraceMillis is how long the node may take to stop.
 	GraceMillis int `yaml:"grace_millis"`
-	Retry       struct {
+	// EvacuationMillis is how long after a zone was evacuated its servers may still get
+	// requests; 0 or left out: as long as a server that leaves.
+	EvacuationMillis int `yaml:"evacuation_millis"`
+	// WarmUp bounds what may reach a server that warms up within a second: its rate times
+	// Over, and Slack more. Left out, the rate is the bound.
+	WarmUp struct {
+		Over  float64 `yaml:"over"`
+		Slack float64 `yaml:"slack"`
+	} `yaml:"warm_up"`
+	Retry struct {
 		Ratio         float64 `yaml:"ratio"`
 		Slack         float64 `yaml:"slack"`
 		WindowSeconds float64 `yaml:"window_seconds"`
@@ -110,6 +119,9 @@
 	}{
 		{"drain_millis", float64(s.DrainMillis), 1, 600000},
 		{"grace_millis", float64(s.GraceMillis), 100, 600000},
+		{"evacuation_millis", float64(s.EvacuationMillis), 0, 600000},
+		{"warm_up.over", s.WarmUp.Over, 0, 1000},
+		{"warm_up.slack", s.WarmUp.Slack, 0, 1e6},
 		{"retry.ratio", s.Retry.Ratio, 0, 10},
 		{"retry.slack", s.Retry.Slack, 0, 1e9},
 		{"retry.window_seconds", s.Retry.WindowSeconds, 0.1, 3600},
@@ -138,4 +150,8 @@
 
 func (s *Settings) grace() time.Duration { return time.Duration(s.GraceMillis) * time.Millisecond }
 
+func (s *Settings) evacuation() time.Duration {
+	return time.Duration(s.EvacuationMillis) * time.Millisecond
+}
+
 func (s *Settings) drain() time.Duration { return time.Duration(s.DrainMillis) * time.Millisecond }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -47,6 +47,10 @@
 	MaxConnections int
 	// KeyDivided services have one owner for each key.
 	KeyDivided bool
+	// WarmUp is how long a server warms up after a start, and WarmUpRate how many
+	// requests a second it bears meanwhile; 0 means that nothing is said of that.
+	WarmUp     time.Duration
+	WarmUpRate float64
 }
 
 // Limits bound what a client may send and how long it may idle.
@@ -87,6 +91,12 @@
 		if service.Name == "" {
 			return nil, invalid("service name", service.Name, "not empty")
 		}
+		if service.WarmUp < 0 {
+			return nil, invalid("service "+service.Name+" warm-up", service.WarmUp, "not negative")
+		}
+		if service.WarmUpRate < 0 {
+			return nil, invalid("service "+service.Name+" warm-up rate", service.WarmUpRate, "not negative")
+		}
 		table.services[service.Name] = service
 	}
 	for index := range spec.Routes {
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -216,6 +216,7 @@
 			addresses[s.Address] = s
 		}
 	}
+	bounded := warmUpBounded(current, t.manager.service)
 	for _, s := range current.Services[t.manager.service] {
 		if !t.known[s.ID] {
 			t.known[s.ID] = true
@@ -229,14 +230,26 @@
 				dead = append(dead, s.ID)
 			}
 		}
-		accepting := s.DrainingSince.IsZero() && !s.Gone(now, goneGrace)
+		_, evacuated := current.Evacuated(s.Zone)
+		accepting := s.DrainingSince.IsZero() && !s.Gone(now, goneGrace) && !evacuated
 		servers = append(servers, shards.Server{
 			ID: s.ID, Address: s.Address, Accepting: accepting, Capacity: t.capacity(s),
+			Warming: bounded && now.Before(current.WarmUntil(s)),
 		})
 	}
 	t.core.SetServers(servers, dead)
 }
 
+// warmUpBounded reports whether a service's servers bear only so many requests a second
+// while they warm up.
+func warmUpBounded(current *view.View, name string) bool {
+	if current.Table == nil {
+		return false
+	}
+	service, _ := current.Table.Service(name)
+	return service.WarmUpRate > 0
+}
+
 // carryOut starts everything the core asked for. The caller holds the mutex, so
 // that no order starts after the term stopped giving orders.
 func (t *term) carryOut(ctx context.Context, commands shards.Commands) {
--- a/internal/shards/balance_test.go
+++ b/internal/shards/balance_test.go
@@ -161,3 +161,32 @@
 		t.Errorf("the server of the heavy key still has %d other keys with load", part)
 	}
 }
+
+// Servers that warm up bear few requests: keys go to the warm ones, and to the others
+// once they are warm.
+func TestWarmingServersAreGivenNoKeys(t *testing.T) {
+	b := newBench(1, 1)
+	b.servers[1].Warming = true
+	b.run(time.Second, nil)
+	if share := b.share()["a"]; share != 1 {
+		t.Errorf("the warm server owns %.2f of the keys, want all", share)
+	}
+	// Nobody else is left.
+	b.servers[0].Accepting = false
+	b.run(time.Second, nil)
+	if share := b.share()["b"]; share != 1 {
+		t.Errorf("the one server that is left owns %.2f of the keys, want all", share)
+	}
+}
+
+// What a warming server has already it keeps: its requests would wait for the move.
+func TestWarmingServersKeepTheirKeys(t *testing.T) {
+	b := newBench(1, 1)
+	b.run(time.Second, nil)
+	before := b.share()["b"]
+	b.servers[1].Warming = true
+	b.run(time.Second, nil)
+	if share := b.share()["b"]; share != before {
+		t.Errorf("the warming server owns %.2f of the keys, %.2f before", share, before)
+	}
+}
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -95,4 +95,7 @@
 	// Accepting servers may be given keys; the others only keep what they have
 	// until it has moved.
 	Accepting bool
+	// Warming servers are given no keys while others accept some, because they bear only
+	// a few requests; what they have they keep.
+	Warming bool
 }
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -228,13 +228,21 @@
 	}
 }
 
+// accepting returns the servers that may be given keys: the warm ones, if there are any.
 func (m *Manager) accepting() []Server {
-	var found []Server
+	var found, warming []Server
 	for _, server := range m.servers {
-		if server.Accepting {
+		switch {
+		case !server.Accepting:
+		case server.Warming:
+			warming = append(warming, server)
+		default:
 			found = append(found, server)
 		}
 	}
+	if len(found) == 0 {
+		found = warming
+	}
 	sort.Slice(found, func(i, j int) bool { return found[i].ID < found[j].ID })
 	return found
 }
@@ -343,7 +351,7 @@
 			loads = m.serverLoads(now)
 		}
 		target, known := m.servers[s.target]
-		if !known || !target.Accepting {
+		if !known || !target.Accepting || target.Warming {
 			target = leastLoaded(accepting, loads)
 		}
 		loads[target.ID] += m.load.Between(now, s.First, s.Last) + keyShareLoad(s.Range)
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -38,7 +38,9 @@
 	managers *sharedMap[string, Manager]
 	retired  *sharedMap[string, Retirement]
 	nodes    *sharedMap[string, Node]
-	lapse    Lapse
+	// evacuations holds zones that are or were evacuated.
+	evacuations *sharedMap[string, Evacuation]
+	lapse       Lapse
 	// started is true once there is a complete copy; until then the servers that
 	// it brings are not logged one by one.
 	started bool
@@ -55,6 +57,7 @@
 	b.managers = newSharedMap[string, Manager]()
 	b.retired = newSharedMap[string, Retirement]()
 	b.nodes = newSharedMap[string, Node]()
+	b.evacuations = newSharedMap[string, Evacuation]()
 	b.publish()
 	return b
 }
@@ -101,6 +104,11 @@
 			b.delete(key)
 		}
 	}
+	for zone := range b.evacuations.content {
+		if key := b.layout.EvacuationPrefix + zone; !present[key] {
+			b.delete(key)
+		}
+	}
 	for service := range b.managers.content {
 		if key := ManagerKey(service); !present[key] {
 			b.delete(key)
@@ -136,6 +144,8 @@
 		b.putTable(item)
 	case strings.HasPrefix(item.Key, b.layout.ServerPrefix):
 		b.putServer(strings.TrimPrefix(item.Key, b.layout.ServerPrefix), item)
+	case b.isEvacuation(item.Key):
+		b.putEvacuation(strings.TrimPrefix(item.Key, b.layout.EvacuationPrefix), item)
 	case strings.HasPrefix(item.Key, ownersPrefix):
 		b.putOwners(strings.TrimPrefix(item.Key, ownersPrefix), item)
 	case strings.HasPrefix(item.Key, managerPrefix):
@@ -173,10 +183,11 @@
 		return
 	}
 	now := time.Now()
+	// The entry was written earlier, so that the server is warm by then at the latest. A
+	// server may turn cold again, so each entry counts anew.
 	server := &Server{Server: entry, WarmAt: now.Add(entry.WarmUp)}
 	before := b.servers.get(entry.ID)
 	if before != nil {
-		server.WarmAt = before.WarmAt
 		server.DrainingSince = before.DrainingSince
 	}
 	if entry.State == discovery.Draining && server.DrainingSince.IsZero() {
@@ -185,11 +196,40 @@
 	}
 	if b.started && (before == nil || !before.GoneSince.IsZero()) {
 		b.logger.Info("server registered", zap.String("server", id), zap.String("service", entry.Service),
-			zap.String("address", entry.Address), zap.Int64("revision", item.Revision))
+			zap.String("address", entry.Address), zap.Duration("warm_up", entry.WarmUp), zap.Int64("revision", item.Revision))
+	}
+	if b.started && before != nil && before.WarmUp == 0 && entry.WarmUp > 0 {
+		b.logger.Info("server turned cold", zap.String("server", id), zap.Duration("warm_up", entry.WarmUp), zap.Int64("revision", item.Revision))
 	}
 	b.servers.put(server)
 }
 
+func (b *Builder) isEvacuation(key string) bool {
+	return b.layout.EvacuationPrefix != "" && strings.HasPrefix(key, b.layout.EvacuationPrefix)
+}
+
+func (b *Builder) putEvacuation(zone string, item topo.Item) {
+	if known, present := b.evacuations.content[zone]; present && known.InForce() {
+		return
+	}
+	evacuation := Evacuation{}
+	if b.started {
+		evacuation.Since = time.Now()
+	}
+	b.evacuations.put(zone, evacuation)
+	b.logger.Info("zone evacuated", zap.String("zone", zone), zap.Int64("revision", item.Revision))
+}
+
+func (b *Builder) endEvacuation(zone string) {
+	known, present := b.evacuations.content[zone]
+	if !present || !known.InForce() {
+		return
+	}
+	known.EndedAt = time.Now()
+	b.evacuations.put(zone, known)
+	b.logger.Info("zone evacuated no more", zap.String("zone", zone))
+}
+
 func (b *Builder) putOwners(service string, item topo.Item) {
 	if item.Revision <= b.owners.get(service).Revision {
 		// It came ahead of the watch; decoding it again would cost as much as taking it.
@@ -252,6 +292,8 @@
 	switch {
 	case strings.HasPrefix(key, b.layout.ServerPrefix):
 		b.markGone(discovery.ServerID(strings.TrimPrefix(key, b.layout.ServerPrefix)))
+	case b.isEvacuation(key):
+		b.endEvacuation(strings.TrimPrefix(key, b.layout.EvacuationPrefix))
 	case strings.HasPrefix(key, managerPrefix):
 		b.managers.remove(strings.TrimPrefix(key, managerPrefix))
 	case strings.HasPrefix(key, nodePrefix):
@@ -282,6 +324,7 @@
 	published.Same.Table = before != nil && before.Table == b.table
 	published.Servers, published.Services, published.Same.Servers = b.servers.publish()
 	published.Nodes, published.Same.Nodes = b.nodes.publish()
+	published.Evacuations, published.Same.Evacuations = b.evacuations.publish()
 	published.Owners, _ = b.owners.publish()
 	published.Managers, _ = b.managers.publish()
 	published.Retired, _ = b.retired.publish()
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -53,6 +53,8 @@
 type Layout struct {
 	TableKey     string
 	ServerPrefix string
+	// EvacuationPrefix begins the keys that name evacuated zones.
+	EvacuationPrefix string
 }
 
 // Node is another node of the router, as it registered.
@@ -124,12 +126,46 @@
 	// Retired holds retirements by RetiredKey.
 	Retired map[string]Retirement
 	Nodes   map[string]Node
+	// Evacuations are those of zones that are or were evacuated.
+	Evacuations map[string]Evacuation
 	// Same names the parts that are those of the view published before.
 	Same Parts
 }
 
 // Parts are parts of a view.
-type Parts struct{ Table, Servers, Nodes bool }
+type Parts struct{ Table, Servers, Nodes, Evacuations bool }
+
+// Evacuation is the operators' order that nothing is sent to the servers of a zone.
+type Evacuation struct {
+	// Since is when it was first seen; zero if the node found it in its first copy, so
+	// that it may have been there for long.
+	Since time.Time
+	// EndedAt is when it was seen taken back; zero while it is in force.
+	EndedAt time.Time
+}
+
+// InForce reports whether nothing is to be sent to the zone.
+func (e Evacuation) InForce() bool { return e.EndedAt.IsZero() }
+
+// Evacuated reports whether a zone is evacuated, and since when as far as is known.
+func (v *View) Evacuated(zone string) (since time.Time, evacuated bool) {
+	evacuation, known := v.Evacuations[zone]
+	return evacuation.Since, known && evacuation.InForce()
+}
+
+// WarmUntil returns until when a server warms up or may be warming up. Servers of a zone
+// that was evacuated turn cold without requests, and their entries may say so late.
+func (v *View) WarmUntil(s *Server) time.Time {
+	evacuation, known := v.Evacuations[s.Zone]
+	if !known || evacuation.InForce() || v.Table == nil {
+		return s.WarmAt
+	}
+	service, _ := v.Table.Service(s.Service)
+	if after := evacuation.EndedAt.Add(service.WarmUp); after.After(s.WarmAt) {
+		return after
+	}
+	return s.WarmAt
+}
 
 // SendsOrders reports whether a node may still send orders of its term as the
 // manager of a service: neither has another process of it registered nor has it
--- /dev/null
+++ b/internal/warmup/warmup_test.go
@@ -0,0 +1,126 @@
+package warmup
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// usual is the rate of the users' gateway: 6.7 a second, 1.5 times that and 8 at most.
+var usual = Rate{PerSecond: 6.7, Limit: 6.7*1.5 + 8}
+
+func nodesOf(zones, perZone int) []Node {
+	var nodes []Node
+	for zone := range zones {
+		for index := range perZone {
+			nodes = append(nodes, Node{Name: fmt.Sprintf("n%d-%d", zone, index), Zone: fmt.Sprintf("z%d", zone)})
+		}
+	}
+	return nodes
+}
+
+var fresh = Copy{Known: true}
+
+func TestTwoNodesOfTheZoneShareTheRate(t *testing.T) {
+	nodes := nodesOf(3, 20)
+	server := Server{ID: "s1", Zone: "z1", Rate: usual}
+	sent := make(map[string]int)
+	for _, node := range nodes {
+		rights := NewRights(node.Name)
+		rights.SetNodes(epoch, nodes)
+		for now := epoch.Add(settleTime); now.Before(epoch.Add(settleTime + 10*time.Second)); now = now.Add(10 * time.Millisecond) {
+			if rights.May(now, server, fresh) {
+				rights.Sent(now, server)
+				sent[node.Name]++
+				if node.Zone != "z1" {
+					t.Fatalf("%s of %s sends to a server of z1", node.Name, node.Zone)
+				}
+			}
+		}
+	}
+	total := 0
+	for _, count := range sent {
+		total += count
+	}
+	if len(sent) != sendersPerServer || total < 60 || total > 69 {
+		t.Errorf("%d nodes sent %d requests in 10 s, want 2 nodes and about 67 requests", len(sent), total)
+	}
+}
+
+func TestNoRightWithoutKnowledge(t *testing.T) {
+	nodes := []Node{{Name: "a", Zone: "z"}}
+	server := Server{ID: "s1", Zone: "z", Rate: usual}
+	settled := epoch.Add(settleTime)
+	for _, test := range []struct {
+		name   string
+		nodes  []Node
+		at     time.Time
+		copied Copy
+		server Server
+		want   bool
+	}{
+		{"all is known", nodes, settled, fresh, server, true},
+		{"the node has just registered", nodes, settled.Add(-time.Millisecond), fresh, server, false},
+		{"the node is not registered", []Node{{Name: "b", Zone: "z"}}, settled, fresh, server, false},
+		{"the copy is old", nodes, settled, Copy{Age: maxCopyAge + 1, Known: true}, server, false},
+		{"the copy was never confirmed", nodes, settled, Copy{}, server, false},
+		{"the server bears nothing", nodes, settled, fresh, Server{ID: "s1", Zone: "z"}, false},
+		{"no node of the zone is left", nodes, settled, fresh, Server{ID: "s1", Zone: "other", Rate: usual}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			rights := NewRights("a")
+			rights.SetNodes(epoch, test.nodes)
+			if got := rights.May(test.at, test.server, test.copied); got != test.want {
+				t.Errorf("may send: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestNodeThatIsRegisteredAgainSettlesAgain(t *testing.T) {
+	rights := NewRights("a")
+	nodes := []Node{{Name: "a", Zone: "z"}}
+	server := Server{ID: "s1", Zone: "z", Rate: usual}
+	rights.SetNodes(epoch, nodes)
+	rights.SetNodes(epoch.Add(5*time.Second), nil)
+	rights.SetNodes(epoch.Add(6*time.Second), nodes)
+	if rights.May(epoch.Add(6*time.Second), server, fresh) {
+		t.Error("a node that has just been registered again sends")
+	}
+}
+
+// Other registrations must not let a sender send sooner than its interval.
+func TestIntervalOutlastsOtherRegistrations(t *testing.T) {
+	rights := NewRights("a")
+	nodes := []Node{{Name: "a", Zone: "z"}}
+	server := Server{ID: "s1", Zone: "z", Rate: usual}
+	rights.SetNodes(epoch, nodes)
+	now := epoch.Add(settleTime)
+	rights.Sent(now, server)
+	rights.SetNodes(now, append(nodes, Node{Name: "b", Zone: "z"}))
+	if rights.May(now.Add(10*time.Millisecond), server, fresh) {
+		t.Error("two requests within 10 ms")
+	}
+}
+
+// Whatever a service's figures are, two whole sets of senders stay within the limit.
+func TestTwoSetsOfSendersStayWithinTheLimit(t *testing.T) {
+	for _, rate := range []Rate{usual, {6.7, 7}, {2, 3}, {1, 1.5}, {0.5, 20}, {40, 68}, {3, 1}, {20, 20}} {
+		interval, some := rate.interval()
+		if !some {
+			if rate.Limit >= sets {
+				t.Errorf("%+v: nothing is sent", rate)
+			}
+			continue
+		}
+		perSender := 1 + int((time.Second-1)/interval)
+		if sum := perSender * rate.senders() * sets; float64(sum) > rate.Limit {
+			t.Errorf("%+v: %d senders send up to %d each, %d with another set", rate, rate.senders(), perSender, sum)
+		}
+		if got := float64(rate.senders()) / interval.Seconds(); got > rate.PerSecond*1.001 {
+			t.Errorf("%+v: %.2f a second", rate, got)
+		}
+	}
+}
