--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -370,5 +370,9 @@
 		s.turnedAway(time.Now())
 		return
 	}
+	if errors.Is(cause, upstream.ErrSilent) {
+		// The connection was lost, not the server.
+		return
+	}
 	s.failed(time.Now())
 }
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -199,11 +199,27 @@
 		upstream.Field{Name: d.headers.Target, Value: string(s.id)})
 	return &upstream.Request{
 		Method: request.Method, URI: request.URI, Host: request.Host, Fields: fields,
-		Body: request.Body, Rest: request.Rest,
+		Body: request.Body, Rest: request.Rest, Silence: silence(request),
 		IDHeader: d.headers.RequestID, ID: request.ID,
 	}
 }
 
+const (
+	// silencePart is the part of its objective for which a request that may be repeated
+	// stays unacknowledged on a kept connection before another server is asked.
+	silencePart = 0.2
+	// unsafeSilence is that time for other requests: they get no second server, so that
+	// TCP has the time to send a lost packet again, which it does after 0.2 s.
+	unsafeSilence = 300 * time.Millisecond
+)
+
+func silence(request *Request) time.Duration {
+	if request.Route.Repeatable {
+		return time.Duration(silencePart * float64(request.Route.Objective))
+	}
+	return unsafeSilence
+}
+
 const statusMisdirected = 421
 
 // judge says what a server's answer means.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/micahaven/micahaven/internal/sockets"
 	"github.com/micahaven/micahaven/internal/wire"
 )
 
@@ -197,8 +198,7 @@
 }
 
 func (p *peer) open() (*connection, *bufio.Reader, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.Dial("tcp", p.address)
+	socket, err := sockets.Dialer(dialTimeout, silenceLimit).Dial("tcp", p.address)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "dial peer %s", p.address)
 	}
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -29,6 +29,10 @@
 	bufferBytes = 8 << 10
 	// writeTimeout is how long a peer may leave its receive window shut.
 	writeTimeout = 5 * time.Second
+	// silenceLimit is how long a peer's machine may acknowledge nothing before the
+	// connection counts as lost and the next message opens another one: several times
+	// what TCP waits before it sends a lost packet again (0.2 s).
+	silenceLimit = time.Second
 )
 
 // connection writes envelopes from a queue and reads them in a loop. Several
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/sockets"
 	"github.com/micahaven/micahaven/internal/wire"
 )
 
@@ -88,6 +89,9 @@
 func (s *Server) serveConnection(socket net.Conn) {
 	live := newConnection(socket)
 	defer live.close()
+	if err := sockets.BoundSilence(socket, silenceLimit); err != nil {
+		s.logger.Warn("silence of a peer is not bounded", zap.Stringer("remote", socket.RemoteAddr()), zap.Error(err))
+	}
 	reader := bufio.NewReaderSize(socket, bufferBytes)
 	from, err := s.introduce(socket, reader)
 	if err != nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -36,6 +36,9 @@
 	// acknowledged the whole request when its connection was reset: the rest of
 	// it never arrives.
 	ErrUndelivered = errors.New("request was not delivered")
+	// ErrSilent means, besides, that the server's machine acknowledged nothing of the
+	// request on a kept connection: such a connection is lost, and others may work.
+	ErrSilent = errors.New("connection is silent")
 	// ErrBadAnswer means that what came is not the whole answer to the request;
 	// the request may have run.
 	ErrBadAnswer = errors.New("answer is damaged")
@@ -43,6 +46,9 @@
 
 const (
 	dialTimeout = 400 * time.Millisecond
+	// silenceLimit is how long a server's machine may acknowledge nothing on a connection,
+	// idle or not, before the kernel ends it. Request.Silence bounds requests sooner.
+	silenceLimit = time.Second
 	// maxSettle bounds how long a new connection is watched before anything is sent on
 	// it. It is watched for one round trip, as its opening took: a server beyond its
 	// limit of connections accepts one and resets it at once, and a request that was
@@ -75,6 +81,9 @@
 	Body   []byte
 	// Rest follows Body; nil if Body is everything.
 	Rest io.Reader
+	// Silence is how long the request may stay unacknowledged on a kept connection before
+	// that is given up; 0 means that it is waited for.
+	Silence time.Duration
 	// IDHeader and ID are how the server marks the answer to this request.
 	IDHeader, ID string
 }
@@ -94,6 +103,9 @@
 	// settleTime is for how long a new connection is watched, by the time that its
 	// opening took.
 	settleTime func(opening time.Duration) time.Duration
+	// unacknowledged returns how many bytes written to a connection its peer has not
+	// acknowledged.
+	unacknowledged func(net.Conn) (int, error)
 
 	mutex  sync.Mutex
 	idle   []*connection
@@ -101,14 +113,19 @@
 }
 
 type connection struct {
-	socket    net.Conn
+	pool   *Pool
+	socket net.Conn
+	// used is true once the connection has carried a request.
+	used      bool
 	reader    *bufio.Reader
 	usableFor time.Duration
 	idleSince time.Time
 }
 
 // NewPool returns a pool for a server's address.
-func NewPool(address string) *Pool { return &Pool{address: address, settleTime: settleTime} }
+func NewPool(address string) *Pool {
+	return &Pool{address: address, settleTime: settleTime, unacknowledged: sockets.Unacknowledged}
+}
 
 func settleTime(opening time.Duration) time.Duration { return min(opening, maxSettle) }
 
@@ -154,7 +171,7 @@
 
 // undelivered reports whether written bytes are not acknowledged yet.
 func (c *connection) undelivered() bool {
-	queued, err := sockets.Unacknowledged(c.socket)
+	queued, err := c.pool.unacknowledged(c.socket)
 	return err == nil && queued > 0
 }
 
@@ -183,16 +200,27 @@
 		return
 	}
 	c.idleSince = time.Now()
+	c.used = true
 	p.idle = append(p.idle, c)
 }
 
+// dropIdle ends all idle connections: one to the same server went silent, and connections
+// mostly do so together.
+func (p *Pool) dropIdle() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.idle = nil
+}
+
 func (p *Pool) open(ctx context.Context) (*connection, error) {
 	if c := p.take(); c != nil {
 		return c, nil
 	}
 	startedAt := time.Now()
-	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", p.address)
+	socket, err := sockets.Dialer(dialTimeout, silenceLimit).DialContext(ctx, "tcp", p.address)
 	if errors.Is(err, syscall.ECONNRESET) {
 		err = errors.Mark(err, ErrTurnedAway)
 	}
@@ -205,7 +233,7 @@
 		_ = socket.Close()
 		return nil, errors.Mark(errors.Wrapf(ErrTurnedAway, "connect to %s", p.address), ErrNotSent)
 	}
-	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, bufferBytes), usableFor: defaultIdle - idleMargin}, nil
+	return &connection{pool: p, socket: socket, reader: bufio.NewReaderSize(socket, bufferBytes), usableFor: defaultIdle - idleMargin}, nil
 }
 
 // Exchange sends a request and returns its answer. When the context ends, the
@@ -220,7 +248,12 @@
 		undelivered.Store(c.undelivered())
 		c.abort()
 	})
+	silent := c.watchSilence(request)
 	answer, reusable, err := c.exchange(request)
+	if silent() && err != nil {
+		p.dropIdle()
+		err = errors.Mark(err, ErrSilent)
+	}
 	if !stop() && err == nil {
 		// The context ended while the answer arrived; it is whole.
 		reusable = false
@@ -240,6 +273,25 @@
 	return answer, nil
 }
 
+// watchSilence gives a kept connection up if the request is not acknowledged for as long
+// as it may be. The function that it returns ends that and reports whether it happened.
+func (c *connection) watchSilence(request *Request) (ended func() bool) {
+	if !c.used || request.Silence <= 0 {
+		return func() bool { return false }
+	}
+	var silent atomic.Bool
+	timer := time.AfterFunc(request.Silence, func() {
+		if c.undelivered() {
+			silent.Store(true)
+			c.abort()
+		}
+	})
+	return func() bool {
+		timer.Stop()
+		return silent.Load()
+	}
+}
+
 // rest is the end of a long answer; its connection is not used again.
 type rest struct {
 	io.Reader
