A new manager gives each range a fence of its own, so that lost managers need not be waited for

Change: the first map of a term gives each range to the owner that it has, under a fence of the term. An owner that took it refuses what earlier managers sent, so only the hold of the present one counts from then on; the map notes which ranges are still inherited. A manager without the store that a server tells of a higher fence ends its term, and releases nothing.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -339,7 +339,14 @@
 	}
 	t.mutex.Lock()
 	t.core.GrantDone(t.now(), shards.GrantResult{Grant: grant, SentAt: sentAt, Outcome: outcome})
+	// The fences of a term are above those of all terms before it. Without the store, this
+	// is how a manager learns of the next one.
+	over := outcome == shards.Superseded && t.storeFailed
 	t.mutex.Unlock()
+	if over {
+		t.manager.logger.Warn("manager superseded, as a server tells", zap.Uint64("epoch", t.epoch), zap.String("server", string(grant.Owner)))
+		t.ended()
+	}
 }
 
 func (t *term) release(ctx context.Context, release shards.Release) {
--- a/internal/shards/decode.go
+++ b/internal/shards/decode.go
@@ -36,6 +36,8 @@
 	rangeFence    = 3
 	rangeHandover = 4
 	rangeLate     = 5
+
+	rangeInherited = 6
 )
 
 // bytesPerRange is about how many bytes a stored map has for each range, its part of
@@ -58,6 +60,7 @@
 	fence       uint64
 	handover    string
 	late        bool
+	inherited   bool
 }
 
 // mapDecoder collects the fields of a stored map.
@@ -166,6 +169,8 @@
 			stored.handover = inner.text
 		case rangeLate:
 			stored.late = protowire.DecodeBool(inner.value)
+		case rangeInherited:
+			stored.inherited = protowire.DecodeBool(inner.value)
 		}
 		return nil
 	})
@@ -186,6 +191,7 @@
 		}
 		entry := Range{
 			First: uint32(next), Last: uint32(stored.last), Fence: stored.fence, Handover: stored.handover, Late: stored.late,
+			Inherited: stored.inherited,
 		}
 		if stored.owner > 0 {
 			server := d.owners[stored.owner-1]
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -77,9 +77,9 @@
 	target discovery.ServerID
 	// lateUntil is when a late grant can no longer hold the range.
 	lateUntil time.Duration
-	// inherited is true while the owner may hold the range by a grant of an
-	// earlier manager.
-	inherited bool
+	// older is true if the owner may hold the range by a grant of any earlier manager
+	// that is not known to be over, and not only by one of the last map's author.
+	older bool
 }
 
 // Manager decides about the owners of one service's keys. It must be driven by
@@ -98,6 +98,10 @@
 // A manager sends no order before it has committed a map of its own epoch. So the
 // author of the map that a manager finds is the last one that sent orders, and the
 // orders of those before it are over but for the pending ones that the map names.
+//
+// The first map of a manager gives each range to the owner that it has, under a fence of
+// its own. Once the owner has taken that, it refuses whatever earlier managers sent it, so
+// that nobody need know whether they are over; until then the range is inherited.
 type Manager struct {
 	service string
 	epoch   uint64
@@ -106,11 +110,18 @@
 	installed bool
 	resigned  bool
 	// inheritedUntil is when the last grant of earlier managers can end, and
-	// pending are those of them that may still send orders.
+	// pending are those of them that may still send orders. lastUntil is that of the
+	// last map's author alone.
 	inheritedUntil time.Duration
+	lastUntil      time.Duration
 	pending        []Author
-	options        Options
-	nextSeq        uint64
+	// last is the author of the map that this manager continues from.
+	last Author
+	// noteAt is when it is time to write which ranges are inherited no more; 0 if the
+	// stored map says so.
+	noteAt  time.Duration
+	options Options
+	nextSeq uint64
 
 	shards  []*shard
 	servers map[discovery.ServerID]Server
@@ -151,14 +162,19 @@
 	}
 	m.uncommitted = true
 	m.pending = pendingAfter(previous)
+	m.last = previous.Author
 	m.inheritedUntil = now + options.PreviousAuthority + options.LateOrder + m.holdBound()
+	m.lastUntil = m.inheritedUntil
 	// Where one order got no answer, others may be under way that the author
 	// did not live to note.
 	late := previous.anyLate()
 	for _, r := range previous.Ranges {
-		s := &shard{Range: r, phase: owned, renewAt: now, inherited: true}
+		s := &shard{Range: r, phase: owned, renewAt: now, older: r.Inherited}
 		if r.Owner == "" {
 			s.phase = vacant
+		} else {
+			s.Fence = m.nextFence()
+			s.Inherited = true
 		}
 		if late && !previous.Resigned || r.Late {
 			s.heldUntil = now + options.LateOrder + m.holdBound()
@@ -316,12 +332,20 @@
 
 // over reports whether the owner can no longer hold a range by any grant.
 func (m *Manager) over(s *shard, now time.Duration) bool {
-	if s.inherited && now <= m.inheritedUntil {
+	if s.Inherited && now <= m.earlierUntil(s) {
 		return false
 	}
 	return s.inFlight == 0 && now > s.heldUntil
 }
 
+// earlierUntil is when the last grant of earlier managers for an inherited range can end.
+func (m *Manager) earlierUntil(s *shard) time.Duration {
+	if s.older {
+		return m.inheritedUntil
+	}
+	return m.lastUntil
+}
+
 func (m *Manager) vacate(s *shard, handover string) {
 	s.phase = vacant
 	s.Owner = ""
@@ -329,7 +353,8 @@
 	s.Handover = handover
 	s.heldUntil = 0
 	s.inFlight = 0
-	s.inherited = false
+	s.Inherited = false
+	s.older = false
 	s.Late = false
 }
 
@@ -377,11 +402,15 @@
 // commit asks for the map to be written if it changed. A map that is written is
 // never changed under way: assign waits for the answer.
 func (m *Manager) commit(now time.Duration, commands *Commands) {
+	if m.noteAt > 0 && now >= m.noteAt {
+		m.uncommitted = true
+	}
 	if !m.uncommitted || m.commitInFlight {
 		return
 	}
 	m.commitInFlight = true
 	m.uncommitted = false
+	m.noteAt = 0
 	written := m.Map(now)
 	commands.Commit = &Commit{Map: written}
 }
--- a/internal/shards/map.go
+++ b/internal/shards/map.go
@@ -38,6 +38,9 @@
 	// Late is true if a grant to the owner got no answer, so that the owner may
 	// take it long after it was sent.
 	Late bool
+	// Inherited is true while the owner may hold the keys by a grant of an earlier
+	// manager, under a lower fence, because it has not taken one under Fence yet.
+	Inherited bool
 }
 
 // Author is a manager that wrote a map.
@@ -105,7 +108,7 @@
 			stored.Servers = append(stored.Servers, &wire.ShardServer{Id: string(r.Owner), Address: r.Address, Number: numbers[r.Owner]})
 		}
 		stored.NumberedRanges = append(stored.NumberedRanges, &wire.ShardRange{
-			Last: r.Last, Owner: numbers[r.Owner], Fence: r.Fence, Handover: r.Handover, Late: r.Late,
+			Last: r.Last, Owner: numbers[r.Owner], Fence: r.Fence, Handover: r.Handover, Late: r.Late, Inherited: r.Inherited,
 		})
 	}
 	slices.SortFunc(stored.Servers, func(a, b *wire.ShardServer) int { return cmp.Compare(a.GetNumber(), b.GetNumber()) })
--- a/internal/shards/predecessor.go
+++ b/internal/shards/predecessor.go
@@ -1,6 +1,9 @@
 package shards
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // pendingAfter returns the managers that may still have orders under way when a
 // new manager finds a map: those that the map's author did not know to be over,
@@ -37,6 +40,9 @@
 	if len(m.pending) == 0 {
 		m.inheritedUntil = min(m.inheritedUntil, now+m.holdBound())
 	}
+	if !slices.Contains(m.pending, m.last) {
+		m.lastUntil = min(m.lastUntil, now+m.holdBound())
+	}
 }
 
 // forgetPending drops managers whose orders would have run out by now whatever
--- a/internal/shards/predecessor_test.go
+++ b/internal/shards/predecessor_test.go
@@ -84,15 +84,86 @@
 // map any more has to wait for that before it says that it is over.
 func TestLateOrdersDelayRetirement(t *testing.T) {
 	core := succeed(firstMap(), author("p2", 2), 0)
-	install(t, core, 0)
+	grant := shards.Grant{Range: install(t, core, 0).Ranges[0]}
 	core.AuthorsOver(0, func(shards.Author) bool { return true })
 	if until := core.LateOrdersUntil(); until != 0 {
 		t.Fatalf("late orders until %v without any", until)
 	}
 	const sentAt = 2 * time.Second
-	grant := shards.Grant{Range: firstMap().Ranges[0]}
 	core.GrantDone(3*time.Second, shards.GrantResult{Grant: grant, SentAt: sentAt, Outcome: shards.Unanswered})
 	if until, want := core.LateOrdersUntil(), sentAt+shards.DefaultOptions().LateOrder; until != want {
 		t.Fatalf("late orders until %v, want %v", until, want)
 	}
 }
+
+// Seen on the users' shifted deployment, trouble-3: the node of the first manager was
+// removed for good. Servers that ended while its successor was in office kept their keys
+// for the time that the first manager might still have renewed them, and 600 requests in
+// two seconds were refused for 20 s, also by the manager after that.
+func TestRangesThatTookANewFenceDoNotWaitForLostManagers(t *testing.T) {
+	never := func(shards.Author) bool { return false }
+	owner := shards.Server{ID: "a", Address: "a", Capacity: 1, Accepting: true}
+	other := shards.Server{ID: "b", Address: "b", Capacity: 1, Accepting: true}
+	second := succeed(firstMap(), author("p2", 2), 0)
+	stored := install(t, second, 0)
+	if r := stored.Ranges[0]; r.Fence <= 1<<20 || !r.Inherited {
+		t.Fatalf("the first map of the second manager has fence %d, inherited: %v", r.Fence, r.Inherited)
+	}
+	second.AuthorsOver(0, never)
+	accept := func(core *shards.Manager, now time.Duration) {
+		for _, grant := range core.Tick(now).Grants {
+			core.GrantDone(now, shards.GrantResult{Grant: grant, SentAt: now, Outcome: shards.Accepted})
+		}
+	}
+	second.SetServers([]shards.Server{owner, other}, nil)
+	accept(second, step)
+	const oneHold = 6 * time.Second
+	later := time.Duration(0)
+	for now := 2 * step; now < time.Second; now += step {
+		if commands := second.Tick(now); commands.Commit != nil {
+			stored = commands.Commit.Map
+			second.Committed(now)
+			later = now
+		}
+	}
+	if stored.Ranges[0].Inherited {
+		t.Fatal("the stored map does not say that the owner took the fence")
+	}
+	owner.Accepting = false
+	second.SetServers([]shards.Server{owner, other}, nil)
+	if !movedWithin(second, later+step, oneHold) {
+		t.Error("the second manager waits for the first one")
+	}
+	third := succeed(stored, author("p3", 3), 0)
+	third.AuthorsOver(0, func(a shards.Author) bool { return a.Process == "p2" })
+	install(t, third, 0)
+	if !movedWithin(third, step, oneHold) {
+		t.Error("the third manager waits for the first one")
+	}
+}
+
+// The same, but the owner never took the fence: the first manager may still renew.
+func TestInheritedRangesWaitForLostManagers(t *testing.T) {
+	second := succeed(firstMap(), author("p2", 2), 0)
+	stored := install(t, second, 0)
+	third := succeed(stored, author("p3", 3), 0)
+	third.AuthorsOver(0, func(a shards.Author) bool { return a.Process == "p2" })
+	install(t, third, 0)
+	if movedWithin(third, step, 20*time.Second) {
+		t.Error("a range moved although the first manager may still renew it")
+	}
+}
+
+// Without the store a refused grant means that a later manager owns the range.
+func TestSupersededManagerWithoutTheStoreReleasesNothing(t *testing.T) {
+	core := succeed(firstMap(), author("p2", 2), 0)
+	core.SetServers([]shards.Server{{ID: "a", Address: "a", Capacity: 1, Accepting: true}}, nil)
+	stored := install(t, core, 0)
+	core.SetStoreHealthy(false)
+	core.GrantDone(0, shards.GrantResult{Grant: shards.Grant{Range: stored.Ranges[0]}, Outcome: shards.Superseded})
+	for now := step; now < 5*time.Second; now += step {
+		if commands := core.Tick(now); len(commands.Releases) > 0 {
+			t.Fatalf("%d releases", len(commands.Releases))
+		}
+	}
+}
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -24,6 +24,7 @@
 func (m *Manager) settleGrant(now time.Duration, s *shard, result GrantResult) {
 	switch result.Outcome {
 	case Accepted:
+		m.ownedUnderFence(now, s)
 		s.heldUntil = max(s.heldUntil, now+m.holdBound())
 		return
 	case Unanswered:
@@ -35,8 +36,9 @@
 			m.uncommitted = true
 		}
 	case Superseded:
-		// An earlier manager began to release the range and did not finish.
-		if s.phase == owned {
+		// A release of this manager was not finished. Without the store a later manager
+		// has taken the range, and nothing may be taken from its owner.
+		if s.phase == owned && m.storeHealthy {
 			m.startRelease(s, now, s.Owner)
 		}
 	case Broken:
@@ -48,6 +50,26 @@
 	}
 }
 
+// inheritedNote is how long the note that a range is inherited no more waits for others,
+// because owners take the first grants of a new manager one after the other. A successor
+// that does not know of it waits longer, no more.
+const inheritedNote = 400 * time.Millisecond
+
+// ownedUnderFence takes in that the owner of a range has taken its fence: what earlier
+// managers sent it is refused from now on.
+func (m *Manager) ownedUnderFence(now time.Duration, s *shard) {
+	if !s.Inherited {
+		return
+	}
+	s.Inherited, s.older = false, false
+	// Grants of earlier managers without an answer do not count any more, own ones do.
+	s.heldUntil = s.lateUntil
+	s.Late = s.lateUntil > 0
+	if m.noteAt == 0 {
+		m.noteAt = now + inheritedNote
+	}
+}
+
 // ReleaseDone takes in how a release ended.
 func (m *Manager) ReleaseDone(result ReleaseResult) {
 	if result.Outcome != Accepted {
