Requests for keys that came without a handover are refused while they are known to be late

Change: a node notes which ranges changed hands without a handover, learns how much longer their requests take than others, and refuses at once what would miss its objective; one in 5 s is sent to see whether that still holds. What such requests take no longer counts as the server's speed.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -68,7 +68,9 @@
 	// copy of the store is.
 	rights  *warmup.Rights
 	copyAge CopyAge
-	ending  *ending.Ending
+	// cold holds what is known of ranges that came without a handover, by service.
+	cold   map[string]*coldRanges
+	ending *ending.Ending
 }
 
 // CopyAge returns how long ago the store surely had nothing newer than this node's copy;
@@ -86,7 +88,8 @@
 type waiter struct {
 	request  *Request
 	excluded map[discovery.ServerID]bool
-	// chosen receives the server, which is already counted as busy with it.
+	// chosen receives the server, which is already counted as busy with it, or nil if
+	// there is no use in waiting any more.
 	chosen chan *server
 }
 
@@ -102,6 +105,7 @@
 		budgets: make(map[string]*budget),
 		moving:  make(map[movingRange]time.Time),
 		samples: make(map[string]*samples),
+		cold:    make(map[string]*coldRanges),
 		nodes:   1,
 		rights:  warmup.NewRights(options.Node),
 		copyAge: func() (time.Duration, bool) { return 0, true },
@@ -137,6 +141,7 @@
 	if current.Same != (view.Parts{Table: true, Servers: true, Nodes: true, Evacuations: true}) {
 		d.updateServers(current)
 	}
+	d.followColdRanges(time.Now(), current)
 	for service := range d.waiting {
 		d.pump(service)
 	}
@@ -245,6 +250,10 @@
 	now := time.Now()
 	kept := queue[:0]
 	for _, w := range queue {
+		if _, hopeless := d.keyHopeless(now, w.request); hopeless {
+			w.chosen <- nil
+			continue
+		}
 		chosen := d.choose(now, w.request, w.excluded)
 		if chosen == nil {
 			kept = append(kept, w)
@@ -350,10 +359,17 @@
 }
 
 // finish takes in how an attempt ended and lets the next request have its place.
-func (d *Dispatcher) finish(s *server, took, objective time.Duration, answered bool) {
+func (d *Dispatcher) finish(request *Request, s *server, cold bool, took time.Duration, answered bool) {
+	objective := request.Route.Objective
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	s.outstanding--
+	d.coldOf(request.Service).observe(took, cold, answered)
+	if cold {
+		// How long it took says nothing about the server.
+		d.pump(s.Service)
+		return
+	}
 	if answered {
 		s.succeeded(took, objective)
 	} else {
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -162,6 +162,7 @@
 // send sends a request to one server.
 func (d *Dispatcher) send(ctx context.Context, request *Request, s *server, limit time.Time) (*upstream.Answer, attempt, error) {
 	startedAt := time.Now()
+	cold := d.toColdRange(startedAt, request)
 	outgoing := d.outgoing(request, s, limit)
 	answer, err := s.pool.Exchange(ctx, outgoing)
 	took := time.Since(startedAt)
@@ -169,14 +170,14 @@
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			d.fault(s, err)
 		}
-		d.finish(s, took, request.Route.Objective, false)
+		d.finish(request, s, cold, took, false)
 		if errors.Is(err, upstream.ErrNotSent) {
 			return nil, notSent, err
 		}
 		return nil, failedOver, err
 	}
 	outcome, err := d.judge(request, answer)
-	d.finish(s, took, request.Route.Objective, outcome == answered)
+	d.finish(request, s, cold, took, outcome == answered)
 	if outcome == rejected {
 		d.rejected(request, s, answer)
 	}
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -20,6 +20,9 @@
 	if _, warms := d.ownerWarms(now, request); warms {
 		return limit, false
 	}
+	if _, hopeless := d.keyHopeless(now, request); hopeless {
+		return limit, false
+	}
 	left := time.Duration(safePart*float64(objective)) - now.Sub(request.ArrivedAt)
 	ahead, places, answer := d.backlog(request)
 	if places == 0 {
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -30,6 +30,9 @@
 	ReasonNodeStops
 	// ReasonOwnerWarming: the key's owner warms up and bears only a few requests.
 	ReasonOwnerWarming
+	// ReasonKeyWarming: the key's owner got it without a handover, and its answers would
+	// be late.
+	ReasonKeyWarming
 	reasonCount
 )
 
@@ -37,7 +40,7 @@
 func (r Reason) String() string {
 	names := [reasonCount]string{
 		"no owner", "owner gone", "owner failing", "moving", "owner busy",
-		"no server", "server refused", "unreachable", "node stops", "owner warming",
+		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming",
 	}
 	if r < 0 || r >= reasonCount {
 		return "unknown"
@@ -53,12 +56,21 @@
 	if _, stops := d.ending.At(); stops {
 		reason, detail = ReasonNodeStops, "the node stops; "+detail
 	}
-	after := comeBack()
-	if reason == ReasonOwnerWarming {
-		left, _ := d.ownerWarms(time.Now(), request)
-		after += max(0, left)
+	return &Refusal{Reason: reason, Detail: detail, RetryAfter: comeBack() + d.waitFor(reason, request)}
+}
+
+// waitFor is how long what a request was refused for is known to last. The caller holds
+// the mutex.
+func (d *Dispatcher) waitFor(reason Reason, request *Request) time.Duration {
+	now := time.Now()
+	left := time.Duration(0)
+	switch reason {
+	case ReasonOwnerWarming:
+		left, _ = d.ownerWarms(now, request)
+	case ReasonKeyWarming:
+		left, _ = d.keyHopeless(now, request)
 	}
-	return &Refusal{Reason: reason, Detail: detail, RetryAfter: after}
+	return max(0, left)
 }
 
 // refusalBy returns the refusal of a request whose last attempt surely did not run it.
@@ -94,6 +106,9 @@
 	if left, warms := d.ownerWarms(now, request); warms {
 		return ReasonOwnerWarming, fmt.Sprintf("owner %s warms up for %v", owner.Owner, left.Round(time.Millisecond))
 	}
+	if left, hopeless := d.keyHopeless(now, request); hopeless {
+		return ReasonKeyWarming, fmt.Sprintf("key came to owner %s without a handover, slow for %v", owner.Owner, left.Round(time.Millisecond))
+	}
 	if until, held := d.moving[movingRange{request.Service, owner.Fence, owner.Last}]; held && now.Before(until) {
 		return ReasonMoving, fmt.Sprintf("key is moving from %s", owner.Owner)
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -51,6 +51,9 @@
 	// requests a second it bears meanwhile; 0 means that nothing is said of that.
 	WarmUp     time.Duration
 	WarmUpRate float64
+	// KeyWarmUp is for how long keys are slow at an owner that got them without the
+	// handover of the one before.
+	KeyWarmUp time.Duration
 }
 
 // Limits bound what a client may send and how long it may idle.
