--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -33,9 +33,8 @@
 	}
 	var best *server
 	bestCost := math.Inf(1)
-	for _, candidate := range current.Services[request.Service] {
-		s := d.servers[candidate.ID]
-		if s == nil || excluded[candidate.ID] || !s.usable(now, 0) {
+	for _, s := range d.candidates(now, current, request.Service) {
+		if excluded[s.id] || !s.usable(now, 0) {
 			continue
 		}
 		may, bounded := d.maySend(now, current, s)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/ending"
+	"github.com/micahaven/micahaven/internal/rendezvous"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
 	"github.com/micahaven/micahaven/internal/warmup"
@@ -141,6 +142,9 @@
 	if current.Same != (view.Parts{Table: true, Servers: true, Nodes: true, Evacuations: true}) {
 		d.updateServers(current)
 	}
+	if !current.Same.Servers || !current.Same.Nodes || !current.Same.Evacuations {
+		d.chooseSubsets(time.Now(), current)
+	}
 	d.followColdRanges(time.Now(), current)
 	for service := range d.waiting {
 		d.pump(service)
@@ -154,7 +158,9 @@
 		for _, seen := range servers {
 			known := d.servers[seen.ID]
 			if known == nil {
-				known = &server{id: seen.ID, pool: upstream.NewPool(seen.Address)}
+				known = &server{
+					id: seen.ID, pool: upstream.NewPool(seen.Address), rank: rendezvous.Score(d.options.Node, string(seen.ID)),
+				}
 				d.servers[seen.ID] = known
 			}
 			known.Server = seen
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -45,8 +45,8 @@
 	if !divided {
 		sum, count := 0.0, 0
 		now := time.Now()
-		for _, candidate := range current.Services[request.Service] {
-			if s := d.servers[candidate.ID]; s != nil && s.reachable(now, 0) && now.After(s.blockedUntil) {
+		for _, s := range d.candidates(now, current, request.Service) {
+			if s.reachable(now, 0) && now.After(s.blockedUntil) {
 				if _, bounded := d.warming(now, current, s); bounded {
 					continue
 				}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -25,6 +25,10 @@
 	outstanding int
 	// limit is how many requests this node has at the server at a time.
 	limit float64
+	// rank is how much this node prefers the server to others, and preferred whether it
+	// is one of those to which the node sends if its service is undivided.
+	rank      uint64
+	preferred bool
 	// evacuated is true while nothing is to be sent to the server's zone, and
 	// evacuatedSince when that was first seen.
 	evacuated      bool
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -19,10 +19,10 @@
 package warmup
 
 import (
-	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/micahaven/micahaven/internal/rendezvous"
 )
 
 const (
@@ -174,50 +174,15 @@
 // senders returns the nodes that may send to a server: of the server's zone if there are
 // any there, because bodies are dear between zones.
 func (r *Rights) senders(server Server) []string {
-	near := make([]Node, 0, len(r.nodes))
+	var near, all []string
 	for _, node := range r.nodes {
+		all = append(all, node.Name)
 		if node.Zone == server.Zone {
-			near = append(near, node)
+			near = append(near, node.Name)
 		}
 	}
 	if len(near) == 0 {
-		near = r.nodes
-	}
-	return highest(server.ID, near, server.Rate.senders())
-}
-
-// highest returns the nodes with the greatest hash of a server's and their own name.
-func highest(server string, nodes []Node, count int) []string {
-	type scored struct {
-		name  string
-		score uint64
-	}
-	scores := make([]scored, 0, len(nodes))
-	for _, node := range nodes {
-		scores = append(scores, scored{node.Name, hash(server, node.Name)})
+		near = all
 	}
-	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	names := make([]string, 0, count)
-	for _, s := range scores[:min(count, len(scores))] {
-		names = append(names, s.name)
-	}
-	return names
-}
-
-func hash(server, node string) uint64 {
-	sum := fnv.New64a()
-	// Writing to a hash never fails.
-	_, _ = sum.Write([]byte(server))
-	_, _ = sum.Write([]byte{0})
-	_, _ = sum.Write([]byte(node))
-	return mix(sum.Sum64())
-}
-
-// mix spreads the bits of a hash whose last bytes hardly reach the highest bits.
-func mix(value uint64) uint64 {
-	value ^= value >> 33
-	value *= 0xff51afd7ed558ccd
-	value ^= value >> 33
-	value *= 0xc4ceb9fe1a85ec53
-	return value ^ value>>33
+	return rendezvous.Highest(server.ID, near, server.Rate.senders())
 }
