A server that fails requests at once is avoided

The owner of a key, which nobody can stand in for, gets the next request all the same.

Ruled out: health checks (these servers say that they are well).

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -111,6 +111,7 @@
 	}
 	// A server with free slots takes another request without making it wait.
 	cost := latency * (1 + float64(s.outstanding)/float64(max(1, s.Slots)))
+	cost *= 1 + failureCost*s.failing.now(now)
 	if s.Zone != d.options.Zone {
 		cost *= otherZoneCost
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -364,24 +364,51 @@
 	return d.abandon(w)
 }
 
+// result is what an attempt tells about its server.
+type result int
+
+const (
+	// noResult: the server did not answer in time, or did not take the request.
+	noResult result = iota
+	// serverFailed: it answered with a failure of its own, or not properly.
+	serverFailed
+	// serverAnswered: it served the request.
+	serverAnswered
+)
+
+// sending is one attempt: how long it took, and whether its range was cold.
+type sending struct {
+	took time.Duration
+	cold bool
+}
+
 // finish takes in how an attempt ended and lets the next request have its place.
-func (d *Dispatcher) finish(request *Request, s *server, cold bool, took time.Duration, answered bool) {
-	objective := request.Route.Objective
+func (d *Dispatcher) finish(now time.Time, request *Request, s *server, sent sending, ended result) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	s.outstanding--
-	d.coldOf(request.Service).observe(took, cold, answered)
-	if cold {
+	defer d.pump(s.Service)
+	d.coldOf(request.Service).observe(sent.took, sent.cold, ended == serverAnswered)
+	if sent.cold {
 		// How long it took says nothing about the server.
-		d.pump(s.Service)
 		return
 	}
-	if answered {
-		s.succeeded(took, objective)
-	} else {
-		s.gaveUp(took)
+	s.failing.observe(now, ended != serverAnswered)
+	switch {
+	case ended == serverAnswered, ended == serverFailed && d.divided(request):
+		s.succeeded(sent.took, request.Route.Objective)
+	case ended == serverFailed:
+		s.failed(now)
+	default:
+		s.gaveUp(sent.took)
 	}
-	d.pump(s.Service)
+}
+
+// divided reports whether a request's keys are divided among servers. The caller holds
+// the mutex.
+func (d *Dispatcher) divided(request *Request) bool {
+	_, divided := d.owners(d.views.Current(), request)
+	return divided
 }
 
 // fault takes in that a server did not answer or could not be reached.
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -170,14 +170,14 @@
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			d.fault(s, err)
 		}
-		d.finish(request, s, cold, took, false)
+		d.finish(time.Now(), request, s, sending{took, cold}, noResult)
 		if errors.Is(err, upstream.ErrNotSent) {
 			return nil, notSent, err
 		}
 		return nil, failedOver, err
 	}
 	outcome, err := d.judge(request, answer)
-	d.finish(request, s, cold, took, outcome == answered)
+	d.finish(time.Now(), request, s, sending{took, cold}, resultOf(outcome, answer))
 	if outcome == rejected {
 		d.rejected(request, s, answer)
 	}
@@ -191,6 +191,19 @@
 	return answer, outcome, err
 }
 
+// resultOf says what an answer tells about its server. A server that ran out of time was
+// slow, which is another matter than a failure.
+func resultOf(outcome attempt, answer *upstream.Answer) result {
+	switch {
+	case outcome == rejected, answer.Status == statusGatewayTimeout:
+		return noResult
+	case outcome == failedOver, answer.Status >= 500:
+		return serverFailed
+	default:
+		return serverAnswered
+	}
+}
+
 func (d *Dispatcher) outgoing(request *Request, s *server, limit time.Time) *upstream.Request {
 	fields := make([]upstream.Field, 0, len(request.Fields)+2)
 	fields = append(fields, request.Fields...)
@@ -221,7 +234,10 @@
 	return unsafeSilence
 }
 
-const statusMisdirected = 421
+const (
+	statusMisdirected    = 421
+	statusGatewayTimeout = 504
+)
 
 // judge says what a server's answer means.
 func (d *Dispatcher) judge(request *Request, answer *upstream.Answer) (attempt, error) {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -37,6 +37,8 @@
 	places int
 	// latency is the moving mean of the answers' times, in seconds.
 	latency float64
+	// failing is the share of its last requests that it failed.
+	failing failureShare
 	// failures counts failures in a row; blockedUntil follows from them.
 	failures int
 	// refusals counts connections in a row that the server refused.
@@ -113,6 +115,7 @@
 // up much of the objective this node sends less at a time, otherwise more.
 func (s *server) adapt(took, objective time.Duration) {
 	most := float64(max(1, s.Slots))
+	s.beginLimit()
 	if took.Seconds() > crowded*objective.Seconds() && s.latency > crowded*objective.Seconds() {
 		s.limit = max(1, s.limit-limitCut)
 		return
@@ -120,11 +123,16 @@
 	s.limit = min(most, s.limit+limitStep)
 }
 
-// capacity is how many requests this node has at the server at a time.
-func (s *server) capacity() int {
+// beginLimit sets the limit to begin with.
+func (s *server) beginLimit() {
 	if s.limit == 0 {
 		s.limit = float64(min(max(1, s.Slots), firstLimit))
 	}
+}
+
+// capacity is how many requests this node has at the server at a time.
+func (s *server) capacity() int {
+	s.beginLimit()
 	if s.places > 0 {
 		return min(int(s.limit), s.places)
 	}
