After a loss of power nodes list the store at once where it bears that

Change: the record of the heads says how many nodes there are; if all of them together list the store in an eighth of a second of its reads, a node that finds no copy within 80 ms lists it (79 nodes x 6 pages of 6,000 reads; not 295 x 22 of 16,000).

--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -47,6 +47,15 @@
 	// them: that is sooner than a copy of a node that has to start too. With 70 keys
 	// copies cost worth on twins, with 1,000 they spare 20 calls a node.
 	fewKeys = 200
+	// listPart is the part of a second's reads that a start of all nodes may take: then
+	// each node that finds no copy at once lists the store. If all have lost power, a copy
+	// comes only after the heads are back, which cost 0.5 to 1 s on the users' shifted
+	// deployment, and a list takes 30 ms.
+	listPart = 1.0 / 8
+	// keysPerPage is how many keys a page of a list has on the users' platform.
+	keysPerPage = 50
+	// quickAsk is for how long a copy is looked for then.
+	quickAsk = 80 * time.Millisecond
 	// askPause is the pause between two rounds of questions.
 	askPause = 30 * time.Millisecond
 	// copyTries is how many nodes are asked for a copy while the node runs.
@@ -177,6 +186,8 @@
 	record *headsRecord
 	// firstStart is true if no record of the heads can be there yet.
 	firstStart bool
+	// readsPerSecond is how many reads the store takes from all nodes; 0 if not known.
+	readsPerSecond float64
 }
 
 // Copy implements mirror.Copies. A node that knows others asks a few of them. One that
@@ -198,6 +209,11 @@
 	if record.GetKeys() <= fewKeys || slices.ContainsFunc(heads, t.isSelf) {
 		return mirror.Copy{}, false
 	}
+	if t.listsAreCheap(record) {
+		bounded, cancel := context.WithTimeout(ctx, quickAsk)
+		defer cancel()
+		return t.ask(bounded, heads, atLeast, copyTries)
+	}
 	patience := startPatience + time.Duration(rand.Int64N(int64(startSpread)))
 	for giveUpAt := time.Now().Add(patience); time.Now().Before(giveUpAt) && ctx.Err() == nil; {
 		if copied, found := t.ask(ctx, heads, atLeast, maxReceivers); found {
@@ -208,6 +224,12 @@
 	return mirror.Copy{}, false
 }
 
+// listsAreCheap reports whether the store bears it that all nodes list it together.
+func (t copyTaker) listsAreCheap(record *wire.HeadsRecord) bool {
+	pages := (record.GetKeys() + keysPerPage - 1) / keysPerPage
+	return record.GetNodes() > 0 && float64(pages*record.GetNodes()) <= listPart*t.readsPerSecond
+}
+
 func (t copyTaker) isSelf(node *wire.NodeAddress) bool { return node.GetAddress() == t.self.Address }
 
 // ask asks some nodes, and those that they name, for a copy.
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -140,6 +140,51 @@
 	}
 }
 
+// Seen on the users' shifted deployment: after a loss of power nodes waited 0.5 to 1 s for
+// a copy from heads that had to start as well, with 284 keys to list.
+func TestNodeListsTheStoreAtOnceIfTheStoreBearsIt(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		nodes uint32
+		reads float64
+		cheap bool
+	}{
+		{"79 nodes, 6,000 reads", 79, 6000, true},
+		{"295 nodes, 6,000 reads", 295, 6000, false},
+		{"reads not known", 79, 0, false},
+		{"nodes not known", 0, 6000, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			taker := copyTaker{readsPerSecond: test.reads}
+			if got := taker.listsAreCheap(&wire.HeadsRecord{Keys: 284, Nodes: test.nodes}); got != test.cheap {
+				t.Errorf("cheap: %v, want %v", got, test.cheap)
+			}
+		})
+	}
+	const keys = 500
+	store := storeWith(keys)
+	started := newCopyNode(t, store, "started")
+	started.mirror.TakeFrom(copyTaker{
+		peers: started.peers, record: &headsRecord{store: store, feed: started.feed, mirror: started.mirror, logger: zap.NewNop()}, readsPerSecond: 10000,
+	})
+	// A head that takes connections and never answers.
+	head, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer head.Close()
+	value, err := proto.Marshal(&wire.HeadsRecord{Keys: keys, Nodes: 79, Heads: []*wire.NodeAddress{{Address: head.Addr().String()}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Write(view.HeadsKey, value)
+	startedAt := time.Now()
+	started.run(t)
+	if took := time.Since(startedAt); took > startPatience {
+		t.Errorf("the copy came after %v, want at once", took)
+	}
+}
+
 // A node gives no more copies than its link bears; who comes later is told who has one.
 func TestGiverNamesOthersOnceItGaveEnough(t *testing.T) {
 	head := newCopyNode(t, storeWith(1), "head")
--- a/internal/router/headsrecord.go
+++ b/internal/router/headsrecord.go
@@ -27,6 +27,8 @@
 	store  topo.Store
 	feed   *changeFeed
 	mirror *mirror.Mirror
+	// nodes returns how many nodes are registered.
+	nodes  func() int
 	logger *zap.Logger
 
 	seen, written []feed.Member
@@ -66,7 +68,7 @@
 	if !settled || slices.Equal(heads, r.written) {
 		return
 	}
-	record := &wire.HeadsRecord{Keys: uint32(r.mirror.Size())}
+	record := &wire.HeadsRecord{Keys: uint32(r.mirror.Size()), Nodes: uint32(r.nodes())}
 	for _, head := range heads {
 		record.Heads = append(record.Heads, &wire.NodeAddress{Address: head.Address, Zone: head.Zone})
 	}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -113,8 +113,8 @@
 		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
 	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes, linkBytes: settings.linkBytes()}
-	n.record = &headsRecord{store: platform.Store, feed: changes, mirror: n.mirror, logger: logger}
-	n.mirror.TakeFrom(copyTaker{peers: n.peers, record: n.record, firstStart: settings.FirstStart})
+	n.record = &headsRecord{store: platform.Store, feed: changes, mirror: n.mirror, nodes: n.peers.nodes, logger: logger}
+	n.mirror.TakeFrom(copyTaker{peers: n.peers, record: n.record, firstStart: settings.FirstStart, readsPerSecond: settings.Store.ReadsPerSecond})
 	n.peers.setSeeds(settings.Seeds)
 	options := shards.DefaultOptions()
 	options.Hold = min(options.Hold, time.Duration(settings.MaxHoldMillis)*time.Millisecond)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -30,6 +30,9 @@
 	Seeds []string `yaml:"seeds"`
 	Store struct {
 		Address string `yaml:"address"`
+		// ReadsPerSecond is how many reads the store takes from all nodes together; 0 or
+		// left out: not known.
+		ReadsPerSecond float64 `yaml:"reads_per_second"`
 	} `yaml:"store"`
 	// DrainMillis is how long after a server was announced as leaving it may
 	// still get requests.
@@ -122,6 +125,7 @@
 		{"evacuation_millis", float64(s.EvacuationMillis), 0, 600000},
 		{"warm_up.over", s.WarmUp.Over, 0, 1000},
 		{"warm_up.slack", s.WarmUp.Slack, 0, 1e6},
+		{"store.reads_per_second", s.Store.ReadsPerSecond, 0, 1e9},
 		{"retry.ratio", s.Retry.Ratio, 0, 10},
 		{"retry.slack", s.Retry.Slack, 0, 1e9},
 		{"retry.window_seconds", s.Retry.WindowSeconds, 0.1, 3600},
