--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -15,6 +15,16 @@
 	Draining
 )
 
+// Load is what a server tells of its load with an answer.
+type Load struct {
+	// Running and Waiting are how many requests it works on and how many wait there.
+	Running, Waiting int
+	// Slots is how many requests it works on at a time.
+	Slots int
+	// Slowness is how many times longer than usual its work takes at the moment.
+	Slowness float64
+}
+
 // Server is one life of a server as it registered itself.
 type Server struct {
 	ID      ServerID
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -43,9 +43,10 @@
 		const maxConnections = 110
 		d := newDispatcher(maxConnections, nodes)
 		s := d.servers["a"]
-		s.limit = 4
-		together := s.capacity() * nodes
-		if together > maxConnections && s.capacity() > 1 {
+		now := time.Now()
+		s.limit.set(now, 4)
+		together := s.capacity(now) * nodes
+		if together > maxConnections && s.capacity(now) > 1 {
 			t.Errorf("%d nodes use up to %d connections, allowed: %d", nodes, together, maxConnections)
 		}
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -47,6 +48,9 @@
 	Signature   string
 	Target      string
 	NotExecuted string
+	// Load reads what a server tells of its load in an answer, if it does; nil if no
+	// server does.
+	Load func(answer http.Header) (discovery.Load, bool)
 }
 
 // Dispatcher sends requests to the servers of the current view. It is safe for
@@ -376,10 +380,12 @@
 	serverAnswered
 )
 
-// sending is one attempt: how long it took, and whether its range was cold.
+// sending is one attempt: how long it took, whether its range was cold, and what the
+// server told of its load, if it did.
 type sending struct {
 	took time.Duration
 	cold bool
+	load *discovery.Load
 }
 
 // finish takes in how an attempt ended and lets the next request have its place.
@@ -396,11 +402,11 @@
 	s.failing.observe(now, ended != serverAnswered)
 	switch {
 	case ended == serverAnswered, ended == serverFailed && d.divided(request):
-		s.succeeded(sent.took, request.Route.Objective)
+		s.succeeded(now, sent.took, request.Route.Objective, sent.load)
 	case ended == serverFailed:
 		s.failed(now)
 	default:
-		s.gaveUp(sent.took)
+		s.gaveUp(now, sent)
 	}
 }
 
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -170,14 +170,14 @@
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			d.fault(s, err)
 		}
-		d.finish(time.Now(), request, s, sending{took, cold}, noResult)
+		d.finish(time.Now(), request, s, sending{took: took, cold: cold}, noResult)
 		if errors.Is(err, upstream.ErrNotSent) {
 			return nil, notSent, err
 		}
 		return nil, failedOver, err
 	}
 	outcome, err := d.judge(request, answer)
-	d.finish(time.Now(), request, s, sending{took, cold}, resultOf(outcome, answer))
+	d.finish(time.Now(), request, s, sending{took: took, cold: cold, load: d.loadIn(answer)}, resultOf(outcome, answer))
 	if outcome == rejected {
 		d.rejected(request, s, answer)
 	}
@@ -191,6 +191,18 @@
 	return answer, outcome, err
 }
 
+// loadIn returns what a server told of its load in an answer, or nil.
+func (d *Dispatcher) loadIn(answer *upstream.Answer) *discovery.Load {
+	if d.headers.Load == nil {
+		return nil
+	}
+	load, told := d.headers.Load(answer.Header)
+	if !told {
+		return nil
+	}
+	return &load
+}
+
 // resultOf says what an answer tells about its server. A server that ran out of time was
 // slow, which is another matter than a failure.
 func resultOf(outcome attempt, answer *upstream.Answer) result {
--- a/internal/dispatch/ending_queue_test.go
+++ b/internal/dispatch/ending_queue_test.go
@@ -69,7 +69,7 @@
 		writer.Header().Set("Signature", "signed")
 	})
 	a := d.servers["a"]
-	a.limit, a.outstanding, a.latency = 1, 1, 0.001
+	a.limit, a.outstanding, a.latency = limit{value: 1}, 1, 0.001
 	results := make(chan error, 2)
 	queue := func(request *Request, waiting int) {
 		request.ID = ""
--- a/internal/dispatch/notsent_test.go
+++ b/internal/dispatch/notsent_test.go
@@ -108,7 +108,7 @@
 	if full.failures != 0 || longest < maxFullPause {
 		t.Errorf("%d failures, longest pause %v, want none and %v", full.failures, longest, maxFullPause)
 	}
-	full.succeeded(time.Millisecond, time.Second)
+	full.succeeded(time.Now(), time.Millisecond, time.Second, nil)
 	if full.refusals != 0 || !full.blockedUntil.IsZero() {
 		t.Error("an answer does not end the pause")
 	}
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -25,10 +25,10 @@
 	}
 	left := time.Duration(safePart*float64(objective)) - now.Sub(request.ArrivedAt)
 	ahead, places, answer := d.backlog(request)
-	if places == 0 {
+	if places <= 0 {
 		return earlier(limit, now.Add(time.Duration(minPatience*float64(objective)))), true
 	}
-	wait := float64(ahead+1) / float64(places) * answer
+	wait := float64(ahead+1) / places * answer
 	if time.Duration((wait+answer)*float64(time.Second)) > left && ahead > 0 {
 		return limit, false
 	}
@@ -39,18 +39,18 @@
 // backlog returns how many requests wait before this one for the same servers,
 // how many requests this node may have at those servers at a time, and how long
 // their answers take in seconds.
-func (d *Dispatcher) backlog(request *Request) (ahead, places int, answer float64) {
+func (d *Dispatcher) backlog(request *Request) (ahead int, places, answer float64) {
+	now := time.Now()
 	current := d.views.Current()
 	owners, divided := d.owners(current, request)
 	if !divided {
 		sum, count := 0.0, 0
-		now := time.Now()
 		for _, s := range d.candidates(now, current, request.Service) {
 			if s.reachable(now, 0) && now.After(s.blockedUntil) {
 				if _, bounded := d.warming(now, current, s); bounded {
 					continue
 				}
-				places += s.capacity()
+				places += s.throughput(now)
 				sum += s.expected()
 				count++
 			}
@@ -67,5 +67,5 @@
 			ahead++
 		}
 	}
-	return ahead, s.capacity(), s.expected()
+	return ahead, s.throughput(now), s.expected()
 }
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -113,7 +113,7 @@
 		return ReasonMoving, fmt.Sprintf("key is moving from %s", owner.Owner)
 	}
 	return ReasonOwnerBusy, fmt.Sprintf("owner %s is busy: %d of %d, answers take %.0f ms",
-		owner.Owner, s.outstanding, s.capacity(), s.expected()*millisPerSecond)
+		owner.Owner, s.outstanding, s.capacity(now), s.expected()*millisPerSecond)
 }
 
 const millisPerSecond = 1000
@@ -137,7 +137,7 @@
 			blocked++
 		case !may:
 			warmingUp++
-		case s.outstanding >= s.capacity():
+		case s.outstanding >= s.capacity(now):
 			busy++
 		}
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -24,7 +24,7 @@
 	pool        *upstream.Pool
 	outstanding int
 	// limit is how many requests this node has at the server at a time.
-	limit float64
+	limit limit
 	// rank is how much this node prefers the server to others, and preferred whether it
 	// is one of those to which the node sends if its service is undivided.
 	rank      uint64
@@ -49,8 +49,8 @@
 	busy     time.Duration
 }
 
-func (s *server) succeeded(took, objective time.Duration) {
-	s.adapt(took, objective)
+func (s *server) succeeded(now time.Time, took, objective time.Duration, load *discovery.Load) {
+	s.adapt(now, took, objective, load)
 	s.failures, s.refusals = 0, 0
 	s.blockedUntil = time.Time{}
 	s.observe(took)
@@ -69,9 +69,17 @@
 
 // gaveUp takes in that an answer did not come within some time. That says
 // something only if the server usually answers sooner.
-func (s *server) gaveUp(took time.Duration) {
-	if took.Seconds() > s.expected() {
-		s.observe(took)
+func (s *server) gaveUp(now time.Time, sent sending) {
+	slow := sent.took.Seconds() > s.expected()
+	if slow {
+		s.observe(sent.took)
+	}
+	switch {
+	case sent.load != nil:
+		s.limit.tell(now, sent.took, *sent.load)
+	case slow && s.limit.told:
+		// What does not fit into its queue a server may leave without an answer.
+		s.limit.cut(now, sent.took, s.Slots, mostCut)
 	}
 }
 
@@ -98,45 +106,33 @@
 	s.blockedUntil = now.Add(min(backoff, maxBackoff))
 }
 
-const (
-	// crowded is the part of the objective above which answers show that the
-	// server has too many requests waiting.
-	crowded = 0.5
-	// limitStep is how much one answer raises the limit; a crowded one lowers it
-	// by limitCut.
-	limitStep = 0.1
-	limitCut  = 0.5
-	// firstLimit is the limit to begin with: with one, a request that hangs would
-	// hold up all others of this node.
-	firstLimit = 2
-)
-
-// adapt follows the server's queue, which all nodes share: with answers that use
-// up much of the objective this node sends less at a time, otherwise more.
-func (s *server) adapt(took, objective time.Duration) {
-	most := float64(max(1, s.Slots))
-	s.beginLimit()
-	if took.Seconds() > crowded*objective.Seconds() && s.latency > crowded*objective.Seconds() {
-		s.limit = max(1, s.limit-limitCut)
+// adapt follows the server's queue, which all nodes share.
+func (s *server) adapt(now time.Time, took, objective time.Duration, load *discovery.Load) {
+	if load != nil {
+		s.limit.tell(now, took, *load)
 		return
 	}
-	s.limit = min(most, s.limit+limitStep)
+	slow := crowded * objective.Seconds()
+	s.limit.guess(now, s.Slots, took.Seconds() > slow && s.latency > slow)
 }
 
-// beginLimit sets the limit to begin with.
-func (s *server) beginLimit() {
-	if s.limit == 0 {
-		s.limit = float64(min(max(1, s.Slots), firstLimit))
+// capacity is how many requests this node has at the server at a time.
+func (s *server) capacity(now time.Time) int {
+	allowed := s.limit.requests(now, s.Slots)
+	if s.places > 0 {
+		return min(allowed, s.places)
 	}
+	return allowed
 }
 
-// capacity is how many requests this node has at the server at a time.
-func (s *server) capacity() int {
-	s.beginLimit()
+// throughput is how many requests this node has at the server on average if there are
+// always some to send.
+func (s *server) throughput(now time.Time) float64 {
+	allowed := s.limit.now(now, s.Slots)
 	if s.places > 0 {
-		return min(int(s.limit), s.places)
+		return min(allowed, float64(s.places))
 	}
-	return int(s.limit)
+	return allowed
 }
 
 // expected is how long an answer of the server takes, in seconds.
@@ -151,7 +147,7 @@
 // entry is missing is used a little longer, because entries may lapse while the
 // store is down and come back.
 func (s *server) usable(now time.Time, leaveGrace time.Duration) bool {
-	if now.Before(s.blockedUntil) || s.outstanding >= s.capacity() {
+	if now.Before(s.blockedUntil) || s.outstanding >= s.capacity(now) {
 		return false
 	}
 	return s.reachable(now, leaveGrace)
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
@@ -38,6 +39,8 @@
 	NotExecuted string
 	// Key is the request's key.
 	Key string
+	// Load reads what a server tells of its load in an answer, if it does.
+	Load func(answer http.Header) (discovery.Load, bool)
 }
 
 const (
