Soak: zones are evacuated, servers come cold and turn cold; what reaches them is checked

The stand-in servers are in three zones and tell when they are cold; the sum at a cold server over all processes and what reaches an evacuated zone after its bound are checked.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -15,8 +15,13 @@
 	// slack is what a busy machine may add to what is seen from outside.
 	configBound = 2 * time.Second
 	drainBound  = 2 * time.Second
-	seenSlack   = 300 * time.Millisecond
-	watchPause  = 100 * time.Millisecond
+	// evacuationBound is within what time an evacuated zone must get no more requests.
+	evacuationBound = 3 * time.Second
+	// coldNotice is how long after it turned cold a server may be taken for warm: its
+	// entry has to reach the nodes.
+	coldNotice = 700 * time.Millisecond
+	seenSlack  = 300 * time.Millisecond
+	watchPause = 100 * time.Millisecond
 	// overlapLimit is for how long two servers may both hold a key.
 	overlapLimit = 500 * time.Millisecond
 )
@@ -60,6 +65,10 @@
 	left := s.world.leftAt()
 	stable := s.world.storeStable()
 	for _, arrival := range s.world.ledger.TakeArrivals() {
+		s.checkCold(arrival)
+		if stable {
+			s.checkEvacuated(arrival)
+		}
 		at, leaving := left[arrival.Server]
 		if !leaving || arrival.At.Sub(at) < drainBound+seenSlack || !stable {
 			continue
@@ -70,6 +79,48 @@
 	}
 }
 
+// checkEvacuated looks for requests that reached an evacuated zone too late.
+func (s *soak) checkEvacuated(arrival standin.Arrival) {
+	at := s.world.server(arrival.Server)
+	if at == nil {
+		return
+	}
+	since := s.world.evacuatedSince(at, arrival.At)
+	if since.IsZero() || arrival.At.Sub(since) < evacuationBound+seenSlack {
+		return
+	}
+	if n := s.nodeOf(arrival.Request); n != nil && n.InTouch() {
+		s.breach("request %s reached %s %v after zone %s was evacuated", arrival.Request, arrival.Server, arrival.At.Sub(since), at.Zone)
+	}
+}
+
+// checkCold looks for cold servers that get more requests within a second than they bear,
+// from all nodes, in touch or not.
+func (s *soak) checkCold(arrival standin.Arrival) {
+	at := s.world.server(arrival.Server)
+	if at == nil || !s.world.coldAt(at, arrival.At) || len(s.world.ledger.Runs(arrival.Request)) == 0 {
+		return
+	}
+	const most = standin.WarmUpRate*standin.WarmUpOver + standin.WarmUpSlack
+	if count := s.cold.add(arrival); float64(count) > most {
+		s.breach("cold server %s got %d requests within a second, %g allowed", arrival.Server, count, most)
+	}
+}
+
+// lastSecond counts what reached each server within the last second.
+type lastSecond map[string][]time.Time
+
+// add takes in an arrival and returns how many there were at its server within a second.
+// Arrivals come in the order of their times.
+func (l lastSecond) add(arrival standin.Arrival) int {
+	times := append(l[arrival.Server], arrival.At)
+	for arrival.At.Sub(times[0]) >= time.Second {
+		times = times[1:]
+	}
+	l[arrival.Server] = times
+	return len(times)
+}
+
 // nodeOf returns the node that a request was sent to; its name begins the id.
 func (s *soak) nodeOf(request string) *Node {
 	name, _, _ := strings.Cut(request, "-")
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -136,6 +136,25 @@
 		slow.SetFaults(standin.Faults{Work: slowWork})
 		return func() { slow.SetFaults(standin.Faults{Work: serverWork}) }
 	}},
+	// A zone that is evacuated in a short round leaves few servers; the checks are about
+	// what reaches them, not about what is served.
+	{"zone is evacuated", func(s *soak, random *rand.Rand) func() {
+		return s.world.evacuate(zoneName(random.IntN(zones)))
+	}},
+	{"cold server comes", func(s *soak, random *rand.Rand) func() {
+		service := []string{standin.DividedService, standin.PlainService}[random.IntN(2)]
+		s.replace(service)
+		if joined := s.world.newest(); joined != nil {
+			s.world.turnCold(joined)
+		}
+		return func() {}
+	}},
+	{"server turns cold", func(s *soak, random *rand.Rand) func() {
+		if turned := s.world.pick(random, standin.PlainService); turned != nil {
+			s.world.turnCold(turned)
+		}
+		return func() {}
+	}},
 	{"grants are carried out late", func(s *soak, random *rand.Rand) func() {
 		late := s.server(random)
 		if late == nil {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/platform/standin"
 )
 
 // contactTime is for how long a node must have been undisturbed before it is bound
@@ -61,6 +63,8 @@
 store: {address: %q}
 drain_millis: %d
 grace_millis: %d
+evacuation_millis: %d
+warm_up: {over: %g, slack: %g}
 retry: {ratio: 0.2, slack: %d, window_seconds: 10}
 max_hold_millis: 10000
 memory_megabytes: 256
@@ -91,7 +95,8 @@
 // writeSettings replaces the settings file in one step.
 func (n *Node) writeSettings(values changeable) error {
 	text := fmt.Sprintf(settingsText, n.Name, n.index%3, n.Clients, n.Ready, n.inner, n.link.Address,
-		values.drain.Milliseconds(), grace.Milliseconds(), values.retrySlack)
+		values.drain.Milliseconds(), grace.Milliseconds(), evacuationBound.Milliseconds(),
+		standin.WarmUpOver, standin.WarmUpSlack, values.retrySlack)
 	next := n.settings() + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -89,6 +89,8 @@
 	history faultHistory
 	stalls  stallWatch
 	started time.Time
+	// cold counts the requests at cold servers. Only watch uses it.
+	cold lastSecond
 
 	mutex    sync.Mutex
 	breaches []string
@@ -101,7 +103,7 @@
 		return nil, err
 	}
 	defer world.close()
-	s := &soak{options: options, world: world, started: time.Now()}
+	s := &soak{options: options, world: world, started: time.Now(), cold: make(lastSecond)}
 	defer s.stopNodes()
 	for index := range options.Nodes {
 		n, err := NewNode(options.Router, options.Folder, index, world.store.Address)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -26,6 +26,15 @@
 	link *Link
 	// leftAt is when the store acknowledged that the server leaves; zero if not.
 	leftAt time.Time
+	// cold are the times in which the server was cold.
+	cold []span
+}
+
+// span is a time from one moment to another; until is zero while it lasts.
+type span struct{ from, until time.Time }
+
+func (s span) contains(at time.Time) bool {
+	return !at.Before(s.from) && (s.until.IsZero() || at.Before(s.until))
 }
 
 // world holds the store, the servers and the operator's configuration.
@@ -42,11 +51,13 @@
 	configuredAt   time.Time
 	faults         memory.Faults
 	storeDisturbed time.Time
+	// evacuated holds the times in which zones were evacuated.
+	evacuated map[string][]span
 }
 
 // newWorld starts a store and as many servers as a number of nodes needs.
 func newWorld(nodes int) (*world, error) {
-	w := &world{store: standin.NewStore(), ledger: standin.NewLedger()}
+	w := &world{store: standin.NewStore(), ledger: standin.NewLedger(), evacuated: make(map[string][]span)}
 	w.configure()
 	divided, plain := max(dividedServers, nodes/nodesPerServer), max(plainServers, nodes/nodesPerServer)
 	for index := range divided + plain {
@@ -68,6 +79,7 @@
 	w.mutex.Lock()
 	w.started++
 	id := fmt.Sprintf("s%d", w.started)
+	zone := zoneName(w.started)
 	w.mutex.Unlock()
 	proxy := func(address string) string {
 		link, failed = NewLink(address)
@@ -76,7 +88,7 @@
 		}
 		return link.Address
 	}
-	started := &server{Server: standin.NewServer(w.store, w.ledger, id, service, proxy)}
+	started := &server{Server: standin.NewServerIn(w.store, w.ledger, zone, id, service, proxy)}
 	if failed != nil {
 		return failed
 	}
@@ -88,6 +100,93 @@
 	return nil
 }
 
+// zones is how many zones nodes and servers are in.
+const zones = 3
+
+func zoneName(index int) string { return fmt.Sprintf("z%d", index%zones) }
+
+// newest returns the server that was started last.
+func (w *world) newest() *server {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.servers) == 0 {
+		return nil
+	}
+	return w.servers[len(w.servers)-1]
+}
+
+// turnCold makes a server cold.
+func (w *world) turnCold(s *server) {
+	w.mutex.Lock()
+	s.cold = append(s.cold, span{from: time.Now().Add(coldNotice), until: time.Now().Add(standin.WarmUp)})
+	w.mutex.Unlock()
+	s.TurnCold()
+}
+
+// evacuate asks to send nothing to a zone until the function that it returns is called;
+// its servers are cold then.
+func (w *world) evacuate(zone string) (end func()) {
+	standin.Evacuate(w.store, zone)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.evacuated[zone] = append(w.evacuated[zone], span{from: time.Now()})
+	return func() {
+		for _, s := range w.inZone(zone) {
+			w.turnCold(s)
+		}
+		w.mutex.Lock()
+		last := len(w.evacuated[zone]) - 1
+		w.evacuated[zone][last].until = time.Now()
+		w.mutex.Unlock()
+		standin.EndEvacuation(w.store, zone)
+	}
+}
+
+func (w *world) inZone(zone string) []*server {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var found []*server
+	for _, s := range w.servers {
+		if s.Zone == zone && !s.Dead() {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// server returns the server with an id, or nil.
+func (w *world) server(id string) *server {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, s := range w.servers {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// evacuatedSince returns since when a server's zone was evacuated at a moment; zero if it
+// was not.
+func (w *world) evacuatedSince(s *server, at time.Time) time.Time {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, times := range w.evacuated[s.Zone] {
+		if times.contains(at) {
+			return times.from
+		}
+	}
+	return time.Time{}
+}
+
+// coldAt reports whether a server was cold at a moment, and long enough for all nodes to
+// know.
+func (w *world) coldAt(s *server, at time.Time) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.ContainsFunc(s.cold, func(times span) bool { return times.contains(at) })
+}
+
 // live returns the servers of a service that neither ended nor leave.
 func (w *world) live(service string) []*server {
 	w.mutex.Lock()
