--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -191,31 +191,6 @@
 	return answer, outcome, err
 }
 
-// loadIn returns what a server told of its load in an answer, or nil.
-func (d *Dispatcher) loadIn(answer *upstream.Answer) *discovery.Load {
-	if d.headers.Load == nil {
-		return nil
-	}
-	load, told := d.headers.Load(answer.Header)
-	if !told {
-		return nil
-	}
-	return &load
-}
-
-// resultOf says what an answer tells about its server. A server that ran out of time was
-// slow, which is another matter than a failure.
-func resultOf(outcome attempt, answer *upstream.Answer) result {
-	switch {
-	case outcome == rejected, answer.Status == statusGatewayTimeout:
-		return noResult
-	case outcome == failedOver, answer.Status >= 500:
-		return serverFailed
-	default:
-		return serverAnswered
-	}
-}
-
 func (d *Dispatcher) outgoing(request *Request, s *server, limit time.Time) *upstream.Request {
 	fields := make([]upstream.Field, 0, len(request.Fields)+2)
 	fields = append(fields, request.Fields...)
--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+)
+
+// waiter is a request that waits for a server.
+type waiter struct {
+	request  *Request
+	excluded map[discovery.ServerID]bool
+	// chosen receives the server, which is already counted as busy with it, or nil if
+	// there is no use in waiting any more.
+	chosen chan *server
+}
+
+// pump gives free servers to waiting requests, the most urgent first. The caller
+// holds the mutex.
+func (d *Dispatcher) pump(service string) {
+	queue := d.waiting[service]
+	if len(queue) == 0 {
+		return
+	}
+	now := time.Now()
+	kept := queue[:0]
+	for _, w := range queue {
+		if _, hopeless := d.keyHopeless(now, w.request); hopeless {
+			w.chosen <- nil
+			continue
+		}
+		chosen := d.choose(now, w.request, w.excluded)
+		if chosen == nil {
+			kept = append(kept, w)
+			continue
+		}
+		d.occupy(now, chosen)
+		w.chosen <- chosen
+	}
+	if len(kept) == 0 {
+		delete(d.waiting, service)
+		return
+	}
+	d.waiting[service] = kept
+}
+
+// enqueue adds a waiter behind those that are as urgent. The caller holds the
+// mutex.
+func (d *Dispatcher) enqueue(w *waiter) {
+	queue := d.waiting[w.request.Service]
+	at := len(queue)
+	for at > 0 && queue[at-1].request.Route.Priority > w.request.Route.Priority {
+		at--
+	}
+	queue = append(queue, nil)
+	copy(queue[at+1:], queue[at:])
+	queue[at] = w
+	d.waiting[w.request.Service] = queue
+}
+
+// abandon removes a waiter. It returns the server that the waiter was given in
+// the meantime, if any.
+func (d *Dispatcher) abandon(w *waiter) *server {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	queue := d.waiting[w.request.Service]
+	for index, other := range queue {
+		if other == w {
+			d.waiting[w.request.Service] = append(queue[:index], queue[index+1:]...)
+			return nil
+		}
+	}
+	select {
+	case given := <-w.chosen:
+		return given
+	default:
+		return nil
+	}
+}
+
+// acquire returns a server for the request, waiting until its limit. It returns nil
+// if there is none by then, if its answer would come too late for a node that stops,
+// or if the context ends.
+func (d *Dispatcher) acquire(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool) *server {
+	chosen := d.await(ctx, request, excluded, d.limit(request))
+	if chosen == nil {
+		return nil
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	// The node may have been told to stop while the request waited.
+	now, limit := time.Now(), d.limit(request)
+	for chosen != nil && d.tooLate(now, request, chosen, limit) {
+		chosen.outstanding--
+		d.pump(chosen.Service)
+		if excluded[chosen.id] {
+			// It is the only one for the request's key.
+			return nil
+		}
+		excluded[chosen.id] = true
+		if chosen = d.choose(now, request, excluded); chosen != nil {
+			d.occupy(now, chosen)
+		}
+	}
+	return chosen
+}
+
+// await waits for a server until limit or the end of the context.
+func (d *Dispatcher) await(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool, limit time.Time) *server {
+	d.mutex.Lock()
+	now := time.Now()
+	if chosen := d.choose(now, request, excluded); chosen != nil {
+		d.occupy(now, chosen)
+		d.mutex.Unlock()
+		return chosen
+	}
+	limit, worthwhile := d.patience(request, limit)
+	if !worthwhile {
+		d.mutex.Unlock()
+		return nil
+	}
+	w := &waiter{request: request, excluded: excluded, chosen: make(chan *server, 1)}
+	d.enqueue(w)
+	d.mutex.Unlock()
+	timer := time.NewTimer(time.Until(limit))
+	defer timer.Stop()
+	select {
+	case chosen := <-w.chosen:
+		return chosen
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return d.abandon(w)
+}
