--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -168,7 +168,7 @@
 	took := time.Since(startedAt)
 	if err != nil {
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			d.fault(request, s, err)
+			d.fault(s, err)
 		}
 		d.finish(time.Now(), request, s, sending{took: took, cold: cold}, noResult)
 		if errors.Is(err, upstream.ErrNotSent) {
--- a/internal/dispatch/notsent_test.go
+++ b/internal/dispatch/notsent_test.go
@@ -98,7 +98,7 @@
 	longest := time.Duration(0)
 	for refusals := range 8 {
 		before := time.Now()
-		d.fault(&Request{Route: plainRoute()}, full, errors.Mark(upstream.ErrTurnedAway, upstream.ErrNotSent))
+		d.fault(full, errors.Mark(upstream.ErrTurnedAway, upstream.ErrNotSent))
 		pause := full.blockedUntil.Sub(before)
 		if pause < longest || pause > maxFullPause+time.Second {
 			t.Errorf("passed over for %v after %d refusals, %v before that", pause, refusals+1, longest)
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -59,7 +59,7 @@
 }
 
 // fault takes in that a server did not answer or could not be reached.
-func (d *Dispatcher) fault(request *Request, s *server, cause error) {
+func (d *Dispatcher) fault(s *server, cause error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if errors.Is(cause, upstream.ErrTurnedAway) {
@@ -70,11 +70,6 @@
 		// The connection was lost, not the server.
 		return
 	}
-	if s.limit.told && !errors.Is(cause, upstream.ErrNotSent) && d.divided(request) {
-		// The server is there, and nobody can stand in for it. If it has too many requests,
-		// the limit follows.
-		return
-	}
 	s.failed(time.Now())
 }
 
