Owners that fell silent do not make cold ranges look slow

Change: what is given up counts only if the server answered within the last second; the looks of all nodes together are 16 a second, whatever their number. Test seen failing on the old code by its first half.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -74,7 +74,7 @@
 	if may, _ := d.maySend(now, current, s); !may {
 		return nil
 	}
-	if _, hopeless := d.keyHopeless(now, request); hopeless && !d.coldOf(request.Service).look(now) {
+	if _, hopeless := d.keyHopeless(now, request); hopeless && !d.coldOf(request.Service).look(now, d.nodes) {
 		return nil
 	}
 	if until, held := d.moving[movingRange{request.Service, owner.Fence, owner.Last}]; held && now.Before(until) {
--- a/internal/dispatch/coldranges.go
+++ b/internal/dispatch/coldranges.go
@@ -11,9 +11,13 @@
 	// coldGain is the weight of one request in the mean of how much longer requests for
 	// cold ranges take.
 	coldGain = 0.25
-	// coldLook is the pause between two requests for cold ranges that are sent although
-	// they are expected to be late, so that the node notices when they are not any more.
-	coldLook = 5 * time.Second
+	// coldLook, times the number of nodes, is the pause between two requests for cold
+	// ranges that a node sends although they are expected to be late, so that it notices
+	// when they are not any more. All nodes together send 16 of them a second.
+	coldLook = 60 * time.Millisecond
+	// aliveTime is for how long after an answer a server counts as alive: only then is a
+	// request that it did not answer in time a sign that its range is slow.
+	aliveTime = time.Second
 )
 
 // coldRanges knows which ranges of one service are cold, because their owner got them
@@ -62,7 +66,8 @@
 	return until, cold && now.Before(until)
 }
 
-// observe takes in how long a request took that was answered or given up.
+// observe takes in how long a request took that was answered, or given up although its
+// server answered others.
 func (c *coldRanges) observe(took time.Duration, cold, answered bool) {
 	seconds := took.Seconds()
 	if !cold {
@@ -95,8 +100,8 @@
 }
 
 // look reports whether a request is to be sent although it is hopeless.
-func (c *coldRanges) look(now time.Time) bool {
-	if now.Sub(c.lookedAt) < coldLook {
+func (c *coldRanges) look(now time.Time, nodes int) bool {
+	if now.Sub(c.lookedAt) < coldLook*time.Duration(nodes) {
 		return false
 	}
 	c.lookedAt = now
--- a/internal/dispatch/coldranges_test.go
+++ b/internal/dispatch/coldranges_test.go
@@ -121,3 +121,40 @@
 		t.Errorf("%q gets a request that can be answered in time, want the owner", got)
 	}
 }
+
+// Seen on tintamezcla-gw, trouble-1, 0.91 of the requests in time before and 0.87 after
+// nodes learned of cold ranges: owners that had fallen silent made them look slow, and
+// their keys were refused though requests took only twice the time.
+func TestSilentOwnersDoNotMakeColdRangesHopeless(t *testing.T) {
+	for _, alive := range []bool{false, true} {
+		w := newWarmUpWorld(t, 1, "divided z 0s")
+		w.own(t, "s0")
+		c := w.coldOf("divided")
+		c.warmSeconds = 0.16
+		now := time.Now()
+		s := w.servers["s0"]
+		if alive {
+			s.answeredAt = now
+		}
+		request := &Request{Service: "divided", HasKey: true, Route: plainRoute()}
+		for range 5 {
+			s.outstanding++
+			w.finish(now, request, s, sending{took: 1200 * time.Millisecond, cold: true}, noResult)
+		}
+		if got := c.hopeless(plainRoute().Objective); got != alive {
+			t.Errorf("alive: %v, hopeless: %v", alive, got)
+		}
+	}
+}
+
+// The more nodes there are, the more seldom each of them looks again.
+func TestNodesLookAtHopelessRangesInTurn(t *testing.T) {
+	now := time.Now()
+	c := &coldRanges{lookedAt: now}
+	if c.look(now.Add(time.Second), 79) {
+		t.Error("one of 79 nodes looks again after a second")
+	}
+	if !c.look(now.Add(time.Second), 8) {
+		t.Error("one of 8 nodes does not look again after a second")
+	}
+}
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -35,8 +35,14 @@
 	defer d.mutex.Unlock()
 	s.outstanding--
 	defer d.pump(s.Service)
-	d.coldOf(request.Service).observe(sent.took, sent.cold, ended == serverAnswered)
-	if sent.cold {
+	alive := ended != noResult || now.Sub(s.answeredAt) < aliveTime
+	if ended != noResult {
+		s.answeredAt = now
+	}
+	if alive {
+		d.coldOf(request.Service).observe(sent.took, sent.cold, ended == serverAnswered)
+	}
+	if sent.cold && alive {
 		// How long it took says nothing about the server.
 		return
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -37,6 +37,8 @@
 	places int
 	// latency is the moving mean of the answers' times, in seconds.
 	latency float64
+	// answeredAt is when it last answered a request; zero if it never did.
+	answeredAt time.Time
 	// failing is the share of its last requests that it failed.
 	failing failureShare
 	// failures counts failures in a row; blockedUntil follows from them.
