Requests on slow links are waited for; a connection is given up once what was sent later has arrived

A kept connection was given up when its request stayed unacknowledged for 0.2 of the objective. On a link of 10 Mbit/s that passes answers of 90 KB a request is 130 to 200 ms on its way, so good connections were ended, and a stopping node answered 502 to requests at which servers worked.

Change: the node compares. All its connections share its link, which keeps the order: only if something that was sent later (a request that was answered, a connection that came up) has arrived, and the request is unacknowledged still a check of 25 ms later, is its connection lost. Without such a sign a new connection to the server is tried, which then serves the repeat.

--- a/internal/dispatch/choose_test.go
+++ b/internal/dispatch/choose_test.go
@@ -30,7 +30,7 @@
 			own := d.servers["a"]
 			own.latency, own.outstanding = seconds*check.slower, check.outstanding
 			own.Server = &view.Server{Server: discovery.Server{ID: "a", Zone: "here", Slots: 4}}
-			other := &server{latency: seconds, pool: upstream.NewPool("127.0.0.1:1"), Server: &view.Server{Server: discovery.Server{ID: "b", Zone: "there", Slots: 4}}}
+			other := &server{latency: seconds, pool: upstream.NewPool("127.0.0.1:1", upstream.NewLink()), Server: &view.Server{Server: discovery.Server{ID: "b", Zone: "there", Slots: 4}}}
 			for range 100 {
 				now := time.Now()
 				if got := d.cost(now, own) < d.cost(now, other); got != check.wantOwn {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,6 +58,8 @@
 	headers Headers
 	views   *view.Builder
 	logger  *zap.Logger
+	// link is this machine's, over which all requests to servers go.
+	link *upstream.Link
 
 	mutex   sync.Mutex
 	options Options
@@ -95,6 +97,7 @@
 		options: options,
 		views:   views,
 		logger:  logger,
+		link:    upstream.NewLink(),
 		servers: make(map[discovery.ServerID]*server),
 		waiting: make(map[string][]*waiter),
 		budgets: make(map[string]*budget),
@@ -153,7 +156,7 @@
 			known := d.servers[seen.ID]
 			if known == nil {
 				known = &server{
-					id: seen.ID, pool: upstream.NewPool(seen.Address), rank: rendezvous.Score(d.options.Node, string(seen.ID)),
+					id: seen.ID, pool: upstream.NewPool(seen.Address, d.link), rank: rendezvous.Score(d.options.Node, string(seen.ID)),
 				}
 				d.servers[seen.ID] = known
 			}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -82,7 +83,8 @@
 	// Rest follows Body; nil if Body is everything.
 	Rest io.Reader
 	// Silence is how long the request may stay unacknowledged on a kept connection before
-	// that is given up; 0 means that it is waited for.
+	// it is compared with what was sent later, and the connection given up if that arrived;
+	// 0 means that it is waited for.
 	Silence time.Duration
 	// IDHeader and ID are how the server marks the answer to this request.
 	IDHeader, ID string
@@ -106,10 +108,16 @@
 	// unacknowledged returns how many bytes written to a connection its peer has not
 	// acknowledged.
 	unacknowledged func(net.Conn) (int, error)
+	// dial opens a connection to the server.
+	dial func(ctx context.Context, address string) (net.Conn, error)
+	link *Link
 
 	mutex  sync.Mutex
 	idle   []*connection
 	closed bool
+	// probing is true while a connection is being opened only to learn whether the path
+	// to the server works.
+	probing bool
 }
 
 type connection struct {
@@ -122,9 +130,13 @@
 	idleSince time.Time
 }
 
-// NewPool returns a pool for a server's address.
-func NewPool(address string) *Pool {
-	return &Pool{address: address, settleTime: settleTime, unacknowledged: sockets.Unacknowledged}
+// NewPool returns a pool for a server's address. Pools of one process share its link.
+func NewPool(address string, link *Link) *Pool {
+	return &Pool{address: address, settleTime: settleTime, unacknowledged: sockets.Unacknowledged, dial: dial, link: link}
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	return sockets.Dialer(dialTimeout, silenceLimit).DialContext(ctx, "tcp", address)
 }
 
 func settleTime(opening time.Duration) time.Duration { return min(opening, maxSettle) }
@@ -204,29 +216,38 @@
 	p.idle = append(p.idle, c)
 }
 
-// dropIdle ends all idle connections: one to the same server went silent, and connections
-// mostly do so together.
-func (p *Pool) dropIdle() {
+// dropIdle ends the connections that have been idle since before a moment: one to the
+// same server went silent then, and connections mostly do so together.
+func (p *Pool) dropIdle(before time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for _, c := range p.idle {
-		c.close()
-	}
-	p.idle = nil
+	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
+		drop := c.idleSince.Before(before)
+		if drop {
+			c.close()
+		}
+		return drop
+	})
 }
 
 func (p *Pool) open(ctx context.Context) (*connection, error) {
 	if c := p.take(); c != nil {
 		return c, nil
 	}
+	return p.openNew(ctx)
+}
+
+// openNew opens a connection although there may be idle ones.
+func (p *Pool) openNew(ctx context.Context) (*connection, error) {
 	startedAt := time.Now()
-	socket, err := sockets.Dialer(dialTimeout, silenceLimit).DialContext(ctx, "tcp", p.address)
+	socket, err := p.dial(ctx, p.address)
 	if errors.Is(err, syscall.ECONNRESET) {
 		err = errors.Mark(err, ErrTurnedAway)
 	}
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", p.address), ErrNotSent)
 	}
+	p.link.passed(startedAt)
 	periodic.Pause(ctx, p.settleTime(time.Since(startedAt)))
 	if !sockets.Quiet(socket) {
 		// It was ended by the server; there is nobody to tell.
@@ -248,10 +269,14 @@
 		undelivered.Store(c.undelivered())
 		c.abort()
 	})
-	silent := c.watchSilence(request)
+	silent := c.watchSilence(ctx, request)
+	wroteAt := time.Now()
 	answer, reusable, err := c.exchange(request)
+	if err == nil {
+		p.link.passed(wroteAt)
+	}
 	if silent() && err != nil {
-		p.dropIdle()
+		p.dropIdle(wroteAt)
 		err = errors.Mark(err, ErrSilent)
 	}
 	if !stop() && err == nil {
@@ -273,25 +298,6 @@
 	return answer, nil
 }
 
-// watchSilence gives a kept connection up if the request is not acknowledged for as long
-// as it may be. The function that it returns ends that and reports whether it happened.
-func (c *connection) watchSilence(request *Request) (ended func() bool) {
-	if !c.used || request.Silence <= 0 {
-		return func() bool { return false }
-	}
-	var silent atomic.Bool
-	timer := time.AfterFunc(request.Silence, func() {
-		if c.undelivered() {
-			silent.Store(true)
-			c.abort()
-		}
-	})
-	return func() bool {
-		timer.Stop()
-		return silent.Load()
-	}
-}
-
 // rest is the end of a long answer; its connection is not used again.
 type rest struct {
 	io.Reader
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -32,7 +32,7 @@
 			resets.Add(1)
 		}
 	}()
-	pool := NewPool(listener.Addr().String())
+	pool := NewPool(listener.Addr().String(), NewLink())
 	defer pool.Close()
 	const plays, pause = 50, time.Millisecond
 	for play := range int64(plays) {
@@ -73,7 +73,7 @@
 			time.AfterFunc(later, func() { _ = socket.Close() })
 		}
 	}()
-	pool := NewPool(listener.Addr().String())
+	pool := NewPool(listener.Addr().String(), NewLink())
 	defer pool.Close()
 	_, err = pool.Exchange(context.Background(), &Request{Method: http.MethodPost, URI: "/", Host: "h"})
 	if !errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrNotSent) {
