Ingress: a server that runs the requests of one connection side by side

Cause: net/http reads the next request of a connection only after the answer before it, and no longer notices that a client left once a second request lies in its buffer. Change: internal/ingress/pipeline reads ahead, runs repeatable requests beside each other and the others alone, answers in order, and watches clients also while it does not read.

--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -4,8 +4,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/micahaven/micahaven/internal/sockets"
 )
 
@@ -13,15 +16,18 @@
 // just before it is not cut off.
 const idleGrace = time.Second
 
+// errReadingStopped means that a connection reads nothing more by its own decision.
+var errReadingStopped = errors.New("reading was stopped")
+
 // ConnectionLimits ends clients' connections that are idle, or whose request
 // header does not end, for longer than limits that may change at any time.
 //
 // Invariant: a connection is never closed while a request that has arrived on it
 // waits to be read, or was read and is not served yet. It holds because reading
 // from a waiting connection and noting that it was read are one step under its
-// mutex, and so are looking for unread bytes and closing. net/http's own time-outs
-// and its Shutdown do not keep it: on a busy machine some time may pass between
-// the arrival of a request and the moment at which its connection is called active.
+// mutex, and so are looking for unread bytes and closing. Time-outs by the state of a
+// connection alone do not keep it: on a busy machine some time may pass between the
+// arrival of a request and the moment at which its connection is called active.
 type ConnectionLimits struct {
 	limits func() (idle, header time.Duration)
 
@@ -60,9 +66,11 @@
 	mutex  sync.Mutex
 	active bool
 	// reading is true once a byte of the next request was read; since is when that
-	// was, or else when the connection began to wait.
+	// was, or when the connection began to wait if that was later.
 	reading bool
 	since   time.Time
+	// stopped is true once nothing more is read.
+	stopped bool
 }
 
 // Read implements net.Conn.
@@ -70,25 +78,86 @@
 	return sockets.Read(c.Conn, into, func(read func() (int, error)) (int, error) {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
+		if c.stopped {
+			return 0, errReadingStopped
+		}
 		count, err := read()
-		if count > 0 && !c.active && !c.reading {
+		if count > 0 && !c.reading {
 			c.reading, c.since = true, time.Now()
 		}
 		return count, err
 	})
 }
 
-// wait notes that the connection waits for a request from now on.
+// CloseWrite tells the client that nothing more will come.
+func (c *limitedConnection) CloseWrite() error {
+	socket, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.New("not a TCP connection")
+	}
+	return errors.Wrap(socket.CloseWrite(), "end writing")
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *limitedConnection) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("connection has no descriptor")
+	}
+	raw, err := socket.SyscallConn()
+	return raw, errors.Wrap(err, "reach descriptor")
+}
+
+// SetLinger says for how long the kernel sends after the connection was closed.
+func (c *limitedConnection) SetLinger(seconds int) error {
+	socket, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.New("not a TCP connection")
+	}
+	return errors.Wrap(socket.SetLinger(seconds), "bound sending")
+}
+
+// wait notes that the connection waits for a request from now on, if it has not read part
+// of one already.
 func (c *limitedConnection) wait() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.active, c.reading, c.since = false, false, time.Now()
+	c.active, c.since = false, time.Now()
 }
 
+// begin notes that a request was read, and nothing behind it.
 func (c *limitedConnection) begin() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.active = true
+	c.active, c.reading = true, false
+}
+
+// Reading notes that bytes of a further request were read along with the last one.
+func (l *ConnectionLimits) Reading(connection net.Conn) {
+	limited, ok := connection.(*limitedConnection)
+	if !ok {
+		return
+	}
+	limited.mutex.Lock()
+	defer limited.mutex.Unlock()
+	limited.reading, limited.since = true, time.Now()
+}
+
+// StopReading makes a connection read nothing more, unless it has read part of a request
+// that has not begun. It reports whether it did. What the client sends from then on stays
+// unread, so that the client knows that it never ran.
+func (l *ConnectionLimits) StopReading(connection net.Conn) bool {
+	limited, ok := connection.(*limitedConnection)
+	if !ok {
+		return false
+	}
+	limited.mutex.Lock()
+	defer limited.mutex.Unlock()
+	if limited.reading {
+		return false
+	}
+	limited.stopped = true
+	return true
 }
 
 // closeIf closes a connection that waits if due agrees and no request has arrived.
@@ -104,7 +173,7 @@
 	return true
 }
 
-// Track follows the state of a connection. It is a http.Server's ConnState.
+// Track follows the state of a connection. It may be a http.Server's ConnState.
 func (l *ConnectionLimits) Track(connection net.Conn, state http.ConnState) {
 	limited, ok := connection.(*limitedConnection)
 	if !ok {
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -192,3 +192,41 @@
 	}
 	<-stop
 }
+
+// With requests that are read ahead, the next one may arrive while one is active; it must
+// not be forgotten when that one ends.
+func TestConnectionWithPartOfARequestReadWhileActiveIsKept(t *testing.T) {
+	limits := ingress.NewConnectionLimits(func() (idle, header time.Duration) { return time.Minute, time.Minute })
+	server, client := accepted(t, limits)
+	limits.Track(server, http.StateActive)
+	waitUnread(t, client, "GET / HTTP/1.1\r\n")
+	if _, err := server.Read(make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	limits.Track(server, http.StateIdle)
+	if left := limits.CloseIdle(); left != 1 || closed(client) {
+		t.Fatal("closed with part of a request read")
+	}
+	if limits.StopReading(server) {
+		t.Fatal("reading was stopped within a request")
+	}
+	limits.Track(server, http.StateActive)
+	limits.Reading(server)
+	limits.Track(server, http.StateIdle)
+	if left := limits.CloseIdle(); left != 1 || closed(client) {
+		t.Fatal("closed with part of a request read along with the one before")
+	}
+}
+
+func TestNothingIsReadOnceReadingWasStopped(t *testing.T) {
+	limits := ingress.NewConnectionLimits(func() (idle, header time.Duration) { return time.Minute, time.Minute })
+	server, client := accepted(t, limits)
+	limits.Track(server, http.StateActive)
+	if !limits.StopReading(server) {
+		t.Fatal("reading was not stopped")
+	}
+	waitUnread(t, client, "GET / HTTP/1.1\r\n\r\n")
+	if count, err := server.Read(make([]byte, 64)); count > 0 || err == nil {
+		t.Fatalf("%d bytes read, error %v", count, err)
+	}
+}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -17,6 +17,7 @@
 
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/ingress/pipeline"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
 )
@@ -102,11 +103,28 @@
 // Active returns how many requests are being served.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
+// SideBySide reports whether a request may run beside others of its connection: those of
+// routes that may be repeated. Callers count on the order of the others.
+func (h *Handler) SideBySide(incoming *http.Request) bool {
+	table := h.views.Current().Table
+	if table == nil {
+		return false
+	}
+	route := table.Match(incoming.Host, incoming.URL.Path)
+	return route != nil && route.Repeatable
+}
+
+// Waited logs how long the finished answer of a request waited for earlier ones of its
+// connection.
+func (h *Handler) Waited(incoming *http.Request, behind time.Duration) {
+	h.logger.Info("answer waited", zap.String("request", incoming.Header.Get(h.headers.RequestID)), zap.Duration("behind", behind))
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	arrivedAt := time.Now()
+	arrivedAt := pipeline.Arrival(writer)
 	h.closeIfDraining(writer)
 	table := h.views.Current().Table
 	if table == nil {
--- /dev/null
+++ b/internal/ingress/pipeline/metrics.go
@@ -0,0 +1,17 @@
+package pipeline
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+var behindSeconds = promauto.NewHistogram(prometheus.HistogramOpts{
+	Name:    "micahaven_ingress_behind_seconds",
+	Help:    "Time that a finished answer waited for an earlier answer of its connection.",
+	Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+})
+
+var givenUpTotal = promauto.NewCounter(prometheus.CounterOpts{
+	Name: "micahaven_ingress_given_up_total",
+	Help: "Connections that were reset because their client took nothing of an answer.",
+})
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/ingress"
+	"github.com/micahaven/micahaven/internal/ingress/pipeline"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/routerlog"
@@ -40,8 +41,12 @@
 }
 
 const (
-	gcPercent      = 50
-	memoryPart     = 0.8
+	gcPercent  = 50
+	memoryPart = 0.8
+	// heldPart is the part of the memory for requests that were read ahead and answers that
+	// wait behind others; the rest is for what runs, the copy of the store and garbage.
+	heldPart       = 0.125
+	heldInterval   = 10 * time.Second
 	headerTimeout  = 5 * time.Second
 	idlePrune      = time.Second
 	headerBytes    = 64 << 10
@@ -59,12 +64,13 @@
 	dispatcher   *dispatch.Dispatcher
 	handler      *ingress.Handler
 	connections  *ingress.ConnectionLimits
+	held         *pipeline.Held
 	managers     *managers
 	peers        *peers
 	registration *registration
 	record       *headsRecord
 	inner        *transport.Server
-	clients      *http.Server
+	clients      *pipeline.Server
 	ready        *http.Server
 	metrics      *http.Server
 	headers      ingress.Headers
@@ -101,6 +107,7 @@
 	n.mirror = mirror.New(platform.Store, n.views, logger)
 	n.handler = ingress.NewHandler(platform.Headers, n.views, n.dispatcher, logger)
 	n.connections = ingress.NewConnectionLimits(n.connectionLimits)
+	n.held = pipeline.NewHeld(int64(heldPart * float64(settings.MemoryMegabytes) * (1 << 20)))
 	hello := &wire.Hello{Node: self.Name, Zone: self.Zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
 	client := transport.NewClient(hello, nil)
 	changes := newChangeFeed(self, client, logger)
@@ -160,9 +167,9 @@
 		return errors.Wrap(err, "listen for nodes")
 	}
 	n.inner = transport.NewServer(hello, inner, nil, n.peers, n.logger)
-	n.clients = &http.Server{
-		Addr: n.settings.Listen.Clients, Handler: n.handler, ConnState: n.connections.Track,
-		MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(n.logger),
+	n.clients = &pipeline.Server{
+		Handler: n.handler, SideBySide: n.handler.SideBySide, Waited: n.handler.Waited,
+		Connections: n.connections, HeaderBytes: headerBytes, Held: n.held, Logger: n.logger,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, n.answerReady)
@@ -216,6 +223,7 @@
 	actor(func(ctx context.Context) error {
 		return periodic.Run(ctx, idlePrune, func(context.Context) { n.connections.Prune(time.Now()) })
 	})
+	actor(func(ctx context.Context) error { return periodic.Run(ctx, heldInterval, n.logHeld()) })
 	actor(n.peers.reportLoad)
 	actor(n.peers.exchangeState)
 	actor(func(ctx context.Context) error { return n.watchSignals(ctx, signals) })
@@ -234,9 +242,21 @@
 	return err
 }
 
+// logHeld returns what logs how much the node holds for its clients whenever the most of
+// it has grown.
+func (n *Node) logHeld() func(context.Context) {
+	logged := int64(0)
+	return func(context.Context) {
+		if peak := n.held.Peak(); peak > logged {
+			logged = peak
+			n.logger.Info("held for clients", zap.Int64("bytes", n.held.Now()), zap.Int64("most", peak))
+		}
+	}
+}
+
 // serveClients serves until the node stops, and then until it has drained.
 func (n *Node) serveClients() error {
-	listener, err := net.Listen("tcp", n.clients.Addr)
+	listener, err := net.Listen("tcp", n.settings.Listen.Clients)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -32,6 +32,26 @@
 	return err == nil && silent
 }
 
+// Left reports whether the peer of a connection has closed its side or the connection has
+// failed, also if bytes that the peer sent before lie unread.
+func Left(socket net.Conn) bool {
+	raw, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = control.Control(func(descriptor uintptr) {
+		asked := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
+		count, failed := unix.Poll(asked, 0)
+		left = failed == nil && count > 0
+	})
+	return err != nil || left
+}
+
 // Read reads from a connection as net.Conn's Read does, but calls around with what
 // makes one attempt that does not wait, so that the caller can hold a lock while
 // bytes are taken and not while they are waited for.
