Slow readers hold a bounded part of a node's memory; idle goroutines run further requests

Cause: the kernel took whole answers of 540 KB for each client that doesn't read, and nobody noticed.

--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -29,9 +29,15 @@
 	// watchInterval is how often a connection that isn't read is asked whether its client
 	// has left, so that servers learn of it well within half a second.
 	watchInterval = 100 * time.Millisecond
-	// stallLimit is how long a client may take nothing of an answer before its connection
-	// is reset. Links that are full for a moment recover within it.
-	stallLimit = 5 * time.Second
+	// streamStall is how long a client may take nothing of an answer that a server still
+	// sends, before its connection is reset; servers cut such answers off after some seconds.
+	// wholeStall is the same for an answer that the node holds whole: no server waits, and a
+	// link that is full for a while may recover.
+	streamStall = 5 * time.Second
+	wholeStall  = 15 * time.Second
+	// mostUnsent is how much of an answer the kernel takes that it can't send yet. Without a
+	// bound it takes megabytes for each client that doesn't read.
+	mostUnsent = 64 << 10
 	// lingerLimit is how long a connection that ends with unread bytes stays open, since
 	// closing it at once would take the last answer from the client. The bytes stay unread:
 	// the client may send again what was not read.
@@ -47,6 +53,7 @@
 	socket net.Conn
 	input  *limitedReader
 	reader *bufio.Reader
+	remote string
 	ctx    context.Context
 	cancel context.CancelFunc
 	// afterPost is true if the last request was a POST; only the reader uses it.
@@ -78,7 +85,7 @@
 }
 
 func newConnection(server *Server, socket net.Conn) *connection {
-	c := &connection{server: server, socket: socket, wake: make(chan struct{}, 1)}
+	c := &connection{server: server, socket: socket, remote: socket.RemoteAddr().String(), wake: make(chan struct{}, 1)}
 	c.input = &limitedReader{source: socket}
 	c.reader = bufio.NewReaderSize(c.input, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -273,7 +280,7 @@
 		}
 		if e.state == waiting {
 			e.state = running
-			go c.handle(e)
+			c.server.workers.run(e)
 		}
 		if index+1 < len(c.queue) && !e.mayRunBeside() {
 			return
@@ -404,10 +411,10 @@
 	e.cost, e.heldBytes = 0, 0
 }
 
-// write writes to the client, and gives it up if it takes nothing for too long.
-func (c *connection) write(content []byte) error {
+// write writes to the client, and gives it up if it takes nothing for some time.
+func (c *connection) write(content []byte, stall time.Duration) error {
 	for {
-		if err := c.socket.SetWriteDeadline(time.Now().Add(stallLimit)); err != nil {
+		if err := c.socket.SetWriteDeadline(time.Now().Add(stall)); err != nil {
 			return errors.Wrap(err, "set deadline")
 		}
 		count, err := c.socket.Write(content)
@@ -418,7 +425,7 @@
 			return errors.Wrap(err, "write answer")
 		}
 		if count == 0 {
-			c.giveUp()
+			c.giveUp(stall)
 			return errors.Wrap(err, "client takes nothing")
 		}
 		content = content[count:]
@@ -431,9 +438,9 @@
 }
 
 // giveUp notes that the client doesn't read.
-func (c *connection) giveUp() {
+func (c *connection) giveUp(stall time.Duration) {
 	givenUpTotal.Inc()
-	c.server.Logger.Warn("client given up, it takes nothing of its answer", zap.Stringer("client", c.socket.RemoteAddr()), zap.Duration("for", stallLimit))
+	c.server.Logger.Warn("client given up, it takes nothing of its answer", zap.String("client", c.remote), zap.Duration("for", stall))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.reset = true
--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	request.RemoteAddr = c.socket.RemoteAddr().String()
+	request.RemoteAddr = c.remote
 	return &exchange{
 		connection: c, request: request.WithContext(ctx), cancel: cancel, arrivedAt: arrivedAt,
 		header: make(http.Header), length: unknownLength, bodyRead: true, final: request.Close,
@@ -234,7 +234,7 @@
 	c := b.exchange.connection
 	if b.asks && !b.exchange.headWritten {
 		// The request runs alone, so that its turn has come.
-		if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), streamStall); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/ingress/pipeline/response.go
+++ b/internal/ingress/pipeline/response.go
@@ -189,7 +189,7 @@
 func (e *exchange) writeOut() bool {
 	if e.raw != "" {
 		// Nothing follows.
-		_ = e.connection.write([]byte(e.raw))
+		_ = e.connection.write([]byte(e.raw), wholeStall)
 		return false
 	}
 	if e.aborted {
@@ -229,7 +229,7 @@
 		if output.Len() == 0 {
 			return nil
 		}
-		return e.connection.write(output.Bytes())
+		return e.connection.write(output.Bytes(), e.stall(last))
 	}
 	held := e.held
 	e.held = nil
@@ -243,10 +243,10 @@
 			output.Write(part)
 			continue
 		}
-		if err := e.flushOutput(output); err != nil {
+		if err := e.flushOutput(output, e.stall(last)); err != nil {
 			return err
 		}
-		if err := e.connection.write(part); err != nil {
+		if err := e.connection.write(part, e.stall(last)); err != nil {
 			return err
 		}
 	}
@@ -256,14 +256,22 @@
 	if e.chunked && last {
 		output.WriteString("0\r\n\r\n")
 	}
-	return e.flushOutput(output)
+	return e.flushOutput(output, e.stall(last))
 }
 
-func (e *exchange) flushOutput(output *bytes.Buffer) error {
+// stall returns how long the client may take nothing.
+func (e *exchange) stall(last bool) time.Duration {
+	if last || e.written == e.length {
+		return wholeStall
+	}
+	return streamStall
+}
+
+func (e *exchange) flushOutput(output *bytes.Buffer, stall time.Duration) error {
 	if output.Len() == 0 {
 		return nil
 	}
-	err := e.connection.write(output.Bytes())
+	err := e.connection.write(output.Bytes(), stall)
 	output.Reset()
 	return err
 }
--- a/internal/ingress/pipeline/server.go
+++ b/internal/ingress/pipeline/server.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/sockets"
 )
 
 const (
@@ -55,6 +57,10 @@
 	Held   *Held
 	Logger *zap.Logger
 
+	// unbounded logs once that the kernel takes as much as it likes.
+	unbounded sync.Once
+	workers   workers
+
 	// mutex guards what follows. A connection's mutex is never taken with it held.
 	mutex     sync.Mutex
 	open      map[*connection]struct{}
@@ -108,6 +114,10 @@
 }
 
 func (s *Server) begin(socket net.Conn) {
+	if err := sockets.BoundUnsent(socket, mostUnsent); err != nil {
+		// It still works; the kernel takes more than it should.
+		s.unbounded.Do(func() { s.Logger.Warn("unsent bytes are not bounded", zap.Error(err)) })
+	}
 	c := newConnection(s, socket)
 	s.mutex.Lock()
 	if s.closed {
@@ -151,6 +161,7 @@
 // Close ends all connections at once.
 func (s *Server) Close() error {
 	err := s.closeListeners()
+	s.workers.close()
 	s.mutex.Lock()
 	open := make([]*connection, 0, len(s.open))
 	for c := range s.open {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -95,6 +95,27 @@
 	}
 }
 
+// BoundUnsent makes a connection take no more than some bytes that it can't send yet, so
+// that what a peer doesn't read stays with the writer and not in the kernel.
+func BoundUnsent(socket net.Conn, count int) error {
+	raw, ok := socket.(syscall.Conn)
+	if !ok {
+		return errors.New("connection has no descriptor")
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "reach descriptor")
+	}
+	var failed error
+	err = control.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, count)
+	})
+	if err != nil {
+		return errors.Wrap(err, "reach descriptor")
+	}
+	return errors.Wrap(failed, "bound unsent bytes")
+}
+
 // Unacknowledged returns how many bytes that were written to a connection its
 // peer has not acknowledged yet.
 func Unacknowledged(socket net.Conn) (int, error) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -60,8 +60,10 @@
 	defaultIdle = 8 * time.Second
 	idleMargin  = 1200 * time.Millisecond
 	bufferBytes = 4 << 10
-	// maxBufferedBody is how much of an answer is read before it is passed on.
-	maxBufferedBody = 256 << 10
+	// maxBufferedBody is how much of an answer is read before it is passed on. Most answers
+	// are shorter, and their servers are free at once; 200 callers that don't read their
+	// long answers hold 25 MB.
+	maxBufferedBody = 128 << 10
 	// maxSurplus is how many answers to other requests are skipped.
 	maxSurplus = 4
 	// concurrentBody is the size from which a body is sent while the answer is
