--- a/internal/ingress/pipeline/held.go
+++ b/internal/ingress/pipeline/held.go
@@ -20,7 +20,11 @@
 	now := h.now.Add(int64(count))
 	for {
 		peak := h.peak.Load()
-		if now <= peak || h.peak.CompareAndSwap(peak, now) {
+		if now <= peak {
+			return
+		}
+		if h.peak.CompareAndSwap(peak, now) {
+			heldPeak.Set(float64(now))
 			return
 		}
 	}
--- a/internal/ingress/pipeline/metrics.go
+++ b/internal/ingress/pipeline/metrics.go
@@ -15,3 +15,8 @@
 	Name: "micahaven_ingress_given_up_total",
 	Help: "Connections that were reset because their client took nothing of an answer.",
 })
+
+var heldPeak = promauto.NewGauge(prometheus.GaugeOpts{
+	Name: "micahaven_ingress_held_peak_bytes",
+	Help: "The most bytes of requests and waiting answers that were held for clients at once.",
+})
--- a/internal/ingress/pipeline/server_test.go
+++ b/internal/ingress/pipeline/server_test.go
@@ -381,6 +381,27 @@
 	c.expectEnd()
 }
 
+// A request of which some bytes were read when an answer asks for the end is not cut off:
+// its client could not know that it never ran.
+func TestAnswerThatClosesWaitsForARequestThatIsBeingRead(t *testing.T) {
+	s := serve(t, room())
+	open := s.shut("/safe/close")
+	c := s.dial(t)
+	c.ask("/safe/close")
+	wait(t, s.begun)
+	c.send("GET /unsafe/close HTTP/1.1\r\nHo")
+	quiet(t, s.begun)
+	open()
+	if response, body := c.read(); body != "/safe/close" || response.Close {
+		t.Fatalf("answer %q, closes: %t", body, response.Close)
+	}
+	c.send("st: h\r\n\r\n")
+	if response, body := c.read(); body != "/unsafe/close" || !response.Close {
+		t.Fatalf("answer %q, closes: %t", body, response.Close)
+	}
+	c.expectEnd()
+}
+
 func TestNothingRunsAfterAnAnswerThatCloses(t *testing.T) {
 	s := serve(t, room())
 	c := s.dial(t)
