Soak: some clients of planned work send reads together, and leave in the middle

Requests behind the answer that ends a connection may have been left unread; they are lost only if they reached a server.

--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -201,3 +201,51 @@
 		t.Errorf("a fault that was over is told: %q", told)
 	}
 }
+
+func TestRequestsOfClientsThatLeftMustNotReachServersLater(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		change  func(r *record, known *evidence)
+		arrives float64
+		late    bool
+	}{
+		{"soon", func(*record, *evidence) {}, 14.0, false},
+		{"late", func(*record, *evidence) {}, 14.2, true},
+		{"late, and the client had not left", func(r *record, _ *evidence) { r.end = expired }, 14.2, false},
+		{"late, and the soak itself did not run", func(_ *record, known *evidence) { known.stalled = time.Second }, 14.2, false},
+		{"late, and the node was frozen", func(_ *record, known *evidence) { known.events = with(freezeSignal, 13.0, "") }, 14.2, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := closedRecord()
+			r.end = left
+			known := evidence{events: stopEvents(), arrivals: []standin.Arrival{{Request: r.id, Server: "s1", At: at(test.arrives)}}}
+			test.change(r, &known)
+			if late := r.reachedLate(known); late != test.late {
+				t.Errorf("late %t, want %t", late, test.late)
+			}
+		})
+	}
+}
+
+func TestRequestsBehindTheEndOfAConnectionAreLostOnlyIfTheyReachedAServer(t *testing.T) {
+	r := closedRecord()
+	r.behindEnd = true
+	if r.lost(evidence{events: stopEvents()}) {
+		t.Error("lost, although it may have been left unread")
+	}
+	if !r.lost(evidence{events: stopEvents(), arrivals: []standin.Arrival{{Request: r.id, Server: "s1", At: at(11.31)}}}) {
+		t.Error("not lost, although a server saw it")
+	}
+}
+
+func TestOfRequestsSentTogetherTheLastAnswerAsksForAnotherConnection(t *testing.T) {
+	r := closedRecord()
+	r.end, r.followed = answered, true
+	if r.keepsStopping(stopEvents()) {
+		t.Error("an answer before the last one has to end the connection")
+	}
+	r.followed = false
+	if !r.keepsStopping(stopEvents()) {
+		t.Error("the last answer may keep the connection")
+	}
+}
--- a/internal/soak/plannedchecks.go
+++ b/internal/soak/plannedchecks.go
@@ -17,12 +17,14 @@
 			events: histories[r.node], arrivals: s.world.ledger.ArrivalsOf(r.id),
 			brokenOff: s.world.ledger.BrokenOff(r.id), stalled: s.stalls.between(r.sentAt, r.endedAt),
 		}
-		keeps := r.keepsStopping(known.events)
-		if r.end != closed && !keeps {
+		keeps, late := r.keepsStopping(known.events), r.reachedLate(known)
+		if r.end != closed && !keeps && !late {
 			continue
 		}
 		story := r.story(known.events, known.arrivals, s.history.during(r.beganAt, r.endedAt))
 		switch {
+		case late:
+			s.breach("seed %d: reached a server after its client had left: %s", s.options.Seed, story)
 		case keeps:
 			result.Kept++
 			s.breach("seed %d: the answer does not ask for another connection: %s", s.options.Seed, story)
--- a/internal/soak/pooledclients.go
+++ b/internal/soak/pooledclients.go
@@ -20,6 +20,8 @@
 	leaveShare = 0.4
 	earlyShare = 0.7
 	earlyLeave = 2 * serverWork
+	// mostTogether bounds the requests that pipelining clients send together.
+	mostTogether = 5
 )
 
 // habit is how a client behaves.
@@ -29,6 +31,8 @@
 	least, most time.Duration
 	slowly      bool
 	leaves      bool
+	// pipelines sends reads together, up to mostTogether.
+	pipelines bool
 	// longShare is the part of requests that are long reads.
 	longShare float64
 }
@@ -40,8 +44,10 @@
 	{name: "idle", least: 100 * time.Millisecond, most: 3 * time.Second, longShare: 0.5},
 	{name: "slow", most: 500 * time.Millisecond, slowly: true, longShare: 0.2},
 	{name: "idle", least: 500 * time.Millisecond, most: 2 * time.Second, longShare: 0.5},
+	{name: "pipelining", most: 500 * time.Millisecond, pipelines: true, longShare: 0.2},
 	{name: "leaving", most: 500 * time.Millisecond, leaves: true, longShare: 0.3},
 	{name: "idle", least: time.Second, most: 4 * time.Second, longShare: 0.7},
+	{name: "pipelining and leaving", most: 500 * time.Millisecond, pipelines: true, leaves: true, longShare: 0.3},
 }
 
 // pooledClients are clients that keep connections open and use them for as long as
@@ -146,18 +152,36 @@
 	// The node sees the end of the connection; there is nobody to tell.
 	defer func() { _ = connection.Close() }()
 	for !connection.ending && connection.idle(c.pause()) && ctx.Err() == nil {
-		r, err := connection.exchange(c.next(connection.node), c.random)
+		records, err := c.exchange(connection)
 		if err != nil {
 			c.all.fail(err)
 			return
 		}
-		c.all.add(r)
-		if r.end != answered && r.end != refused {
+		for _, r := range records {
+			c.all.add(r)
+		}
+		if last := records[len(records)-1]; last.end != answered && last.end != refused {
 			return
 		}
 	}
 }
 
+// exchange sends one request, or some together, and waits for their end.
+func (c *pooledClient) exchange(connection *rawConnection) ([]*record, error) {
+	first := c.next(connection.node)
+	if !c.habit.pipelines || !first.class.repeatable() {
+		r, err := connection.exchange(first, c.random)
+		return []*record{r}, err
+	}
+	batch := []*sending{first}
+	for count := 1 + c.random.IntN(mostTogether); len(batch) < count; {
+		if further := c.next(connection.node); further.class.repeatable() {
+			batch = append(batch, further)
+		}
+	}
+	return connection.pipeline(batch)
+}
+
 func (c *pooledClient) pause() time.Duration {
 	if c.habit.most == 0 {
 		return 0
--- a/internal/soak/rawconnection.go
+++ b/internal/soak/rawconnection.go
@@ -113,17 +113,67 @@
 		r.end, r.cause, r.endedAt = notSent, err, time.Now()
 		return r, nil
 	}
-	until := r.sentAt.Add(s.class.deadline + answerSlack)
-	if s.leaveAfter > 0 {
-		until = r.sentAt.Add(s.leaveAfter)
+	return r, c.await(s, r, s.class.deadline, s.leaveAfter)
+}
+
+// pipeline sends requests together and waits for the end of each. The client leaves as
+// the first of them says. Once an answer asks for another connection, the requests behind
+// it count as not sent, unless they are found to have reached a server.
+func (c *rawConnection) pipeline(batch []*sending) ([]*record, error) {
+	var content []byte
+	records := make([]*record, 0, len(batch))
+	for _, s := range batch {
+		c.requests++
+		records = append(records, &record{id: s.id, node: c.node, class: s.class, connection: c.number, position: c.requests, connectedAt: c.connectedAt})
+		bytes, _, err := s.bytes()
+		if err != nil {
+			return nil, err
+		}
+		content = append(content, bytes...)
+	}
+	var patience time.Duration
+	beganAt := time.Now()
+	_, err := c.Write(content)
+	sentAt := time.Now()
+	for index, r := range records {
+		r.beganAt, r.headSentAt, r.sentAt = beganAt, sentAt, sentAt
+		if err != nil {
+			r.end, r.cause, r.endedAt = notSent, errors.Wrap(err, "send request"), sentAt
+			continue
+		}
+		if index > 0 && (c.ending || (records[index-1].end != answered && records[index-1].end != refused)) {
+			before := records[index-1]
+			r.end, r.cause, r.endedAt, r.behindEnd = before.end, before.cause, time.Now(), true
+			if c.ending {
+				r.end = closed
+			}
+			continue
+		}
+		// An answer may wait for all that were asked for before it.
+		patience = max(patience, r.class.deadline)
+		if failed := c.await(batch[index], r, patience, batch[0].leaveAfter); failed != nil {
+			return nil, failed
+		}
+		r.followed = index+1 < len(records)
+	}
+	return records, nil
+}
+
+// await waits for the end of a request that was sent.
+func (c *rawConnection) await(s *sending, r *record, patience, leaveAfter time.Duration) error {
+	until := r.sentAt.Add(patience + answerSlack)
+	if leaveAfter > 0 {
+		until = r.sentAt.Add(leaveAfter)
 	}
 	if err := c.SetReadDeadline(until); err != nil {
-		return nil, errors.Wrap(err, "set deadline")
+		return errors.Wrap(err, "set deadline")
 	}
 	response, content, err := c.readAnswer(r, s.class.method)
 	r.endedAt = time.Now()
-	r.finish(s, response, content, err)
-	return r, nil
+	asked := *s
+	asked.leaveAfter = leaveAfter
+	r.finish(&asked, response, content, err)
+	return nil
 }
 
 // send sends a request and notes when its head and its last byte were out.
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -86,6 +86,9 @@
 	// headArrived says that the head of an answer came, and endsConnection that it
 	// asked for another connection.
 	headArrived, endsConnection bool
+	// followed says that another request was sent behind it before its answer came, and
+	// behindEnd that an earlier request's end was that of the connection.
+	followed, behindEnd bool
 	// cause is the error with which the connection ended.
 	cause error
 	// broken says what was wrong with an answer that looked like a success.
@@ -96,7 +99,7 @@
 func (r *record) outcome() outcome {
 	return outcome{
 		id: r.id, node: r.node, repeatable: r.class.repeatable(), status: r.status, broken: r.broken,
-		unjudged: r.end == left || r.end == notSent,
+		unjudged: r.end == left || r.end == notSent || r.behindEnd,
 	}
 }
 
