--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -91,7 +92,7 @@
 	request.RemoteAddr = c.remote
 	return &exchange{
 		connection: c, request: request.WithContext(ctx), cancel: cancel, arrivedAt: arrivedAt,
-		header: make(http.Header), length: unknownLength, bodyRead: true, final: request.Close,
+		header: make(http.Header), length: unknownLength, bodyRead: true, final: isFinal(request),
 	}, nil
 }
 
@@ -127,6 +128,21 @@
 	return nil
 }
 
+// isFinal reports whether a client wants its connection to end after a request. It takes
+// the header as loosely as net/http's server, since http.ReadRequest takes it strictly.
+func isFinal(request *http.Request) bool {
+	named := func(token string) bool {
+		parts := strings.FieldsFunc(request.Header.Get("Connection"), func(character rune) bool {
+			return character == ' ' || character == ',' || character == '\t'
+		})
+		return slices.ContainsFunc(parts, func(part string) bool { return strings.EqualFold(part, token) })
+	}
+	if request.ProtoAtLeast(1, 1) {
+		return request.Close || named("close")
+	}
+	return !named("keep-alive")
+}
+
 func expectsContinue(request *http.Request) bool {
 	for _, token := range strings.Split(strings.ToLower(request.Header.Get("Expect")), ",") {
 		if strings.TrimSpace(token) == "100-continue" {
--- a/internal/ingress/pipeline/response.go
+++ b/internal/ingress/pipeline/response.go
@@ -350,7 +350,7 @@
 		header["Content-Type"] = []string{http.DetectContentType(begin)}
 	}
 	e.chunked = modern && !bounded
-	e.closes = e.closes || request.Close || (!modern && !bounded)
+	e.closes = e.closes || e.final || (!modern && !bounded)
 	e.decideToClose()
 	delete(header, "Connection")
 	switch {
