--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -110,7 +110,7 @@
 		return &rejected{http.StatusHTTPVersionNotSupported, "unsupported protocol version"}
 	case request.ProtoAtLeast(1, 1) && request.Host == "" && request.Method != http.MethodConnect:
 		return &rejected{http.StatusBadRequest, "missing required Host header"}
-	case !validHost(request.Host):
+	case request.URL.Host == "" && !validHost(request.Host):
 		return &rejected{http.StatusBadRequest, "malformed Host header"}
 	}
 	for name, values := range request.Header {
