--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -17,6 +17,7 @@
 
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/ingress/pipeline"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
 )
@@ -102,11 +103,22 @@
 // Active returns how many requests are being served.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
+// SideBySide reports whether a request may run beside others of its connection: those of
+// routes that may be repeated. Callers count on the order of the others.
+func (h *Handler) SideBySide(incoming *http.Request) bool {
+	table := h.views.Current().Table
+	if table == nil {
+		return false
+	}
+	route := table.Match(incoming.Host, incoming.URL.Path)
+	return route != nil && route.Repeatable
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	arrivedAt := time.Now()
+	arrivedAt := pipeline.Arrival(writer)
 	h.closeIfDraining(writer)
 	table := h.views.Current().Table
 	if table == nil {
@@ -140,8 +152,11 @@
 	if errors.Is(err, dispatch.ErrCanceled) && h.ended.Load() {
 		err = errCutOff
 	}
-	h.log(request, trace, answer, err, table.Version())
-	requestSeconds.WithLabelValues(request.Service, outcomeOf(answer, err)).Observe(time.Since(arrivedAt).Seconds())
+	took := time.Since(arrivedAt)
+	pipeline.OnTurn(writer, func(behind time.Duration) {
+		h.log(request, trace, answer, err, table.Version(), took, behind)
+	})
+	requestSeconds.WithLabelValues(request.Service, outcomeOf(answer, err)).Observe(took.Seconds())
 	h.answer(writer, answer, err)
 }
 
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -32,6 +32,26 @@
 	return err == nil && silent
 }
 
+// Left reports whether the peer of a connection has closed its side or the connection has
+// failed, also if bytes that the peer sent before lie unread.
+func Left(socket net.Conn) bool {
+	raw, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = control.Control(func(descriptor uintptr) {
+		asked := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
+		count, failed := unix.Poll(asked, 0)
+		left = failed == nil && count > 0
+	})
+	return err != nil || left
+}
+
 // Read reads from a connection as net.Conn's Read does, but calls around with what
 // makes one attempt that does not wait, so that the caller can hold a lock while
 // bytes are taken and not while they are waited for.
@@ -75,6 +95,27 @@
 	}
 }
 
+// BoundUnsent makes a connection take no more than some bytes that it can't send yet, so
+// that what a peer doesn't read stays with the writer and not in the kernel.
+func BoundUnsent(socket net.Conn, count int) error {
+	raw, ok := socket.(syscall.Conn)
+	if !ok {
+		return errors.New("connection has no descriptor")
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "reach descriptor")
+	}
+	var failed error
+	err = control.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, count)
+	})
+	if err != nil {
+		return errors.Wrap(err, "reach descriptor")
+	}
+	return errors.Wrap(failed, "bound unsent bytes")
+}
+
 // Unacknowledged returns how many bytes that were written to a connection its
 // peer has not acknowledged yet.
 func Unacknowledged(socket net.Conn) (int, error) {
