--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -55,6 +55,7 @@
 type Handler struct {
 	headers    Headers
 	views      *view.Builder
+	first      *firstTable
 	dispatcher *dispatch.Dispatcher
 	logger     *zap.Logger
 	// hopByHop holds the headers that concern one connection or that the router
@@ -70,7 +71,7 @@
 
 // NewHandler returns a handler.
 func NewHandler(headers Headers, views *view.Builder, dispatcher *dispatch.Dispatcher, logger *zap.Logger) *Handler {
-	h := &Handler{headers: headers, views: views, dispatcher: dispatcher, logger: logger, hopByHop: make(map[string]bool)}
+	h := &Handler{headers: headers, views: views, first: newFirstTable(views), dispatcher: dispatcher, logger: logger, hopByHop: make(map[string]bool)}
 	for _, name := range []string{
 		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te",
 		"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", headers.Deadline, headers.Target,
@@ -108,7 +109,7 @@
 	defer h.active.Add(-1)
 	arrivedAt := time.Now()
 	h.closeIfDraining(writer)
-	table := h.views.Current().Table
+	table := h.first.await(incoming.Context(), h.startPatience(incoming.Header))
 	if table == nil {
 		refuse(writer, "no configuration is known yet", notReadyRetry)
 		return
@@ -127,8 +128,8 @@
 		Fields:  h.forwarded(incoming.Header),
 	}
 	request.Deadline = arrivedAt.Add(route.Timeout)
-	if wait, err := strconv.ParseFloat(incoming.Header.Get(h.headers.Deadline), 64); err == nil && wait >= 0 {
-		request.Deadline = arrivedAt.Add(time.Duration(wait * float64(time.Millisecond)))
+	if wait, known := h.clientDeadline(incoming.Header); known {
+		request.Deadline = arrivedAt.Add(wait)
 	}
 	if key, err := strconv.ParseUint(incoming.Header.Get(h.headers.Key), 10, 32); err == nil {
 		request.Key, request.HasKey = uint32(key), true
