--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -63,6 +63,8 @@
 	// was, or else when the connection began to wait.
 	reading bool
 	since   time.Time
+	// closing is true once the connection is to be closed: nothing is read from it then.
+	closing bool
 }
 
 // Read implements net.Conn.
@@ -70,6 +72,9 @@
 	return sockets.Read(c.Conn, into, func(read func() (int, error)) (int, error) {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
+		if c.closing {
+			return 0, net.ErrClosed
+		}
 		count, err := read()
 		if count > 0 && !c.active && !c.reading {
 			c.reading, c.since = true, time.Now()
@@ -92,15 +97,26 @@
 }
 
 // closeIf closes a connection that waits if due agrees and no request has arrived.
-// It reports whether it did.
+// It reports whether it did. The end of a connection waits for who reads from it, who
+// waits for the mutex, so that it is closed without the mutex.
 func (c *limitedConnection) closeIf(due func(since time.Time, reading bool) bool) bool {
+	if !c.decideClosing(due) {
+		return false
+	}
+	// The client sees the end of the connection; there is nobody to tell.
+	_ = c.Conn.Close()
+	return true
+}
+
+// decideClosing reports whether the connection is to be closed; nothing is read from it
+// any more then.
+func (c *limitedConnection) decideClosing(due func(since time.Time, reading bool) bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.active || !due(c.since, c.reading) || !sockets.Quiet(c.Conn) {
 		return false
 	}
-	// The client sees the end of the connection; there is nobody to tell.
-	_ = c.Conn.Close()
+	c.closing = true
 	return true
 }
 
