--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -55,15 +55,16 @@
 		}
 		writer.WriteHeader(answer.Status)
 		// A client that has left is noticed by the server's own reading.
-		_, _ = writer.Write(answer.Body)
+		_, _ = h.paced(writer, len(answer.Body), false).Write(answer.Body)
 		return
 	}
 	defer answer.Rest.Close()
 	writer.WriteHeader(answer.Status)
-	if _, err := writer.Write(answer.Body); err != nil {
+	body := h.paced(writer, len(answer.Body), true)
+	if _, err := body.Write(answer.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if _, err := io.Copy(writer, answer.Rest); err != nil {
+	if _, err := io.Copy(body, answer.Rest); err != nil {
 		// The rest is missing, and the client must see that.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -58,6 +58,8 @@
 	first      *firstTable
 	dispatcher *dispatch.Dispatcher
 	logger     *zap.Logger
+	// link paces large answers; nil if they are not paced.
+	link *answerLink
 	// hopByHop holds the headers that concern one connection or that the router
 	// sets itself.
 	hopByHop map[string]bool
@@ -111,6 +113,7 @@
 	h.closeIfDraining(writer)
 	table := h.first.await(incoming.Context(), h.startPatience(incoming.Header))
 	if table == nil {
+		startRefusalsTotal.Inc()
 		refuse(writer, "no configuration is known yet", notReadyRetry)
 		return
 	}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -15,3 +15,13 @@
 	Name: "micahaven_ingress_cut_off_total",
 	Help: "Requests that were cut off before their answer was written when the node ended.",
 })
+
+var pacedSeconds = promauto.NewCounter(prometheus.CounterOpts{
+	Name: "micahaven_ingress_paced_seconds_total",
+	Help: "Time that large answers waited so that others found the link free.",
+})
+
+var startRefusalsTotal = promauto.NewCounter(prometheus.CounterOpts{
+	Name: "micahaven_ingress_start_refusals_total",
+	Help: "Requests that were refused because no configuration was known in time after the node's start.",
+})
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -61,7 +61,8 @@
 	// left out. Nodes with more of it are preferred for duties.
 	ProcessorShare float64 `yaml:"processor_share"`
 	// LinkMegabits is what the machine's link carries in a second; 20 if it is left
-	// out. It bounds how many copies of the store the node gives to others.
+	// out. It bounds how many copies of the store the node gives to others, and is what
+	// large answers are paced by.
 	LinkMegabits float64 `yaml:"link_megabits"`
 	// FirstStart is true if the whole system starts for the first time: the store has
 	// no record of the heads then.
