A link that the settings do not tell of is not paced

The stand-in of 20 Mbit/s is for copies of the store; large answers on a faster machine would be held up by it.

--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -100,7 +100,10 @@
 	n.dispatcher = dispatch.New(dispatchOptions(settings, platform.Headers), n.views, logger)
 	n.mirror = mirror.New(platform.Store, n.views, logger)
 	n.handler = ingress.NewHandler(platform.Headers, n.views, n.dispatcher, logger)
-	n.handler.PaceAnswers(settings.linkBytes())
+	if settings.LinkMegabits != nil {
+		// A link that nobody told of may be far faster than the slowest one.
+		n.handler.PaceAnswers(settings.linkBytes())
+	}
 	n.connections = ingress.NewConnectionLimits(n.connectionLimits)
 	hello := &wire.Hello{Node: self.Name, Zone: self.Zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
 	client := transport.NewClient(hello, nil)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -60,10 +60,10 @@
 	// ProcessorShare is the part of a processor that the process has; 1 if it is
 	// left out. Nodes with more of it are preferred for duties.
 	ProcessorShare float64 `yaml:"processor_share"`
-	// LinkMegabits is what the machine's link carries in a second; 20 if it is left
-	// out. It bounds how many copies of the store the node gives to others, and is what
-	// large answers are paced by.
-	LinkMegabits float64 `yaml:"link_megabits"`
+	// LinkMegabits is what the machine's link carries in a second; nil if it is left out.
+	// It bounds how many copies of the store the node gives to others, and is what large
+	// answers are paced by.
+	LinkMegabits *float64 `yaml:"link_megabits"`
 	// FirstStart is true if the whole system starts for the first time: the store has
 	// no record of the heads then.
 	FirstStart bool `yaml:"first_start"`
@@ -87,7 +87,7 @@
 
 // ParseSettings reads and checks the text of a settings file.
 func ParseSettings(text []byte) (*Settings, error) {
-	parsed := &Settings{ProcessorShare: defaultProcessorShare, LinkMegabits: defaultLinkMegabits}
+	parsed := &Settings{ProcessorShare: defaultProcessorShare}
 	if err := yaml.Unmarshal(text, parsed); err != nil {
 		return nil, errors.Mark(errors.Newf("settings: %s", yaml.FormatError(err, false, true)), ErrInvalidSettings)
 	}
@@ -133,7 +133,7 @@
 		{"max_hold_millis", float64(s.MaxHoldMillis), 500, 600000},
 		{"memory_megabytes", float64(s.MemoryMegabytes), 16, 1 << 20},
 		{"processor_share", s.ProcessorShare, 0.001, 1024},
-		{"link_megabits", s.LinkMegabits, 0.1, 1e6},
+		{"link_megabits", s.linkMegabits(), 0.1, 1e6},
 	}
 	for _, number := range numbers {
 		if number.value < number.low || number.value > number.high {
@@ -146,7 +146,14 @@
 // linkBytes is how many bytes the machine's link carries in a second.
 func (s *Settings) linkBytes() float64 {
 	const bytesPerMegabit = 1e6 / 8
-	return s.LinkMegabits * bytesPerMegabit
+	return s.linkMegabits() * bytesPerMegabit
+}
+
+func (s *Settings) linkMegabits() float64 {
+	if s.LinkMegabits == nil {
+		return defaultLinkMegabits
+	}
+	return *s.LinkMegabits
 }
 
 func invalidSetting(field string, value any, allowed string) error {
--- /dev/null
+++ b/internal/router/settings_test.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"errors"
+	"testing"
+)
+
+const leastSettings = `
+node: n
+listen: {clients: "127.0.0.1:1", ready: "127.0.0.1:2", nodes: "127.0.0.1:3"}
+store: {address: "127.0.0.1:4"}
+drain_millis: 1000
+grace_millis: 1000
+retry: {window_seconds: 10}
+max_hold_millis: 5000
+memory_megabytes: 144
+`
+
+func TestLinkOfTheSettings(t *testing.T) {
+	const slowestBytes = 2_500_000
+	for name, test := range map[string]struct {
+		line  string
+		bytes float64
+		told  bool
+		valid bool
+	}{
+		"left out":      {"", slowestBytes, false, true},
+		"told":          {"link_megabits: 10", 1_250_000, true, true},
+		"nothing":       {"link_megabits: 0", 0, true, false},
+		"far too large": {"link_megabits: 1e9", 1.25e14, true, false},
+	} {
+		settings, err := ParseSettings([]byte(leastSettings + test.line))
+		if test.valid != (err == nil) || err != nil && !errors.Is(err, ErrInvalidSettings) {
+			t.Errorf("%s: error %v", name, err)
+		}
+		if got := settings.linkBytes(); got != test.bytes || (settings.LinkMegabits != nil) != test.told {
+			t.Errorf("%s: %v bytes a second, told %v; want %v, %v", name, got, settings.LinkMegabits != nil, test.bytes, test.told)
+		}
+	}
+}
