--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -21,15 +21,16 @@
 // this node has caught up with it.
 func (m *Mirror) CheckFreshness(ctx context.Context, schedule Schedule, found func(revision int64)) error {
 	for {
+		// Without a copy there is nothing to compare, and what is due then is done by the
+		// first list: each node of a system that starts would ask once.
+		known := m.hasCopy()
 		pause, compare := schedule()
 		spread := 0.8 + 0.4*rand.Float64()
 		periodic.Pause(ctx, time.Duration(spread*float64(pause)))
 		if ctx.Err() != nil {
 			return nil
 		}
-		// Without a copy there is nothing to compare; each node of a system that starts
-		// would ask once.
-		if !compare || !m.hasCopy() {
+		if !compare || !known {
 			continue
 		}
 		sentAt := time.Now()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -314,3 +314,28 @@
 	cancel()
 	<-ended
 }
+
+// The copy may come between the look at whether a comparison is due and the comparison:
+// the list has just told what it would ask.
+func TestComparisonDueBeforeTheFirstCopyIsNotMade(t *testing.T) {
+	store := memory.New()
+	m := mirror.New(store, newRecorder(), zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	looks := 0
+	schedule := func() (time.Duration, bool) {
+		looks++
+		if looks > 1 {
+			cancel()
+			return 0, false
+		}
+		m.Adopt(nil, 1)
+		return 0, true
+	}
+	if err := m.CheckFreshness(ctx, schedule, func(int64) {}); err != nil {
+		t.Fatal(err)
+	}
+	if calls := store.Calls("revision"); calls != 0 {
+		t.Errorf("the store was asked for its revision %d times right after the first list", calls)
+	}
+}
