--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -69,8 +69,9 @@
 	// was, or when the connection began to wait if that was later.
 	reading bool
 	since   time.Time
-	// stopped is true once nothing more is read.
-	stopped bool
+	// stopped is true once nothing more is read, and closing once the connection is to be
+	// closed.
+	stopped, closing bool
 }
 
 // Read implements net.Conn.
@@ -78,7 +79,10 @@
 	return sockets.Read(c.Conn, into, func(read func() (int, error)) (int, error) {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		if c.stopped {
+		switch {
+		case c.closing:
+			return 0, net.ErrClosed
+		case c.stopped:
 			return 0, errReadingStopped
 		}
 		count, err := read()
@@ -161,15 +165,26 @@
 }
 
 // closeIf closes a connection that waits if due agrees and no request has arrived.
-// It reports whether it did.
+// It reports whether it did. The end of a connection waits for who reads from it, who
+// waits for the mutex, so that it is closed without the mutex.
 func (c *limitedConnection) closeIf(due func(since time.Time, reading bool) bool) bool {
+	if !c.decideClosing(due) {
+		return false
+	}
+	// The client sees the end of the connection; there is nobody to tell.
+	_ = c.Conn.Close()
+	return true
+}
+
+// decideClosing reports whether the connection is to be closed; nothing is read from it
+// any more then.
+func (c *limitedConnection) decideClosing(due func(since time.Time, reading bool) bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.active || !due(c.since, c.reading) || !sockets.Quiet(c.Conn) {
 		return false
 	}
-	// The client sees the end of the connection; there is nobody to tell.
-	_ = c.Conn.Close()
+	c.closing = true
 	return true
 }
 
