--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -77,6 +77,9 @@
 	// cold holds what is known of ranges that came without a handover, by service.
 	cold   map[string]*coldRanges
 	ending *ending.Ending
+	// handover hands requests over to the homes of their servers; nil if this node sends
+	// all of them itself.
+	handover Handover
 }
 
 // CopyAge returns how long ago the store surely had nothing newer than this node's copy;
@@ -151,7 +154,7 @@
 // updateServers takes in the servers of a view. The caller holds the mutex.
 func (d *Dispatcher) updateServers(current *view.View) {
 	for _, servers := range current.Services {
-		places := d.placesAt(current, servers[0].Service)
+		places, homePlaces := d.placesAt(current, servers[0].Service)
 		for _, seen := range servers {
 			known := d.servers[seen.ID]
 			if known == nil {
@@ -161,7 +164,7 @@
 				d.servers[seen.ID] = known
 			}
 			known.Server = seen
-			known.places = places
+			known.places, known.homePlaces = places, homePlaces
 			known.evacuatedSince, known.evacuated = current.Evacuated(seen.Zone)
 		}
 	}
@@ -182,16 +185,21 @@
 const connectionPart = 0.8
 
 // placesAt returns this node's part of the connections that a server of a service
-// takes from all nodes together; 0 means that there is no bound.
-func (d *Dispatcher) placesAt(current *view.View, name string) int {
+// takes from all nodes together, and its part if it is the server's home; 0 means that
+// there is no bound.
+func (d *Dispatcher) placesAt(current *view.View, name string) (places, atHome int) {
 	if current.Table == nil {
-		return 0
+		return 0, 0
 	}
 	service, known := current.Table.Service(name)
 	if !known || service.MaxConnections <= 0 {
-		return 0
+		return 0, 0
 	}
-	return max(1, int(connectionPart*float64(service.MaxConnections)/float64(d.nodes)))
+	all := connectionPart * float64(service.MaxConnections)
+	if d.handover == nil {
+		return max(1, int(all/float64(d.nodes))), 0
+	}
+	return max(1, int((1-homePart)*all/float64(d.nodes))), max(1, int(homePart*all))
 }
 
 // Run lets waiting requests go on as time passes, until the context ends.
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -44,9 +44,8 @@
 
 // Do sends a request to servers until one answers, or it must be given up.
 func (d *Dispatcher) Do(ctx context.Context, request *Request) (*upstream.Answer, Trace, error) {
-	d.sample(request)
 	ctx, bounds := d.ending.Bound(ctx, request.limit())
-	answer, trace, err := d.attempts(ctx, request)
+	answer, trace, err := d.throughHome(ctx, request)
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		refusalSeconds.WithLabelValues(refusal.Reason.String()).Observe(time.Since(request.ArrivedAt).Seconds())
@@ -75,6 +74,9 @@
 		if s == nil {
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
+		if err := d.begin(ctx, request, s, trace); err != nil {
+			return nil, trace, err
+		}
 		trace.Server = string(s.id)
 		trace.MapRevision = d.views.Current().Owners[request.Service].Revision
 		limit := d.limit(request)
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -43,6 +43,16 @@
 	pausedUntil time.Time
 	// told is true once the server has told its load.
 	told bool
+	// sole is true at the server's home, which sends nearly all of its requests.
+	sole bool
+}
+
+// most is the greatest limit for a server with a number of slots.
+func (l *limit) most(slots int) float64 {
+	if l.sole {
+		return math.Ceil(homeQueue * float64(max(1, slots)))
+	}
+	return float64(max(1, slots))
 }
 
 // now returns the limit at a moment, for a server with a number of slots.
@@ -76,7 +86,7 @@
 		l.cut(now, took, load.Slots, max(mostCut, wanted/float64(load.Waiting)))
 		return
 	}
-	l.set(now, min(most, current+limitStep))
+	l.set(now, min(l.most(load.Slots), current+limitStep))
 	l.pause(now, took)
 }
 
@@ -101,5 +111,5 @@
 		l.set(now, max(1, current-limitCut))
 		return
 	}
-	l.set(now, min(float64(max(1, slots)), current+limitStep))
+	l.set(now, min(l.most(slots), current+limitStep))
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -61,6 +61,8 @@
 	ArrivedAt time.Time
 	// Deadline is when the client stops waiting.
 	Deadline time.Time
+	// TakenOver is set if another node handed the request over to this one.
+	TakenOver *TakenOver
 }
 
 // limit is when the request has to be answered.
@@ -86,4 +88,6 @@
 	// MapRevision is the revision of the owner map when the server was chosen; 0
 	// if the service has none.
 	MapRevision int64
+	// Home is the node that the request was handed over to; empty if there was none.
+	Home string
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -35,6 +35,10 @@
 	evacuatedSince time.Time
 	// places is this node's part of the server's connections; 0 means no bound.
 	places int
+	// home is true if this node is the server's home, and homePlaces its part of the
+	// connections then.
+	home       bool
+	homePlaces int
 	// latency is the moving mean of the answers' times, in seconds.
 	latency float64
 	// answeredAt is when it last answered a request; zero if it never did.
@@ -121,8 +125,8 @@
 // capacity is how many requests this node has at the server at a time.
 func (s *server) capacity(now time.Time) int {
 	allowed := s.limit.requests(now, s.Slots)
-	if s.places > 0 {
-		return min(allowed, s.places)
+	if places := s.connections(); places > 0 {
+		return min(allowed, places)
 	}
 	return allowed
 }
@@ -131,8 +135,8 @@
 // always some to send.
 func (s *server) throughput(now time.Time) float64 {
 	allowed := s.limit.now(now, s.Slots)
-	if s.places > 0 {
-		return min(allowed, float64(s.places))
+	if places := s.connections(); places > 0 {
+		return min(allowed, float64(places))
 	}
 	return allowed
 }
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -94,7 +94,7 @@
 func (h *Handler) log(request *dispatch.Request, trace dispatch.Trace, answer *upstream.Answer, err error, version int64) {
 	fields := []zap.Field{
 		zap.String("request", request.ID), zap.String("route", request.Route.Name),
-		zap.String("service", request.Service), zap.String("server", trace.Server),
+		zap.String("service", request.Service), zap.String("server", trace.Server), zap.String("home", trace.Home),
 		zap.Int("attempts", trace.Attempts), zap.Int("not_sent", trace.NotSent), zap.Duration("queued", trace.Queued),
 		zap.Duration("at_servers", trace.AtServers), zap.Duration("took", time.Since(request.ArrivedAt)), zap.Int64("version", version),
 	}
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -88,6 +88,7 @@
 	n.stopping.Store(true)
 	n.handler.Drain()
 	n.managers.stop()
+	n.stopHome()
 	grace := n.settings.grace()
 	takeUntil := startedAt.Add(min(notReadyMost, time.Duration(notReadyPart*float64(grace))))
 	closeAt := startedAt.Add(time.Duration(closePart * float64(grace)))
@@ -101,6 +102,26 @@
 		n.handler.End()
 		n.logger.Warn("requests cut off at the end", zap.Int("active", n.handler.Active()), zap.Error(err))
 	}
+	n.waitForHome(bounded)
+}
+
+// stopHome gives other nodes' requests that wait back and takes no more.
+func (n *Node) stopHome() {
+	if n.peers.home != nil {
+		n.peers.home.Stop()
+	}
+}
+
+// waitForHome returns when no request of another node is running, and what was said of
+// the last ones has left the node.
+func (n *Node) waitForHome(ctx context.Context) {
+	if n.peers.home == nil {
+		return
+	}
+	for n.peers.home.Active() > 0 && ctx.Err() == nil {
+		periodic.Pause(ctx, idleClosePause)
+	}
+	periodic.Pause(ctx, idleClosePause)
 }
 
 // closeIdleClients takes no more connections and ends those that are idle. Unlike
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/handoff"
 	"github.com/micahaven/micahaven/internal/ingress"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
@@ -112,6 +113,7 @@
 		self: self, client: client, feed: changes,
 		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
+	n.takePartInHomes(client)
 	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes, linkBytes: settings.linkBytes()}
 	n.record = &headsRecord{store: platform.Store, feed: changes, mirror: n.mirror, nodes: n.peers.nodes, logger: logger}
 	n.mirror.TakeFrom(copyTaker{peers: n.peers, record: n.record, firstStart: settings.FirstStart, readsPerSecond: settings.Store.ReadsPerSecond})
@@ -126,6 +128,17 @@
 	return n, n.listen(hello, platform.ReadyPath)
 }
 
+// takePartInHomes makes the node home to servers, and hand requests over to other homes.
+func (n *Node) takePartInHomes(client *transport.Client) {
+	if !n.settings.Homes {
+		return
+	}
+	sender := handoff.NewSender(n.settings.Node, client, n.logger)
+	n.views.Subscribe(sender.Follow)
+	n.dispatcher.SetHandover(sender)
+	n.peers.home = handoff.NewHome(n.views, n.dispatcher, n.logger)
+}
+
 // connectionLimits returns how long clients' connections may be idle and how long
 // the header of a request may take; no limits while no configuration is known.
 func (n *Node) connectionLimits() (idle, header time.Duration) {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -13,6 +13,7 @@
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/feed"
+	"github.com/micahaven/micahaven/internal/handoff"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/shardmanager"
@@ -49,6 +50,8 @@
 	orders shardmanager.Orders
 	feed   *changeFeed
 	copies *copyGiver
+	// home takes requests over from other nodes; nil if this node takes none.
+	home   *handoff.Home
 	logger *zap.Logger
 
 	mutex sync.Mutex
@@ -221,6 +224,15 @@
 	p.managers.recordLoad(report.GetService(), report.GetKeys(), float64(report.GetWeight()), servers)
 }
 
+// HandleStream implements transport.StreamHandler.
+func (p *peers) HandleStream(from *wire.Hello, stream *transport.Stream) {
+	if p.home == nil {
+		handoff.Decline(stream)
+		return
+	}
+	p.home.HandleStream(from, stream)
+}
+
 // HandleCall implements transport.Handler.
 func (p *peers) HandleCall(from *wire.Hello, envelope *wire.Envelope, reply func(*wire.Envelope)) {
 	if order := envelope.GetRelayOrder(); order.GetRelease() {
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -66,6 +66,8 @@
 	// FirstStart is true if the whole system starts for the first time: the store has
 	// no record of the heads then.
 	FirstStart bool `yaml:"first_start"`
+	// Homes is true if requests go through the homes of their servers.
+	Homes bool `yaml:"homes"`
 }
 
 // Values that stand for settings that are left out: a whole processor, and the slowest
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -84,6 +84,8 @@
 	redialAt  time.Time
 	pending   map[uint64]chan *wire.Envelope
 	waitDials []chan struct{}
+
+	streams streams
 }
 
 func (p *peer) call(ctx context.Context, envelope *wire.Envelope) (*wire.Envelope, error) {
@@ -237,6 +239,13 @@
 	if !envelope.GetReply() {
 		return
 	}
+	if known := p.streams.find(envelope.GetCallId()); known != nil {
+		known.deliver(envelope)
+		return
+	}
+	if envelope.GetStream() != wire.StreamPart_STREAM_PART_NONE {
+		return
+	}
 	p.mutex.Lock()
 	answer := p.pending[envelope.GetCallId()]
 	p.mutex.Unlock()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -104,7 +104,8 @@
 	}
 	defer s.unregister(live)
 	go live.writeLoop()
-	err = live.readLoop(reader, func(envelope *wire.Envelope) { s.receive(live, from, envelope) })
+	opened := &streams{}
+	err = live.readLoop(reader, func(envelope *wire.Envelope) { s.receive(opened, live, from, envelope) })
 	if errors.Is(err, wire.ErrBadFrame) || errors.Is(err, wire.ErrFrameTooLarge) {
 		badFrames.Inc()
 		s.logger.Warn("peer broke the protocol", zap.String("peer", from.GetNode()), zap.Error(err))
@@ -113,7 +114,11 @@
 	}
 }
 
-func (s *Server) receive(live *connection, from *wire.Hello, envelope *wire.Envelope) {
+func (s *Server) receive(opened *streams, live *connection, from *wire.Hello, envelope *wire.Envelope) {
+	if envelope.GetStream() != wire.StreamPart_STREAM_PART_NONE {
+		s.receiveStream(opened, live, from, envelope)
+		return
+	}
 	if envelope.GetCallId() == 0 {
 		s.handler.HandleMessage(from, envelope)
 		return
