--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -80,6 +80,8 @@
 	// handover hands requests over to the homes of their servers; nil if this node sends
 	// all of them itself.
 	handover Handover
+	// divisions are those of undivided services among homes.
+	divisions divisions
 }
 
 // CopyAge returns how long ago the store surely had nothing newer than this node's copy;
@@ -145,6 +147,7 @@
 	if !current.Same.Servers || !current.Same.Nodes || !current.Same.Evacuations {
 		d.chooseSubsets(time.Now(), current)
 	}
+	d.followDivisions(current)
 	d.followColdRanges(time.Now(), current)
 	for service := range d.waiting {
 		d.pump(service)
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/homes"
 	"github.com/micahaven/micahaven/internal/upstream"
 )
 
@@ -20,10 +21,14 @@
 	ErrHomeLost = errors.New("home was lost")
 )
 
-// Destination is the server of a request that is handed over, as this node knows it.
+// Destination is where a request that is handed over goes, as this node knows it.
 type Destination struct {
-	Server       discovery.ServerID
-	Zone         string
+	// Server owns the request's key; empty if the service is undivided.
+	Server discovery.ServerID
+	Zone   string
+	// Homes may each send the request to servers of theirs, if the service is undivided;
+	// they are in the order in which they are asked.
+	Homes        []homes.Node
 	MapRevision  int64
 	TableVersion int64
 }
@@ -74,7 +79,9 @@
 	case errors.Is(err, ErrHomeLost):
 		return d.afterLoss(ctx, request, trace, err)
 	case errors.Is(err, ErrAtHome), errors.Is(err, ErrNoHome):
-		d.setHome(to.Server, errors.Is(err, ErrAtHome))
+		if to.Server != "" {
+			d.setHome(to.Server, errors.Is(err, ErrAtHome))
+		}
 		if ctx.Err() != nil {
 			return nil, trace, d.giveUp(ctx, request, false, nil, err)
 		}
@@ -121,7 +128,8 @@
 	now, current := time.Now(), d.views.Current()
 	owners, divided := d.owners(current, request)
 	if !divided {
-		return Destination{}, false
+		asked := d.homesFor(now, current, request.Service)
+		return Destination{Homes: asked, TableVersion: tableVersion(current)}, len(asked) > 0
 	}
 	owner := d.ownerOf(request, owners)
 	if owner == nil || d.servers[owner.Owner] == nil {
@@ -145,7 +153,10 @@
 	defer d.mutex.Unlock()
 	now, current := time.Now(), d.views.Current()
 	owners, divided := d.owners(current, request)
-	if !divided || owners.Revision < to.MapRevision {
+	if !divided {
+		return len(d.homeGroup(current, request.Service)) > 0
+	}
+	if owners.Revision < to.MapRevision {
 		return false
 	}
 	owner := d.ownerOf(request, owners)
@@ -166,8 +177,13 @@
 	}
 }
 
-// TakeHome notes that this node is the home of a server.
-func (d *Dispatcher) TakeHome(id discovery.ServerID) { d.setHome(id, true) }
+// TakeHome notes that this node is the home of a server; of an undivided service it knows
+// that by itself.
+func (d *Dispatcher) TakeHome(id discovery.ServerID) {
+	if id != "" {
+		d.setHome(id, true)
+	}
+}
 
 func (s *server) setHome(now time.Time, home bool) {
 	if s.home == home {
--- a/internal/dispatch/subset.go
+++ b/internal/dispatch/subset.go
@@ -76,6 +76,11 @@
 // mutex.
 func (d *Dispatcher) candidates(now time.Time, current *view.View, service string) []*server {
 	all := current.Services[service]
+	if group := d.homeGroup(current, service); len(group) > 0 {
+		if own, up := d.ofHome(now, current, group); up {
+			return own
+		}
+	}
 	preferred := make([]*server, 0, len(all))
 	up := false
 	for _, seen := range all {
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -60,7 +60,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := time.Now()
-	ranked := s.ranks.Of(homes.Server{ID: to.Server, Zone: to.Zone})
+	ranked := to.Homes
+	if to.Server != "" {
+		ranked = s.ranks.Of(homes.Server{ID: to.Server, Zone: to.Zone})
+	}
 	present := make([]homes.Node, 0, len(ranked))
 	for _, home := range ranked {
 		if home.Name == s.self || !s.reachable.passedOver(now, home.Name) {
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -36,12 +36,16 @@
 // Rank is a Ranked by weighted rendezvous hashing: each node is home to servers in
 // proportion to its share, and one that comes or goes moves only those servers that it
 // gets or had.
-func Rank(server Server, nodes []Node) []Node {
+func Rank(server Server, nodes []Node) []Node { return highest(server, nodes, MaxRanked) }
+
+// highest returns the nodes of a server's zone with the greatest scores, the best first:
+// count of them, or all if there are fewer.
+func highest(server Server, nodes []Node, count int) []Node {
 	type scored struct {
 		node  Node
 		score float64
 	}
-	best := make([]scored, 0, MaxRanked+1)
+	best := make([]scored, 0, count+1)
 	for _, node := range nodes {
 		if node.Zone != server.Zone || node.Share <= 0 {
 			continue
@@ -50,11 +54,11 @@
 		at, _ := slices.BinarySearchFunc(best, entry, func(a, b scored) int {
 			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node.Name, b.node.Name))
 		})
-		if at == MaxRanked {
+		if at == count {
 			continue
 		}
 		best = slices.Insert(best, at, entry)
-		best = best[:min(len(best), MaxRanked)]
+		best = best[:min(len(best), count)]
 	}
 	ranked := make([]Node, 0, len(best))
 	for _, entry := range best {
