--- /dev/null
+++ b/internal/dispatch/handoff_test.go
@@ -0,0 +1,225 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/routing"
+	"github.com/micahaven/micahaven/internal/upstream"
+)
+
+// fakeHandover answers each handover alike and counts them.
+type fakeHandover struct {
+	err   error
+	count int
+}
+
+func (f *fakeHandover) Do(context.Context, *Request, time.Time, Destination) (*upstream.Answer, Trace, error) {
+	f.count++
+	return nil, Trace{}, f.err
+}
+
+// worldWithHomes is a world of four nodes in zone z, with servers that are warm, whose
+// handovers end with err.
+func worldWithHomes(t *testing.T, err error, servers ...string) (*warmUpWorld, *fakeHandover) {
+	w := newWarmUpWorld(t, 0)
+	handover := &fakeHandover{err: err}
+	w.SetHandover(handover)
+	for index := range 4 {
+		node := fmt.Sprintf("n%d", index)
+		w.write("micahaven/nodes/"+node, fmt.Sprintf(`{"name":%q,"zone":"z","address":"127.0.0.1:1","share":1}`, node))
+	}
+	for index, text := range servers {
+		w.write(fmt.Sprintf("servers/s%d", index), text)
+	}
+	return w, handover
+}
+
+func requestFor(service string, repeatable bool) *Request {
+	now := time.Now()
+	route := &routing.Route{Timeout: time.Second, Objective: 500 * time.Millisecond, MaxAttempts: 2, Repeatable: repeatable}
+	return &Request{
+		ID: "r", Method: http.MethodGet, URI: "/", Host: "h", Service: service, Key: 7, HasKey: true, Route: route,
+		ArrivedAt: now, Deadline: now.Add(time.Second),
+	}
+}
+
+const warmDivided, warmPlain = "divided z 0s", "plain z 0s"
+
+// Without a home the node sends the request itself.
+func TestWithoutAHomeTheNodeSendsItself(t *testing.T) {
+	for _, service := range []string{"divided", "plain"} {
+		w, handover := worldWithHomes(t, ErrNoHome, warmDivided, warmPlain)
+		w.own(t, "s0")
+		_, trace, _ := w.Do(t.Context(), requestFor(service, false))
+		if handover.count != 1 || trace.Server == "" {
+			t.Errorf("%s: handed over %d times, sent to %q itself", service, handover.count, trace.Server)
+		}
+	}
+}
+
+// A request that must run at most once is not sent again once a home may have sent it.
+func TestUnsafeRequestOfALostHomeIsUnknown(t *testing.T) {
+	w, _ := worldWithHomes(t, ErrHomeLost, warmDivided)
+	w.own(t, "s0")
+	_, trace, err := w.Do(t.Context(), requestFor("divided", false))
+	if !errors.Is(err, ErrUnknown) || trace.Server != "" {
+		t.Errorf("error %v, sent to %q, wanted an unknown outcome", err, trace.Server)
+	}
+}
+
+// A safe request of a lost home is repeated; if it cannot be, it is not said that it has
+// not run.
+func TestSafeRequestOfALostHomeIsRepeated(t *testing.T) {
+	w, _ := worldWithHomes(t, ErrHomeLost, warmDivided)
+	w.own(t, "s0")
+	_, trace, err := w.Do(t.Context(), requestFor("divided", true))
+	// Nothing listens at the server's address.
+	if trace.Server != "s0" || errors.Is(err, ErrNotExecuted) || !errors.Is(err, ErrUnknown) {
+		t.Errorf("sent to %q, error %v, wanted a repeat and an unknown outcome", trace.Server, err)
+	}
+	w.budget("divided").tokens = 0
+	request := requestFor("divided", true)
+	w.budget("divided").ratio = 0
+	if _, trace, err = w.Do(t.Context(), request); trace.Server != "" || !errors.Is(err, ErrUnknown) {
+		t.Errorf("without a budget sent to %q, error %v", trace.Server, err)
+	}
+}
+
+// A home sends what it took over itself, whatever it thinks of homes.
+func TestTakenOverRequestsAreNotHandedOnAgain(t *testing.T) {
+	w, handover := worldWithHomes(t, ErrNoHome, warmDivided)
+	w.own(t, "s0")
+	request := requestFor("divided", false)
+	begun := 0
+	request.TakenOver = &TakenOver{From: "n1", Begin: func(context.Context) error { begun++; return nil }}
+	_, trace, _ := w.Do(t.Context(), request)
+	if handover.count != 0 || begun != 1 || trace.Server != "s0" {
+		t.Errorf("handed over %d times, begun %d times, sent to %q", handover.count, begun, trace.Server)
+	}
+}
+
+// A place whose request is not begun is free again, and the request has not run.
+func TestPlaceIsFreeAgainWithoutAGo(t *testing.T) {
+	var arrived atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
+	defer server.Close()
+	d := dispatcherOf(map[string]string{"a": server.Listener.Addr().String()})
+	request := order()
+	request.TakenOver = &TakenOver{From: "n1", Begin: func(context.Context) error { return errors.New("no go") }}
+	if _, _, err := d.Do(t.Context(), request); !errors.Is(err, ErrNotExecuted) {
+		t.Errorf("error %v, wanted that it has not run", err)
+	}
+	if occupied := d.servers["a"].outstanding; occupied != 0 || arrived.Load() != 0 {
+		t.Errorf("%d places are occupied, %d requests arrived", occupied, arrived.Load())
+	}
+}
+
+// Servers that warm up get requests from the nodes with the rights to them only, and so
+// none through homes.
+func TestWarmingServersGetNothingThroughHomes(t *testing.T) {
+	w, handover := worldWithHomes(t, ErrNoHome, "divided z 3s")
+	w.own(t, "s0")
+	// Whether it is sent depends on the rights.
+	_, _, _ = w.Do(t.Context(), requestFor("divided", false))
+	if handover.count != 0 {
+		t.Error("a request for a warming server was handed over")
+	}
+	if w.Takes(requestFor("divided", false), Destination{Server: "s0"}) {
+		t.Error("a request for a warming server was taken over")
+	}
+}
+
+// A home decides by its own map who owns a key, and by none that is older than the
+// sender's.
+func TestHomeChecksItsMap(t *testing.T) {
+	w, _ := worldWithHomes(t, ErrNoHome, warmDivided, warmDivided)
+	w.own(t, "s0")
+	older := w.revision
+	w.own(t, "s1")
+	request := requestFor("divided", false)
+	if w.Takes(request, Destination{Server: "s1", MapRevision: w.revision + 1}) {
+		t.Error("taken over by an older map than the sender's")
+	}
+	if !w.Takes(request, Destination{Server: "s0", MapRevision: older}) {
+		t.Fatal("not taken over by a newer map")
+	}
+	request.TakenOver = &TakenOver{From: "n1", Begin: func(context.Context) error { return nil }}
+	if _, trace, _ := w.Do(t.Context(), request); trace.Server != "s1" {
+		t.Errorf("sent to %q, wanted the present owner s1", trace.Server)
+	}
+}
+
+// A stopping home takes nothing over.
+func TestStoppingHomeTakesNothing(t *testing.T) {
+	w, _ := worldWithHomes(t, ErrNoHome, warmDivided)
+	w.own(t, "s0")
+	w.EndBy(time.Now().Add(time.Minute))
+	if w.Takes(requestFor("divided", false), Destination{Server: "s0"}) {
+		t.Error("taken over")
+	}
+}
+
+// The home and all other nodes together stay within a server's connections.
+func TestHomeAndNodesShareAServersConnections(t *testing.T) {
+	for _, nodes := range []int{1, 8, 30} {
+		const maxConnections = 110
+		d := newDispatcher(maxConnections, nodes)
+		d.SetHandover(&fakeHandover{})
+		places, atHome := d.placesAt(d.views.Current(), "s")
+		if together := places*nodes + atHome; together > maxConnections {
+			t.Errorf("%d nodes and the home use up to %d connections, allowed: %d", nodes, together, maxConnections)
+		}
+	}
+}
+
+// A home has what its servers work on at a time there and a little more, and a node that
+// is home no longer starts from what the server told.
+func TestLimitAtHome(t *testing.T) {
+	w, _ := worldWithHomes(t, ErrNoHome, warmDivided)
+	s, now := w.servers["s0"], time.Now()
+	s.setHome(now, true)
+	if got := s.capacity(now); got != s.Slots {
+		t.Errorf("%d requests at first, wanted one a slot: %d", got, s.Slots)
+	}
+	for range 100 {
+		s.limit.guess(now, s.Slots, false)
+	}
+	if got := s.capacity(now); got != 4 {
+		t.Errorf("%d requests at %d slots, wanted 4", got, s.Slots)
+	}
+}
+
+// Each server of an undivided service has one home, which sends to its servers only.
+func TestHomeSendsToItsServers(t *testing.T) {
+	servers := make([]string, 20)
+	for index := range servers {
+		servers[index] = warmPlain
+	}
+	w, _ := worldWithHomes(t, ErrNoHome, servers...)
+	current := w.views.Current()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	division := w.divisionsOf(current, "plain")["z"]
+	total := 0
+	for home, ids := range division.Servers {
+		total += len(ids)
+		w.options.Node = home
+		for range 50 {
+			own := w.candidates(time.Now(), current, "plain")
+			if len(own) != len(ids) {
+				t.Fatalf("home %s sends to %d servers, wanted its %d", home, len(own), len(ids))
+			}
+		}
+	}
+	if total != len(servers) {
+		t.Errorf("%d of %d servers have a home", total, len(servers))
+	}
+}
