--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -75,16 +75,24 @@
 
 // Do implements dispatch.Handover.
 func (s *Sender) Do(ctx context.Context, request *dispatch.Request, limit time.Time, to dispatch.Destination) (*upstream.Answer, dispatch.Trace, error) {
+	var full *dispatch.Refusal
 	for _, home := range s.homesOf(to) {
 		if home.Name == s.self {
 			return nil, dispatch.Trace{}, dispatch.ErrAtHome
 		}
 		answer, trace, err := s.handTo(ctx, home, request, encodeRequest(request, limit, to))
 		handedOverTotal.WithLabelValues(request.Service, resultOf(err)).Inc()
+		if full == nil && to.Server == "" && errors.As(err, &full) && full.Reason == dispatch.ReasonNoServer && ctx.Err() == nil {
+			// Another home may have a free server.
+			continue
+		}
 		if !errors.Is(err, dispatch.ErrNoHome) || ctx.Err() != nil {
 			return answer, trace, err
 		}
 	}
+	if full != nil {
+		return nil, dispatch.Trace{}, full
+	}
 	return nil, dispatch.Trace{}, dispatch.ErrNoHome
 }
 
--- a/internal/handoff/sender_test.go
+++ b/internal/handoff/sender_test.go
@@ -279,3 +279,19 @@
 		t.Errorf("got %d bytes, error %v, wanted %d", len(long.Body)+len(rest), err, len(body))
 	}
 }
+
+// One home of an undivided service may be full while another is not; two that are full
+// speak for all.
+func TestTwoHomesAreAskedForAFreeServer(t *testing.T) {
+	full := func(_ *transport.Server, stream *transport.Stream) {
+		stream.Send(encodeRefusal(&dispatch.Refusal{Reason: dispatch.ReasonNoServer, Detail: "busy"}, dispatch.Trace{}))
+	}
+	one, two, good := scripted(t, "one", full), scripted(t, "two", full), scripted(t, "good", serving)
+	if answer, err := handOver(t.Context(), newSender(t), newRequest(false), one, good); err != nil || string(answer.Body) != "r" {
+		t.Errorf("answer %v, error %v", answer, err)
+	}
+	var refusal *dispatch.Refusal
+	if _, err := handOver(t.Context(), newSender(t), newRequest(false), one, two, good); !errors.As(err, &refusal) {
+		t.Errorf("error %v, wanted a refusal", err)
+	}
+}
--- /dev/null
+++ b/internal/transport/stream_test.go
@@ -0,0 +1,115 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/wire"
+)
+
+// streamHandler sends back what comes on a stream, and floods a stream that begins with
+// "flood" with more than fits into its buffer.
+type streamHandler struct{ echoHandler }
+
+func (h *streamHandler) HandleStream(_ *wire.Hello, stream *Stream) {
+	defer stream.Close()
+	for {
+		envelope, err := stream.Receive(context.Background())
+		if err != nil {
+			return
+		}
+		if envelope.GetProbeRequest().GetGroup() == "flood" {
+			for range 2 * streamBuffer {
+				stream.Send(probe("flood"))
+			}
+		}
+		if envelope.GetProbeRequest().GetGroup() == "drop" {
+			h.server.Close()
+		}
+		stream.Send(envelope)
+	}
+}
+
+func startStreams(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := &streamHandler{}
+	handler.server = NewServer(&wire.Hello{Node: "server", ProtocolVersion: wire.ProtocolVersion}, listener, nil, handler, zap.NewNop())
+	go func() { _ = handler.server.Serve() }()
+	t.Cleanup(handler.server.Close)
+	return listener.Addr().String()
+}
+
+func openStream(t *testing.T, client *Client, address, first string) *Stream {
+	t.Helper()
+	stream, err := client.Open(t.Context(), address, probe(first))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return stream
+}
+
+func expect(t *testing.T, stream *Stream, wanted string) {
+	t.Helper()
+	envelope, err := stream.Receive(t.Context())
+	if err != nil || envelope.GetProbeRequest().GetGroup() != wanted {
+		t.Fatalf("got %v, error %v, wanted %q", envelope, err, wanted)
+	}
+}
+
+// Streams on one connection carry several envelopes each, in order and apart.
+func TestStreamsAreApart(t *testing.T) {
+	address, client := startStreams(t), newTestClient(t, wire.ProtocolVersion)
+	one, two := openStream(t, client, address, "1"), openStream(t, client, address, "2")
+	one.Send(probe("1b"))
+	two.Send(probe("2b"))
+	expect(t, two, "2")
+	expect(t, one, "1")
+	expect(t, one, "1b")
+	expect(t, two, "2b")
+}
+
+// A stream whose receiver takes nothing is given up, and the others go on.
+func TestFullStreamHoldsUpNoOther(t *testing.T) {
+	address, client := startStreams(t), newTestClient(t, wire.ProtocolVersion)
+	full := openStream(t, client, address, "flood")
+	other := openStream(t, client, address, "a")
+	expect(t, other, "a")
+	select {
+	case <-full.ended:
+	case <-time.After(2 * time.Second):
+		t.Fatal("a stream that overflowed goes on")
+	}
+	other.Send(probe("b"))
+	expect(t, other, "b")
+	for {
+		if _, err := full.Receive(t.Context()); err != nil {
+			if !errors.Is(err, ErrStreamEnded) {
+				t.Errorf("error %v", err)
+			}
+			return
+		}
+	}
+}
+
+// The end of the connection ends its streams.
+func TestStreamsEndWithTheirConnection(t *testing.T) {
+	address, client := startStreams(t), newTestClient(t, wire.ProtocolVersion)
+	stream := openStream(t, client, address, "drop")
+	for {
+		if _, err := stream.Receive(t.Context()); err != nil {
+			if !errors.Is(err, ErrConnectionLost) {
+				t.Errorf("error %v", err)
+			}
+			return
+		}
+	}
+}
