--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -68,6 +68,7 @@
 retry: {ratio: 0.2, slack: %d, window_seconds: 10}
 max_hold_millis: 10000
 memory_megabytes: 256
+homes: true
 `
 
 // NewNode prepares a node that reaches the store through a link of its own.
