--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -79,8 +79,7 @@
 
 // Decline answers for a node that is home to no server.
 func Decline(stream *transport.Stream) {
-	stream.Send(step(wire.HandoffStep_STEP_NOT_TAKEN, "this node takes no requests"))
-	stream.Close()
+	stream.SendLast(step(wire.HandoffStep_STEP_NOT_TAKEN, "this node takes no requests"))
 }
 
 // HandleStream implements transport.StreamHandler: it works on one request.
@@ -95,14 +94,14 @@
 	handoff := first.GetHandoff()
 	t := &taken{stream: stream, cancel: cancel, needsGo: handoff.GetNeedsGo(), goes: make(chan struct{}, 1), more: make(chan struct{}, window)}
 	if !h.add(t) {
-		stream.Send(step(wire.HandoffStep_STEP_LEAVING, ""))
+		stream.SendLast(step(wire.HandoffStep_STEP_LEAVING, ""))
 		return
 	}
 	defer h.remove(t)
 	request := h.decode(handoff)
 	if request == nil || !h.dispatcher.Takes(request, destination(handoff)) {
 		takenOverTotal.WithLabelValues(handoff.GetService(), "not taken").Inc()
-		stream.Send(step(wire.HandoffStep_STEP_NOT_TAKEN, "not this node's, as far as it knows"))
+		stream.SendLast(step(wire.HandoffStep_STEP_NOT_TAKEN, "not this node's, as far as it knows"))
 		return
 	}
 	request.TakenOver = &dispatch.TakenOver{From: from.GetNode(), Begin: t.begin}
@@ -262,15 +261,15 @@
 	case err == nil:
 		t.pass(ctx, answer, trace)
 	case t.unsent.Load():
-		t.stream.Send(step(wire.HandoffStep_STEP_NOT_TAKEN, err.Error()))
+		t.stream.SendLast(step(wire.HandoffStep_STEP_NOT_TAKEN, err.Error()))
 	case errors.As(err, &refusal) && refusal.Reason == dispatch.ReasonNodeStops:
-		t.stream.Send(step(wire.HandoffStep_STEP_LEAVING, ""))
+		t.stream.SendLast(step(wire.HandoffStep_STEP_LEAVING, ""))
 	case errors.As(err, &refusal):
-		t.stream.Send(encodeRefusal(refusal, trace))
+		t.stream.SendLast(encodeRefusal(refusal, trace))
 	case errors.Is(err, dispatch.ErrCanceled):
 		// The sender ended it.
 	default:
-		t.stream.Send(encodeFailure(err, trace))
+		t.stream.SendLast(encodeFailure(err, trace))
 	}
 }
 
@@ -282,10 +281,12 @@
 	first := min(len(body), chunkBytes)
 	begun.Body, body = body[:first], body[first:]
 	begun.Whole = len(body) == 0 && answer.Rest == nil
-	t.stream.Send(&wire.Envelope{Body: &wire.Envelope_HandoffAnswer{HandoffAnswer: begun}})
+	envelope := &wire.Envelope{Body: &wire.Envelope_HandoffAnswer{HandoffAnswer: begun}}
 	if begun.Whole {
+		t.stream.SendLast(envelope)
 		return
 	}
+	t.stream.Send(envelope)
 	chunks := &chunkWriter{ctx: ctx, taken: t, credit: window}
 	err := chunks.write(body)
 	if answer.Rest != nil {
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -78,25 +78,40 @@
 	}
 }
 
-// Close ends the stream and tells the peer.
-func (s *Stream) Close() {
+// SendLast queues the last envelope and ends the stream with it.
+func (s *Stream) SendLast(envelope *wire.Envelope) {
 	s.closing.Do(func() {
 		s.forget()
-		s.send(&wire.Envelope{}, wire.StreamPart_STREAM_PART_END)
+		s.send(envelope, wire.StreamPart_STREAM_PART_END)
 	})
 }
 
+// Close ends the stream and tells the peer, unless that ended it before.
+func (s *Stream) Close() {
+	select {
+	case <-s.ended:
+		s.closing.Do(s.forget)
+	default:
+		s.SendLast(&wire.Envelope{})
+	}
+}
+
 // deliver takes an envelope from the connection's reading goroutine and never blocks.
 func (s *Stream) deliver(envelope *wire.Envelope) {
-	if envelope.GetStream() == wire.StreamPart_STREAM_PART_END {
+	last := envelope.GetStream() == wire.StreamPart_STREAM_PART_END
+	if last && envelope.GetBody() == nil {
 		s.end()
 		return
 	}
 	select {
 	case s.incoming <- envelope:
 	default:
-		s.end()
+		// The peer is told first: a stream that has ended tells nobody.
 		s.Close()
+		last = true
+	}
+	if last {
+		s.end()
 	}
 }
 
