--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -26,9 +26,10 @@
 	// ackAfter is when a home says so if it has not said before that it sends the request.
 	ackAfter = 50 * time.Millisecond
 	// aliveEvery is the pause between two words of a home that works on a request, and
-	// silentAfter when a home that said nothing counts as lost.
-	aliveEvery  = 200 * time.Millisecond
-	silentAfter = 600 * time.Millisecond
+	// silentAfter when a home that said nothing counts as lost. Each word wakes two
+	// processes; most requests are answered before the first.
+	aliveEvery  = 400 * time.Millisecond
+	silentAfter = time.Second
 	// goWithin is how long a home keeps a place at a server for a request whose go does
 	// not come: some round trips, and the pause of a node as above.
 	goWithin = 150 * time.Millisecond
--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -223,10 +223,11 @@
 		envelope, err := t.stream.Receive(bounded)
 		cancel()
 		switch {
-		case errors.Is(err, context.DeadlineExceeded) && t.answering.Load():
 		case errors.Is(err, context.DeadlineExceeded):
+			if !t.saidEnough(word == ackAfter) {
+				t.stream.Send(step(wire.HandoffStep_STEP_QUEUED, ""))
+			}
 			word = aliveEvery
-			t.stream.Send(step(wire.HandoffStep_STEP_QUEUED, ""))
 		case err != nil:
 			t.cancel()
 			return
@@ -236,6 +237,13 @@
 	}
 }
 
+// saidEnough reports whether the sender needs no word now: the answer is on its way, the
+// sender waits for it whatever it hears, or it was told just now that the request is sent.
+func (t *taken) saidEnough(first bool) bool {
+	sent := t.state.Load() == begun
+	return t.answering.Load() || (sent && (first || t.needsGo))
+}
+
 func (t *taken) take(what wire.HandoffStep_Step) {
 	var waiting chan struct{}
 	switch what {
