--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -227,7 +227,7 @@
 		return
 	}
 	s.home, s.limit.sole = home, home
-	if home && s.limit.now(now, s.Slots) < float64(s.Slots) && !s.limit.told {
+	if home && s.limit.now(now, s.Slots) < float64(s.Slots) {
 		s.limit.set(now, float64(s.Slots))
 	}
 }
--- a/internal/dispatch/handoff_test.go
+++ b/internal/dispatch/handoff_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/routing"
 	"github.com/micahaven/micahaven/internal/upstream"
 )
@@ -223,6 +224,32 @@
 	}
 }
 
+// As many requests as a server works on at a time do not make it slow: a home never has
+// fewer there while the server answers, and one while it does not.
+func TestSlowServersKeepTheirSlotsAtHome(t *testing.T) {
+	w, _ := worldWithHomes(t, ErrNoHome, warmDivided)
+	s, now := w.servers["s0"], time.Now()
+	s.setHome(now, true)
+	for range 100 {
+		s.limit.guess(now, s.Slots, true)
+	}
+	if got := s.capacity(now); got != s.Slots {
+		t.Errorf("%d requests at a slow server, wanted one a slot: %d", got, s.Slots)
+	}
+	for range 100 {
+		s.limit.tell(now, time.Millisecond, discovery.Load{Waiting: 30, Slots: s.Slots})
+	}
+	if got := s.capacity(now); got != s.Slots {
+		t.Errorf("%d requests at a server with a queue, wanted one a slot: %d", got, s.Slots)
+	}
+	for range 100 {
+		s.gaveUp(now, sending{took: time.Second})
+	}
+	if got := s.capacity(now); got != 1 {
+		t.Errorf("%d requests at a server that does not answer, wanted 1", got)
+	}
+}
+
 // Each server of an undivided service has one home, which sends to its servers only.
 func TestHomeSendsToItsServers(t *testing.T) {
 	servers := make([]string, 20)
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -13,6 +13,9 @@
 	firstLimit = 2
 	// limitStep is how much one answer raises the limit.
 	limitStep = 0.1
+	// homeStep is that at the server's home, which knows what it has there and finds out
+	// soon if that is too much.
+	homeStep = 0.5
 
 	// crowded is the part of the objective above which answers show that the server has
 	// too many requests waiting, if it does not tell its load; such an answer lowers the
@@ -55,6 +58,27 @@
 	return float64(max(1, slots))
 }
 
+// least is the smallest limit for a server with a number of slots. At the home as many
+// requests as the server works on at a time do not wait there, however slow it is; a
+// server that does not answer still gets one, which tells when it does again.
+func (l *limit) least(slots int, answers bool) float64 {
+	switch {
+	case l.sole && answers:
+		return float64(max(1, slots))
+	case l.sole:
+		return 1
+	default:
+		return leastLimit
+	}
+}
+
+func (l *limit) step() float64 {
+	if l.sole {
+		return homeStep
+	}
+	return limitStep
+}
+
 // now returns the limit at a moment, for a server with a number of slots.
 func (l *limit) now(now time.Time, slots int) float64 {
 	if l.value == 0 {
@@ -83,17 +107,18 @@
 	current := l.now(now, load.Slots)
 	most := float64(max(1, load.Slots))
 	if wanted := queuePerSlot * most; float64(load.Waiting) > wanted {
-		l.cut(now, took, load.Slots, max(mostCut, wanted/float64(load.Waiting)))
+		least := l.least(load.Slots, true) / current
+		l.cut(now, took, load.Slots, max(mostCut, wanted/float64(load.Waiting), least))
 		return
 	}
-	l.set(now, min(l.most(load.Slots), current+limitStep))
+	l.set(now, min(l.most(load.Slots), current+l.step()))
 	l.pause(now, took)
 }
 
 // cut lowers the limit by a factor after a request that took some time, because too many
 // wait.
 func (l *limit) cut(now time.Time, took time.Duration, slots int, factor float64) {
-	l.set(now, max(leastLimit, l.now(now, slots)*factor))
+	l.set(now, max(l.least(slots, false), l.now(now, slots)*factor))
 	l.pause(now, took)
 }
 
@@ -108,8 +133,8 @@
 func (l *limit) guess(now time.Time, slots int, slow bool) {
 	current := l.now(now, slots)
 	if slow {
-		l.set(now, max(1, current-limitCut))
+		l.set(now, max(1, l.least(slots, true), current-limitCut))
 		return
 	}
-	l.set(now, min(l.most(slots), current+limitStep))
+	l.set(now, min(l.most(slots), current+l.step()))
 }
