--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -33,6 +33,7 @@
 	}
 	var best *server
 	bestCost := math.Inf(1)
+	atHome := len(d.homeGroup(current, request.Service)) > 0
 	for _, s := range d.candidates(now, current, request.Service) {
 		if excluded[s.id] || !s.usable(now, 0) {
 			continue
@@ -41,7 +42,11 @@
 		if !may {
 			continue
 		}
-		cost := d.cost(now, s)
+		spill, may := d.mayGoTo(now, request, s, atHome && !bounded)
+		if !may {
+			continue
+		}
+		cost := spill * d.cost(now, s)
 		if bounded {
 			cost *= rightCost
 		}
--- a/internal/dispatch/divisions.go
+++ b/internal/dispatch/divisions.go
@@ -42,13 +42,14 @@
 	if known {
 		return made
 	}
-	servers := make(map[string][]discovery.ServerID)
+	servers, slots := make(map[string][]discovery.ServerID), make(map[string]int)
 	for _, s := range current.Services[service] {
 		servers[s.Zone] = append(servers[s.Zone], s.ID)
+		slots[s.Zone] += max(1, s.Slots)
 	}
 	made = make(map[string]homes.Division, len(servers))
 	for zone, ids := range servers {
-		made[zone] = homes.Divide(service, zone, ids, d.divisions.nodes)
+		made[zone] = homes.Divide(service, zone, ids, slots[zone], d.divisions.nodes)
 	}
 	d.divisions.made[service] = made
 	d.markGroup(made)
@@ -118,33 +119,23 @@
 	return asked
 }
 
-// ofHome returns the servers of this node's group, and those that warm up, which get
-// requests by right. It also reports whether one of the group can be reached. The caller
-// holds the mutex.
-func (d *Dispatcher) ofHome(now time.Time, current *view.View, group []discovery.ServerID) (own []*server, up bool) {
-	own = make([]*server, 0, len(group))
-	for _, id := range group {
-		s := d.servers[id]
-		if s == nil {
-			continue
-		}
-		if _, bounded := d.warming(now, current, s); bounded {
-			continue
-		}
-		own = append(own, s)
-		up = up || (s.reachable(now, 0) && !now.Before(s.blockedUntil))
-	}
-	if !up {
-		return nil, false
-	}
-	for _, seen := range current.Services[own[0].Service] {
-		if s := d.servers[seen.ID]; s != nil {
-			if _, bounded := d.warming(now, current, s); bounded {
-				own = append(own, s)
-			}
-		}
+const (
+	// spillAfter is the part of its objective after which a request that waits at a home
+	// may go to a server of another one: long enough that a burst of a moment is worked off
+	// by the home's own servers, over connections that exist.
+	spillAfter = 0.1
+	// spillCost is how much worse a server of another home counts.
+	spillCost = 2
+)
+
+// mayGoTo reports whether a request may go to a server of an undivided service now, and
+// how much worse it counts for being another home's.
+func (d *Dispatcher) mayGoTo(now time.Time, request *Request, s *server, atHome bool) (cost float64, may bool) {
+	if !atHome || s.home {
+		return 1, true
 	}
-	return own, true
+	waited := now.Sub(request.ArrivedAt)
+	return spillCost, waited >= time.Duration(spillAfter*float64(request.Route.Objective))
 }
 
 func tableVersion(current *view.View) int64 {
--- a/internal/dispatch/subset.go
+++ b/internal/dispatch/subset.go
@@ -76,11 +76,6 @@
 // mutex.
 func (d *Dispatcher) candidates(now time.Time, current *view.View, service string) []*server {
 	all := current.Services[service]
-	if group := d.homeGroup(current, service); len(group) > 0 {
-		if own, up := d.ofHome(now, current, group); up {
-			return own
-		}
-	}
 	preferred := make([]*server, 0, len(all))
 	up := false
 	for _, seen := range all {
@@ -89,7 +84,7 @@
 			continue
 		}
 		_, bounded := d.warming(now, current, s)
-		if !s.preferred && !bounded {
+		if !s.preferred && !s.home && !bounded {
 			continue
 		}
 		preferred = append(preferred, s)
--- a/internal/homes/division.go
+++ b/internal/homes/division.go
@@ -5,17 +5,19 @@
 	"slices"
 
 	"github.com/micahaven/micahaven/internal/discovery"
-	"github.com/micahaven/micahaven/internal/rendezvous"
 )
 
 const (
-	// serversPerHome is how many servers of an undivided service a home has at least, if
-	// there are as many: it sends each request to the one that is free, and with a few of
-	// them one nearly always is.
-	serversPerHome = 5
+	// sharePerSlot is the part of a processor that a home needs for each slot of its
+	// servers: a slot serves some ten requests a second, each of which costs a home about
+	// a millisecond, and half is left for bursts.
+	sharePerSlot = 0.02
 	// maxHomesPerService bounds the homes that a service has in a zone, and what it costs
 	// to find them.
 	maxHomesPerService = 12
+	// strongPart is the part of the zone's greatest share from which nodes are preferred
+	// as homes of undivided services.
+	strongPart = 0.5
 )
 
 // Division says which nodes of a zone are home to the servers of an undivided service
@@ -27,20 +29,42 @@
 	Servers map[string][]discovery.ServerID
 }
 
-// Divide divides the servers of an undivided service in a zone among as few of the zone's
-// nodes as bear them. A server or node that comes or goes moves few of them.
-func Divide(service, zone string, servers []discovery.ServerID, nodes []Node) Division {
+// Divide divides the servers of an undivided service in a zone, which have a number of
+// slots together, among as few of the zone's nodes as bear them. A server or node that
+// comes or goes moves few of them.
+func Divide(service, zone string, servers []discovery.ServerID, slots int, nodes []Node) Division {
 	division := Division{Servers: make(map[string][]discovery.ServerID)}
-	count := min(maxHomesPerService, max(1, len(servers)/serversPerHome))
-	division.Homes = highest(Server{ID: discovery.ServerID(service), Zone: zone}, nodes, count)
+	needed := sharePerSlot * float64(slots)
+	for _, node := range strongestFirst(Server{ID: discovery.ServerID(service), Zone: zone}, nodes) {
+		division.Homes = append(division.Homes, node)
+		if needed -= node.Share; needed <= 0 || len(division.Homes) == maxHomesPerService {
+			break
+		}
+	}
 	if len(division.Homes) == 0 {
 		return division
 	}
-	for _, server := range servers {
-		home := slices.MaxFunc(division.Homes, func(a, b Node) int {
-			return cmp.Compare(rendezvous.Score(string(server), a.Name), rendezvous.Score(string(server), b.Name))
-		})
-		division.Servers[home.Name] = append(division.Servers[home.Name], server)
+	for _, id := range servers {
+		home := highest(Server{ID: id, Zone: zone}, division.Homes, 1)[0]
+		division.Servers[home.Name] = append(division.Servers[home.Name], id)
 	}
 	return division
 }
+
+// strongestFirst returns the nodes of a server's zone by their rank, those with a large
+// share before the others.
+func strongestFirst(server Server, nodes []Node) []Node {
+	ranked := highest(server, nodes, len(nodes))
+	greatest := 0.0
+	for _, node := range ranked {
+		greatest = max(greatest, node.Share)
+	}
+	weak := func(node Node) int {
+		if node.Share < strongPart*greatest {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(ranked, func(a, b Node) int { return cmp.Compare(weak(a), weak(b)) })
+	return ranked
+}
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -34,7 +34,7 @@
 const MaxRanked = 3
 
 // Rank is a Ranked by weighted rendezvous hashing: each node is home to servers in
-// proportion to its share, and one that comes or goes moves only those servers that it
+// proportion to the square of its share, and one that comes or goes moves only those servers that it
 // gets or had.
 func Rank(server Server, nodes []Node) []Node { return highest(server, nodes, MaxRanked) }
 
@@ -67,12 +67,13 @@
 	return ranked
 }
 
-// score is the weighted rendezvous score: share / -ln(u), where u is a hash of the pair
-// between 0 and 1.
+// score is the weighted rendezvous score: weight / -ln(u), where u is a hash of the pair
+// between 0 and 1. The weight is the square of the share: each node serves as many callers
+// of its own whatever its share, so that small ones have even less left.
 func score(server Server, node Node) float64 {
 	const hashes = 1 << 53
 	u := (float64(rendezvous.Score(string(server.ID), node.Name)>>11) + 0.5) / hashes
-	return node.Share / -math.Log(u)
+	return node.Share * node.Share / -math.Log(u)
 }
 
 // Ranks ranks the nodes of one view, each server once. It is not safe for concurrent use.
