--- a/internal/handoff/sender_test.go
+++ b/internal/handoff/sender_test.go
@@ -253,7 +253,7 @@
 // A long answer comes whole and in bounded frames; a caller that reads none of it holds up
 // no other request to the same home.
 func TestSlowReaderHoldsUpNoOther(t *testing.T) {
-	body := bytes.Repeat([]byte("0123456789abcdef"), 4*maxCollected/16)
+	body := bytes.Repeat([]byte("0123456789abcdef"), maxCollected)
 	dispatcher := &fakeDispatcher{do: func(_ context.Context, request *dispatch.Request) (*upstream.Answer, error) {
 		if request.ID == "short" {
 			return &upstream.Answer{Status: 200, Body: []byte("short")}, nil
