--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -77,6 +77,13 @@
 	// cold holds what is known of ranges that came without a handover, by service.
 	cold   map[string]*coldRanges
 	ending *ending.Ending
+	// handover hands requests over to the homes of their servers; nil if this node sends
+	// all of them itself.
+	handover Handover
+	// divisions are those of undivided services among homes.
+	divisions divisions
+	// sizes are the mean sizes of answers, in bytes, by route.
+	sizes map[string]float64
 }
 
 // CopyAge returns how long ago the store surely had nothing newer than this node's copy;
@@ -104,6 +111,7 @@
 		moving:  make(map[movingRange]time.Time),
 		samples: make(map[string]*samples),
 		cold:    make(map[string]*coldRanges),
+		sizes:   make(map[string]float64),
 		nodes:   1,
 		rights:  warmup.NewRights(options.Node),
 		copyAge: func() (time.Duration, bool) { return 0, true },
@@ -142,6 +150,7 @@
 	if !current.Same.Servers || !current.Same.Nodes || !current.Same.Evacuations {
 		d.chooseSubsets(time.Now(), current)
 	}
+	d.followDivisions(current)
 	d.followColdRanges(time.Now(), current)
 	for service := range d.waiting {
 		d.pump(service)
@@ -151,7 +160,7 @@
 // updateServers takes in the servers of a view. The caller holds the mutex.
 func (d *Dispatcher) updateServers(current *view.View) {
 	for _, servers := range current.Services {
-		places := d.placesAt(current, servers[0].Service)
+		places, homePlaces := d.placesAt(current, servers[0].Service)
 		for _, seen := range servers {
 			known := d.servers[seen.ID]
 			if known == nil {
@@ -161,7 +170,7 @@
 				d.servers[seen.ID] = known
 			}
 			known.Server = seen
-			known.places = places
+			known.places, known.homePlaces = places, homePlaces
 			known.evacuatedSince, known.evacuated = current.Evacuated(seen.Zone)
 		}
 	}
@@ -182,16 +191,21 @@
 const connectionPart = 0.8
 
 // placesAt returns this node's part of the connections that a server of a service
-// takes from all nodes together; 0 means that there is no bound.
-func (d *Dispatcher) placesAt(current *view.View, name string) int {
+// takes from all nodes together, and its part if it is the server's home; 0 means that
+// there is no bound.
+func (d *Dispatcher) placesAt(current *view.View, name string) (places, atHome int) {
 	if current.Table == nil {
-		return 0
+		return 0, 0
 	}
 	service, known := current.Table.Service(name)
 	if !known || service.MaxConnections <= 0 {
-		return 0
+		return 0, 0
 	}
-	return max(1, int(connectionPart*float64(service.MaxConnections)/float64(d.nodes)))
+	all := connectionPart * float64(service.MaxConnections)
+	if d.handover == nil {
+		return max(1, int(all/float64(d.nodes))), 0
+	}
+	return max(1, int((1-homePart)*all/float64(d.nodes))), max(1, int(homePart*all))
 }
 
 // Run lets waiting requests go on as time passes, until the context ends.
--- a/internal/dispatch/subset.go
+++ b/internal/dispatch/subset.go
@@ -84,7 +84,7 @@
 			continue
 		}
 		_, bounded := d.warming(now, current, s)
-		if !s.preferred && !bounded {
+		if !s.preferred && !s.home && !bounded {
 			continue
 		}
 		preferred = append(preferred, s)
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -99,7 +99,7 @@
 ) {
 	fields := []zap.Field{
 		zap.String("request", request.ID), zap.String("route", request.Route.Name),
-		zap.String("service", request.Service), zap.String("server", trace.Server),
+		zap.String("service", request.Service), zap.String("server", trace.Server), zap.String("home", trace.Home),
 		zap.Int("attempts", trace.Attempts), zap.Int("not_sent", trace.NotSent), zap.Duration("queued", trace.Queued),
 		zap.Duration("at_servers", trace.AtServers), zap.Duration("took", took), zap.Int64("version", version),
 	}
