--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -1,71 +1,107 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// minPatience is the part of its objective that a request may wait for a server
-// in any case.
-const minPatience = 0.24
+	"github.com/micahaven/micahaven/internal/schedule"
+)
 
-// safePart is the part of its objective within which an answer must be expected,
-// because answers' times spread.
-const safePart = 0.8
+// scheduled returns what the order of waiting requests needs to know of a request. The
+// caller holds the mutex.
+func (d *Dispatcher) scheduled(request *Request, limit time.Time) *schedule.Request {
+	_, work := d.places(time.Now(), request)
+	return &schedule.Request{
+		Class: request.Route.Name, Priority: request.Route.Priority,
+		Arrived: request.ArrivedAt, FirstTry: request.ArrivedAt,
+		Objective: request.Route.Objective, Limit: limit, Deadline: request.Deadline, Work: work,
+	}
+}
 
-// patience returns until when a request may wait for a server, and false if it
-// is already clear that its answer would come after its objective: then it is
-// better refused at once, so that its client asks again. The caller holds the
-// mutex.
-func (d *Dispatcher) patience(request *Request, limit time.Time) (time.Time, bool) {
-	objective := request.Route.Objective
+// patience decides whether a request waits for a server, and until when. The caller holds
+// the mutex.
+func (d *Dispatcher) patience(w *waiter) schedule.Decision {
 	now := time.Now()
-	if _, warms := d.ownerWarms(now, request); warms {
-		return limit, false
+	if _, warms := d.ownerWarms(now, w.request); warms {
+		return schedule.Decision{Verdict: schedule.Refuse}
 	}
-	if _, hopeless := d.keyHopeless(now, request); hopeless {
-		return limit, false
+	if _, hopeless := d.keyHopeless(now, w.request); hopeless {
+		return schedule.Decision{Verdict: schedule.Refuse}
 	}
-	left := time.Duration(safePart*float64(objective)) - now.Sub(request.ArrivedAt)
-	ahead, places, answer := d.backlog(request)
-	if places <= 0 {
-		return earlier(limit, now.Add(time.Duration(minPatience*float64(objective)))), true
-	}
-	wait := float64(ahead+1) / places * answer
-	if time.Duration((wait+answer)*float64(time.Second)) > left && ahead > 0 {
-		return limit, false
+	return schedule.Decide(now, w.scheduled, d.line(now, w.request, w.scheduled))
+}
+
+// line returns what stands before a request at the servers that may serve it. The caller
+// holds the mutex.
+func (d *Dispatcher) line(now time.Time, request *Request, scheduled *schedule.Request) schedule.Line {
+	places, work := d.places(now, request)
+	return schedule.Line{
+		Ahead:  schedule.Ahead(now, scheduled, d.rivals(request), scheduledOf),
+		Places: places, Work: work, Closed: d.closed(now, request),
 	}
-	most := max(minPatience*objective.Seconds(), left.Seconds()-answer)
-	return earlier(limit, now.Add(time.Duration(most*float64(time.Second)))), true
 }
 
-// backlog returns how many requests wait before this one for the same servers,
-// how many requests this node may have at those servers at a time, and how long
-// their answers take in seconds.
-func (d *Dispatcher) backlog(request *Request) (ahead int, places, answer float64) {
-	now := time.Now()
-	current := d.views.Current()
-	owners, divided := d.owners(current, request)
+// closed reports whether the owner of a request's key takes none now: it leaves, is gone
+// or failed lately. The caller holds the mutex.
+func (d *Dispatcher) closed(now time.Time, request *Request) bool {
+	owners, divided := d.owners(d.views.Current(), request)
 	if !divided {
-		sum, count := 0.0, 0
-		for _, s := range d.candidates(now, current, request.Service) {
-			if s.reachable(now, 0) && now.After(s.blockedUntil) {
-				if _, bounded := d.warming(now, current, s); bounded {
-					continue
-				}
-				places += s.throughput(now)
-				sum += s.expected()
-				count++
-			}
-		}
-		return len(d.waiting[request.Service]), places, sum / float64(max(1, count))
+		return false
 	}
 	owner := d.ownerOf(request, owners)
 	if owner == nil || d.servers[owner.Owner] == nil {
-		return 0, 0, 0
+		return true
 	}
 	s := d.servers[owner.Owner]
-	for _, w := range d.waiting[request.Service] {
+	return (s.failures > 0 && now.Before(s.blockedUntil)) || !s.reachable(now, d.ownerGrace(s))
+}
+
+// rivals returns the requests that wait for the same servers as a request. The caller
+// holds the mutex.
+func (d *Dispatcher) rivals(request *Request) []*waiter {
+	queue := d.waiting[request.Service]
+	owners, divided := d.owners(d.views.Current(), request)
+	if !divided {
+		return queue
+	}
+	owner := d.ownerOf(request, owners)
+	if owner == nil {
+		return nil
+	}
+	var rivals []*waiter
+	for _, w := range queue {
 		if other := d.ownerOf(w.request, owners); other != nil && other.Owner == owner.Owner {
-			ahead++
+			rivals = append(rivals, w)
+		}
+	}
+	return rivals
+}
+
+// places returns how many requests this node may have at the servers that may serve a
+// request at a time, and how long their answers take. The caller holds the mutex.
+func (d *Dispatcher) places(now time.Time, request *Request) (places float64, work time.Duration) {
+	current := d.views.Current()
+	owners, divided := d.owners(current, request)
+	if divided {
+		owner := d.ownerOf(request, owners)
+		if owner == nil || d.servers[owner.Owner] == nil {
+			return 0, 0
+		}
+		s := d.servers[owner.Owner]
+		return s.throughput(now), seconds(s.expected())
+	}
+	sum, count := 0.0, 0
+	for _, s := range d.candidates(now, current, request.Service) {
+		if !s.reachable(now, 0) || !now.After(s.blockedUntil) {
+			continue
+		}
+		if _, bounded := d.warming(now, current, s); bounded {
+			continue
 		}
+		places += s.throughput(now)
+		sum += s.expected()
+		count++
 	}
-	return ahead, s.throughput(now), s.expected()
+	return places, seconds(sum / float64(max(1, count)))
 }
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -5,25 +5,31 @@
 	"time"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/schedule"
 )
 
 // waiter is a request that waits for a server.
 type waiter struct {
-	request  *Request
-	excluded map[discovery.ServerID]bool
+	request *Request
+	// scheduled is what decides about its place.
+	scheduled *schedule.Request
+	excluded  map[discovery.ServerID]bool
 	// chosen receives the server, which is already counted as busy with it, or nil if
 	// there is no use in waiting any more.
 	chosen chan *server
 }
 
-// pump gives free servers to waiting requests, the most urgent first. The caller
-// holds the mutex.
+func scheduledOf(w *waiter) *schedule.Request { return w.scheduled }
+
+// pump gives free servers to waiting requests, in the order of package schedule. The
+// caller holds the mutex.
 func (d *Dispatcher) pump(service string) {
 	queue := d.waiting[service]
 	if len(queue) == 0 {
 		return
 	}
 	now := time.Now()
+	schedule.Order(now, queue, scheduledOf)
 	kept := queue[:0]
 	for _, w := range queue {
 		if _, hopeless := d.keyHopeless(now, w.request); hopeless {
@@ -45,18 +51,9 @@
 	d.waiting[service] = kept
 }
 
-// enqueue adds a waiter behind those that are as urgent. The caller holds the
-// mutex.
+// enqueue adds a waiter; pump puts it into its place. The caller holds the mutex.
 func (d *Dispatcher) enqueue(w *waiter) {
-	queue := d.waiting[w.request.Service]
-	at := len(queue)
-	for at > 0 && queue[at-1].request.Route.Priority > w.request.Route.Priority {
-		at--
-	}
-	queue = append(queue, nil)
-	copy(queue[at+1:], queue[at:])
-	queue[at] = w
-	d.waiting[w.request.Service] = queue
+	d.waiting[w.request.Service] = append(d.waiting[w.request.Service], w)
 }
 
 // abandon removes a waiter. It returns the server that the waiter was given in
@@ -115,21 +112,41 @@
 		d.mutex.Unlock()
 		return chosen
 	}
-	limit, worthwhile := d.patience(request, limit)
-	if !worthwhile {
+	w := &waiter{request: request, scheduled: d.scheduled(request, limit), excluded: excluded, chosen: make(chan *server, 1)}
+	decision := d.patience(w)
+	if decision.Verdict == schedule.Refuse {
 		d.mutex.Unlock()
 		return nil
 	}
-	w := &waiter{request: request, excluded: excluded, chosen: make(chan *server, 1)}
 	d.enqueue(w)
 	d.mutex.Unlock()
-	timer := time.NewTimer(time.Until(limit))
-	defer timer.Stop()
-	select {
-	case chosen := <-w.chosen:
-		return chosen
-	case <-timer.C:
-	case <-ctx.Done():
+	return d.waitInLine(ctx, w, decision.Until)
+}
+
+// waitInLine waits for a server until a moment, and goes on if it is decided then that
+// the request may wait longer: as one that is late, for the room that others leave.
+func (d *Dispatcher) waitInLine(ctx context.Context, w *waiter, until time.Time) *server {
+	for {
+		timer := time.NewTimer(time.Until(until))
+		select {
+		case chosen := <-w.chosen:
+			timer.Stop()
+			return chosen
+		case <-ctx.Done():
+			timer.Stop()
+			return d.abandon(w)
+		case <-timer.C:
+		}
+		decision := d.decideAgain(w)
+		if decision.Verdict == schedule.Refuse {
+			return d.abandon(w)
+		}
+		until = decision.Until
 	}
-	return d.abandon(w)
+}
+
+func (d *Dispatcher) decideAgain(w *waiter) schedule.Decision {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.patience(w)
 }
