--- /dev/null
+++ b/internal/dispatch/comeback.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/schedule"
+)
+
+// comeBack returns after what time a refused request should come back. The caller holds
+// the mutex.
+func (d *Dispatcher) comeBack(reason Reason, request *Request) time.Duration {
+	now := time.Now()
+	scheduled := d.scheduled(request, request.limit())
+	line := d.line(now, request, scheduled)
+	return d.returnsOf(request).After(now, scheduled, line, d.lasts(now, reason, request), rand.Float64())
+}
+
+// returnsOf returns who else comes back for the servers that a request needs. The caller
+// holds the mutex.
+func (d *Dispatcher) returnsOf(request *Request) *schedule.Returns {
+	if s := d.keyServer(request); s != nil {
+		return &s.returns
+	}
+	known := d.returns[request.Service]
+	if known == nil {
+		known = &schedule.Returns{}
+		d.returns[request.Service] = known
+	}
+	return known
+}
+
+// lasts is how long what a request was refused for is known to last. The caller holds the
+// mutex.
+func (d *Dispatcher) lasts(now time.Time, reason Reason, request *Request) time.Duration {
+	switch reason {
+	case ReasonOwnerWarming:
+		left, _ := d.ownerWarms(now, request)
+		return left
+	case ReasonKeyWarming:
+		left, _ := d.keyHopeless(now, request)
+		return left
+	case ReasonOwnerFailing:
+		if s := d.keyServer(request); s != nil {
+			return s.blockedUntil.Sub(now)
+		}
+	case ReasonServerRefused:
+		// It was full. In the time of one answer it works off as many as it has slots.
+		if s := d.keyServer(request); s != nil {
+			return seconds(s.expected())
+		}
+	}
+	return 0
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/rendezvous"
+	"github.com/micahaven/micahaven/internal/schedule"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
 	"github.com/micahaven/micahaven/internal/warmup"
@@ -66,6 +67,9 @@
 	servers map[discovery.ServerID]*server
 	waiting map[string][]*waiter
 	budgets map[string]*budget
+	// returns holds, by service, when refused callers of undivided services come back;
+	// those of owners of keys are with their servers.
+	returns map[string]*schedule.Returns
 	// moving holds, by service and fence, ranges that are changing hands.
 	moving  map[movingRange]time.Time
 	samples map[string]*samples
@@ -101,6 +105,7 @@
 		servers: make(map[discovery.ServerID]*server),
 		waiting: make(map[string][]*waiter),
 		budgets: make(map[string]*budget),
+		returns: make(map[string]*schedule.Returns),
 		moving:  make(map[movingRange]time.Time),
 		samples: make(map[string]*samples),
 		cold:    make(map[string]*coldRanges),
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -17,17 +16,8 @@
 const (
 	// minAttemptTime is the least time that must be left for an attempt.
 	minAttemptTime = 10 * time.Millisecond
-	// minComeBack and maxComeBack bound when a refused client should try again;
-	// it is spread so that clients do not come back together.
-	minComeBack = 60 * time.Millisecond
-	maxComeBack = 200 * time.Millisecond
 )
 
-// comeBack returns when a refused client should try again.
-func comeBack() time.Duration {
-	return minComeBack + time.Duration(rand.Int64N(int64(maxComeBack-minComeBack)))
-}
-
 // attempt is how sending a request to one server ended.
 type attempt int
 
@@ -50,6 +40,7 @@
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		refusalSeconds.WithLabelValues(refusal.Reason.String()).Observe(time.Since(request.ArrivedAt).Seconds())
+		comeBackSeconds.WithLabelValues(refusal.Reason.String()).Observe(refusal.RetryAfter.Seconds())
 	}
 	if answer != nil && answer.Rest != nil {
 		// An answer that has begun is passed on as long as there is a connection for it.
@@ -98,7 +89,7 @@
 		excluded[s.id] = true
 		if ctx.Err() != nil || !d.mayRepeat(request, trace, outcome, limit) {
 			if outcome != failedOver && !mayHaveRun {
-				return nil, trace, refusalBy(outcome, err)
+				return nil, trace, d.refusalBy(request, outcome, err)
 			}
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -23,6 +23,12 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 4, 7),
 	}, []string{"reason"})
 
+	comeBackSeconds = promauto.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "micahaven_dispatch_come_back_seconds",
+		Help:    "Time after which refused callers were asked to come back, by reason.",
+		Buckets: prometheus.ExponentialBuckets(0.03, 2, 9),
+	}, []string{"reason"})
+
 	repeatsDeniedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_dispatch_repeats_denied_total",
 		Help: "Repeats that the retry budget did not allow.",
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -36,23 +36,43 @@
 	places, work := d.places(now, request)
 	return schedule.Line{
 		Ahead:  schedule.Ahead(now, scheduled, d.rivals(request), scheduledOf),
-		Places: places, Work: work, Closed: d.closed(now, request),
+		Places: places, Work: work,
+		Opens: d.opens(now, request), Closed: d.closed(now, request),
 	}
 }
 
-// closed reports whether the owner of a request's key takes none now: it leaves, is gone
-// or failed lately. The caller holds the mutex.
-func (d *Dispatcher) closed(now time.Time, request *Request) bool {
+// opens returns for how long this node surely sends nothing to the owner of a request's
+// key, because it has sent its part of what the owner bears. The caller holds the mutex.
+func (d *Dispatcher) opens(now time.Time, request *Request) time.Duration {
+	s := d.keyServer(request)
+	if s == nil {
+		return 0
+	}
+	return max(0, s.limit.pausedUntil.Sub(now))
+}
+
+// keyServer returns the server that owns a request's key; nil if there is none or keys
+// are not divided. The caller holds the mutex.
+func (d *Dispatcher) keyServer(request *Request) *server {
 	owners, divided := d.owners(d.views.Current(), request)
 	if !divided {
-		return false
+		return nil
 	}
 	owner := d.ownerOf(request, owners)
-	if owner == nil || d.servers[owner.Owner] == nil {
-		return true
+	if owner == nil {
+		return nil
 	}
-	s := d.servers[owner.Owner]
-	return (s.failures > 0 && now.Before(s.blockedUntil)) || !s.reachable(now, d.ownerGrace(s))
+	return d.servers[owner.Owner]
+}
+
+// closed reports whether the owner of a request's key takes none now: it leaves, is gone
+// or failed lately. The caller holds the mutex.
+func (d *Dispatcher) closed(now time.Time, request *Request) bool {
+	if !d.divided(request) {
+		return false
+	}
+	s := d.keyServer(request)
+	return s == nil || (s.failures > 0 && now.Before(s.blockedUntil)) || !s.reachable(now, d.ownerGrace(s))
 }
 
 // rivals returns the requests that wait for the same servers as a request. The caller
@@ -79,16 +99,14 @@
 // places returns how many requests this node may have at the servers that may serve a
 // request at a time, and how long their answers take. The caller holds the mutex.
 func (d *Dispatcher) places(now time.Time, request *Request) (places float64, work time.Duration) {
-	current := d.views.Current()
-	owners, divided := d.owners(current, request)
-	if divided {
-		owner := d.ownerOf(request, owners)
-		if owner == nil || d.servers[owner.Owner] == nil {
+	if d.divided(request) {
+		s := d.keyServer(request)
+		if s == nil {
 			return 0, 0
 		}
-		s := d.servers[owner.Owner]
 		return s.throughput(now), seconds(s.expected())
 	}
+	current := d.views.Current()
 	sum, count := 0.0, 0
 	for _, s := range d.candidates(now, current, request.Service) {
 		if !s.reachable(now, 0) || !now.After(s.blockedUntil) {
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -56,30 +56,18 @@
 	if _, stops := d.ending.At(); stops {
 		reason, detail = ReasonNodeStops, "the node stops; "+detail
 	}
-	return &Refusal{Reason: reason, Detail: detail, RetryAfter: comeBack() + d.waitFor(reason, request)}
-}
-
-// waitFor is how long what a request was refused for is known to last. The caller holds
-// the mutex.
-func (d *Dispatcher) waitFor(reason Reason, request *Request) time.Duration {
-	now := time.Now()
-	left := time.Duration(0)
-	switch reason {
-	case ReasonOwnerWarming:
-		left, _ = d.ownerWarms(now, request)
-	case ReasonKeyWarming:
-		left, _ = d.keyHopeless(now, request)
-	}
-	return max(0, left)
+	return &Refusal{Reason: reason, Detail: detail, RetryAfter: d.comeBack(reason, request)}
 }
 
 // refusalBy returns the refusal of a request whose last attempt surely did not run it.
-func refusalBy(outcome attempt, cause error) *Refusal {
+func (d *Dispatcher) refusalBy(request *Request, outcome attempt, cause error) *Refusal {
 	reason := ReasonServerRefused
 	if outcome == notSent {
 		reason = ReasonUnreachable
 	}
-	return &Refusal{Reason: reason, Detail: cause.Error(), RetryAfter: comeBack()}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return &Refusal{Reason: reason, Detail: cause.Error(), RetryAfter: d.comeBack(reason, request)}
 }
 
 // whyNoServer says why no server is free for a request. The caller holds the mutex.
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/schedule"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
 )
@@ -33,6 +34,8 @@
 	// evacuatedSince when that was first seen.
 	evacuated      bool
 	evacuatedSince time.Time
+	// returns spreads the callers that were refused because of this server.
+	returns schedule.Returns
 	// places is this node's part of the server's connections; 0 means no bound.
 	places int
 	// latency is the moving mean of the answers' times, in seconds.
--- a/internal/schedule/comeback.go
+++ b/internal/schedule/comeback.go
@@ -27,16 +27,20 @@
 
 // After returns after what time a refused request should come back: when those that wait
 // now leave room for its answer to be in time, behind all callers that were told so
-// before. known is how long the cause of the refusal is known to last, and random, from 0
-// to 1, spreads callers.
+// before. known is how long the cause of the refusal is known to last; sooner it would be
+// refused again, so that this is told however long it is. random, from 0 to 1, spreads
+// callers.
 func (r *Returns) After(now time.Time, request *Request, line Line, known time.Duration, random float64) time.Duration {
-	room := line.wait(line.Ahead+1) + line.Work - time.Duration(safePart*float64(request.Objective))
-	at := later(now.Add(max(soonest, known, room)), r.next)
 	longest := time.Duration(longestPart * float64(request.Deadline.Sub(now)))
+	if known > longest {
+		return known + time.Duration(random*float64(spread))
+	}
+	room := line.wait() + line.Work - time.Duration(safePart*float64(request.Objective))
+	at := later(now.Add(max(soonest, known, room)), r.next)
 	after := at.Sub(now) + time.Duration(random*float64(spread))
 	if after > longest {
 		return max(0, time.Duration((1-longestSpread*random)*float64(longest)))
 	}
-	r.next = at.Add(line.wait(1))
+	r.next = at.Add(line.interval())
 	return after
 }
--- a/internal/schedule/patience.go
+++ b/internal/schedule/patience.go
@@ -30,8 +30,8 @@
 		return waitUntil(now, earlier(request.Limit, least))
 	}
 	safe := request.FirstTry.Add(time.Duration(safePart*float64(request.Objective)) - line.Work)
-	start := now.Add(line.wait(line.Ahead + 1))
-	if !start.After(safe) || line.Ahead == 0 {
+	start := now.Add(line.wait())
+	if !start.After(safe) || line.next(safe.Sub(now)) {
 		decision := waitUntil(now, earlier(request.Limit, later(least, safe)))
 		if decision.Verdict == Wait {
 			return decision
@@ -48,6 +48,10 @@
 	return waitUntil(now, until)
 }
 
+// next reports whether a request is the first of the line and the servers may take one
+// within some time: how soon a place gets free is a matter of chance then.
+func (l Line) next(within time.Duration) bool { return l.Ahead == 0 && l.Opens < within }
+
 func waitUntil(now, until time.Time) Decision {
 	if !until.After(now) {
 		return Decision{Verdict: Refuse}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -48,16 +48,24 @@
 	Places float64
 	// Work is how long each of them takes.
 	Work time.Duration
+	// Opens is how long the servers surely take none: what a server told of its load can
+	// mean that a node sends it nothing for a while.
+	Opens time.Duration
 	// Closed is set while no server takes requests and it is not known when one will.
 	Closed bool
 }
 
-// wait is how long a request is expected to wait behind a number of others.
-func (l Line) wait(behind int) time.Duration {
+// wait is how long a request that joins the line is expected to wait.
+func (l Line) wait() time.Duration {
+	return max(l.Opens, time.Duration(l.Ahead+1)*l.interval())
+}
+
+// interval is the mean time between two requests that the servers take.
+func (l Line) interval() time.Duration {
 	if l.Places <= 0 {
 		return 0
 	}
-	return time.Duration(float64(behind) / l.Places * float64(l.Work))
+	return time.Duration(float64(l.Work) / l.Places)
 }
 
 // Verdict is what is done with a request for which no server is free.
