--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -70,6 +70,8 @@
 	// returns holds, by service, when refused callers of undivided services come back;
 	// those of owners of keys are with their servers.
 	returns map[string]*schedule.Returns
+	// usualTimes holds, by route, within what time answers usually come.
+	usualTimes map[string]*schedule.Quantile
 	// moving holds, by service and fence, ranges that are changing hands.
 	moving  map[movingRange]time.Time
 	samples map[string]*samples
@@ -97,22 +99,23 @@
 // New returns a dispatcher that follows views.
 func New(options Options, views *view.Builder, logger *zap.Logger) *Dispatcher {
 	d := &Dispatcher{
-		headers: options.Headers,
-		options: options,
-		views:   views,
-		logger:  logger,
-		link:    upstream.NewLink(),
-		servers: make(map[discovery.ServerID]*server),
-		waiting: make(map[string][]*waiter),
-		budgets: make(map[string]*budget),
-		returns: make(map[string]*schedule.Returns),
-		moving:  make(map[movingRange]time.Time),
-		samples: make(map[string]*samples),
-		cold:    make(map[string]*coldRanges),
-		nodes:   1,
-		rights:  warmup.NewRights(options.Node),
-		copyAge: func() (time.Duration, bool) { return 0, true },
-		ending:  ending.New(),
+		headers:    options.Headers,
+		options:    options,
+		views:      views,
+		logger:     logger,
+		link:       upstream.NewLink(),
+		servers:    make(map[discovery.ServerID]*server),
+		waiting:    make(map[string][]*waiter),
+		budgets:    make(map[string]*budget),
+		returns:    make(map[string]*schedule.Returns),
+		usualTimes: make(map[string]*schedule.Quantile),
+		moving:     make(map[movingRange]time.Time),
+		samples:    make(map[string]*samples),
+		cold:       make(map[string]*coldRanges),
+		nodes:      1,
+		rights:     warmup.NewRights(options.Node),
+		copyAge:    func() (time.Duration, bool) { return 0, true },
+		ending:     ending.New(),
 	}
 	views.Subscribe(d.update)
 	return d
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -66,11 +66,11 @@
 		if s == nil {
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
-		trace.Server = string(s.id)
 		trace.MapRevision = d.views.Current().Owners[request.Service].Revision
 		limit := d.limit(request)
 		sentAt := time.Now()
-		answer, outcome, err := d.send(ctx, request, s, limit)
+		s, answer, outcome, err := d.sendTwice(ctx, request, s, limit, &trace, excluded)
+		trace.Server = string(s.id)
 		trace.AtServers += time.Since(sentAt)
 		if outcome == notSent {
 			trace.NotSent++
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -29,6 +29,11 @@
 		Buckets: prometheus.ExponentialBuckets(0.03, 2, 9),
 	}, []string{"reason"})
 
+	secondTriesTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_dispatch_second_tries_total",
+		Help: "Requests sent to a second server because the first was slow, and those whose second server answered first.",
+	}, []string{"service", "result"})
+
 	repeatsDeniedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_dispatch_repeats_denied_total",
 		Help: "Repeats that the retry budget did not allow.",
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -46,6 +46,7 @@
 		// How long it took says nothing about the server.
 		return
 	}
+	d.observeUsual(request, sent.took, ended)
 	s.failing.observe(now, ended != serverAnswered)
 	switch {
 	case ended == serverAnswered, ended == serverFailed && d.divided(request):
--- /dev/null
+++ b/internal/dispatch/second_test.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+)
+
+// pair returns a dispatcher with two servers, of which "slow" is chosen first, and counts
+// of the requests that reached them.
+func pair(t *testing.T, slow, other http.HandlerFunc) (d *Dispatcher, atSlow, atOther *atomic.Int64) {
+	t.Helper()
+	atSlow, atOther = &atomic.Int64{}, &atomic.Int64{}
+	serve := func(count *atomic.Int64, handler http.HandlerFunc) string {
+		backend := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+			count.Add(1)
+			writer.Header().Set("Id", incoming.Header.Get("Id"))
+			handler(writer, incoming)
+		}))
+		t.Cleanup(backend.Close)
+		return strings.TrimPrefix(backend.URL, "http://")
+	}
+	d = dispatcherOf(map[string]string{"slow": serve(atSlow, slow), "other": serve(atOther, other)})
+	d.servers["slow"].latency, d.servers["other"].latency = 0.001, 0.1
+	return d, atSlow, atOther
+}
+
+// read is a request that may be repeated and whose route usually is answered in 30 ms.
+func read(d *Dispatcher) *Request {
+	request := patient()
+	request.ID = ""
+	request.Route.Repeatable, request.Route.MaxAttempts = true, 2
+	d.usual(request).Observe(30 * time.Millisecond)
+	return request
+}
+
+func sign(writer http.ResponseWriter, _ *http.Request) { writer.Header().Set("Signature", "signed") }
+
+func TestSecondServerAnswersForASlowOne(t *testing.T) {
+	left := make(chan struct{})
+	d, atSlow, _ := pair(t, func(_ http.ResponseWriter, incoming *http.Request) {
+		<-incoming.Context().Done()
+		close(left)
+	}, sign)
+	_, trace, err := d.Do(context.Background(), read(d))
+	if err != nil || trace.Server != "other" || trace.Attempts != 2 || atSlow.Load() != 1 {
+		t.Fatalf("%v by %q after %d attempts, %d at the slow server", err, trace.Server, trace.Attempts, atSlow.Load())
+	}
+	select {
+	case <-left:
+	case <-time.After(5 * time.Second):
+		t.Error("the slow server still works on it")
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if slow, other := d.servers["slow"].outstanding, d.servers["other"].outstanding; slow != 0 || other != 0 {
+		t.Errorf("%d and %d places are still taken", slow, other)
+	}
+}
+
+func TestFirstServerMayStillAnswer(t *testing.T) {
+	left := make(chan struct{})
+	var d *Dispatcher
+	var atOther *atomic.Int64
+	d, _, atOther = pair(t, func(writer http.ResponseWriter, incoming *http.Request) {
+		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			d.mutex.Lock()
+			sent := d.servers["other"].outstanding
+			d.mutex.Unlock()
+			if sent > 0 {
+				break
+			}
+		}
+		sign(writer, incoming)
+	}, func(_ http.ResponseWriter, incoming *http.Request) {
+		<-incoming.Context().Done()
+		close(left)
+	})
+	_, trace, err := d.Do(context.Background(), read(d))
+	if err != nil || trace.Server != "slow" {
+		t.Fatalf("%v by %q", err, trace.Server)
+	}
+	if atOther.Load() > 0 {
+		<-left
+	}
+}
+
+// Where the second try may have run, no answer says that the request has not.
+func TestSecondTryThatMayHaveRunIsNotDenied(t *testing.T) {
+	var d *Dispatcher
+	var atOther *atomic.Int64
+	d, _, atOther = pair(t, func(writer http.ResponseWriter, _ *http.Request) {
+		for deadline := time.Now().Add(5 * time.Second); atOther.Load() == 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		writer.Header().Set("Not-Executed", "full")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	if _, _, err := d.Do(context.Background(), read(d)); err == nil || errors.Is(err, ErrNotExecuted) {
+		t.Errorf("%v, want that it may have run", err)
+	}
+}
+
+func TestNoSecondTry(t *testing.T) {
+	for _, check := range []struct {
+		name   string
+		change func(d *Dispatcher, request *Request)
+	}{
+		{"of what may not be repeated", func(_ *Dispatcher, r *Request) { r.Route.Repeatable = false }},
+		{"beyond the route's attempts", func(_ *Dispatcher, r *Request) { r.Route.MaxAttempts = 1 }},
+		{"without budget", func(d *Dispatcher, r *Request) { d.budget(r.Service).tokens = 0 }},
+		{"that would be late", func(_ *Dispatcher, r *Request) { r.Route.Objective = 25 * time.Millisecond }},
+		{"at a busy server", func(d *Dispatcher, _ *Request) { d.servers["other"].outstanding = 1 }},
+		{"while others wait", func(d *Dispatcher, r *Request) { d.waiting[r.Service] = append(d.waiting[r.Service], nil) }},
+	} {
+		t.Run(check.name, func(t *testing.T) {
+			d, _, _ := pair(t, sign, sign)
+			request := read(d)
+			check.change(d, request)
+			_, may := d.secondDelay(request, d.servers["slow"], &Trace{})
+			if may && d.acquireSecond(request, map[discovery.ServerID]bool{"slow": true}) != nil {
+				t.Error("a second try is sent")
+			}
+		})
+	}
+}
