--- a/internal/dispatch/second.go
+++ b/internal/dispatch/second.go
@@ -15,6 +15,10 @@
 // too late to be in time.
 const usualPart = 0.9
 
+// secondPart is the part of its objective that a request must have used up before a second
+// try is sent: until then even a slow server is expected to answer in time.
+const secondPart = 0.5
+
 // secondTry is a request that is sent to another server because the first one takes longer
 // than answers of its route usually do.
 type secondTry struct {
@@ -121,8 +125,9 @@
 		return 0, false
 	}
 	usual := d.usual(request).Value()
-	expected := request.ArrivedAt.Add(request.Route.Objective - seconds(first.expected()))
-	return usual, usual > 0 && time.Now().Add(usual).Before(expected)
+	objective, used := request.Route.Objective, time.Since(request.ArrivedAt)
+	delay := max(usual, time.Duration(secondPart*float64(objective))-used)
+	return delay, usual > 0 && used+delay+seconds(first.expected()) < objective
 }
 
 // acquireSecond returns a free server for a second try, or nil. Nobody waits for one: what
