--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -70,6 +70,8 @@
 	// returns holds, by service, when refused callers of undivided services come back;
 	// those of owners of keys are with their servers.
 	returns map[string]*schedule.Returns
+	// firstTries holds, by route, what is known of when callers first asked.
+	firstTries map[string]*schedule.FirstTries
 	// usualTimes holds, by route, within what time answers usually come.
 	usualTimes map[string]*schedule.Quantile
 	// moving holds, by service and fence, ranges that are changing hands.
@@ -109,6 +111,7 @@
 		budgets:    make(map[string]*budget),
 		returns:    make(map[string]*schedule.Returns),
 		usualTimes: make(map[string]*schedule.Quantile),
+		firstTries: make(map[string]*schedule.FirstTries),
 		moving:     make(map[movingRange]time.Time),
 		samples:    make(map[string]*samples),
 		cold:       make(map[string]*coldRanges),
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -10,13 +10,25 @@
 // caller holds the mutex.
 func (d *Dispatcher) scheduled(request *Request, limit time.Time) *schedule.Request {
 	_, work := d.places(time.Now(), request)
+	since := d.firstTriesOf(request).Since(request.Deadline.Sub(request.ArrivedAt))
 	return &schedule.Request{
 		Class: request.Route.Name, Priority: request.Route.Priority,
-		Arrived: request.ArrivedAt, FirstTry: request.ArrivedAt,
+		Arrived: request.ArrivedAt, FirstTry: request.ArrivedAt.Add(-since), Caller: request.Caller,
 		Objective: request.Route.Objective, Limit: limit, Deadline: request.Deadline, Work: work,
 	}
 }
 
+// firstTriesOf returns what is known of when the callers of a request's route first ask.
+// The caller holds the mutex.
+func (d *Dispatcher) firstTriesOf(request *Request) *schedule.FirstTries {
+	known := d.firstTries[request.Route.Name]
+	if known == nil {
+		known = &schedule.FirstTries{}
+		d.firstTries[request.Route.Name] = known
+	}
+	return known
+}
+
 // patience decides whether a request waits for a server, and until when. The caller holds
 // the mutex.
 func (d *Dispatcher) patience(w *waiter) schedule.Decision {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -57,6 +57,9 @@
 	// Key is the request's key if HasKey.
 	Key    uint32
 	HasKey bool
+	// Caller tells callers apart: those of one route share shortage evenly. Requests
+	// without it count as those of as many callers.
+	Caller string
 	// ArrivedAt is when the request was read.
 	ArrivedAt time.Time
 	// Deadline is when the client stops waiting.
--- a/internal/dispatch/samples.go
+++ b/internal/dispatch/samples.go
@@ -62,6 +62,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.budget(request.Service).earn()
+	d.firstTriesOf(request).Observe(request.Deadline.Sub(request.ArrivedAt))
 	if !request.HasKey {
 		return
 	}
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -101,6 +101,10 @@
 	if request.HasKey {
 		fields = append(fields, zap.Uint32("key", request.Key), zap.Int64("map", trace.MapRevision))
 	}
+	var refusal *dispatch.Refusal
+	if errors.As(err, &refusal) {
+		fields = append(fields, zap.Stringer("reason", refusal.Reason), zap.Duration("come_back", refusal.RetryAfter))
+	}
 	if err != nil {
 		h.logger.Warn("request failed", append(fields, zap.String("error", err.Error()))...)
 		return
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -124,6 +124,7 @@
 		ID: incoming.Header.Get(h.headers.RequestID), Method: incoming.Method, URI: incoming.RequestURI,
 		Host: incoming.Host, Route: route, ArrivedAt: arrivedAt,
 		Service: route.Choose(h.position()),
+		Caller:  callerOf(incoming),
 		Fields:  h.forwarded(incoming.Header),
 	}
 	request.Deadline = arrivedAt.Add(route.Timeout)
