--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/rendezvous"
+	"github.com/micahaven/micahaven/internal/schedule"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
 	"github.com/micahaven/micahaven/internal/warmup"
@@ -66,6 +67,13 @@
 	servers map[discovery.ServerID]*server
 	waiting map[string][]*waiter
 	budgets map[string]*budget
+	// returns holds, by service, when refused callers of undivided services come back;
+	// those of owners of keys are with their servers.
+	returns map[string]*schedule.Returns
+	// firstTries holds, by route, what is known of when callers first asked.
+	firstTries map[string]*schedule.FirstTries
+	// usualTimes holds, by route, within what time answers usually come.
+	usualTimes map[string]*schedule.Quantile
 	// moving holds, by service and fence, ranges that are changing hands.
 	moving  map[movingRange]time.Time
 	samples map[string]*samples
@@ -100,22 +108,25 @@
 // New returns a dispatcher that follows views.
 func New(options Options, views *view.Builder, logger *zap.Logger) *Dispatcher {
 	d := &Dispatcher{
-		headers: options.Headers,
-		options: options,
-		views:   views,
-		logger:  logger,
-		link:    upstream.NewLink(),
-		servers: make(map[discovery.ServerID]*server),
-		waiting: make(map[string][]*waiter),
-		budgets: make(map[string]*budget),
-		moving:  make(map[movingRange]time.Time),
-		samples: make(map[string]*samples),
-		cold:    make(map[string]*coldRanges),
-		sizes:   make(map[string]float64),
-		nodes:   1,
-		rights:  warmup.NewRights(options.Node),
-		copyAge: func() (time.Duration, bool) { return 0, true },
-		ending:  ending.New(),
+		headers:    options.Headers,
+		options:    options,
+		views:      views,
+		logger:     logger,
+		link:       upstream.NewLink(),
+		servers:    make(map[discovery.ServerID]*server),
+		waiting:    make(map[string][]*waiter),
+		budgets:    make(map[string]*budget),
+		returns:    make(map[string]*schedule.Returns),
+		usualTimes: make(map[string]*schedule.Quantile),
+		firstTries: make(map[string]*schedule.FirstTries),
+		moving:     make(map[movingRange]time.Time),
+		samples:    make(map[string]*samples),
+		cold:       make(map[string]*coldRanges),
+		sizes:      make(map[string]float64),
+		nodes:      1,
+		rights:     warmup.NewRights(options.Node),
+		copyAge:    func() (time.Duration, bool) { return 0, true },
+		ending:     ending.New(),
 	}
 	views.Subscribe(d.update)
 	return d
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -254,5 +254,5 @@
 	defer d.mutex.Unlock()
 	s.outstanding--
 	d.pump(s.Service)
-	return &Refusal{Reason: ReasonNoServer, Detail: err.Error(), RetryAfter: comeBack()}
+	return &Refusal{Reason: ReasonNoServer, Detail: err.Error(), RetryAfter: d.comeBack(ReasonNoServer, request)}
 }
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -1,71 +1,137 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// minPatience is the part of its objective that a request may wait for a server
-// in any case.
-const minPatience = 0.24
+	"github.com/micahaven/micahaven/internal/schedule"
+)
 
-// safePart is the part of its objective within which an answer must be expected,
-// because answers' times spread.
-const safePart = 0.8
+// scheduled returns what the order of waiting requests needs to know of a request. The
+// caller holds the mutex.
+func (d *Dispatcher) scheduled(request *Request, limit time.Time) *schedule.Request {
+	_, work := d.places(time.Now(), request)
+	since := d.firstTriesOf(request).Since(request.callerDeadline().Sub(request.ArrivedAt))
+	return &schedule.Request{
+		Class: request.Route.Name, Priority: request.Route.Priority,
+		Arrived: request.ArrivedAt, FirstTry: request.ArrivedAt.Add(-since), Caller: request.Caller,
+		Objective: request.Route.Objective, Limit: limit, Deadline: request.callerDeadline(), Work: work,
+	}
+}
+
+// firstTriesOf returns what is known of when the callers of a request's route first ask.
+// The caller holds the mutex.
+func (d *Dispatcher) firstTriesOf(request *Request) *schedule.FirstTries {
+	known := d.firstTries[request.Route.Name]
+	if known == nil {
+		known = &schedule.FirstTries{}
+		d.firstTries[request.Route.Name] = known
+	}
+	return known
+}
 
-// patience returns until when a request may wait for a server, and false if it
-// is already clear that its answer would come after its objective: then it is
-// better refused at once, so that its client asks again. The caller holds the
-// mutex.
-func (d *Dispatcher) patience(request *Request, limit time.Time) (time.Time, bool) {
-	objective := request.Route.Objective
+// patience decides whether a request waits for a server, and until when. The caller holds
+// the mutex.
+func (d *Dispatcher) patience(w *waiter) schedule.Decision {
 	now := time.Now()
-	if _, warms := d.ownerWarms(now, request); warms {
-		return limit, false
+	if _, warms := d.ownerWarms(now, w.request); warms {
+		return schedule.Decision{Verdict: schedule.Refuse}
 	}
-	if _, hopeless := d.keyHopeless(now, request); hopeless {
-		return limit, false
+	if _, hopeless := d.keyHopeless(now, w.request); hopeless {
+		return schedule.Decision{Verdict: schedule.Refuse}
 	}
-	left := time.Duration(safePart*float64(objective)) - now.Sub(request.ArrivedAt)
-	ahead, places, answer := d.backlog(request)
-	if places <= 0 {
-		return earlier(limit, now.Add(time.Duration(minPatience*float64(objective)))), true
+	return schedule.Decide(now, w.scheduled, d.line(now, w.request, w.scheduled))
+}
+
+// line returns what stands before a request at the servers that may serve it. The caller
+// holds the mutex.
+func (d *Dispatcher) line(now time.Time, request *Request, scheduled *schedule.Request) schedule.Line {
+	places, work := d.places(now, request)
+	return schedule.Line{
+		Ahead:  schedule.Ahead(now, scheduled, d.rivals(request), scheduledOf),
+		Places: places, Work: work,
+		Opens: d.opens(now, request), Closed: d.closed(now, request),
 	}
-	wait := float64(ahead+1) / places * answer
-	if time.Duration((wait+answer)*float64(time.Second)) > left && ahead > 0 {
-		return limit, false
+}
+
+// opens returns for how long this node surely sends nothing to the owner of a request's
+// key, because it has sent its part of what the owner bears. The caller holds the mutex.
+func (d *Dispatcher) opens(now time.Time, request *Request) time.Duration {
+	s := d.keyServer(request)
+	if s == nil {
+		return 0
 	}
-	most := max(minPatience*objective.Seconds(), left.Seconds()-answer)
-	return earlier(limit, now.Add(time.Duration(most*float64(time.Second)))), true
+	return max(0, s.limit.pausedUntil.Sub(now))
 }
 
-// backlog returns how many requests wait before this one for the same servers,
-// how many requests this node may have at those servers at a time, and how long
-// their answers take in seconds.
-func (d *Dispatcher) backlog(request *Request) (ahead int, places, answer float64) {
-	now := time.Now()
-	current := d.views.Current()
-	owners, divided := d.owners(current, request)
+// keyServer returns the server that owns a request's key; nil if there is none or keys
+// are not divided. The caller holds the mutex.
+func (d *Dispatcher) keyServer(request *Request) *server {
+	owners, divided := d.owners(d.views.Current(), request)
 	if !divided {
-		sum, count := 0.0, 0
-		for _, s := range d.candidates(now, current, request.Service) {
-			if s.reachable(now, 0) && now.After(s.blockedUntil) {
-				if _, bounded := d.warming(now, current, s); bounded {
-					continue
-				}
-				places += s.throughput(now)
-				sum += s.expected()
-				count++
-			}
-		}
-		return len(d.waiting[request.Service]), places, sum / float64(max(1, count))
+		return nil
+	}
+	owner := d.ownerOf(request, owners)
+	if owner == nil {
+		return nil
+	}
+	return d.servers[owner.Owner]
+}
+
+// closed reports whether the owner of a request's key takes none now: it leaves, is gone
+// or failed lately. The caller holds the mutex.
+func (d *Dispatcher) closed(now time.Time, request *Request) bool {
+	if !d.divided(request) {
+		return false
+	}
+	s := d.keyServer(request)
+	return s == nil || (s.failures > 0 && now.Before(s.blockedUntil)) || !s.reachable(now, d.ownerGrace(s))
+}
+
+// rivals returns the requests that wait for the same servers as a request. The caller
+// holds the mutex.
+func (d *Dispatcher) rivals(request *Request) []*waiter {
+	queue := d.waiting[request.Service]
+	owners, divided := d.owners(d.views.Current(), request)
+	if !divided {
+		return queue
 	}
 	owner := d.ownerOf(request, owners)
-	if owner == nil || d.servers[owner.Owner] == nil {
-		return 0, 0, 0
+	if owner == nil {
+		return nil
 	}
-	s := d.servers[owner.Owner]
-	for _, w := range d.waiting[request.Service] {
+	var rivals []*waiter
+	for _, w := range queue {
 		if other := d.ownerOf(w.request, owners); other != nil && other.Owner == owner.Owner {
-			ahead++
+			rivals = append(rivals, w)
 		}
 	}
-	return ahead, s.throughput(now), s.expected()
+	return rivals
 }
+
+// places returns how many requests this node may have at the servers that may serve a
+// request at a time, and how long their answers take. The caller holds the mutex.
+func (d *Dispatcher) places(now time.Time, request *Request) (places float64, work time.Duration) {
+	if d.divided(request) {
+		s := d.keyServer(request)
+		if s == nil {
+			return 0, 0
+		}
+		return s.throughput(now), seconds(s.expected())
+	}
+	current := d.views.Current()
+	sum, count := 0.0, 0
+	for _, s := range d.candidates(now, current, request.Service) {
+		if !s.reachable(now, 0) || !now.After(s.blockedUntil) {
+			continue
+		}
+		if _, bounded := d.warming(now, current, s); bounded {
+			continue
+		}
+		places += s.throughput(now)
+		sum += s.expected()
+		count++
+	}
+	return places, seconds(sum / float64(max(1, count)))
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -57,14 +57,26 @@
 	// Key is the request's key if HasKey.
 	Key    uint32
 	HasKey bool
+	// Caller tells callers apart: those of one route share shortage evenly. Requests
+	// without it count as those of as many callers.
+	Caller string
 	// ArrivedAt is when the request was read.
 	ArrivedAt time.Time
-	// Deadline is when the client stops waiting.
-	Deadline time.Time
+	// Deadline is when the client stops waiting, or when the node that handed the request
+	// over needs the answer; CallerDeadline is the former then, and zero otherwise.
+	Deadline, CallerDeadline time.Time
 	// TakenOver is set if another node handed the request over to this one.
 	TakenOver *TakenOver
 }
 
+// callerDeadline is when the client stops waiting.
+func (r *Request) callerDeadline() time.Time {
+	if r.CallerDeadline.IsZero() {
+		return r.Deadline
+	}
+	return r.CallerDeadline
+}
+
 // limit is when the request has to be answered.
 func (r *Request) limit() time.Time {
 	byRoute := r.ArrivedAt.Add(r.Route.Timeout)
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -60,6 +60,7 @@
 		RequestId: request.ID, Key: request.Key, HasKey: request.HasKey,
 		AgeMicros: time.Since(request.ArrivedAt).Microseconds(), LeftMicros: (time.Until(limit) - hopMargin).Microseconds(),
 		NeedsGo: !request.Route.Repeatable,
+		Caller:  request.Caller, CallerMicros: time.Until(request.Deadline).Microseconds(),
 	}
 	for _, field := range request.Fields {
 		handoff.Fields = append(handoff.Fields, &wire.HeaderField{Name: field.Name, Value: field.Value})
--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -137,6 +137,7 @@
 		Key: handoff.GetKey(), HasKey: handoff.GetHasKey(),
 		ArrivedAt: now.Add(-time.Duration(handoff.GetAgeMicros()) * time.Microsecond),
 		Deadline:  now.Add(time.Duration(handoff.GetLeftMicros()) * time.Microsecond),
+		Caller:    handoff.GetCaller(), CallerDeadline: now.Add(time.Duration(handoff.GetCallerMicros()) * time.Microsecond),
 	}
 }
 
