Servers that turn cold while the store is away are found by probes

Cause: a server that turns cold in place says so in its entry only.

Change: while a node's copy of the store is older than 1.4 s, it asks the servers that it would have the right to send to if they were cold (two nodes a server, 2 probes a second each) at their health path, and tells the other nodes of a cold one. Only services that bound warm-up are asked.

Ruled out: the load in answers (it does not tell cold from slow); probes by all nodes that send (their number would grow with the nodes).

The unit test was seen failing with the probes switched off.

--- /dev/null
+++ b/internal/dispatch/coldprobes_test.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/routing"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+// healthServer answers probes as a server with an id that warms up for a time.
+type healthServer struct {
+	id     string
+	left   time.Duration
+	probes atomic.Int32
+}
+
+func (h *healthServer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	h.probes.Add(1)
+	w.Header().Set("Id", h.id)
+	w.Header().Set("Left", strconv.FormatInt(h.left.Milliseconds(), 10))
+}
+
+func readHealth(answer http.Header) (discovery.ServerID, time.Duration) {
+	left, err := strconv.Atoi(answer.Get("Left"))
+	if err != nil {
+		return "", 0
+	}
+	return discovery.ServerID(answer.Get("Id")), time.Duration(left) * time.Millisecond
+}
+
+// probedDocuments makes one warm server s0 at an address, whose warm-up is bounded by a
+// rate.
+type probedDocuments struct {
+	address string
+	rate    float64
+}
+
+func (d probedDocuments) Table([]byte) (routing.Spec, error) {
+	return routing.Spec{Version: 1, Services: []routing.Service{
+		{Name: "plain", WarmUp: warmUpTime, WarmUpRate: d.rate, HealthPath: "/health"},
+	}}, nil
+}
+
+func (d probedDocuments) Server(id string, _ []byte) (discovery.Server, error) {
+	return discovery.Server{ID: discovery.ServerID(id), Service: "plain", Address: d.address, Zone: "z", Slots: 3}, nil
+}
+
+// newProbingNode returns a running node n0 whose copy of the store has an age and whose
+// only server answers probes as told.
+func newProbingNode(t *testing.T, answers *healthServer, rate float64, age time.Duration) (*warmUpWorld, chan discovery.ServerID) {
+	t.Helper()
+	server := httptest.NewServer(answers)
+	t.Cleanup(server.Close)
+	layout := view.Layout{TableKey: "table", ServerPrefix: "servers/", EvacuationPrefix: "evacuated/"}
+	documents := probedDocuments{strings.TrimPrefix(server.URL, "http://"), rate}
+	builder := view.NewBuilder(layout, documents, zap.NewNop())
+	options := Options{Node: "n0", Zone: "z", WarmUpOver: 1.5, WarmUpSlack: 8, Headers: Headers{Health: readHealth}}
+	w := &warmUpWorld{Dispatcher: New(options, builder, zap.NewNop()), builder: builder, revision: 1, age: age}
+	w.SetCopyAge(func() (time.Duration, bool) { return age, true })
+	found := make(chan discovery.ServerID, 8)
+	w.SetColdFound(func(id discovery.ServerID, _ time.Duration) { found <- id })
+	builder.Replace([]topo.Item{
+		{Key: "table", Revision: 1}, {Key: "servers/s0", Revision: 1},
+		{Key: view.NodeKey("n0"), Value: []byte(`{"name":"n0","zone":"z"}`), Revision: 1},
+	}, 1)
+	go func() { _ = w.Run(t.Context()) }()
+	return w, found
+}
+
+// Found by the soak: a server that turned cold in place while the store was away got 34
+// requests in a second, 17 allowed.
+func TestServerThatTurnsColdWhileTheCopyIsOldGetsNothing(t *testing.T) {
+	w, found := newProbingNode(t, &healthServer{id: "s0", left: time.Minute}, 6.7, 3*time.Second)
+	select {
+	case id := <-found:
+		if id != "s0" {
+			t.Errorf("the other nodes are told of %q", id)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("nobody is told that the server is cold")
+	}
+	if got := w.chooses(after(), "plain"); got != "" {
+		t.Errorf("%q is chosen although it said that it is cold", got)
+	}
+}
+
+func TestColdServerThatAnotherNodeFoundGetsNothing(t *testing.T) {
+	w := newWarmUpWorld(t, 1, "plain z 0s")
+	w.age = time.Minute
+	w.TakeCold("s0", 3*time.Second)
+	if got := w.chooses(time.Now(), "plain"); got != "" {
+		t.Errorf("%q is chosen although another node found it cold", got)
+	}
+	if got := w.chooses(time.Now().Add(3*time.Second), "plain"); got != "s0" {
+		t.Error("the server is not chosen when it is warm")
+	}
+}
+
+// Probes cost the servers time.
+func TestServersAreNotProbedWithoutNeed(t *testing.T) {
+	cases := []struct {
+		name string
+		rate float64
+		age  time.Duration
+	}{
+		{"the copy is new", 6.7, time.Second},
+		{"nothing bounds the warm-up", 0, time.Minute},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			answers := &healthServer{id: "s0"}
+			w, _ := newProbingNode(t, answers, c.rate, c.age)
+			if due := w.dueProbes(time.Now()); len(due) > 0 || answers.probes.Load() > 0 {
+				t.Error("a server is probed")
+			}
+		})
+	}
+}
+
+func TestAnswerOfAnotherServerSaysNothing(t *testing.T) {
+	answers := &healthServer{id: "another", left: time.Minute}
+	w, found := newProbingNode(t, answers, 6.7, 3*time.Second)
+	for deadline := time.Now().Add(5 * time.Second); answers.probes.Load() < 2; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no second probe")
+		}
+	}
+	if got := w.chooses(after(), "plain"); got != "s0" || len(found) > 0 {
+		t.Errorf("%q is chosen, %d nodes told; want the server and none", got, len(found))
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,6 +50,9 @@
 	// Load reads what a server tells of its load in an answer, if it does; nil if no
 	// server does.
 	Load func(answer http.Header) (discovery.Load, bool)
+	// Health reads which server gave a health answer, and for how long it warms up; nil
+	// if no server tells.
+	Health func(answer http.Header) (server discovery.ServerID, warmUp time.Duration)
 }
 
 // Dispatcher sends requests to the servers of the current view. It is safe for
@@ -74,6 +77,10 @@
 	// copy of the store is.
 	rights  *warmup.Rights
 	copyAge CopyAge
+	// coldFound tells the other nodes of a server that a probe found cold.
+	coldFound ColdFound
+	// probes bounds the probes that are on their way.
+	probes chan struct{}
 	// cold holds what is known of ranges that came without a handover, by service.
 	cold   map[string]*coldRanges
 	ending *ending.Ending
@@ -108,6 +115,9 @@
 		rights:  warmup.NewRights(options.Node),
 		copyAge: func() (time.Duration, bool) { return 0, true },
 		ending:  ending.New(),
+
+		coldFound: func(discovery.ServerID, time.Duration) {},
+		probes:    make(chan struct{}, maxProbes),
 	}
 	views.Subscribe(d.update)
 	return d
@@ -206,6 +216,7 @@
 		case <-ticker.C:
 		}
 		ticks++
+		d.probeColdServers(ctx)
 		d.tick(ticks%ticksPerSecond == 0)
 	}
 }
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -23,6 +23,11 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 4, 7),
 	}, []string{"reason"})
 
+	probesTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_dispatch_probes_total",
+		Help: "Servers asked whether they warm up, while the copy of the store is old, by what came of it.",
+	}, []string{"result"})
+
 	repeatsDeniedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_dispatch_repeats_denied_total",
 		Help: "Repeats that the retry budget did not allow.",
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -33,6 +33,10 @@
 	// evacuatedSince when that was first seen.
 	evacuated      bool
 	evacuatedSince time.Time
+	// coldUntil is until when the server warms up by what it answered to a probe, and
+	// probeAt when it may be probed next.
+	coldUntil time.Time
+	probeAt   time.Time
 	// places is this node's part of the server's connections; 0 means no bound.
 	places int
 	// latency is the moving mean of the answers' times, in seconds.
--- a/internal/dispatch/warming.go
+++ b/internal/dispatch/warming.go
@@ -19,9 +19,23 @@
 // warming returns what a server bears while it warms up, and whether it warms up and
 // that is bounded at all. The caller holds the mutex.
 func (d *Dispatcher) warming(now time.Time, current *view.View, s *server) (warmup.Server, bool) {
-	if current.Table == nil || !now.Before(current.WarmUntil(s.Server)) {
+	if current.Table == nil || !now.Before(s.warmAt(current)) {
 		return warmup.Server{}, false
 	}
+	return d.boundedWarmUp(current, s)
+}
+
+// warmAt is when a server is warm, by its entry and by what it answered to a probe. The
+// caller holds the mutex.
+func (s *server) warmAt(current *view.View) time.Time {
+	if warmAt := current.WarmUntil(s.Server); warmAt.After(s.coldUntil) {
+		return warmAt
+	}
+	return s.coldUntil
+}
+
+// boundedWarmUp returns what a server bears while it warms up, and whether that is bounded.
+func (d *Dispatcher) boundedWarmUp(current *view.View, s *server) (warmup.Server, bool) {
 	service, _ := current.Table.Service(s.Service)
 	if service.WarmUpRate <= 0 {
 		return warmup.Server{}, false
@@ -70,5 +84,5 @@
 	}
 	s := d.servers[owner.Owner]
 	may, _ := d.maySend(now, current, s)
-	return current.WarmUntil(s.Server).Sub(now), !may
+	return s.warmAt(current).Sub(now), !may
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -113,6 +113,7 @@
 		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
 	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes, linkBytes: settings.linkBytes()}
+	n.dispatcher.SetColdFound(n.peers.coldFound)
 	n.record = &headsRecord{store: platform.Store, feed: changes, mirror: n.mirror, nodes: n.peers.nodes, logger: logger}
 	n.mirror.TakeFrom(copyTaker{peers: n.peers, record: n.record, firstStart: settings.FirstStart, readsPerSecond: settings.Store.ReadsPerSecond})
 	n.peers.setSeeds(settings.Seeds)
@@ -149,7 +150,7 @@
 		RetryWindow:     time.Duration(settings.Retry.WindowSeconds * float64(time.Second)),
 		Headers: dispatch.Headers{
 			RequestID: headers.RequestID, Deadline: headers.Deadline, Signature: headers.Signature,
-			Target: headers.Target, NotExecuted: headers.NotExecuted, Load: headers.Load,
+			Target: headers.Target, NotExecuted: headers.NotExecuted, Load: headers.Load, Health: headers.Health,
 		},
 	}
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -177,6 +177,8 @@
 		}
 	case *wire.Envelope_LoadReport:
 		p.recordLoad(body.LoadReport)
+	case *wire.Envelope_ColdServer:
+		p.takeColdServer(body.ColdServer)
 	case *wire.Envelope_TermOver:
 		p.views.TakeRetirement(view.RetiredKey(body.TermOver.GetService(), from.GetNode()), view.Retirement{
 			Process: body.TermOver.GetProcess(), Epoch: int64(body.TermOver.GetEpoch()),
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -45,6 +45,8 @@
 	Name string
 	// MaxConnections is how many connections a server takes from all callers.
 	MaxConnections int
+	// HealthPath is where a server tells whether it warms up; empty if nowhere.
+	HealthPath string
 	// KeyDivided services have one owner for each key.
 	KeyDivided bool
 	// WarmUp is how long a server warms up after a start, and WarmUpRate how many
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -135,6 +135,9 @@
 	return &Pool{address: address, settleTime: settleTime, unacknowledged: sockets.Unacknowledged, dial: dial, link: link}
 }
 
+// Address returns where the server is.
+func (p *Pool) Address() string { return p.address }
+
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	return sockets.Dialer(dialTimeout, silenceLimit).DialContext(ctx, "tcp", address)
 }
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -152,6 +152,10 @@
 	return known.sender && !now.Before(known.nextAt)
 }
 
+// Sender reports whether this node is one of a server's senders, whatever it knows of how
+// new its copy of the store is.
+func (r *Rights) Sender(server Server) bool { return r.of(server).sender }
+
 // Sent takes in that a request is being sent to a warming server.
 func (r *Rights) Sent(now time.Time, server Server) {
 	interval, _ := server.Rate.interval()
