Keys of a server whose address another one has move at once

Change: such a server accepts no keys from that moment. The proof that it ended is the one that the core takes already.

The test was seen failing without the change.

--- /dev/null
+++ b/internal/shardmanager/ended_test.go
@@ -0,0 +1,60 @@
+package shardmanager
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/routing"
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+// addressDocuments reads entries like "service address".
+type addressDocuments struct{}
+
+func (addressDocuments) Table([]byte) (routing.Spec, error) { return routing.Spec{}, nil }
+
+func (addressDocuments) Server(id string, text []byte) (discovery.Server, error) {
+	service, address, _ := strings.Cut(string(text), " ")
+	return discovery.Server{ID: discovery.ServerID(id), Service: service, Address: address, Slots: 2}, nil
+}
+
+// Seen on a deployment where a third of a service's servers went silent and their addresses
+// were given to servers of another service: the keys waited until the entries could not come
+// back any more, 0.9 s after they were gone.
+func TestKeysOfAServerWhoseAddressIsReusedMoveAtOnce(t *testing.T) {
+	for _, reused := range []bool{false, true} {
+		views := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, addressDocuments{}, zap.NewNop())
+		views.Replace([]topo.Item{
+			{Key: "servers/ended", Value: []byte("s a"), Revision: 1}, {Key: "servers/stays", Value: []byte("s b"), Revision: 2},
+		}, 2)
+		events := []topo.Event{{Item: topo.Item{Key: "servers/ended", Revision: 3}, Deleted: true}}
+		if reused {
+			events = append(events, topo.Event{Item: topo.Item{Key: "servers/other", Value: []byte("t a"), Revision: 4}})
+		}
+		views.Apply(events, 4)
+		core := shards.NewManager("s", 1, shards.Author{}, nil, shards.DefaultOptions(), 0)
+		manager := New(Config{Views: views, Logger: zap.NewNop()}, "s")
+		held := &term{manager: manager, start: time.Now(), core: core, speeds: make(speeds), known: make(map[discovery.ServerID]bool)}
+		held.lookAtServers(views.Current())
+		core.Start()
+		commands := core.Tick(held.now())
+		for _, r := range commands.Commit.Map.Ranges {
+			if reused && r.Owner == "ended" {
+				t.Fatalf("keys from %d go to a server whose address another one has", r.First)
+			}
+		}
+		owners := make(map[discovery.ServerID]bool)
+		for _, r := range commands.Commit.Map.Ranges {
+			owners[r.Owner] = true
+		}
+		if !reused && !owners["ended"] {
+			t.Error("a server whose entry has just gone, and may come back, gets no keys")
+		}
+	}
+}
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -210,12 +210,7 @@
 	now := time.Now()
 	var servers []shards.Server
 	var dead []discovery.ServerID
-	addresses := make(map[string]*view.Server)
-	for _, s := range current.Servers {
-		if s.GoneSince.IsZero() {
-			addresses[s.Address] = s
-		}
-	}
+	addresses := serversByAddress(current)
 	bounded := warmUpBounded(current, t.manager.service)
 	for _, s := range current.Services[t.manager.service] {
 		if !t.known[s.ID] {
@@ -225,21 +220,43 @@
 				t.firstSeen = now
 			}
 		}
-		if !s.GoneSince.IsZero() {
-			if other := addresses[s.Address]; other != nil && other.ID != s.ID {
-				dead = append(dead, s.ID)
-			}
+		ended := addressReused(s, addresses)
+		if ended {
+			dead = append(dead, s.ID)
 		}
-		_, evacuated := current.Evacuated(s.Zone)
-		accepting := s.DrainingSince.IsZero() && !s.Gone(now, goneGrace) && !evacuated
 		servers = append(servers, shards.Server{
-			ID: s.ID, Address: s.Address, Accepting: accepting, Capacity: t.speeds.capacity(s.ID, s.Slots),
+			ID: s.ID, Address: s.Address, Accepting: !ended && accepts(now, current, s), Capacity: t.speeds.capacity(s.ID, s.Slots),
 			Warming: bounded && now.Before(current.WarmUntil(s)),
 		})
 	}
 	t.core.SetServers(servers, dead)
 }
 
+// serversByAddress returns the servers whose entries are there.
+func serversByAddress(current *view.View) map[string]*view.Server {
+	addresses := make(map[string]*view.Server, len(current.Servers))
+	for _, s := range current.Servers {
+		if s.GoneSince.IsZero() {
+			addresses[s.Address] = s
+		}
+	}
+	return addresses
+}
+
+// addressReused reports whether a server whose entry is missing has surely ended, because
+// another one has its address. Its keys move at once: they need not wait for its entry to
+// come back (goneGrace).
+func addressReused(s *view.Server, addresses map[string]*view.Server) bool {
+	other := addresses[s.Address]
+	return !s.GoneSince.IsZero() && other != nil && other.ID != s.ID
+}
+
+// accepts reports whether a server may be given keys.
+func accepts(now time.Time, current *view.View, s *view.Server) bool {
+	_, evacuated := current.Evacuated(s.Zone)
+	return s.DrainingSince.IsZero() && !s.Gone(now, goneGrace) && !evacuated
+}
+
 // warmUpBounded reports whether a service's servers bear only so many requests a second
 // while they warm up.
 func warmUpBounded(current *view.View, name string) bool {
