Servers that joined get keys at once; keys of a release go to servers that stay; moves name their reason

Cause: a server without keys got some only once another one was far above its fair load, and the next owner of a leaving server's keys was chosen without regard to the version that leaves, so that keys moved several times in a release (read from the code).

While servers of a version leave, their keys go to servers of other versions as long as these have room. Releases carry why and how much load they move, for log and metrics.

--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -29,6 +29,8 @@
 type Server struct {
 	ID      ServerID
 	Service string
+	// Version is that of its software.
+	Version string
 	// Address is the server's IP and port.
 	Address string
 	Zone    string
--- a/internal/shardmanager/metrics.go
+++ b/internal/shardmanager/metrics.go
@@ -11,6 +11,11 @@
 		Help: "Grants and releases sent to servers, by how they ended.",
 	}, []string{"service", "order", "outcome"})
 
+	movesTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_shardmanager_moves_total",
+		Help: "Ranges that their owners have released, by why they were taken.",
+	}, []string{"service", "reason"})
+
 	commitsTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_shardmanager_commits_total",
 		Help: "Owner maps written to the store.",
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -225,7 +225,7 @@
 			dead = append(dead, s.ID)
 		}
 		servers = append(servers, shards.Server{
-			ID: s.ID, Address: s.Address, Accepting: !ended && accepts(now, current, s), Capacity: t.speeds.capacity(s.ID, s.Slots),
+			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !ended && accepts(now, current, s), Capacity: t.speeds.capacity(s.ID, s.Slots),
 			Warming: bounded && now.Before(current.WarmUntil(s)),
 		})
 	}
@@ -374,7 +374,11 @@
 	ordersTotal.WithLabelValues(t.manager.service, "release", outcome.String()).Inc()
 	t.manager.logger.Info("release", zap.String("server", string(release.Owner)), zap.Uint32("first", release.First),
 		zap.Uint32("last", release.Last), zap.Uint64("fence", release.Fence), zap.Stringer("outcome", outcome),
-		zap.Bool("handover", handover != ""), zap.Duration("took", time.Since(startedAt)))
+		zap.Bool("handover", handover != ""), zap.Duration("took", time.Since(startedAt)),
+		zap.Stringer("reason", release.Move.Reason), zap.Float64("load", release.Move.Load))
+	if outcome == shards.Accepted {
+		movesTotal.WithLabelValues(t.manager.service, release.Move.Reason.String()).Inc()
+	}
 	t.mutex.Lock()
 	t.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: outcome, Handover: handover})
 	t.mutex.Unlock()
--- a/internal/shards/balance.go
+++ b/internal/shards/balance.go
@@ -96,9 +96,10 @@
 		return
 	}
 	m.plan.nextLook = now + balanceInterval
+	m.fillEmpty(now, accepting, loads, fair)
 	most := max(m.options.MaxMoves, len(accepting)/serversPerMove)
 	m.moveSome(now, look{
-		accepting: accepting, loads: loads, fair: fair, window: m.load, scale: 1, least: minPiece,
+		accepting: accepting, loads: loads, fair: fair, window: m.load, scale: 1, least: minPiece, reason: Balance,
 		most: min(most-m.moving(), max(maxMovesPerLook, most/2)),
 	})
 }
@@ -107,10 +108,7 @@
 // are more than the fair load of their server count neither as load nor does
 // their server as capacity: nothing that is moved changes them.
 func (m *Manager) fairLoad(now time.Duration, accepting []Server) float64 {
-	total, capacity := m.load.Total(now), 0.0
-	for _, server := range accepting {
-		capacity += server.Capacity
-	}
+	total, capacity := m.load.Total(now), totalCapacity(accepting)
 	by := m.scales(now)
 	full := make(map[discovery.ServerID]bool)
 	for _, s := range m.shards {
@@ -150,18 +148,14 @@
 			continue
 		}
 		m.plan.heavyMoved[key] = now
-		m.startRelease(heavy, now, best.ID)
+		m.startRelease(heavy, now, best.ID, Move{HeavyKey, load})
 		loads[heavy.Owner] -= load
 		loads[best.ID] += load
 	}
 }
 
 func meanCapacity(servers []Server) float64 {
-	sum := 0.0
-	for _, server := range servers {
-		sum += server.Capacity
-	}
-	return sum / float64(len(servers))
+	return totalCapacity(servers) / float64(len(servers))
 }
 
 // isolate makes a range of one key, if its keys are not being moved. It returns
@@ -228,8 +222,9 @@
 	least float64
 	// from are the servers that keys may be taken from; nil means any.
 	from map[discovery.ServerID]bool
-	// most bounds the moves.
-	most int
+	// reason is that of the moves, and most bounds them.
+	reason Reason
+	most   int
 }
 
 // gap is what one move is to even out.
@@ -257,7 +252,7 @@
 			stuck[widest.source] = true
 			continue
 		}
-		m.startRelease(m.shards[index], now, widest.target)
+		m.startRelease(m.shards[index], now, widest.target, Move{l.reason, moved})
 		l.loads[widest.source] -= moved
 		l.loads[widest.target] += moved
 		moves++
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -19,6 +19,8 @@
 	Owner       discovery.ServerID
 	Address     string
 	Fence       uint64
+	// Move is why, for the log.
+	Move Move
 }
 
 // Commit asks that the map be written if it is still the one last committed.
@@ -90,6 +92,8 @@
 type Server struct {
 	ID      discovery.ServerID
 	Address string
+	// Version is that of its software.
+	Version string
 	// Capacity is how much load the server takes, relative to the others.
 	Capacity float64
 	// Accepting servers may be given keys; the others only keep what they have
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -73,6 +73,8 @@
 	// releaseFence is the fence of the release, if the range is releasing.
 	releaseFence uint64
 	releaseAt    time.Duration
+	// move is why it is releasing.
+	move Move
 	// target is the planned next owner; empty means any.
 	target discovery.ServerID
 	// lateUntil is when a late grant can no longer hold the range.
@@ -295,12 +297,13 @@
 			continue
 		}
 		if m.storeHealthy || m.dead[s.Owner] {
-			m.startRelease(s, now, "")
+			m.startRelease(s, now, "", Move{Reason: OwnerLeaves})
 		}
 	}
 }
 
-func (m *Manager) startRelease(s *shard, now time.Duration, target discovery.ServerID) {
+func (m *Manager) startRelease(s *shard, now time.Duration, target discovery.ServerID, move Move) {
+	s.move = move
 	s.phase = releasing
 	s.target = target
 	s.releaseFence = m.nextFence()
@@ -328,7 +331,7 @@
 		s.releaseAt = now + m.options.ReleaseRetry
 		commands.Moving = append(commands.Moving, s.Range)
 		commands.Releases = append(commands.Releases, Release{
-			First: s.First, Last: s.Last, Owner: s.Owner, Address: s.Address, Fence: s.releaseFence,
+			First: s.First, Last: s.Last, Owner: s.Owner, Address: s.Address, Fence: s.releaseFence, Move: s.move,
 		})
 	}
 }
@@ -371,6 +374,7 @@
 		return
 	}
 	var loads map[discovery.ServerID]float64
+	lasting := m.lasting(accepting)
 	for _, s := range m.shards {
 		if s.phase != vacant {
 			continue
@@ -380,7 +384,7 @@
 		}
 		target, known := m.servers[s.target]
 		if !known || !target.Accepting || target.Warming {
-			target = leastLoaded(accepting, loads)
+			target = m.nextOwner(now, accepting, lasting, loads)
 		}
 		loads[target.ID] += m.load.Between(now, s.First, s.Last) + keyShareLoad(s.Range)
 		s.Owner = target.ID
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -39,7 +39,7 @@
 		// A release of this manager was not finished. Without the store a later manager
 		// has taken the range, and nothing may be taken from its owner.
 		if s.phase == owned && m.storeHealthy {
-			m.startRelease(s, now, s.Owner)
+			m.startRelease(s, now, s.Owner, Move{Reason: Unfinished})
 		}
 	case Broken:
 		s.heldUntil = max(s.heldUntil, now+m.holdBound())
--- a/internal/shards/surge.go
+++ b/internal/shards/surge.go
@@ -127,7 +127,7 @@
 		most := max(m.options.MaxMoves, len(accepting)/surgeServersPerMove)
 		m.moveSome(now, look{
 			accepting: accepting, loads: loads, fair: fair, window: window, scale: by[index], least: minSurgePiece,
-			from: from[index], most: most - m.moving(),
+			from: from[index], reason: Surge, most: most - m.moving(),
 		})
 	}
 }
