--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -34,6 +34,11 @@
 		Help: "Requests sent to a second server because the first was slow, and those whose second server answered first.",
 	}, []string{"service", "result"})
 
+	probesTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_dispatch_probes_total",
+		Help: "Servers asked whether they warm up, while the copy of the store is old, by what came of it.",
+	}, []string{"result"})
+
 	repeatsDeniedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_dispatch_repeats_denied_total",
 		Help: "Repeats that the retry budget did not allow.",
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -36,6 +36,10 @@
 	evacuatedSince time.Time
 	// returns spreads the callers that were refused because of this server.
 	returns schedule.Returns
+	// coldUntil is until when the server warms up by what it answered to a probe, and
+	// probeAt when it may be probed next.
+	coldUntil time.Time
+	probeAt   time.Time
 	// places is this node's part of the server's connections; 0 means no bound.
 	places int
 	// home is true if this node is the server's home, and homePlaces its part of the
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -35,7 +35,7 @@
 	written     *shards.Map
 	keptAt      time.Time
 	storeFailed bool
-	speeds      map[discovery.ServerID]*speed
+	speeds      speeds
 	firstSeen   time.Time
 	lastJoined  time.Time
 	known       map[discovery.ServerID]bool
@@ -53,7 +53,7 @@
 		start:   time.Now(),
 		core:    won.core,
 		keptAt:  won.lock.keptAt,
-		speeds:  make(map[discovery.ServerID]*speed),
+		speeds:  make(speeds),
 		known:   make(map[discovery.ServerID]bool),
 	}
 	if won.written != nil {
@@ -210,12 +210,7 @@
 	now := time.Now()
 	var servers []shards.Server
 	var dead []discovery.ServerID
-	addresses := make(map[string]*view.Server)
-	for _, s := range current.Servers {
-		if s.GoneSince.IsZero() {
-			addresses[s.Address] = s
-		}
-	}
+	addresses := serversByAddress(current)
 	bounded := warmUpBounded(current, t.manager.service)
 	for _, s := range current.Services[t.manager.service] {
 		if !t.known[s.ID] {
@@ -225,21 +220,43 @@
 				t.firstSeen = now
 			}
 		}
-		if !s.GoneSince.IsZero() {
-			if other := addresses[s.Address]; other != nil && other.ID != s.ID {
-				dead = append(dead, s.ID)
-			}
+		ended := addressReused(s, addresses)
+		if ended {
+			dead = append(dead, s.ID)
 		}
-		_, evacuated := current.Evacuated(s.Zone)
-		accepting := s.DrainingSince.IsZero() && !s.Gone(now, goneGrace) && !evacuated
 		servers = append(servers, shards.Server{
-			ID: s.ID, Address: s.Address, Accepting: accepting, Capacity: t.capacity(s),
+			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !ended && accepts(now, current, s), Capacity: t.speeds.capacity(s.ID, s.Slots),
 			Warming: bounded && now.Before(current.WarmUntil(s)),
 		})
 	}
 	t.core.SetServers(servers, dead)
 }
 
+// serversByAddress returns the servers whose entries are there.
+func serversByAddress(current *view.View) map[string]*view.Server {
+	addresses := make(map[string]*view.Server, len(current.Servers))
+	for _, s := range current.Servers {
+		if s.GoneSince.IsZero() {
+			addresses[s.Address] = s
+		}
+	}
+	return addresses
+}
+
+// addressReused reports whether a server whose entry is missing has surely ended, because
+// another one has its address. Its keys move at once: they need not wait for its entry to
+// come back (goneGrace).
+func addressReused(s *view.Server, addresses map[string]*view.Server) bool {
+	other := addresses[s.Address]
+	return !s.GoneSince.IsZero() && other != nil && other.ID != s.ID
+}
+
+// accepts reports whether a server may be given keys.
+func accepts(now time.Time, current *view.View, s *view.Server) bool {
+	_, evacuated := current.Evacuated(s.Zone)
+	return s.DrainingSince.IsZero() && !s.Gone(now, goneGrace) && !evacuated
+}
+
 // warmUpBounded reports whether a service's servers bear only so many requests a second
 // while they warm up.
 func warmUpBounded(current *view.View, name string) bool {
@@ -357,7 +374,11 @@
 	ordersTotal.WithLabelValues(t.manager.service, "release", outcome.String()).Inc()
 	t.manager.logger.Info("release", zap.String("server", string(release.Owner)), zap.Uint32("first", release.First),
 		zap.Uint32("last", release.Last), zap.Uint64("fence", release.Fence), zap.Stringer("outcome", outcome),
-		zap.Bool("handover", handover != ""), zap.Duration("took", time.Since(startedAt)))
+		zap.Bool("handover", handover != ""), zap.Duration("took", time.Since(startedAt)),
+		zap.Stringer("reason", release.Move.Reason), zap.Float64("load", release.Move.Load))
+	if outcome == shards.Accepted {
+		movesTotal.WithLabelValues(t.manager.service, release.Move.Reason.String()).Inc()
+	}
 	t.mutex.Lock()
 	t.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: outcome, Handover: handover})
 	t.mutex.Unlock()
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -73,6 +73,8 @@
 	// releaseFence is the fence of the release, if the range is releasing.
 	releaseFence uint64
 	releaseAt    time.Duration
+	// move is why it is releasing.
+	move Move
 	// target is the planned next owner; empty means any.
 	target discovery.ServerID
 	// lateUntil is when a late grant can no longer hold the range.
@@ -135,9 +137,10 @@
 	commitInFlight bool
 	storeHealthy   bool
 
-	// load is what is balanced; surge shows keys that became heavy just now.
+	// load is what is balanced; surge and onset show what became heavy just now.
 	load  *LoadWindow
 	surge *LoadWindow
+	onset *LoadWindow
 	plan  planState
 }
 
@@ -154,6 +157,7 @@
 		storeHealthy: true,
 		load:         NewLoadWindow(balanceWindow),
 		surge:        NewLoadWindow(heavyWindow),
+		onset:        NewLoadWindow(onsetWindow),
 		plan:         planState{heavyMoved: make(map[uint32]time.Duration)},
 	}
 	if previous == nil {
@@ -227,6 +231,7 @@
 func (m *Manager) RecordLoad(now time.Duration, keys []uint32, weight float64) {
 	m.load.Add(now, keys, weight)
 	m.surge.Add(now, keys, weight)
+	m.onset.Add(now, keys, weight)
 }
 
 // Start makes the first map: every accepting server gets an equal part.
@@ -292,12 +297,13 @@
 			continue
 		}
 		if m.storeHealthy || m.dead[s.Owner] {
-			m.startRelease(s, now, "")
+			m.startRelease(s, now, "", Move{Reason: OwnerLeaves})
 		}
 	}
 }
 
-func (m *Manager) startRelease(s *shard, now time.Duration, target discovery.ServerID) {
+func (m *Manager) startRelease(s *shard, now time.Duration, target discovery.ServerID, move Move) {
+	s.move = move
 	s.phase = releasing
 	s.target = target
 	s.releaseFence = m.nextFence()
@@ -325,7 +331,7 @@
 		s.releaseAt = now + m.options.ReleaseRetry
 		commands.Moving = append(commands.Moving, s.Range)
 		commands.Releases = append(commands.Releases, Release{
-			First: s.First, Last: s.Last, Owner: s.Owner, Address: s.Address, Fence: s.releaseFence,
+			First: s.First, Last: s.Last, Owner: s.Owner, Address: s.Address, Fence: s.releaseFence, Move: s.move,
 		})
 	}
 }
@@ -368,6 +374,7 @@
 		return
 	}
 	var loads map[discovery.ServerID]float64
+	lasting := m.lasting(accepting)
 	for _, s := range m.shards {
 		if s.phase != vacant {
 			continue
@@ -377,7 +384,7 @@
 		}
 		target, known := m.servers[s.target]
 		if !known || !target.Accepting || target.Warming {
-			target = leastLoaded(accepting, loads)
+			target = m.nextOwner(now, accepting, lasting, loads)
 		}
 		loads[target.ID] += m.load.Between(now, s.First, s.Last) + keyShareLoad(s.Range)
 		s.Owner = target.ID
