--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -30,6 +30,8 @@
 type rejected struct {
 	status int
 	detail string
+	// old is true if the answer has to be of HTTP/1.0.
+	old bool
 }
 
 // Error implements error.
@@ -107,23 +109,23 @@
 func check(request *http.Request) error {
 	switch {
 	case request.ProtoMajor != 1:
-		return &rejected{http.StatusHTTPVersionNotSupported, "unsupported protocol version"}
+		return &rejected{status: http.StatusHTTPVersionNotSupported, detail: "unsupported protocol version"}
 	case request.ProtoAtLeast(1, 1) && request.Host == "" && request.Method != http.MethodConnect:
-		return &rejected{http.StatusBadRequest, "missing required Host header"}
+		return &rejected{status: http.StatusBadRequest, detail: "missing required Host header"}
 	case request.URL.Host == "" && !validHost(request.Host):
-		return &rejected{http.StatusBadRequest, "malformed Host header"}
+		return &rejected{status: http.StatusBadRequest, detail: "malformed Host header"}
 	}
 	for name, values := range request.Header {
 		if !validName(name) {
-			return &rejected{http.StatusBadRequest, "invalid header name"}
+			return &rejected{status: http.StatusBadRequest, detail: "invalid header name"}
 		}
 		if !validValues(values) {
-			return &rejected{http.StatusBadRequest, "invalid header value"}
+			return &rejected{status: http.StatusBadRequest, detail: "invalid header value"}
 		}
 	}
 	expected := request.Header.Get("Expect")
 	if expected != "" && !expectsContinue(request) {
-		return &rejected{status: http.StatusExpectationFailed}
+		return &rejected{status: http.StatusExpectationFailed, old: !request.ProtoAtLeast(1, 1)}
 	}
 	return nil
 }
@@ -197,7 +199,11 @@
 	switch {
 	case errors.As(err, &refused):
 		if refused.status == http.StatusExpectationFailed {
-			return "HTTP/1.1 417 Expectation Failed\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+			version := "HTTP/1.1"
+			if refused.old {
+				version = "HTTP/1.0"
+			}
+			return version + " 417 Expectation Failed\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 		}
 		return "HTTP/1.1 " + refused.Error() + end + refused.Error()
 	case errors.Is(err, errNoRequest), errors.Is(err, io.EOF), errors.As(err, &network), errors.Is(err, net.ErrClosed):
