A home that said nothing counts as one of the servers that a route allows

A safe request that its home did not acknowledge within 0.2 s was sent directly, with a second try, and the home, whose link was full, sent it 0.3 s later. Without second tries there were two at most.

Change: such a request counts as sent to one server.

--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -129,9 +129,12 @@
 
 // afterLoss goes on with a request that a lost home may have sent. If the home had said
 // that it sends it, sending it again is a repeat like any other; otherwise it most likely
-// never did, and only what is said of the request in the end has to reckon with it.
+// never did. But a request that stood behind large answers on the home's link was seen to
+// be sent 0.3 s after its sender had given it up, so that it counts as sent to one of the
+// servers that the route allows, and what is said of it in the end reckons with that.
 func (d *Dispatcher) afterLoss(ctx context.Context, request *Request, trace Trace, cause error) (*upstream.Answer, Trace, error) {
-	repeatable := request.Route.Repeatable && time.Until(d.limit(request)) >= minAttemptTime
+	sent := max(1, trace.Attempts)
+	repeatable := request.Route.Repeatable && sent < request.Route.MaxAttempts && time.Until(d.limit(request)) >= minAttemptTime
 	if trace.Attempts > 0 {
 		repeatable = d.mayRepeat(request, trace, failedOver, d.limit(request))
 	}
@@ -139,7 +142,7 @@
 		return nil, trace, d.giveUp(ctx, request, true, nil, cause)
 	}
 	rest, route := *request, *request.Route
-	route.MaxAttempts -= trace.Attempts
+	route.MaxAttempts -= sent
 	rest.Route = &route
 	answer, later, err := d.direct(ctx, &rest)
 	later.Attempts += trace.Attempts
--- a/internal/dispatch/handoff_test.go
+++ b/internal/dispatch/handoff_test.go
@@ -108,6 +108,19 @@
 	}
 }
 
+// A home that said nothing may still send the request, so that it counts as one of the
+// servers that the route allows.
+func TestSilentHomeCountsAsAServer(t *testing.T) {
+	w, _ := worldWithHomes(t, ErrHomeLost, warmDivided)
+	w.own(t, "s0")
+	request := requestFor("divided", true)
+	request.Route.MaxAttempts = 1
+	_, trace, err := w.Do(t.Context(), request)
+	if trace.Server != "" || !errors.Is(err, ErrUnknown) {
+		t.Errorf("sent to %q, error %v, wanted no second server and an unknown outcome", trace.Server, err)
+	}
+}
+
 // Routes with large answers are not passed through a second node.
 func TestLargeAnswersGoDirect(t *testing.T) {
 	w, handover := worldWithHomes(t, ErrNoHome, warmDivided)
