--- a/internal/ingress/pipeline/fuzz_test.go
+++ b/internal/ingress/pipeline/fuzz_test.go
@@ -108,6 +108,7 @@
 	"GET http://a/ HTTP/1.1\r\nHost: b\x93\r\n\r\n",
 	"CONNECT a:1 HTTP/1.1\r\nHost: b\x93\r\n\r\n",
 	"POST / HTTP/1.0\r\nExpect: something\r\nContent-Length: 5\r\n\r\nhello",
+	"GET / HTTP/1.1\r\nHost: h\r\nExpect: x 100-continue\r\n\r\nGET / HTTP/",
 	"CONNECT h\xfc:1 HTTP/1.1\r\n\r\n",
 	"0 /0 HTTP/1.1\r\nHost: \n\n0 * HTTP/1.1\n\n",
 	"",
--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -130,28 +130,25 @@
 	return nil
 }
 
-// isFinal reports whether a client wants its connection to end after a request. It takes
-// the header as loosely as net/http's server, since http.ReadRequest takes it strictly.
+// isFinal reports whether a client wants its connection to end after a request.
 func isFinal(request *http.Request) bool {
-	named := func(token string) bool {
-		parts := strings.FieldsFunc(request.Header.Get("Connection"), func(character rune) bool {
-			return character == ' ' || character == ',' || character == '\t'
-		})
-		return slices.ContainsFunc(parts, func(part string) bool { return strings.EqualFold(part, token) })
-	}
 	if request.ProtoAtLeast(1, 1) {
-		return request.Close || named("close")
+		return request.Close || names(request.Header.Get("Connection"), "close")
 	}
-	return !named("keep-alive")
+	return !names(request.Header.Get("Connection"), "keep-alive")
 }
 
 func expectsContinue(request *http.Request) bool {
-	for _, token := range strings.Split(strings.ToLower(request.Header.Get("Expect")), ",") {
-		if strings.TrimSpace(token) == "100-continue" {
-			return true
-		}
-	}
-	return false
+	return names(request.Header.Get("Expect"), "100-continue")
+}
+
+// names reports whether the value of a header has a token. It takes the value as loosely
+// as net/http's server does.
+func names(value, token string) bool {
+	parts := strings.FieldsFunc(value, func(character rune) bool {
+		return character == ' ' || character == ',' || character == '\t'
+	})
+	return slices.ContainsFunc(parts, func(part string) bool { return strings.EqualFold(part, token) })
 }
 
 // validName reports whether the name of a header is a token as in RFC 9110.
