--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,7 +26,3 @@
 systems='internal/(ctl|node|soak|lab/.*)$|/platform$'
 go test -race -count=1 ${skip:+-skip "$skip"} $(go list ./... | grep -vE "$systems")
 go test -race -count=1 -p 1 ${skip:+-skip "$skip"} $(go list ./... | grep -E "$systems")
-
-# The clients' server against net/http's, with bytes that nobody has thought of. Seeds are
-# played by the tests above. Inputs are not made smaller for long: that is for a failure.
-go test -run '^$' -fuzz FuzzSameAnswersAsTheStandardServer -fuzztime 20s -fuzzminimizetime 5x -parallel 2 ./internal/ingress/pipeline
