Shards: a server that is back counts as dead no more

Cause: a life that was told to have ended stayed dead for the manager's term, also when its entry came back and it was granted keys. When those moved, no release was sent: another owner was written within the hold, so that two servers could hold a key.

Seen: TestServerThatIsBackIsAskedToRelease failed before (no release sent, another owner committed one second after the grant) and passes. go test -race of shards and shardmanager passes (shards 91 s, shardmanager 18 s).

--- /dev/null
+++ b/internal/shards/dead_test.go
@@ -0,0 +1,35 @@
+package shards
+
+import (
+	"testing"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+)
+
+// A server that counted as ended and is back holds what it is granted: its keys go to
+// another one only after it has released them.
+func TestServerThatIsBackIsAskedToRelease(t *testing.T) {
+	m := NewManager("s", 1, Author{}, nil, DefaultOptions(), 0)
+	back, other := Server{ID: "back", Address: "a", Capacity: 1, Accepting: true}, Server{ID: "other", Address: "b", Capacity: 1, Accepting: true}
+	gone := back
+	gone.Accepting = false
+	m.SetServers([]Server{gone, other}, []discovery.ServerID{"back"})
+	m.SetServers([]Server{back, other}, nil)
+	m.Start()
+	m.Tick(0)
+	m.Committed(0)
+	now := time.Millisecond
+	for _, grant := range m.Tick(now).Grants {
+		m.GrantDone(now, GrantResult{Grant: grant, SentAt: now, Outcome: Accepted})
+	}
+	now += time.Second
+	m.SetServers([]Server{gone, other}, nil)
+	commands := m.Tick(now)
+	if len(commands.Releases) == 0 {
+		t.Error("no release is sent")
+	}
+	if commands.Commit != nil {
+		t.Errorf("another owner is written within the hold: %v", commands.Commit.Map.Ranges)
+	}
+}
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -212,11 +212,15 @@
 }
 
 // SetServers replaces what the manager knows of the servers. dead are lives that
-// have certainly ended.
+// have certainly ended; they stay so when the servers are not told of any more. One that
+// accepts keys again was taken for dead wrongly, and has to release what it is granted.
 func (m *Manager) SetServers(servers []Server, dead []discovery.ServerID) {
 	m.servers = make(map[discovery.ServerID]Server, len(servers))
 	for _, server := range servers {
 		m.servers[server.ID] = server
+		if server.Accepting {
+			delete(m.dead, server.ID)
+		}
 	}
 	for _, id := range dead {
 		m.dead[id] = true
