Second tries: of two servers that answer at once, one answer stays whole

Cause: the second try ended the first one's context whenever it was answered, also when the first one's answer was taken already. The rest of a long answer then broke off, because it ends with that context.

Seen: TestAnswerThatWinsIsWholeThoughBothCome failed before (128 KB of 4 MB, then "use of closed network connection") in 5 of 5 runs with -race, and passes in 10 of 10. Now the first that is answered wins, and only it ends the other.

--- a/internal/dispatch/second.go
+++ b/internal/dispatch/second.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/micahaven/micahaven/internal/discovery"
@@ -45,6 +46,8 @@
 	firstContext, cancelFirst := context.WithCancel(ctx)
 	secondContext, cancelSecond := context.WithCancel(ctx)
 	second := &secondTry{done: make(chan struct{}), cancel: cancelSecond}
+	// won is set by the first try that is answered: it alone may end the other one.
+	var won atomic.Bool
 	passed := map[discovery.ServerID]bool{s.id: true}
 	for id := range excluded {
 		passed[id] = true
@@ -56,7 +59,7 @@
 		}
 		second.sent = true
 		second.answer, second.outcome, second.err = d.send(secondContext, request, second.server, limit)
-		if second.outcome == answered {
+		if second.outcome == answered && won.CompareAndSwap(false, true) {
 			cancelFirst()
 		}
 	})
@@ -65,10 +68,12 @@
 		cancelSecond()
 		return s, keepOpen(answer, cancelFirst), outcome, err
 	}
-	if outcome == answered {
+	if outcome == answered && won.CompareAndSwap(false, true) {
 		go second.discard()
 		return s, keepOpen(answer, cancelFirst), outcome, err
 	}
+	// The first try failed, or it was answered too late to win.
+	discardRest(answer)
 	cancelFirst()
 	<-second.done
 	if !second.sent {
@@ -95,9 +100,14 @@
 func (t *secondTry) discard() {
 	t.cancel()
 	<-t.done
-	if t.answer != nil && t.answer.Rest != nil {
-		// The answer is not passed on; ending its connection is all there is to do.
-		_ = t.answer.Rest.Close()
+	discardRest(t.answer)
+}
+
+// discardRest ends the connection of an answer that is not passed on.
+func discardRest(answer *upstream.Answer) {
+	if answer != nil && answer.Rest != nil {
+		// Ending its connection is all there is to do.
+		_ = answer.Rest.Close()
 	}
 }
 
