Homes: each server that a home sends a request to counts among the route's attempts

Cause: a home tells once that it sends a request. One that it sent to a second server, as a repeat or because the first was slow, counted as sent once when the home was lost, so that the sender sent it to a third server on a route that allows two.

Now the home says READY again before each further server, and the sender counts. A sender of before ignores the second READY.

Seen: TestHomeTellsOfFurtherAttempts (told 0 times) and TestAttemptsOfALostHomeCount (1 attempt, wanted 2) failed before and pass; go test -race -count=2 of dispatch and handoff passes.

--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -50,6 +50,10 @@
 	// Begin is called once, when there is a place at a server and before anything of the
 	// request is sent. After an error the request is never sent.
 	Begin func(ctx context.Context) error
+	// Again is called before the request, which may have reached a server, is sent to one
+	// more; it may be nil. Should the home be lost, the sender counts that among the
+	// route's attempts.
+	Again func()
 }
 
 const (
@@ -240,9 +244,19 @@
 	return s.places
 }
 
+// tellAgain tells the node that handed a request over that it is sent once more.
+func (r *Request) tellAgain() {
+	if r.TakenOver != nil && r.TakenOver.Again != nil {
+		r.TakenOver.Again()
+	}
+}
+
 // begin lets the sender of a request that was taken over decide whether it is sent at
 // all. Otherwise the server's place is free again.
 func (d *Dispatcher) begin(ctx context.Context, request *Request, s *server, trace Trace) error {
+	if trace.Attempts > 0 {
+		request.tellAgain()
+	}
 	if request.TakenOver == nil || trace.Attempts+trace.NotSent > 0 {
 		return nil
 	}
--- a/internal/dispatch/handoff_test.go
+++ b/internal/dispatch/handoff_test.go
@@ -108,6 +108,29 @@
 	}
 }
 
+// A home tells of each server after the first to which a request may go, before it goes.
+func TestHomeTellsOfFurtherAttempts(t *testing.T) {
+	for name, slow := range map[string]http.HandlerFunc{
+		"second try": func(_ http.ResponseWriter, incoming *http.Request) { <-incoming.Context().Done() },
+		"repeat":     func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusInternalServerError) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			told := &atomic.Int64{}
+			d, _, _ := pair(t, slow, func(writer http.ResponseWriter, incoming *http.Request) {
+				if told.Load() != 1 {
+					t.Errorf("told %d times before it is sent again", told.Load())
+				}
+				sign(writer, incoming)
+			})
+			request := read(d)
+			request.TakenOver = &TakenOver{Begin: func(context.Context) error { return nil }, Again: func() { told.Add(1) }}
+			if _, trace, err := d.Do(t.Context(), request); err != nil || trace.Attempts != 2 {
+				t.Errorf("%v after %d attempts, wanted an answer after two", err, trace.Attempts)
+			}
+		})
+	}
+}
+
 // Routes with large answers are not passed through a second node.
 func TestLargeAnswersGoDirect(t *testing.T) {
 	w, handover := worldWithHomes(t, ErrNoHome, warmDivided)
--- a/internal/dispatch/second.go
+++ b/internal/dispatch/second.go
@@ -58,6 +58,7 @@
 			return
 		}
 		second.sent = true
+		request.tellAgain()
 		second.answer, second.outcome, second.err = d.send(secondContext, request, second.server, limit)
 		if second.outcome == answered && won.CompareAndSwap(false, true) {
 			cancelFirst()
--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -104,7 +104,7 @@
 		stream.SendLast(step(wire.HandoffStep_STEP_NOT_TAKEN, "not this node's, as far as it knows"))
 		return
 	}
-	request.TakenOver = &dispatch.TakenOver{From: from.GetNode(), Begin: t.begin}
+	request.TakenOver = &dispatch.TakenOver{From: from.GetNode(), Begin: t.begin, Again: t.again}
 	go t.listen(ctx)
 	h.dispatcher.TakeHome(discovery.ServerID(handoff.GetServer()))
 	answer, trace, err := h.dispatcher.Do(ctx, request)
@@ -215,6 +215,10 @@
 	return errNoGo
 }
 
+// again implements dispatch.TakenOver.Again. A sender that is not told counts one attempt
+// less if this home is lost.
+func (t *taken) again() { t.stream.Send(step(wire.HandoffStep_STEP_READY, "")) }
+
 // listen takes the sender's steps and tells it that the home is alive. It ends the
 // request with the stream: its caller left, or the sender took another way.
 func (t *taken) listen(ctx context.Context) {
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -164,7 +164,8 @@
 		switch body := envelope.GetBody().(type) {
 		case *wire.Envelope_HandoffStep:
 			if body.HandoffStep.GetStep() == wire.HandoffStep_STEP_READY {
-				trace.Attempts = 1
+				// The home says so before each server to which it sends the request.
+				trace.Attempts++
 			}
 			if err := h.take(ctx, body.HandoffStep); err != nil {
 				return nil, trace, err
--- a/internal/handoff/sender_test.go
+++ b/internal/handoff/sender_test.go
@@ -172,6 +172,21 @@
 	}
 }
 
+// What a home sent more than once before it was lost counts as often among the attempts.
+func TestAttemptsOfALostHomeCount(t *testing.T) {
+	dying := scripted(t, "dying", func(server *transport.Server, stream *transport.Stream) {
+		stream.Send(step(wire.HandoffStep_STEP_READY, ""))
+		stream.Send(step(wire.HandoffStep_STEP_READY, ""))
+		time.Sleep(100 * time.Millisecond)
+		server.Close()
+	})
+	request := newRequest(true)
+	_, trace, err := newSender(t).Do(t.Context(), request, request.Deadline, dispatch.Destination{Homes: []homes.Node{dying}, TableVersion: tableVersion})
+	if !errors.Is(err, dispatch.ErrHomeLost) || trace.Attempts != 2 {
+		t.Errorf("error %v after %d attempts, wanted a lost home after two", err, trace.Attempts)
+	}
+}
+
 // A home that did not answer is not asked by the next request, and again later.
 func TestSilentHomeIsPassedOverForAWhile(t *testing.T) {
 	asked := make(chan struct{}, 8)
