Come-back: callers of a full server are told a third of their time at most

Cause: how long its answers take counted as a known end of a server's being full, which is told however long it is. Beyond a third of their time callers come back when they like, so that they were not spread.

Seen: TestCallersOfAFullServerComeBackWithinAThird failed before (told 5.1 s of 1 s) and passes; go test -race of dispatch and schedule passes.

--- a/internal/dispatch/comeback.go
+++ b/internal/dispatch/comeback.go
@@ -45,9 +45,10 @@
 			return s.blockedUntil.Sub(now)
 		}
 	case ReasonServerRefused:
-		// It was full. In the time of one answer it works off as many as it has slots.
+		// It was full. In the time of one answer it works off as many as it has slots; that
+		// is an estimate, for which no caller is told to come back later than it would.
 		if s := d.keyServer(request); s != nil {
-			return seconds(s.expected())
+			return min(seconds(s.expected()), schedule.LongestReturn(request.callerDeadline().Sub(now)))
 		}
 	}
 	return 0
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// How long a full server's answers take is no known end of its being full: callers are told
+// to come back within a third of their time, beyond which they come back when they like.
+func TestCallersOfAFullServerComeBackWithinAThird(t *testing.T) {
+	w := newWarmUpWorld(t, 1, "divided z 0s")
+	w.own(t, "s0")
+	request := order()
+	request.Service, request.HasKey = "divided", true
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.servers["s0"].latency = 5
+	if after := w.comeBack(ReasonServerRefused, request); after > time.Second/3 {
+		t.Errorf("told to come back after %v of 1 s", after)
+	}
+}
+
 // The owner of a key that is lost is not waited for by requests that are late already.
 func TestNobodyWaitsLateForALostOwner(t *testing.T) {
 	w := newWarmUpWorld(t, 1, "divided z 0s")
--- a/internal/schedule/comeback.go
+++ b/internal/schedule/comeback.go
@@ -17,6 +17,12 @@
 	longestSpread = 0.3
 )
 
+// LongestReturn is the longest time to come back that a caller keeps to which has some time
+// left.
+func LongestReturn(left time.Duration) time.Duration {
+	return time.Duration(longestPart * float64(left))
+}
+
 // Returns hands out times to come back to the servers of one line. Each caller that is
 // refused gets the next place in a line of those who return, so that callers who were
 // refused together do not return together. It must not be used concurrently.
@@ -31,7 +37,7 @@
 // refused again, so that this is told however long it is. random, from 0 to 1, spreads
 // callers.
 func (r *Returns) After(now time.Time, request *Request, line Line, known time.Duration, random float64) time.Duration {
-	longest := time.Duration(longestPart * float64(request.Deadline.Sub(now)))
+	longest := LongestReturn(request.Deadline.Sub(now))
 	if known > longest {
 		return known + time.Duration(random*float64(spread))
 	}
