Second tries: a request that failed at both servers goes to neither again

Cause: only the server whose result was returned was passed over by the repeat, so that a request went to the slow first server a second time where the route allows three attempts.

Seen: TestBothServersOfASecondTryArePassedOver failed before (3 attempts, 2 of them at the slow server) and passes, 3 of 3 with -race.

--- a/internal/dispatch/second.go
+++ b/internal/dispatch/second.go
@@ -81,7 +81,7 @@
 		cancelSecond()
 		return s, answer, outcome, err
 	}
-	excluded[second.server.id] = true
+	excluded[s.id], excluded[second.server.id] = true, true
 	trace.Attempts++
 	switch second.outcome {
 	case answered:
--- a/internal/dispatch/second_test.go
+++ b/internal/dispatch/second_test.go
@@ -144,6 +144,32 @@
 	}
 }
 
+// A request that failed at both servers goes to neither of them again.
+func TestBothServersOfASecondTryArePassedOver(t *testing.T) {
+	arrived := make(chan struct{})
+	late := func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusGatewayTimeout) }
+	d, atSlow, atOther := pair(t, func(writer http.ResponseWriter, incoming *http.Request) {
+		<-arrived
+		late(writer, incoming)
+	}, func(writer http.ResponseWriter, incoming *http.Request) {
+		select {
+		case <-arrived:
+		default:
+			close(arrived)
+		}
+		late(writer, incoming)
+	})
+	request := read(d)
+	request.Route.MaxAttempts = 3
+	d.budget(request.Service).tokens, d.budget(request.Service).burst = 5, 5
+	if _, trace, _ := d.Do(t.Context(), request); trace.Attempts != 2 {
+		t.Errorf("%d attempts, want two", trace.Attempts)
+	}
+	if slow, other := atSlow.Load(), atOther.Load(); slow != 1 || other != 1 {
+		t.Errorf("%d and %d requests at the servers, want one each", slow, other)
+	}
+}
+
 func TestNoSecondTry(t *testing.T) {
 	for _, check := range []struct {
 		name   string
