A request whose servers have all failed it is not held

Cause: how many places there are counted servers that the request isn't sent to again. One that failed at all of them waited until it would have been late, 18 s of an objective of a minute, before its caller was told.

Seen: TestBothServersOfASecondTryArePassedOver now has 10 s; it failed before (held until then) and passes. go test -race of dispatch and handoff passes.

--- a/internal/dispatch/comeback.go
+++ b/internal/dispatch/comeback.go
@@ -12,7 +12,7 @@
 func (d *Dispatcher) comeBack(reason Reason, request *Request) time.Duration {
 	now := time.Now()
 	scheduled := d.scheduled(request, request.limit())
-	line := d.line(now, request, scheduled)
+	line := d.line(now, request, scheduled, nil)
 	return d.returnsOf(request).After(now, scheduled, line, d.lasts(now, reason, request), rand.Float64())
 }
 
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/schedule"
 )
 
 // scheduled returns what the order of waiting requests needs to know of a request. The
 // caller holds the mutex.
 func (d *Dispatcher) scheduled(request *Request, limit time.Time) *schedule.Request {
-	_, work := d.places(time.Now(), request)
+	_, work := d.places(time.Now(), request, nil)
 	since := d.firstTriesOf(request).Since(request.callerDeadline().Sub(request.ArrivedAt))
 	return &schedule.Request{
 		Class: request.Route.Name, Priority: request.Route.Priority,
@@ -39,13 +40,13 @@
 	if _, hopeless := d.keyHopeless(now, w.request); hopeless {
 		return schedule.Decision{Verdict: schedule.Refuse}
 	}
-	return schedule.Decide(now, w.scheduled, d.line(now, w.request, w.scheduled))
+	return schedule.Decide(now, w.scheduled, d.line(now, w.request, w.scheduled, w.excluded))
 }
 
-// line returns what stands before a request at the servers that may serve it. The caller
-// holds the mutex.
-func (d *Dispatcher) line(now time.Time, request *Request, scheduled *schedule.Request) schedule.Line {
-	places, work := d.places(now, request)
+// line returns what stands before a request at the servers that may serve it, which are
+// not those that it is not sent to again. The caller holds the mutex.
+func (d *Dispatcher) line(now time.Time, request *Request, scheduled *schedule.Request, excluded map[discovery.ServerID]bool) schedule.Line {
+	places, work := d.places(now, request, excluded)
 	return schedule.Line{
 		Ahead:  schedule.Ahead(now, scheduled, d.rivals(request), scheduledOf),
 		Places: places, Work: work,
@@ -109,8 +110,10 @@
 }
 
 // places returns how many requests this node may have at the servers that may serve a
-// request at a time, and how long their answers take. The caller holds the mutex.
-func (d *Dispatcher) places(now time.Time, request *Request) (places float64, work time.Duration) {
+// request at a time, and how long their answers take. Where keys are not divided, servers
+// that the request is not sent to again don't count: with none left, waiting is in vain.
+// The caller holds the mutex.
+func (d *Dispatcher) places(now time.Time, request *Request, excluded map[discovery.ServerID]bool) (places float64, work time.Duration) {
 	if d.divided(request) {
 		s := d.keyServer(request)
 		if s == nil {
@@ -121,7 +124,7 @@
 	current := d.views.Current()
 	sum, count := 0.0, 0
 	for _, s := range d.candidates(now, current, request.Service) {
-		if !s.reachable(now, 0) || !now.After(s.blockedUntil) {
+		if excluded[s.id] || !s.reachable(now, 0) || !now.After(s.blockedUntil) {
 			continue
 		}
 		if _, bounded := d.warming(now, current, s); bounded {
--- a/internal/dispatch/second_test.go
+++ b/internal/dispatch/second_test.go
@@ -144,7 +144,8 @@
 	}
 }
 
-// A request that failed at both servers goes to neither of them again.
+// A request that failed at both servers goes to neither of them again, and its caller is
+// told so without a wait.
 func TestBothServersOfASecondTryArePassedOver(t *testing.T) {
 	arrived := make(chan struct{})
 	late := func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusGatewayTimeout) }
@@ -162,9 +163,14 @@
 	request := read(d)
 	request.Route.MaxAttempts = 3
 	d.budget(request.Service).tokens, d.budget(request.Service).burst = 5, 5
-	if _, trace, _ := d.Do(t.Context(), request); trace.Attempts != 2 {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if _, trace, _ := d.Do(ctx, request); trace.Attempts != 2 {
 		t.Errorf("%d attempts, want two", trace.Attempts)
 	}
+	if ctx.Err() != nil {
+		t.Error("the caller is held although no server is left to ask")
+	}
 	if slow, other := atSlow.Load(), atOther.Load(); slow != 1 || other != 1 {
 		t.Errorf("%d and %d requests at the servers, want one each", slow, other)
 	}
