Shard manager: the entry of an earlier life at its address doesn't end a server

Cause: a server whose entry is missing counted as ended if any entry has its address, also one that is older than its own. Where an earlier life at that address leaves its entry behind, a server that takes its own away, and may hold keys, would have lost them at once without a release.

Only an entry that was written after the server's own counts now.

Seen: TestEntryOfAnEarlierLifeEndsNoLaterOne failed before and passes; go test -race of shardmanager and view passes.

--- a/internal/shardmanager/ended_test.go
+++ b/internal/shardmanager/ended_test.go
@@ -58,3 +58,22 @@
 		}
 	}
 }
+
+// The entry of an earlier life at the same address may outlast a later one that takes its
+// own away while it still holds keys.
+func TestEntryOfAnEarlierLifeEndsNoLaterOne(t *testing.T) {
+	views := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, addressDocuments{}, zap.NewNop())
+	views.Replace([]topo.Item{
+		{Key: "servers/earlier", Value: []byte("s a"), Revision: 1}, {Key: "servers/later", Value: []byte("s a"), Revision: 2},
+	}, 2)
+	views.Apply([]topo.Event{{Item: topo.Item{Key: "servers/later", Revision: 3}, Deleted: true}}, 3)
+	current := views.Current()
+	if addressReused(current.Servers["later"], serversByAddress(current)) {
+		t.Error("the later life counts as ended")
+	}
+	views.Apply([]topo.Event{{Item: topo.Item{Key: "servers/next", Value: []byte("s a"), Revision: 4}}}, 4)
+	current = views.Current()
+	if !addressReused(current.Servers["later"], serversByAddress(current)) {
+		t.Error("the later life doesn't count as ended although another one has its address since")
+	}
+}
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -232,11 +232,12 @@
 	t.core.SetServers(servers, dead)
 }
 
-// serversByAddress returns the servers whose entries are there.
+// serversByAddress returns the servers whose entries are there, of those with one address
+// the one whose entry is the newest.
 func serversByAddress(current *view.View) map[string]*view.Server {
 	addresses := make(map[string]*view.Server, len(current.Servers))
 	for _, s := range current.Servers {
-		if s.GoneSince.IsZero() {
+		if other := addresses[s.Address]; s.GoneSince.IsZero() && (other == nil || s.Revision > other.Revision) {
 			addresses[s.Address] = s
 		}
 	}
@@ -244,11 +245,12 @@
 }
 
 // addressReused reports whether a server whose entry is missing has surely ended, because
-// another one has its address. Its keys move at once: they need not wait for its entry to
-// come back (goneGrace).
+// another one has its address since. Its keys move at once: they need not wait for its
+// entry to come back (goneGrace). An entry that is older says nothing: it may be that of an
+// earlier life.
 func addressReused(s *view.Server, addresses map[string]*view.Server) bool {
 	other := addresses[s.Address]
-	return !s.GoneSince.IsZero() && other != nil && other.ID != s.ID
+	return !s.GoneSince.IsZero() && other != nil && other.ID != s.ID && other.Revision > s.Revision
 }
 
 // accepts reports whether a server may be given keys.
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -185,7 +185,7 @@
 	now := time.Now()
 	// The entry was written earlier, so that the server is warm by then at the latest. A
 	// server may turn cold again, so each entry counts anew.
-	server := &Server{Server: entry, WarmAt: now.Add(entry.WarmUp)}
+	server := &Server{Server: entry, Revision: item.Revision, WarmAt: now.Add(entry.WarmUp)}
 	before := b.servers.get(entry.ID)
 	if before != nil {
 		server.DrainingSince = before.DrainingSince
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -71,6 +71,8 @@
 // Server is a server and what the view knows of its end.
 type Server struct {
 	discovery.Server
+	// Revision is the store's at the last change of its entry.
+	Revision int64
 	// WarmAt is when the server stops being slow.
 	WarmAt time.Time
 	// DrainingSince is when it was first seen draining; zero if it is not.
