A failure with a long answer is not kept for the case that no other server answers

Cause, found in review: the rest of a 5xx answer of more than 128 KB was closed when the request went on, and the broken answer was returned if nobody else answered. TestLongFailureIsNoAnswerInPart was seen failing.

--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -176,8 +176,10 @@
 		d.rejected(request, s, answer)
 	}
 	if outcome == failedOver && answer.Rest != nil {
-		// The answer is not passed on; ending its connection is all there is to do.
+		// It is not kept for the case that no other server answers; ending its connection
+		// is all there is to do.
 		_ = answer.Rest.Close()
+		return nil, outcome, errors.Newf("server failed with %d and a long answer", answer.Status)
 	}
 	if outcome == failedOver && err != nil {
 		return nil, outcome, err
--- a/internal/dispatch/second_test.go
+++ b/internal/dispatch/second_test.go
@@ -200,3 +200,18 @@
 		})
 	}
 }
+
+// A failure with a long answer is not kept for later, and no part of it passes for a whole
+// answer.
+func TestLongFailureIsNoAnswerInPart(t *testing.T) {
+	fail := func(writer http.ResponseWriter, incoming *http.Request) {
+		sign(writer, incoming)
+		writer.WriteHeader(http.StatusInternalServerError)
+		_, _ = writer.Write(make([]byte, 1<<20))
+	}
+	d, _, _ := pair(t, fail, fail)
+	answer, _, err := d.Do(context.Background(), read(d))
+	if answer != nil || !errors.Is(err, ErrUnknown) {
+		t.Errorf("answer %v, error %v, wanted an unknown outcome", answer != nil, err)
+	}
+}
