A stream's last envelope passes a full queue; what arrived counts after the time

Cause: SendLast and Close queued the last envelope like any other. And Receive chose by chance between an envelope that was there and a context that had ended: a process that was paused lost answers that it had. Receive looks for what arrived also when its context ended. Seen: TestLastEnvelopePassesAFullQueue and TestWhatArrivedCountsAfterTheTime fail without it (the last envelope did not come; context canceled instead of the answer).

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// enqueueSurely queues an envelope, after those that wait if the queue is full. It never
+// blocks; what waits ends with the connection, which a peer that reads nothing loses after
+// writeTimeout.
+func (c *connection) enqueueSurely(envelope *wire.Envelope) {
+	if c.enqueue(envelope) {
+		return
+	}
+	go func() {
+		select {
+		case c.outgoing <- envelope:
+		case <-c.closed:
+		}
+	}()
+}
+
 func (c *connection) close() {
 	c.once.Do(func() {
 		close(c.closed)
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -51,8 +51,12 @@
 }
 
 func (s *Stream) send(envelope *wire.Envelope, part wire.StreamPart) bool {
+	return s.live.enqueue(s.address(envelope, part))
+}
+
+func (s *Stream) address(envelope *wire.Envelope, part wire.StreamPart) *wire.Envelope {
 	envelope.CallId, envelope.Reply, envelope.Stream = s.id, s.reply, part
-	return s.live.enqueue(envelope)
+	return envelope
 }
 
 // Receive returns the next envelope. Its error matches ErrStreamEnded, ErrConnectionLost
@@ -67,9 +71,9 @@
 	case <-s.live.closed:
 		err = ErrConnectionLost
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		err = ctx.Err()
 	}
-	// What arrived before the end counts.
+	// What arrived before the end counts; a process that was paused finds both at once.
 	select {
 	case envelope := <-s.incoming:
 		return envelope, nil
@@ -78,11 +82,12 @@
 	}
 }
 
-// SendLast queues the last envelope and ends the stream with it.
+// SendLast queues the last envelope and ends the stream with it. It is sent unless the
+// connection is lost.
 func (s *Stream) SendLast(envelope *wire.Envelope) {
 	s.closing.Do(func() {
 		s.forget()
-		s.send(envelope, wire.StreamPart_STREAM_PART_END)
+		s.live.enqueueSurely(s.address(envelope, wire.StreamPart_STREAM_PART_END))
 	})
 }
 
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"testing"
@@ -59,7 +60,12 @@
 
 func expect(t *testing.T, stream *Stream, wanted string) {
 	t.Helper()
-	envelope, err := stream.Receive(t.Context())
+	expectWithin(t.Context(), t, stream, wanted)
+}
+
+func expectWithin(ctx context.Context, t *testing.T, stream *Stream, wanted string) {
+	t.Helper()
+	envelope, err := stream.Receive(ctx)
 	if err != nil || envelope.GetProbeRequest().GetGroup() != wanted {
 		t.Fatalf("got %v, error %v, wanted %q", envelope, err, wanted)
 	}
@@ -113,3 +119,46 @@
 		}
 	}
 }
+
+// The last envelope of a stream is sent also if the connection's queue is full just then:
+// it is an answer, or says that a caller left.
+func TestLastEnvelopePassesAFullQueue(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	live := newConnection(near)
+	defer live.close()
+	stream := (&streams{}).add(1, false, live)
+	for stream.Send(probe("fills")) {
+		continue
+	}
+	stream.SendLast(probe("last"))
+	go live.writeLoop()
+	reader := bufio.NewReader(far)
+	if err := far.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		envelope, err := wire.ReadFrame(reader)
+		if err != nil {
+			t.Fatalf("the last envelope did not come: %v", err)
+		}
+		if envelope.GetStream() == wire.StreamPart_STREAM_PART_END {
+			return
+		}
+	}
+}
+
+// What has arrived counts also if the time for it is over: a process that was paused finds
+// both at once.
+func TestWhatArrivedCountsAfterTheTime(t *testing.T) {
+	near, _ := net.Pipe()
+	live := newConnection(near)
+	defer live.close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		stream := (&streams{}).add(1, false, live)
+		stream.deliver(probe("answer"))
+		expectWithin(ctx, t, stream, "answer")
+	}
+}
