A part of an answer without its head does not say that the request has not run

Cause: the sender took any word that it does not know for that of a node which takes no requests, and so for 'has not run'. A home whose queue of envelopes was full for a moment dropped the head of a long answer and sent a chunk after it: the request had run, also one that must run at most once, and the sender sent it to the next home or itself. Change: only a Failure, with which nodes without handovers answer, says that nothing was done. Any other word loses the home as silence does. Seen: TestAnswerWithoutItsHeadIsUnknown fails without it (the request went to another home).

--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -177,10 +177,13 @@
 			return nil, decodeTrace(h.home, body.HandoffRefusal.GetTrace()), refusal
 		case *wire.Envelope_HandoffFailure:
 			return nil, decodeTrace(h.home, body.HandoffFailure.GetTrace()), decodeFailure(body.HandoffFailure)
-		default:
+		case *wire.Envelope_Failure:
 			// A node that does not know handed-over requests says so and does nothing.
 			h.sender.missed(h.home, "not understood")
 			return nil, trace, errors.Wrap(dispatch.ErrNoHome, "home takes no requests")
+		default:
+			// A part of an answer whose head was lost, or a word that this node does not know.
+			return nil, trace, h.lost(ctx, errors.New("home's word does not belong here"))
 		}
 	}
 }
--- a/internal/handoff/sender_test.go
+++ b/internal/handoff/sender_test.go
@@ -164,6 +164,27 @@
 	}
 }
 
+// The head of an answer may be lost where the home's queue of envelopes is full; what comes
+// after it does not say that the request has not run.
+func TestAnswerWithoutItsHeadIsUnknown(t *testing.T) {
+	for name, repeatable := range map[string]bool{"unsafe": false, "safe": true} {
+		t.Run(name, func(t *testing.T) {
+			headless := scripted(t, "headless", func(_ *transport.Server, stream *transport.Stream) {
+				_, _ = stream.Receive(context.Background())
+				stream.Send(step(wire.HandoffStep_STEP_READY, ""))
+				if !repeatable {
+					goesOn(stream)
+				}
+				stream.Send(&wire.Envelope{Body: &wire.Envelope_HandoffChunk{HandoffChunk: &wire.HandoffChunk{Body: []byte("rest")}}})
+			})
+			other := scripted(t, "other", func(*transport.Server, *transport.Stream) { t.Error("the request went to another home") })
+			if _, err := handOver(t.Context(), newSender(t), newRequest(repeatable), headless, other); !errors.Is(err, dispatch.ErrHomeLost) {
+				t.Errorf("error %v, wanted that the home was lost", err)
+			}
+		})
+	}
+}
+
 // A home that sends a safe request without a go may have sent it when it falls silent.
 func TestSafeRequestAtASilentHomeMayHaveRun(t *testing.T) {
 	silent := scripted(t, "silent", func(*transport.Server, *transport.Stream) { time.Sleep(time.Second) })
