A node whose requests another home takes is not the server's home any more

Cause: a node that once was home, or took one request over, was marked so until it found no home at all. Change: each handover of a divided service says anew whether the node is home. Seen: TestHomeEndsWhereAnotherOneTakesRequests fails without it in three of four cases. go test -race of transport, handoff and dispatch passes.

--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -82,13 +82,14 @@
 	}
 	answer, trace, err := d.handover.Do(ctx, request, d.limit(request), to)
 	d.noteSize(request, answer)
+	if to.Server != "" {
+		// Of an undivided service's servers it is known without asking.
+		d.setHome(to.Server, errors.Is(err, ErrAtHome))
+	}
 	switch {
 	case errors.Is(err, ErrHomeLost):
 		return d.afterLoss(ctx, request, trace, err)
 	case errors.Is(err, ErrAtHome), errors.Is(err, ErrNoHome):
-		if to.Server != "" {
-			d.setHome(to.Server, errors.Is(err, ErrAtHome))
-		}
 		if ctx.Err() != nil {
 			return nil, trace, d.giveUp(ctx, request, false, nil, err)
 		}
--- a/internal/dispatch/handoff_test.go
+++ b/internal/dispatch/handoff_test.go
@@ -224,6 +224,30 @@
 	}
 }
 
+// A node whose requests another home takes is not the server's home any more, and keeps
+// neither the home's part of the connections nor its limit.
+func TestHomeEndsWhereAnotherOneTakesRequests(t *testing.T) {
+	for name, err := range map[string]error{
+		"answered": nil, "refused": &Refusal{Reason: ReasonOwnerBusy}, "lost": ErrHomeLost, "none": ErrNoHome,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, _ := worldWithHomes(t, err, warmDivided)
+			w.own(t, "s0")
+			w.TakeHome("s0")
+			_, _, _ = w.Do(t.Context(), requestFor("divided", false))
+			if w.servers["s0"].home {
+				t.Error("the node still counts as home")
+			}
+		})
+	}
+	w, _ := worldWithHomes(t, ErrAtHome, warmDivided)
+	w.own(t, "s0")
+	_, _, _ = w.Do(t.Context(), requestFor("divided", false))
+	if !w.servers["s0"].home {
+		t.Error("the node does not count as home where it is")
+	}
+}
+
 // As many requests as a server works on at a time do not make it slow: a home never has
 // fewer there while the server answers, and one while it does not.
 func TestSlowServersKeepTheirSlotsAtHome(t *testing.T) {
