A node that others take for the home keeps the home's limit for 5 s

Cause: with the change before, a node to which only some nodes hand over (a link to the better home is cut) ceased to be home with each request of its own that the better home took, and became it again with the next one that it took over; that raises its limit to one request a slot, also at a server that hangs and to which it had been cut to one. Change: it ceases to be home 5 s after it last was. The test of the change before asks for both.

--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -68,6 +68,10 @@
 	// homeQueue is how many requests for each slot a home has at a server: a few more than
 	// the slots, so that none runs empty until the next request comes.
 	homeQueue = 1.25
+	// homeMemory is how long a node counts as home to a server after it last was, once
+	// another node takes its requests: as long as others may pass over a home that does not
+	// answer them, so that the limit does not change with each request.
+	homeMemory = 5 * time.Second
 )
 
 // SetHandover makes the dispatcher hand requests over. It must be called before the first
@@ -82,19 +86,20 @@
 	}
 	answer, trace, err := d.handover.Do(ctx, request, d.limit(request), to)
 	d.noteSize(request, answer)
-	if to.Server != "" {
-		// Of an undivided service's servers it is known without asking.
-		d.setHome(to.Server, errors.Is(err, ErrAtHome))
-	}
 	switch {
 	case errors.Is(err, ErrHomeLost):
+		d.otherHome(to.Server)
 		return d.afterLoss(ctx, request, trace, err)
 	case errors.Is(err, ErrAtHome), errors.Is(err, ErrNoHome):
+		if to.Server != "" {
+			d.setHome(to.Server, errors.Is(err, ErrAtHome))
+		}
 		if ctx.Err() != nil {
 			return nil, trace, d.giveUp(ctx, request, false, nil, err)
 		}
 		return d.direct(ctx, request)
 	default:
+		d.otherHome(to.Server)
 		return answer, trace, err
 	}
 }
@@ -223,7 +228,21 @@
 	}
 }
 
+// otherHome notes that another node is a server's home. This one may be home as well for a
+// while, to nodes that do not reach the other.
+func (d *Dispatcher) otherHome(id discovery.ServerID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	if s := d.servers[id]; s != nil && s.home && now.Sub(s.homeAt) > homeMemory {
+		s.setHome(now, false)
+	}
+}
+
 func (s *server) setHome(now time.Time, home bool) {
+	if home {
+		s.homeAt = now
+	}
 	if s.home == home {
 		return
 	}
--- a/internal/dispatch/handoff_test.go
+++ b/internal/dispatch/handoff_test.go
@@ -234,6 +234,13 @@
 			w, _ := worldWithHomes(t, err, warmDivided)
 			w.own(t, "s0")
 			w.TakeHome("s0")
+			if err != ErrNoHome {
+				_, _, _ = w.Do(t.Context(), requestFor("divided", false))
+				if !w.servers["s0"].home {
+					t.Error("the node does not count as home to those that handed over to it just now")
+				}
+			}
+			w.servers["s0"].homeAt = time.Now().Add(-2 * homeMemory)
 			_, _, _ = w.Do(t.Context(), requestFor("divided", false))
 			if w.servers["s0"].home {
 				t.Error("the node still counts as home")
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -46,6 +46,8 @@
 	// connections then.
 	home       bool
 	homePlaces int
+	// homeAt is when this node last was the home of a server of a divided service.
+	homeAt time.Time
 	// latency is the moving mean of the answers' times, in seconds.
 	latency float64
 	// answeredAt is when it last answered a request; zero if it never did.
