A connection between nodes with always more to send is not lost after 5 s

Cause: one write deadline held for a whole batch, and a batch lasts as long as the queue does not run empty. On a slow link with long answers of a home it may not for 5 s; then a write failed, the connection was closed, and each request that was handed over on it was lost, though the peer read on. Change: the deadline begins anew with each envelope.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -107,16 +107,13 @@
 }
 
 func (c *connection) writeBatch(writer *bufio.Writer, first *wire.Envelope) error {
-	if err := c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	if err := wire.WriteFrame(writer, first); err != nil {
+	if err := c.writeOne(writer, first); err != nil {
 		return err
 	}
 	for {
 		select {
 		case next := <-c.outgoing:
-			if err := wire.WriteFrame(writer, next); err != nil {
+			if err := c.writeOne(writer, next); err != nil {
 				return err
 			}
 		default:
@@ -125,6 +122,15 @@
 	}
 }
 
+// writeOne writes an envelope. Its time begins anew with each: a batch lasts as long as
+// there is more to send.
+func (c *connection) writeOne(writer *bufio.Writer, envelope *wire.Envelope) error {
+	if err := c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return wire.WriteFrame(writer, envelope)
+}
+
 // readLoop hands every envelope to receive until the connection ends.
 func (c *connection) readLoop(reader *bufio.Reader, receive func(*wire.Envelope)) error {
 	defer c.close()
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -162,3 +163,35 @@
 		expectWithin(ctx, t, stream, "answer")
 	}
 }
+
+// deadlineSocket counts the writes under one deadline.
+type deadlineSocket struct {
+	net.Conn
+	since, most int
+}
+
+func (s *deadlineSocket) SetWriteDeadline(time.Time) error { s.since = 0; return nil }
+
+func (s *deadlineSocket) Write(from []byte) (int, error) {
+	s.since++
+	s.most = max(s.most, s.since)
+	return len(from), nil
+}
+
+// A peer that reads on is not lost because there is always more to send, as on a slow link
+// with long answers: the time for writing begins anew with each envelope.
+func TestBusyConnectionIsNotLost(t *testing.T) {
+	socket := &deadlineSocket{}
+	live := newConnection(socket)
+	long := probe(strings.Repeat("a", 2*bufferBytes))
+	for live.enqueue(long) {
+		continue
+	}
+	if err := live.writeBatch(bufio.NewWriterSize(socket, bufferBytes), <-live.outgoing); err != nil {
+		t.Fatal(err)
+	}
+	const writesOfOne = 4
+	if socket.most > writesOfOne {
+		t.Errorf("%d writes under one deadline, wanted those of one envelope", socket.most)
+	}
+}
