What callers and servers wrote passes between nodes as bytes

Cause: headers, URI, request id, caller and details were protobuf strings, which must be UTF-8. One header of a caller or a server with another byte (Latin-1 is allowed there) could not be written; the write loop took that for a lost connection and closed it, and every request that was handed over on it was lost with it, unsafe ones with an unknown outcome. Change: these fields are bytes, which have the same form on the wire. Seen: TestBytesThatAreNoTextPass fails without it (no home took the request). go test -race of handoff, wire and transport passes.

--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -49,21 +49,21 @@
 )
 
 func step(what wire.HandoffStep_Step, detail string) *wire.Envelope {
-	return &wire.Envelope{Body: &wire.Envelope_HandoffStep{HandoffStep: &wire.HandoffStep{Step: what, Detail: detail}}}
+	return &wire.Envelope{Body: &wire.Envelope_HandoffStep{HandoffStep: &wire.HandoffStep{Step: what, Detail: []byte(detail)}}}
 }
 
 // encodeRequest writes a request for its home. limit is when it has to be answered.
 func encodeRequest(request *dispatch.Request, limit time.Time, to dispatch.Destination) *wire.Envelope {
 	handoff := &wire.Handoff{
 		Service: request.Service, Server: string(to.Server), MapRevision: to.MapRevision, TableVersion: to.TableVersion,
-		Method: request.Method, Uri: request.URI, Host: request.Host, Body: request.Body,
-		RequestId: request.ID, Key: request.Key, HasKey: request.HasKey,
+		Method: []byte(request.Method), Uri: []byte(request.URI), Host: []byte(request.Host), Body: request.Body,
+		RequestId: []byte(request.ID), Key: request.Key, HasKey: request.HasKey,
 		AgeMicros: time.Since(request.ArrivedAt).Microseconds(), LeftMicros: (time.Until(limit) - hopMargin).Microseconds(),
 		NeedsGo: !request.Route.Repeatable,
-		Caller:  request.Caller, CallerMicros: time.Until(request.Deadline).Microseconds(),
+		Caller:  []byte(request.Caller), CallerMicros: time.Until(request.Deadline).Microseconds(),
 	}
 	for _, field := range request.Fields {
-		handoff.Fields = append(handoff.Fields, &wire.HeaderField{Name: field.Name, Value: field.Value})
+		handoff.Fields = append(handoff.Fields, &wire.HeaderField{Name: []byte(field.Name), Value: []byte(field.Value)})
 	}
 	return &wire.Envelope{Body: &wire.Envelope_Handoff{Handoff: handoff}}
 }
@@ -72,7 +72,7 @@
 	fields := make([]*wire.HeaderField, 0, len(header))
 	for name, values := range header {
 		for _, value := range values {
-			fields = append(fields, &wire.HeaderField{Name: name, Value: value})
+			fields = append(fields, &wire.HeaderField{Name: []byte(name), Value: []byte(value)})
 		}
 	}
 	return fields
@@ -81,7 +81,8 @@
 func decodeHeader(fields []*wire.HeaderField) http.Header {
 	header := make(http.Header, len(fields))
 	for _, field := range fields {
-		header[field.GetName()] = append(header[field.GetName()], field.GetValue())
+		name := string(field.GetName())
+		header[name] = append(header[name], string(field.GetValue()))
 	}
 	return header
 }
@@ -89,7 +90,7 @@
 func decodeFields(fields []*wire.HeaderField) []upstream.Field {
 	decoded := make([]upstream.Field, 0, len(fields))
 	for _, field := range fields {
-		decoded = append(decoded, upstream.Field{Name: field.GetName(), Value: field.GetValue()})
+		decoded = append(decoded, upstream.Field{Name: string(field.GetName()), Value: string(field.GetValue())})
 	}
 	return decoded
 }
@@ -112,13 +113,13 @@
 
 func encodeRefusal(refusal *dispatch.Refusal, trace dispatch.Trace) *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_HandoffRefusal{HandoffRefusal: &wire.HandoffRefusal{
-		Reason: uint32(refusal.Reason), Detail: refusal.Detail, RetryAfterMicros: refusal.RetryAfter.Microseconds(), Trace: encodeTrace(trace),
+		Reason: uint32(refusal.Reason), Detail: []byte(refusal.Detail), RetryAfterMicros: refusal.RetryAfter.Microseconds(), Trace: encodeTrace(trace),
 	}}}
 }
 
 func decodeRefusal(refusal *wire.HandoffRefusal) *dispatch.Refusal {
 	return &dispatch.Refusal{
-		Reason: dispatch.Reason(refusal.GetReason()), Detail: refusal.GetDetail(),
+		Reason: dispatch.Reason(refusal.GetReason()), Detail: string(refusal.GetDetail()),
 		RetryAfter: time.Duration(refusal.GetRetryAfterMicros()) * time.Microsecond,
 	}
 }
@@ -132,17 +133,17 @@
 		kind = wire.HandoffFailure_KIND_NODE_ENDS
 	}
 	return &wire.Envelope{Body: &wire.Envelope_HandoffFailure{HandoffFailure: &wire.HandoffFailure{
-		Kind: kind, Detail: err.Error(), Trace: encodeTrace(trace),
+		Kind: kind, Detail: []byte(err.Error()), Trace: encodeTrace(trace),
 	}}}
 }
 
 func decodeFailure(failure *wire.HandoffFailure) error {
 	switch failure.GetKind() {
 	case wire.HandoffFailure_KIND_TIMEOUT:
-		return errors.Wrap(dispatch.ErrTimeout, failure.GetDetail())
+		return errors.Wrap(dispatch.ErrTimeout, string(failure.GetDetail()))
 	case wire.HandoffFailure_KIND_NODE_ENDS:
-		return errors.Wrap(dispatch.ErrNodeEnds, failure.GetDetail())
+		return errors.Wrap(dispatch.ErrNodeEnds, string(failure.GetDetail()))
 	default:
-		return errors.Wrap(dispatch.ErrUnknown, failure.GetDetail())
+		return errors.Wrap(dispatch.ErrUnknown, string(failure.GetDetail()))
 	}
 }
--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -122,22 +122,22 @@
 // holds for the request might differ.
 func (h *Home) decode(handoff *wire.Handoff) *dispatch.Request {
 	table := h.views.Current().Table
-	target, err := url.ParseRequestURI(handoff.GetUri())
+	target, err := url.ParseRequestURI(string(handoff.GetUri()))
 	if err != nil || table == nil || table.Version() != handoff.GetTableVersion() {
 		return nil
 	}
-	route := table.Match(handoff.GetHost(), target.Path)
+	route := table.Match(string(handoff.GetHost()), target.Path)
 	if route == nil {
 		return nil
 	}
 	now := time.Now()
 	return &dispatch.Request{
-		ID: handoff.GetRequestId(), Method: handoff.GetMethod(), URI: handoff.GetUri(), Host: handoff.GetHost(),
+		ID: string(handoff.GetRequestId()), Method: string(handoff.GetMethod()), URI: string(handoff.GetUri()), Host: string(handoff.GetHost()),
 		Fields: decodeFields(handoff.GetFields()), Body: handoff.GetBody(), Route: route, Service: handoff.GetService(),
 		Key: handoff.GetKey(), HasKey: handoff.GetHasKey(),
 		ArrivedAt: now.Add(-time.Duration(handoff.GetAgeMicros()) * time.Microsecond),
 		Deadline:  now.Add(time.Duration(handoff.GetLeftMicros()) * time.Microsecond),
-		Caller:    handoff.GetCaller(), CallerDeadline: now.Add(time.Duration(handoff.GetCallerMicros()) * time.Microsecond),
+		Caller:    string(handoff.GetCaller()), CallerDeadline: now.Add(time.Duration(handoff.GetCallerMicros()) * time.Microsecond),
 	}
 }
 
--- a/internal/handoff/home_test.go
+++ b/internal/handoff/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -273,6 +274,28 @@
 	}
 }
 
+// Bytes of a caller or server that are no text pass as they are, and do not end the
+// connection that other requests share.
+func TestBytesThatAreNoTextPass(t *testing.T) {
+	const odd = "caf\xe9"
+	passed := make(chan *dispatch.Request, 1)
+	node, _ := newHome(t, &fakeDispatcher{do: func(_ context.Context, request *dispatch.Request) (*upstream.Answer, error) {
+		passed <- request
+		return &upstream.Answer{Status: 200, Header: http.Header{"A": {odd}}, Body: []byte("done")}, nil
+	}})
+	request := newRequest(false)
+	request.ID, request.Caller, request.URI = odd, odd, "/"+odd
+	request.Fields = []upstream.Field{{Name: "A", Value: odd}}
+	answer, err := handOver(t.Context(), newSender(t), request, node)
+	if err != nil || answer.Header.Get("A") != odd {
+		t.Fatalf("answer %v, error %v", answer, err)
+	}
+	got := <-passed
+	if got.ID != odd || got.Caller != odd || got.URI != "/"+odd || got.Fields[0].Value != odd {
+		t.Errorf("passed on as %q", []string{got.ID, got.Caller, got.URI, got.Fields[0].Value})
+	}
+}
+
 func waitUntil(t *testing.T, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(2 * time.Second); !holds(); {
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -215,7 +215,7 @@
 		}
 		h.gone = true
 	case wire.HandoffStep_STEP_NOT_TAKEN:
-		return errors.Wrap(dispatch.ErrNoHome, taken.GetDetail())
+		return errors.Wrap(dispatch.ErrNoHome, string(taken.GetDetail()))
 	case wire.HandoffStep_STEP_LEAVING:
 		h.sender.leaves(h.home)
 		return errors.Wrap(dispatch.ErrNoHome, "home stops")
--- a/internal/handoff/sender_test.go
+++ b/internal/handoff/sender_test.go
@@ -100,7 +100,7 @@
 	if first.GetHandoff().GetNeedsGo() && !goesOn(stream) {
 		return
 	}
-	stream.Send(answerOf(first.GetHandoff().GetRequestId()))
+	stream.Send(answerOf(string(first.GetHandoff().GetRequestId())))
 }
 
 // Until the go a home has certainly not sent the request: it goes to the next one.
