A home sends no safe request that its sender has given up

Cause: a place that came free just as the sender left was used for it, as safe requests need no go; the sender may have repeated it by then, which no budget knows. Seen: TestSafeRequestThatWasGivenUpIsNotSent fails without it. go test -race ./internal/handoff passes.

--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -196,7 +196,7 @@
 	if !t.state.CompareAndSwap(queued, begun) {
 		return errGivenBack
 	}
-	if !t.stream.Send(step(wire.HandoffStep_STEP_READY, "")) {
+	if ctx.Err() != nil || !t.stream.Send(step(wire.HandoffStep_STEP_READY, "")) {
 		t.unsent.Store(true)
 		return errNoGo
 	}
--- a/internal/handoff/home_test.go
+++ b/internal/handoff/home_test.go
@@ -165,6 +165,32 @@
 	}
 }
 
+// A safe request needs no go, but one that its sender gave up while it waited for its place
+// is not sent either: it would be a repeat that no budget knows.
+func TestSafeRequestThatWasGivenUpIsNotSent(t *testing.T) {
+	dispatcher := &lateDispatcher{began: make(chan error, 1)}
+	node, _ := newHome(t, dispatcher)
+	stream := open(t, newClient(t), node, true)
+	awaitStep(t, stream, wire.HandoffStep_STEP_QUEUED)
+	stream.Close()
+	if err := <-dispatcher.began; err == nil {
+		t.Error("a request that was given up was let go")
+	}
+}
+
+// lateDispatcher finds a place for a request just when its sender has given it up.
+type lateDispatcher struct {
+	fakeDispatcher
+	began chan error
+}
+
+func (l *lateDispatcher) Do(ctx context.Context, request *dispatch.Request) (*upstream.Answer, dispatch.Trace, error) {
+	<-ctx.Done()
+	err := request.TakenOver.Begin(ctx)
+	l.began <- err
+	return nil, dispatch.Trace{}, dispatch.ErrCanceled
+}
+
 // A sender that ends its request, or is lost, ends it at the home within half a second.
 func TestRequestsEndWithTheirSender(t *testing.T) {
 	for name, end := range map[string]func(*transport.Client, *transport.Stream){
