Long answers wait for room in the queue between two nodes

Cause: the parts of an answer, and the words that ask for more of it, were dropped where the connection's queue of 1,024 envelopes was full: 60 long answers at a time fill it (17 parts each). The request had run, and its sender lost the answer. Change: parts of an answer wait for room, until the stream's context or the connection ends. They are sent on the request's own goroutine, which nothing else waits for. Seen: TestManyLongAnswersComeWhole fails without it (stream ended: home was lost), twice of two.

--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -295,9 +295,13 @@
 		t.stream.SendLast(envelope)
 		return
 	}
-	t.stream.Send(envelope)
 	chunks := &chunkWriter{ctx: ctx, taken: t, credit: window}
-	err := chunks.write(body)
+	var err error
+	if t.stream.SendWhole(ctx, envelope) {
+		err = chunks.write(body)
+	} else {
+		err = transport.ErrConnectionLost
+	}
 	if answer.Rest != nil {
 		if err == nil {
 			_, err = io.CopyBuffer(chunks, onlyReader{answer.Rest}, make([]byte, chunkBytes))
@@ -344,7 +348,7 @@
 		}
 	}
 	w.credit--
-	if !w.taken.stream.Send(&wire.Envelope{Body: &wire.Envelope_HandoffChunk{HandoffChunk: chunk}}) {
+	if !w.taken.stream.SendWhole(w.ctx, &wire.Envelope{Body: &wire.Envelope_HandoffChunk{HandoffChunk: chunk}}) {
 		return transport.ErrConnectionLost
 	}
 	return nil
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -294,7 +294,7 @@
 		}
 		r.pending, r.last = chunk.GetBody(), chunk.GetLast()
 		// A home that does not get it stops to send, which the reader sees.
-		r.stream.Send(step(wire.HandoffStep_STEP_MORE, ""))
+		r.stream.SendWhole(r.ctx, step(wire.HandoffStep_STEP_MORE, ""))
 	}
 	count := copy(into, r.pending)
 	r.pending = r.pending[count:]
--- a/internal/handoff/sender_test.go
+++ b/internal/handoff/sender_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -301,6 +302,40 @@
 	}
 }
 
+// Many long answers at a time fill the queue of the connection between two nodes, and each
+// still comes whole.
+func TestManyLongAnswersComeWhole(t *testing.T) {
+	const many = 300
+	body := bytes.Repeat([]byte("0123456789abcdef"), maxCollected/16)
+	together := make(chan struct{})
+	var waiting atomic.Int32
+	node, _ := newHome(t, &fakeDispatcher{do: func(context.Context, *dispatch.Request) (*upstream.Answer, error) {
+		if waiting.Add(1) == many {
+			close(together)
+		}
+		<-together
+		return &upstream.Answer{Status: 200, Body: body}, nil
+	}})
+	sender := newSender(t)
+	results := make(chan error, many)
+	for range many {
+		go func() {
+			request := newRequest(false)
+			request.Deadline = time.Now().Add(20 * time.Second)
+			answer, err := handOver(t.Context(), sender, request, node)
+			if err == nil && len(answer.Body) != len(body) {
+				err = errors.Newf("%d bytes", len(answer.Body))
+			}
+			results <- err
+		}()
+	}
+	for range many {
+		if err := <-results; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // One home of an undivided service may be full while another is not; two that are full
 // speak for all.
 func TestTwoHomesAreAskedForAFreeServer(t *testing.T) {
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -54,6 +54,18 @@
 	return s.live.enqueue(s.address(envelope, part))
 }
 
+// SendWhole queues an envelope of several that make up one whole, and waits for room; false
+// means that it certainly was not sent, because the context or the connection ended.
+func (s *Stream) SendWhole(ctx context.Context, envelope *wire.Envelope) bool {
+	select {
+	case s.live.outgoing <- s.address(envelope, wire.StreamPart_STREAM_PART_DATA):
+		return true
+	case <-s.live.closed:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (s *Stream) address(envelope *wire.Envelope, part wire.StreamPart) *wire.Envelope {
 	envelope.CallId, envelope.Reply, envelope.Stream = s.id, s.reply, part
 	return envelope
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -149,6 +150,45 @@
 	}
 }
 
+// A part of a whole waits for room in a full queue, and no longer than its context.
+func TestPartOfAWholeWaitsForRoom(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	live := newConnection(near)
+	defer live.close()
+	stream := (&streams{}).add(1, false, live)
+	for stream.Send(probe("fills")) {
+		continue
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	if stream.SendWhole(ended, probe("part")) {
+		t.Error("queued where there is no room")
+	}
+	queued := make(chan bool, 1)
+	go func() { queued <- stream.SendWhole(t.Context(), probe("part")) }()
+	go live.writeLoop()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	if !<-queued {
+		t.Error("not queued though there is room")
+	}
+}
+
+// A part of a whole does not wait for room on a connection that is lost.
+func TestPartOfAWholeEndsWithTheConnection(t *testing.T) {
+	near, _ := net.Pipe()
+	live := newConnection(near)
+	stream := (&streams{}).add(1, false, live)
+	// Nothing takes from the queue.
+	for stream.Send(probe("fills")) {
+		continue
+	}
+	time.AfterFunc(10*time.Millisecond, live.close)
+	if stream.SendWhole(t.Context(), probe("part")) {
+		t.Error("queued on a connection that is lost")
+	}
+}
+
 // What has arrived counts also if the time for it is over: a process that was paused finds
 // both at once.
 func TestWhatArrivedCountsAfterTheTime(t *testing.T) {
