--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -122,22 +122,22 @@
 // holds for the request might differ.
 func (h *Home) decode(handoff *wire.Handoff) *dispatch.Request {
 	table := h.views.Current().Table
-	target, err := url.ParseRequestURI(handoff.GetUri())
+	target, err := url.ParseRequestURI(string(handoff.GetUri()))
 	if err != nil || table == nil || table.Version() != handoff.GetTableVersion() {
 		return nil
 	}
-	route := table.Match(handoff.GetHost(), target.Path)
+	route := table.Match(string(handoff.GetHost()), target.Path)
 	if route == nil {
 		return nil
 	}
 	now := time.Now()
 	return &dispatch.Request{
-		ID: handoff.GetRequestId(), Method: handoff.GetMethod(), URI: handoff.GetUri(), Host: handoff.GetHost(),
+		ID: string(handoff.GetRequestId()), Method: string(handoff.GetMethod()), URI: string(handoff.GetUri()), Host: string(handoff.GetHost()),
 		Fields: decodeFields(handoff.GetFields()), Body: handoff.GetBody(), Route: route, Service: handoff.GetService(),
 		Key: handoff.GetKey(), HasKey: handoff.GetHasKey(),
 		ArrivedAt: now.Add(-time.Duration(handoff.GetAgeMicros()) * time.Microsecond),
 		Deadline:  now.Add(time.Duration(handoff.GetLeftMicros()) * time.Microsecond),
-		Caller:    handoff.GetCaller(), CallerDeadline: now.Add(time.Duration(handoff.GetCallerMicros()) * time.Microsecond),
+		Caller:    string(handoff.GetCaller()), CallerDeadline: now.Add(time.Duration(handoff.GetCallerMicros()) * time.Microsecond),
 	}
 }
 
@@ -196,7 +196,7 @@
 	if !t.state.CompareAndSwap(queued, begun) {
 		return errGivenBack
 	}
-	if !t.stream.Send(step(wire.HandoffStep_STEP_READY, "")) {
+	if ctx.Err() != nil || !t.stream.Send(step(wire.HandoffStep_STEP_READY, "")) {
 		t.unsent.Store(true)
 		return errNoGo
 	}
@@ -299,9 +299,13 @@
 		t.stream.SendLast(envelope)
 		return
 	}
-	t.stream.Send(envelope)
 	chunks := &chunkWriter{ctx: ctx, taken: t, credit: window}
-	err := chunks.write(body)
+	var err error
+	if t.stream.SendWhole(ctx, envelope) {
+		err = chunks.write(body)
+	} else {
+		err = transport.ErrConnectionLost
+	}
 	if answer.Rest != nil {
 		if err == nil {
 			_, err = io.CopyBuffer(chunks, onlyReader{answer.Rest}, make([]byte, chunkBytes))
@@ -348,7 +352,7 @@
 		}
 	}
 	w.credit--
-	if !w.taken.stream.Send(&wire.Envelope{Body: &wire.Envelope_HandoffChunk{HandoffChunk: chunk}}) {
+	if !w.taken.stream.SendWhole(w.ctx, &wire.Envelope{Body: &wire.Envelope_HandoffChunk{HandoffChunk: chunk}}) {
 		return transport.ErrConnectionLost
 	}
 	return nil
--- a/internal/handoff/home_test.go
+++ b/internal/handoff/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -164,6 +165,32 @@
 	}
 }
 
+// A safe request needs no go, but one that its sender gave up while it waited for its place
+// is not sent either: it would be a repeat that no budget knows.
+func TestSafeRequestThatWasGivenUpIsNotSent(t *testing.T) {
+	dispatcher := &lateDispatcher{began: make(chan error, 1)}
+	node, _ := newHome(t, dispatcher)
+	stream := open(t, newClient(t), node, true)
+	awaitStep(t, stream, wire.HandoffStep_STEP_QUEUED)
+	stream.Close()
+	if err := <-dispatcher.began; err == nil {
+		t.Error("a request that was given up was let go")
+	}
+}
+
+// lateDispatcher finds a place for a request just when its sender has given it up.
+type lateDispatcher struct {
+	fakeDispatcher
+	began chan error
+}
+
+func (l *lateDispatcher) Do(ctx context.Context, request *dispatch.Request) (*upstream.Answer, dispatch.Trace, error) {
+	<-ctx.Done()
+	err := request.TakenOver.Begin(ctx)
+	l.began <- err
+	return nil, dispatch.Trace{}, dispatch.ErrCanceled
+}
+
 // A sender that ends its request, or is lost, ends it at the home within half a second.
 func TestRequestsEndWithTheirSender(t *testing.T) {
 	for name, end := range map[string]func(*transport.Client, *transport.Stream){
@@ -273,6 +300,28 @@
 	}
 }
 
+// Bytes of a caller or server that are no text pass as they are, and do not end the
+// connection that other requests share.
+func TestBytesThatAreNoTextPass(t *testing.T) {
+	const odd = "caf\xe9"
+	passed := make(chan *dispatch.Request, 1)
+	node, _ := newHome(t, &fakeDispatcher{do: func(_ context.Context, request *dispatch.Request) (*upstream.Answer, error) {
+		passed <- request
+		return &upstream.Answer{Status: 200, Header: http.Header{"A": {odd}}, Body: []byte("done")}, nil
+	}})
+	request := newRequest(false)
+	request.ID, request.Caller, request.URI = odd, odd, "/"+odd
+	request.Fields = []upstream.Field{{Name: "A", Value: odd}}
+	answer, err := handOver(t.Context(), newSender(t), request, node)
+	if err != nil || answer.Header.Get("A") != odd {
+		t.Fatalf("answer %v, error %v", answer, err)
+	}
+	got := <-passed
+	if got.ID != odd || got.Caller != odd || got.URI != "/"+odd || got.Fields[0].Value != odd {
+		t.Errorf("passed on as %q", []string{got.ID, got.Caller, got.URI, got.Fields[0].Value})
+	}
+}
+
 func waitUntil(t *testing.T, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(2 * time.Second); !holds(); {
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -178,10 +178,13 @@
 			return nil, decodeTrace(h.home, body.HandoffRefusal.GetTrace()), refusal
 		case *wire.Envelope_HandoffFailure:
 			return nil, decodeTrace(h.home, body.HandoffFailure.GetTrace()), decodeFailure(body.HandoffFailure)
-		default:
+		case *wire.Envelope_Failure:
 			// A node that does not know handed-over requests says so and does nothing.
 			h.sender.missed(h.home, "not understood")
 			return nil, trace, errors.Wrap(dispatch.ErrNoHome, "home takes no requests")
+		default:
+			// A part of an answer whose head was lost, or a word that this node does not know.
+			return nil, trace, h.lost(ctx, errors.New("home's word does not belong here"))
 		}
 	}
 }
@@ -213,7 +216,7 @@
 		}
 		h.gone = true
 	case wire.HandoffStep_STEP_NOT_TAKEN:
-		return errors.Wrap(dispatch.ErrNoHome, taken.GetDetail())
+		return errors.Wrap(dispatch.ErrNoHome, string(taken.GetDetail()))
 	case wire.HandoffStep_STEP_LEAVING:
 		h.sender.leaves(h.home)
 		return errors.Wrap(dispatch.ErrNoHome, "home stops")
@@ -292,7 +295,7 @@
 		}
 		r.pending, r.last = chunk.GetBody(), chunk.GetLast()
 		// A home that does not get it stops to send, which the reader sees.
-		r.stream.Send(step(wire.HandoffStep_STEP_MORE, ""))
+		r.stream.SendWhole(r.ctx, step(wire.HandoffStep_STEP_MORE, ""))
 	}
 	count := copy(into, r.pending)
 	r.pending = r.pending[count:]
--- a/internal/handoff/sender_test.go
+++ b/internal/handoff/sender_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,7 +101,7 @@
 	if first.GetHandoff().GetNeedsGo() && !goesOn(stream) {
 		return
 	}
-	stream.Send(answerOf(first.GetHandoff().GetRequestId()))
+	stream.Send(answerOf(string(first.GetHandoff().GetRequestId())))
 }
 
 // Until the go a home has certainly not sent the request: it goes to the next one.
@@ -164,6 +165,27 @@
 	}
 }
 
+// The head of an answer may be lost where the home's queue of envelopes is full; what comes
+// after it does not say that the request has not run.
+func TestAnswerWithoutItsHeadIsUnknown(t *testing.T) {
+	for name, repeatable := range map[string]bool{"unsafe": false, "safe": true} {
+		t.Run(name, func(t *testing.T) {
+			headless := scripted(t, "headless", func(_ *transport.Server, stream *transport.Stream) {
+				_, _ = stream.Receive(context.Background())
+				stream.Send(step(wire.HandoffStep_STEP_READY, ""))
+				if !repeatable {
+					goesOn(stream)
+				}
+				stream.Send(&wire.Envelope{Body: &wire.Envelope_HandoffChunk{HandoffChunk: &wire.HandoffChunk{Body: []byte("rest")}}})
+			})
+			other := scripted(t, "other", func(*transport.Server, *transport.Stream) { t.Error("the request went to another home") })
+			if _, err := handOver(t.Context(), newSender(t), newRequest(repeatable), headless, other); !errors.Is(err, dispatch.ErrHomeLost) {
+				t.Errorf("error %v, wanted that the home was lost", err)
+			}
+		})
+	}
+}
+
 // A home that sends a safe request without a go may have sent it when it falls silent.
 func TestSafeRequestAtASilentHomeMayHaveRun(t *testing.T) {
 	silent := scripted(t, "silent", func(*transport.Server, *transport.Stream) { time.Sleep(time.Second) })
@@ -295,6 +317,40 @@
 	}
 }
 
+// Many long answers at a time fill the queue of the connection between two nodes, and each
+// still comes whole.
+func TestManyLongAnswersComeWhole(t *testing.T) {
+	const many = 300
+	body := bytes.Repeat([]byte("0123456789abcdef"), maxCollected/16)
+	together := make(chan struct{})
+	var waiting atomic.Int32
+	node, _ := newHome(t, &fakeDispatcher{do: func(context.Context, *dispatch.Request) (*upstream.Answer, error) {
+		if waiting.Add(1) == many {
+			close(together)
+		}
+		<-together
+		return &upstream.Answer{Status: 200, Body: body}, nil
+	}})
+	sender := newSender(t)
+	results := make(chan error, many)
+	for range many {
+		go func() {
+			request := newRequest(false)
+			request.Deadline = time.Now().Add(20 * time.Second)
+			answer, err := handOver(t.Context(), sender, request, node)
+			if err == nil && len(answer.Body) != len(body) {
+				err = errors.Newf("%d bytes", len(answer.Body))
+			}
+			results <- err
+		}()
+	}
+	for range many {
+		if err := <-results; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // One home of an undivided service may be full while another is not; two that are full
 // speak for all.
 func TestTwoHomesAreAskedForAFreeServer(t *testing.T) {
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -1,8 +1,11 @@
 package transport
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,7 +62,12 @@
 
 func expect(t *testing.T, stream *Stream, wanted string) {
 	t.Helper()
-	envelope, err := stream.Receive(t.Context())
+	expectWithin(t.Context(), t, stream, wanted)
+}
+
+func expectWithin(ctx context.Context, t *testing.T, stream *Stream, wanted string) {
+	t.Helper()
+	envelope, err := stream.Receive(ctx)
 	if err != nil || envelope.GetProbeRequest().GetGroup() != wanted {
 		t.Fatalf("got %v, error %v, wanted %q", envelope, err, wanted)
 	}
@@ -113,3 +121,117 @@
 		}
 	}
 }
+
+// The last envelope of a stream is sent also if the connection's queue is full just then:
+// it is an answer, or says that a caller left.
+func TestLastEnvelopePassesAFullQueue(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	live := newConnection(near)
+	defer live.close()
+	stream := (&streams{}).add(1, false, live)
+	for stream.Send(probe("fills")) {
+		continue
+	}
+	stream.SendLast(probe("last"))
+	go live.writeLoop()
+	reader := bufio.NewReader(far)
+	if err := far.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		envelope, err := wire.ReadFrame(reader)
+		if err != nil {
+			t.Fatalf("the last envelope did not come: %v", err)
+		}
+		if envelope.GetStream() == wire.StreamPart_STREAM_PART_END {
+			return
+		}
+	}
+}
+
+// A part of a whole waits for room in a full queue, and no longer than its context.
+func TestPartOfAWholeWaitsForRoom(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	live := newConnection(near)
+	defer live.close()
+	stream := (&streams{}).add(1, false, live)
+	for stream.Send(probe("fills")) {
+		continue
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	if stream.SendWhole(ended, probe("part")) {
+		t.Error("queued where there is no room")
+	}
+	queued := make(chan bool, 1)
+	go func() { queued <- stream.SendWhole(t.Context(), probe("part")) }()
+	go live.writeLoop()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	if !<-queued {
+		t.Error("not queued though there is room")
+	}
+}
+
+// A part of a whole does not wait for room on a connection that is lost.
+func TestPartOfAWholeEndsWithTheConnection(t *testing.T) {
+	near, _ := net.Pipe()
+	live := newConnection(near)
+	stream := (&streams{}).add(1, false, live)
+	// Nothing takes from the queue.
+	for stream.Send(probe("fills")) {
+		continue
+	}
+	time.AfterFunc(10*time.Millisecond, live.close)
+	if stream.SendWhole(t.Context(), probe("part")) {
+		t.Error("queued on a connection that is lost")
+	}
+}
+
+// What has arrived counts also if the time for it is over: a process that was paused finds
+// both at once.
+func TestWhatArrivedCountsAfterTheTime(t *testing.T) {
+	near, _ := net.Pipe()
+	live := newConnection(near)
+	defer live.close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		stream := (&streams{}).add(1, false, live)
+		stream.deliver(probe("answer"))
+		expectWithin(ctx, t, stream, "answer")
+	}
+}
+
+// deadlineSocket counts the writes under one deadline.
+type deadlineSocket struct {
+	net.Conn
+	since, most int
+}
+
+func (s *deadlineSocket) SetWriteDeadline(time.Time) error { s.since = 0; return nil }
+
+func (s *deadlineSocket) Write(from []byte) (int, error) {
+	s.since++
+	s.most = max(s.most, s.since)
+	return len(from), nil
+}
+
+// A peer that reads on is not lost because there is always more to send, as on a slow link
+// with long answers: the time for writing begins anew with each envelope.
+func TestBusyConnectionIsNotLost(t *testing.T) {
+	socket := &deadlineSocket{}
+	live := newConnection(socket)
+	long := probe(strings.Repeat("a", 2*bufferBytes))
+	for live.enqueue(long) {
+		continue
+	}
+	if err := live.writeBatch(bufio.NewWriterSize(socket, bufferBytes), <-live.outgoing); err != nil {
+		t.Fatal(err)
+	}
+	const writesOfOne = 4
+	if socket.most > writesOfOne {
+		t.Errorf("%d writes under one deadline, wanted those of one envelope", socket.most)
+	}
+}
