Ingress: an answer that closes says so after a body that its handler read

Cause: a body that is left to the handler (Expect: 100-continue, or more than 1 MB) was noted as read by the connection's reader, which wakes later. An answer written before that found 'reading' still set by the bytes of the body, so that StopReading refused, and it went out without Connection: close; the connection stayed open. A stopping node then closed it under its client. Change: the handler's read of the body's end notes it.

--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -132,16 +132,28 @@
 	c.pause(func() bool { return e.bodyRead || e.dropped || e.state == done })
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !e.bodyRead {
-		// Who sends the body on may still be reading it.
-		return false
+	// If it was not read whole, who sends the body on may still be reading it.
+	return e.bodyRead
+}
+
+// noteBody notes that a handler has read the body of its request. The reader waits for
+// that, so that nothing else reads from the connection meanwhile. It is noted before the
+// handler can answer: an answer that ends the connection must know that nothing of a
+// further request was read.
+func (c *connection) noteBody(e *exchange) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if e.bodyRead {
+		// The handler asks again, and the next request may be read already.
+		return
 	}
+	e.bodyRead = true
 	c.noteReadLocked()
 	c.stopIfClosingLocked()
-	if len(c.queue) == 0 {
+	if len(c.queue) == 0 && !c.ended {
 		c.server.Connections.Track(c.socket, http.StateIdle)
 	}
-	return true
+	c.wakeLocked()
 }
 
 // pause waits until a condition holds that is asked with the mutex held. It watches the
--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -296,10 +296,7 @@
 	b.asks = false
 	count, err := b.source.Read(into)
 	if err == io.EOF {
-		c.mutex.Lock()
-		defer c.mutex.Unlock()
-		b.exchange.bodyRead = true
-		c.wakeLocked()
+		c.noteBody(b.exchange)
 	}
 	return count, err
 }
--- a/internal/ingress/pipeline/server_test.go
+++ b/internal/ingress/pipeline/server_test.go
@@ -616,3 +616,28 @@
 		t.Fatal(err)
 	}
 }
+
+// The reader of a connection may learn only after the answer that a handler has read the
+// body of its request.
+func TestAnswerThatClosesSaysSoAfterABodyThatItsHandlerRead(t *testing.T) {
+	const rounds = 500
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		writer.Header().Set("Connection", "close")
+	})
+	s := serveWith(t, handler, room())
+	kept := 0
+	for range rounds {
+		c := s.dial(t)
+		c.send("POST /unsafe HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+		c.read()
+		c.send("hello")
+		if response, _ := c.read(); !response.Close {
+			kept++
+		}
+		_ = c.Close()
+	}
+	if kept > 0 {
+		t.Errorf("%d of %d answers do not ask for another connection", kept, rounds)
+	}
+}
