Ingress: a broken-off answer without a length is not taken for whole

Cause: an answer to HTTP/1.0 without a length ends with its connection. Broken off, the connection ended in order, and the client took the part for the whole. Change: such a connection is reset. Seen with the new test before: 4 KB and a clean end; after: an error.

--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -78,7 +78,8 @@
 	ended bool
 	// paused is true while the reader waits for wake.
 	paused bool
-	// reset is true if the client took nothing and is given up.
+	// reset is true if the connection is not to end in order: the client took nothing and is
+	// given up, or would take part of an answer for the whole.
 	reset bool
 	// aborted is true if an answer was broken off.
 	aborted bool
@@ -369,6 +370,7 @@
 		if !goesOn {
 			c.noMore = true
 			c.aborted = c.aborted || e.aborted
+			c.reset = c.reset || (e.aborted && e.endsWithConnection())
 			c.dropLocked(0)
 			break
 		}
@@ -482,7 +484,7 @@
 	switch {
 	case reset:
 		if socket, ok := c.socket.(interface{ SetLinger(int) error }); ok {
-			// Without it the kernel would go on trying to send.
+			// Without it the kernel would go on trying to send, and then end in order.
 			_ = socket.SetLinger(0)
 		}
 	case !aborted && !sockets.Quiet(c.socket):
--- a/internal/ingress/pipeline/response.go
+++ b/internal/ingress/pipeline/response.go
@@ -256,6 +256,14 @@
 	return !short && !e.closes
 }
 
+// endsWithConnection reports whether a client has only the end of the connection to tell it
+// that the body, of which something was written, is whole: one that speaks HTTP/1.0 and was
+// told no length.
+func (e *exchange) endsWithConnection() bool {
+	bounded := e.chunked || e.length != unknownLength || e.request.Method == http.MethodHead || !bodyAllowed(e.status)
+	return e.headWritten && !bounded
+}
+
 func (b *handlerBody) ended() bool {
 	b.exchange.connection.mutex.Lock()
 	defer b.exchange.connection.mutex.Unlock()
--- a/internal/ingress/pipeline/server_test.go
+++ b/internal/ingress/pipeline/server_test.go
@@ -641,3 +641,17 @@
 		t.Errorf("%d of %d answers do not ask for another connection", kept, rounds)
 	}
 }
+
+// An answer whose end is that of the connection looks whole if the connection just ends.
+func TestBrokenOffAnswerWithoutALengthIsNotTakenForWhole(t *testing.T) {
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write(make([]byte, 4<<10))
+		panic(http.ErrAbortHandler)
+	})
+	s := serveWith(t, handler, room())
+	c := s.dial(t)
+	c.send("GET /safe/x HTTP/1.0\r\n\r\n")
+	if _, err := io.ReadAll(c.reader); err == nil {
+		t.Fatal("the client can't tell that the rest is missing")
+	}
+}
