Ingress: whole answers in pieces wait as long for their clients as others

Cause: paced answers are written in pieces, and only the last piece was written with the patience for answers that the node holds whole (15 s); a client that took nothing for 5 s of an earlier piece was reset. Change: an answer of known length counts as held whole. Seen with the new test (1 MB in pieces, nothing taken for 6 s) before: reset; after: the whole answer.

--- a/internal/ingress/pipeline/response.go
+++ b/internal/ingress/pipeline/response.go
@@ -314,9 +314,10 @@
 	return e.flushOutput(output, e.stall(last))
 }
 
-// stall returns how long the client may take nothing.
+// stall returns how long the client may take nothing. An answer of known length is held
+// whole by its handler, also if it is written in pieces.
 func (e *exchange) stall(last bool) time.Duration {
-	if last || e.written == e.length {
+	if last || e.length != unknownLength {
 		return wholeStall
 	}
 	return streamStall
--- a/internal/ingress/pipeline/slowreader_test.go
+++ b/internal/ingress/pipeline/slowreader_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -164,3 +165,26 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// A client that takes nothing for longer than streams may stall gets its answer if the
+// node holds it whole, also if it is written in pieces.
+func TestWholeAnswerInPiecesWaitsForItsClient(t *testing.T) {
+	const pieces, piece = 64, 16 << 10
+	const pause = 6 * time.Second
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Length", strconv.Itoa(pieces*piece))
+		for range pieces {
+			if _, err := writer.Write(make([]byte, piece)); err != nil {
+				return
+			}
+		}
+	})
+	s := serveWith(t, handler, room())
+	c := dialNarrow(t, s, 4<<10)
+	c.ask("/safe/long")
+	time.Sleep(pause)
+	_ = c.SetReadDeadline(time.Now().Add(giveUpPatience))
+	if _, body := c.read(); len(body) != pieces*piece {
+		t.Fatalf("%d bytes came, want %d", len(body), pieces*piece)
+	}
+}
