Ingress: bodies that were only announced take no room

Cause: the room for a body of up to 1 MB was taken at once from its announced length, counted nowhere. Change: a body of more than 16 KB gets room as it comes.

--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -21,6 +21,9 @@
 	// headerSlack is what net/http reads beyond the limit of a head; the two refuse the
 	// same heads.
 	headerSlack = 4 << 10
+	// bodyAtOnce is how much room a body gets before anything of it has come. A longer one
+	// gets more as it comes, so that a client that only announces it takes none.
+	bodyAtOnce = 16 << 10
 	// leastLine is what must have come of a further request before it is taken for one.
 	leastLine = 4
 )
@@ -251,6 +254,15 @@
 	if length < 0 {
 		return io.ReadAll(io.LimitReader(source, mostBodyAhead+1))
 	}
+	if length > bodyAtOnce {
+		var content bytes.Buffer
+		content.Grow(bodyAtOnce)
+		count, err := content.ReadFrom(io.LimitReader(source, length))
+		if err == nil && count < length {
+			err = io.ErrUnexpectedEOF
+		}
+		return content.Bytes(), err
+	}
 	content := make([]byte, length)
 	count, err := io.ReadFull(source, content)
 	return content[:count], err
--- a/internal/ingress/pipeline/slowreader_test.go
+++ b/internal/ingress/pipeline/slowreader_test.go
@@ -188,3 +188,19 @@
 		t.Fatalf("%d bytes came, want %d", len(body), pieces*piece)
 	}
 }
+
+// Callers that announce bodies and send nothing take no room for them.
+func TestAnnouncedBodiesTakeNoRoomBeforeTheyCome(t *testing.T) {
+	const callers, most = 100, 20 << 20
+	s := serve(t, room())
+	runtime.GC()
+	before := memory()
+	for range callers {
+		s.dial(t).send("POST /unsafe HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\n")
+	}
+	// The heads are read within this time.
+	time.Sleep(300 * time.Millisecond)
+	if now := memory(); now > before+most {
+		t.Errorf("%d MB are used for bodies that did not come", (now-before)>>20)
+	}
+}
