Ingress: the test of whole answers in pieces reads through 64 KB

Cause: a receive buffer of 4 KB, through which 1 MB didn't come within the 15 s that the test waits. It asks for the same: the whole answer after 6 s in which nothing was taken.

--- a/internal/ingress/pipeline/slowreader_test.go
+++ b/internal/ingress/pipeline/slowreader_test.go
@@ -180,7 +180,7 @@
 		}
 	})
 	s := serveWith(t, handler, room())
-	c := dialNarrow(t, s, 4<<10)
+	c := dialNarrow(t, s, 64<<10)
 	c.ask("/safe/long")
 	time.Sleep(pause)
 	_ = c.SetReadDeadline(time.Now().Add(giveUpPatience))
