Ingress: a last answer arrives although its client sends more

Cause: a connection with nothing unread was closed at once after its last answer. A request that the client sent before it had all of the answer met a closed socket, and the kernel reset the connection and dropped what it had not sent: seen by callers that pipeline to a stopping node, with large answers. Change: the connection lingers (0.5 s at most) also while bytes of the answer are not acknowledged.

--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -38,9 +38,10 @@
 	// mostUnsent is how much of an answer the kernel takes that it can't send yet. Without a
 	// bound it takes megabytes for each client that doesn't read.
 	mostUnsent = 64 << 10
-	// lingerLimit is how long a connection that ends with unread bytes stays open, since
-	// closing it at once would take the last answer from the client. The bytes stay unread:
-	// the client may send again what was not read.
+	// lingerLimit is how long a connection stays open that ends with unread bytes, or before
+	// its last answer has arrived: closed at once, unread bytes and those that still come
+	// would take the answer from the client. The bytes stay unread: the client may send again
+	// what was not read.
 	lingerLimit = 500 * time.Millisecond
 	readBuffer  = 4 << 10
 )
@@ -475,8 +476,8 @@
 	c.reset = true
 }
 
-// close closes the socket. The last answer is on its way to the client; if bytes of the
-// client lie unread, closing at once would break it off.
+// close closes the socket. The last answer may be on its way to the client; if bytes of the
+// client lie unread or come meanwhile, closing at once would break it off.
 func (c *connection) close() {
 	c.mutex.Lock()
 	reset, aborted := c.reset, c.aborted
@@ -487,13 +488,20 @@
 			// Without it the kernel would go on trying to send, and then end in order.
 			_ = socket.SetLinger(0)
 		}
-	case !aborted && !sockets.Quiet(c.socket):
+	case !aborted && (!sockets.Quiet(c.socket) || !c.delivered()):
 		c.linger()
 	}
 	// Nobody is left to tell of an error.
 	_ = c.socket.Close()
 }
 
+// delivered reports whether the client's machine has all that was written.
+func (c *connection) delivered() bool {
+	count, err := sockets.Unacknowledged(c.socket)
+	// A connection that can't tell is not waited for.
+	return err != nil || count == 0
+}
+
 // linger waits until the client has seen the end of the connection.
 func (c *connection) linger() {
 	socket, ok := c.socket.(interface{ CloseWrite() error })
--- a/internal/ingress/pipeline/server_test.go
+++ b/internal/ingress/pipeline/server_test.go
@@ -655,3 +655,26 @@
 		t.Fatal("the client can't tell that the rest is missing")
 	}
 }
+
+// What a client sends after a connection was closed makes the kernel reset it and drop what
+// it has not sent yet of the last answer.
+func TestLastAnswerArrivesAlthoughItsClientSendsMore(t *testing.T) {
+	const size = 96 << 10
+	answered := make(chan struct{})
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		defer close(answered)
+		writer.Header().Set("Connection", "close")
+		_, _ = writer.Write(make([]byte, size))
+	})
+	s := serveWith(t, handler, room())
+	c := dialNarrow(t, s, 16<<10)
+	c.ask("/safe/x")
+	<-answered
+	// The server closes the connection within this time if it doesn't wait.
+	time.Sleep(50 * time.Millisecond)
+	c.ask("/safe/behind")
+	time.Sleep(50 * time.Millisecond)
+	if _, body := c.read(); len(body) != size {
+		t.Fatalf("%d bytes came, want %d", len(body), size)
+	}
+}
