Ingress: odd deadlines of clients are not taken for past ones

Cause: Inf, NaN and milliseconds beyond what a Duration holds overflowed into the past, so that the request was refused or timed out at once. Seen with the new test before: 503 at once for each of four; after: 404 of the configuration that came.

--- a/internal/ingress/start.go
+++ b/internal/ingress/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -21,6 +22,10 @@
 // so that it can still try another node.
 const startPatiencePart = 0.5
 
+// mostDeadline bounds what a client may name as its deadline. Routes end requests long
+// before; a time beyond what a Duration holds would be taken for a past one.
+const mostDeadline = 24 * time.Hour
+
 // firstTable hands the first configuration to the requests that came before it. It guards
 // against refusing, right after a loss of power, callers that could be served a moment
 // later: they would come back only after a pause.
@@ -68,11 +73,12 @@
 	return min(startPatience, time.Duration(startPatiencePart*float64(deadline)))
 }
 
-// clientDeadline returns how long a client says that it waits for its answer.
+// clientDeadline returns how long a client says that it waits for its answer, at most
+// mostDeadline.
 func (h *Handler) clientDeadline(header http.Header) (time.Duration, bool) {
 	wait, err := strconv.ParseFloat(header.Get(h.headers.Deadline), 64)
-	if err != nil || wait < 0 {
+	if err != nil || wait < 0 || math.IsNaN(wait) {
 		return 0, false
 	}
-	return time.Duration(wait * float64(time.Millisecond)), true
+	return time.Duration(min(wait*float64(time.Millisecond), float64(mostDeadline))), true
 }
--- a/internal/ingress/start_test.go
+++ b/internal/ingress/start_test.go
@@ -105,3 +105,20 @@
 		t.Errorf("kept for %v after its client had left", took)
 	}
 }
+
+// Odd deadlines are longer than any time that a node could count, or none at all.
+func TestOddDeadlinesAreNotTakenForPastOnes(t *testing.T) {
+	for _, deadlineMillis := range []string{"Inf", "1e300", "NaN", "1e14"} {
+		handler, url, configure := startingNode(t)
+		statuses := make(chan int)
+		go func() { statuses <- ask(t.Context(), t, url, deadlineMillis) }()
+		// A request whose deadline is taken for a past one is refused within this time.
+		time.Sleep(50 * time.Millisecond)
+		if handler.Active() == 1 {
+			configure()
+		}
+		if status := <-statuses; status != http.StatusNotFound {
+			t.Errorf("deadline %q: answered with %d, want what the configuration says: 404", deadlineMillis, status)
+		}
+	}
+}
