Ingress: line ends after a POST don't count as a request that is being read

Cause: line ends that some clients send behind a body were taken for the begin of a further request: an answer that ends the connection didn't say so, and a stopping node waited for that connection until its limit. Change: line ends that are passed over anyway, read along with the body, don't count.

--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -258,7 +258,7 @@
 // noteReadLocked notes that a request, or its head, was read.
 func (c *connection) noteReadLocked() {
 	c.server.Connections.Track(c.socket, http.StateActive)
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 && !c.onlyLineEnds() {
 		c.server.Connections.Reading(c.socket)
 	}
 }
--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -108,6 +108,18 @@
 	_, _ = c.reader.Discard(len(ahead) - len(bytes.TrimLeft(ahead, "\r\n")))
 }
 
+// onlyLineEnds reports whether no more was read than line ends that are passed over. A
+// connection with nothing else is idle.
+func (c *connection) onlyLineEnds() bool {
+	count := c.reader.Buffered()
+	if !c.afterPost || count > leastLine {
+		return false
+	}
+	// What is buffered is there at once.
+	ahead, _ := c.reader.Peek(count)
+	return len(bytes.TrimLeft(ahead, "\r\n")) == 0
+}
+
 // check looks at what http.ReadRequest leaves to a server.
 func check(request *http.Request) error {
 	switch {
--- a/internal/ingress/pipeline/server_test.go
+++ b/internal/ingress/pipeline/server_test.go
@@ -678,3 +678,26 @@
 		t.Fatalf("%d bytes came, want %d", len(body), size)
 	}
 }
+
+// Line ends that some clients send after the body of a POST are no part of a request.
+func TestLineEndsAfterAPostDoNotKeepAStoppingServer(t *testing.T) {
+	s := serve(t, room())
+	c := s.dial(t)
+	c.send("POST /unsafe HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx\r\n")
+	c.expect("/unsafe x")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// An answer that ends the connection says so behind such line ends too.
+func TestAnswerThatClosesSaysSoBehindLineEnds(t *testing.T) {
+	s := serve(t, room())
+	c := s.dial(t)
+	c.send("POST /close HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx\r\n")
+	if response, _ := c.read(); !response.Close {
+		t.Error("the answer keeps the connection")
+	}
+}
