--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -38,9 +38,10 @@
 	// mostUnsent is how much of an answer the kernel takes that it can't send yet. Without a
 	// bound it takes megabytes for each client that doesn't read.
 	mostUnsent = 64 << 10
-	// lingerLimit is how long a connection that ends with unread bytes stays open, since
-	// closing it at once would take the last answer from the client. The bytes stay unread:
-	// the client may send again what was not read.
+	// lingerLimit is how long a connection stays open that ends with unread bytes, or before
+	// its last answer has arrived: closed at once, unread bytes and those that still come
+	// would take the answer from the client. The bytes stay unread: the client may send again
+	// what was not read.
 	lingerLimit = 500 * time.Millisecond
 	readBuffer  = 4 << 10
 )
@@ -78,7 +79,8 @@
 	ended bool
 	// paused is true while the reader waits for wake.
 	paused bool
-	// reset is true if the client took nothing and is given up.
+	// reset is true if the connection is not to end in order: the client took nothing and is
+	// given up, or would take part of an answer for the whole.
 	reset bool
 	// aborted is true if an answer was broken off.
 	aborted bool
@@ -132,16 +134,28 @@
 	c.pause(func() bool { return e.bodyRead || e.dropped || e.state == done })
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !e.bodyRead {
-		// Who sends the body on may still be reading it.
-		return false
+	// If it was not read whole, who sends the body on may still be reading it.
+	return e.bodyRead
+}
+
+// noteBody notes that a handler has read the body of its request. The reader waits for
+// that, so that nothing else reads from the connection meanwhile. It is noted before the
+// handler can answer: an answer that ends the connection must know that nothing of a
+// further request was read.
+func (c *connection) noteBody(e *exchange) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if e.bodyRead {
+		// The handler asks again, and the next request may be read already.
+		return
 	}
+	e.bodyRead = true
 	c.noteReadLocked()
 	c.stopIfClosingLocked()
-	if len(c.queue) == 0 {
+	if len(c.queue) == 0 && !c.ended {
 		c.server.Connections.Track(c.socket, http.StateIdle)
 	}
-	return true
+	c.wakeLocked()
 }
 
 // pause waits until a condition holds that is asked with the mutex held. It watches the
@@ -244,7 +258,7 @@
 // noteReadLocked notes that a request, or its head, was read.
 func (c *connection) noteReadLocked() {
 	c.server.Connections.Track(c.socket, http.StateActive)
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 && !c.onlyLineEnds() {
 		c.server.Connections.Reading(c.socket)
 	}
 }
@@ -357,6 +371,7 @@
 		if !goesOn {
 			c.noMore = true
 			c.aborted = c.aborted || e.aborted
+			c.reset = c.reset || (e.aborted && e.endsWithConnection())
 			c.dropLocked(0)
 			break
 		}
@@ -461,8 +476,8 @@
 	c.reset = true
 }
 
-// close closes the socket. The last answer is on its way to the client; if bytes of the
-// client lie unread, closing at once would break it off.
+// close closes the socket. The last answer may be on its way to the client; if bytes of the
+// client lie unread or come meanwhile, closing at once would break it off.
 func (c *connection) close() {
 	c.mutex.Lock()
 	reset, aborted := c.reset, c.aborted
@@ -470,16 +485,23 @@
 	switch {
 	case reset:
 		if socket, ok := c.socket.(interface{ SetLinger(int) error }); ok {
-			// Without it the kernel would go on trying to send.
+			// Without it the kernel would go on trying to send, and then end in order.
 			_ = socket.SetLinger(0)
 		}
-	case !aborted && !sockets.Quiet(c.socket):
+	case !aborted && (!sockets.Quiet(c.socket) || !c.delivered()):
 		c.linger()
 	}
 	// Nobody is left to tell of an error.
 	_ = c.socket.Close()
 }
 
+// delivered reports whether the client's machine has all that was written.
+func (c *connection) delivered() bool {
+	count, err := sockets.Unacknowledged(c.socket)
+	// A connection that can't tell is not waited for.
+	return err != nil || count == 0
+}
+
 // linger waits until the client has seen the end of the connection.
 func (c *connection) linger() {
 	socket, ok := c.socket.(interface{ CloseWrite() error })
--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -21,6 +21,9 @@
 	// headerSlack is what net/http reads beyond the limit of a head; the two refuse the
 	// same heads.
 	headerSlack = 4 << 10
+	// bodyAtOnce is how much room a body gets before anything of it has come. A longer one
+	// gets more as it comes, so that a client that only announces it takes none.
+	bodyAtOnce = 16 << 10
 	// leastLine is what must have come of a further request before it is taken for one.
 	leastLine = 4
 )
@@ -105,6 +108,18 @@
 	_, _ = c.reader.Discard(len(ahead) - len(bytes.TrimLeft(ahead, "\r\n")))
 }
 
+// onlyLineEnds reports whether no more was read than line ends that are passed over. A
+// connection with nothing else is idle.
+func (c *connection) onlyLineEnds() bool {
+	count := c.reader.Buffered()
+	if !c.afterPost || count > leastLine {
+		return false
+	}
+	// What is buffered is there at once.
+	ahead, _ := c.reader.Peek(count)
+	return len(bytes.TrimLeft(ahead, "\r\n")) == 0
+}
+
 // check looks at what http.ReadRequest leaves to a server.
 func check(request *http.Request) error {
 	switch {
@@ -248,6 +263,15 @@
 	if length < 0 {
 		return io.ReadAll(io.LimitReader(source, mostBodyAhead+1))
 	}
+	if length > bodyAtOnce {
+		var content bytes.Buffer
+		content.Grow(bodyAtOnce)
+		count, err := content.ReadFrom(io.LimitReader(source, length))
+		if err == nil && count < length {
+			err = io.ErrUnexpectedEOF
+		}
+		return content.Bytes(), err
+	}
 	content := make([]byte, length)
 	count, err := io.ReadFull(source, content)
 	return content[:count], err
@@ -293,10 +317,7 @@
 	b.asks = false
 	count, err := b.source.Read(into)
 	if err == io.EOF {
-		c.mutex.Lock()
-		defer c.mutex.Unlock()
-		b.exchange.bodyRead = true
-		c.wakeLocked()
+		c.noteBody(b.exchange)
 	}
 	return count, err
 }
--- a/internal/ingress/pipeline/response.go
+++ b/internal/ingress/pipeline/response.go
@@ -256,6 +256,14 @@
 	return !short && !e.closes
 }
 
+// endsWithConnection reports whether a client has only the end of the connection to tell it
+// that the body, of which something was written, is whole: one that speaks HTTP/1.0 and was
+// told no length.
+func (e *exchange) endsWithConnection() bool {
+	bounded := e.chunked || e.length != unknownLength || e.request.Method == http.MethodHead || !bodyAllowed(e.status)
+	return e.headWritten && !bounded
+}
+
 func (b *handlerBody) ended() bool {
 	b.exchange.connection.mutex.Lock()
 	defer b.exchange.connection.mutex.Unlock()
@@ -306,9 +314,10 @@
 	return e.flushOutput(output, e.stall(last))
 }
 
-// stall returns how long the client may take nothing.
+// stall returns how long the client may take nothing. An answer of known length is held
+// whole by its handler, also if it is written in pieces.
 func (e *exchange) stall(last bool) time.Duration {
-	if last || e.written == e.length {
+	if last || e.length != unknownLength {
 		return wholeStall
 	}
 	return streamStall
--- a/internal/ingress/pipeline/server_test.go
+++ b/internal/ingress/pipeline/server_test.go
@@ -616,3 +616,88 @@
 		t.Fatal(err)
 	}
 }
+
+// The reader of a connection may learn only after the answer that a handler has read the
+// body of its request.
+func TestAnswerThatClosesSaysSoAfterABodyThatItsHandlerRead(t *testing.T) {
+	const rounds = 500
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		writer.Header().Set("Connection", "close")
+	})
+	s := serveWith(t, handler, room())
+	kept := 0
+	for range rounds {
+		c := s.dial(t)
+		c.send("POST /unsafe HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+		c.read()
+		c.send("hello")
+		if response, _ := c.read(); !response.Close {
+			kept++
+		}
+		_ = c.Close()
+	}
+	if kept > 0 {
+		t.Errorf("%d of %d answers do not ask for another connection", kept, rounds)
+	}
+}
+
+// An answer whose end is that of the connection looks whole if the connection just ends.
+func TestBrokenOffAnswerWithoutALengthIsNotTakenForWhole(t *testing.T) {
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write(make([]byte, 4<<10))
+		panic(http.ErrAbortHandler)
+	})
+	s := serveWith(t, handler, room())
+	c := s.dial(t)
+	c.send("GET /safe/x HTTP/1.0\r\n\r\n")
+	if _, err := io.ReadAll(c.reader); err == nil {
+		t.Fatal("the client can't tell that the rest is missing")
+	}
+}
+
+// What a client sends after a connection was closed makes the kernel reset it and drop what
+// it has not sent yet of the last answer.
+func TestLastAnswerArrivesAlthoughItsClientSendsMore(t *testing.T) {
+	const size = 96 << 10
+	answered := make(chan struct{})
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		defer close(answered)
+		writer.Header().Set("Connection", "close")
+		_, _ = writer.Write(make([]byte, size))
+	})
+	s := serveWith(t, handler, room())
+	c := dialNarrow(t, s, 16<<10)
+	c.ask("/safe/x")
+	<-answered
+	// The server closes the connection within this time if it doesn't wait.
+	time.Sleep(50 * time.Millisecond)
+	c.ask("/safe/behind")
+	time.Sleep(50 * time.Millisecond)
+	if _, body := c.read(); len(body) != size {
+		t.Fatalf("%d bytes came, want %d", len(body), size)
+	}
+}
+
+// Line ends that some clients send after the body of a POST are no part of a request.
+func TestLineEndsAfterAPostDoNotKeepAStoppingServer(t *testing.T) {
+	s := serve(t, room())
+	c := s.dial(t)
+	c.send("POST /unsafe HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx\r\n")
+	c.expect("/unsafe x")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// An answer that ends the connection says so behind such line ends too.
+func TestAnswerThatClosesSaysSoBehindLineEnds(t *testing.T) {
+	s := serve(t, room())
+	c := s.dial(t)
+	c.send("POST /close HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx\r\n")
+	if response, _ := c.read(); !response.Close {
+		t.Error("the answer keeps the connection")
+	}
+}
--- a/internal/ingress/pipeline/slowreader_test.go
+++ b/internal/ingress/pipeline/slowreader_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -164,3 +165,42 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// A client that takes nothing for longer than streams may stall gets its answer if the
+// node holds it whole, also if it is written in pieces.
+func TestWholeAnswerInPiecesWaitsForItsClient(t *testing.T) {
+	const pieces, piece = 64, 16 << 10
+	const pause = 6 * time.Second
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Length", strconv.Itoa(pieces*piece))
+		for range pieces {
+			if _, err := writer.Write(make([]byte, piece)); err != nil {
+				return
+			}
+		}
+	})
+	s := serveWith(t, handler, room())
+	c := dialNarrow(t, s, 64<<10)
+	c.ask("/safe/long")
+	time.Sleep(pause)
+	_ = c.SetReadDeadline(time.Now().Add(giveUpPatience))
+	if _, body := c.read(); len(body) != pieces*piece {
+		t.Fatalf("%d bytes came, want %d", len(body), pieces*piece)
+	}
+}
+
+// Callers that announce bodies and send nothing take no room for them.
+func TestAnnouncedBodiesTakeNoRoomBeforeTheyCome(t *testing.T) {
+	const callers, most = 100, 20 << 20
+	s := serve(t, room())
+	runtime.GC()
+	before := memory()
+	for range callers {
+		s.dial(t).send("POST /unsafe HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\n")
+	}
+	// The heads are read within this time.
+	time.Sleep(300 * time.Millisecond)
+	if now := memory(); now > before+most {
+		t.Errorf("%d MB are used for bodies that did not come", (now-before)>>20)
+	}
+}
