Servers that start again under their id are another life; entries of other writers name no server

Cause: a server's id named its life, because each start drew a new id. Under an id that stays, the owner map took a server that holds nothing for the owner of its keys. And an entry with fields missing, of another type or with an unknown state was taken for a ready server with empty fields.

Now a ServerID is the instance id and the moment of the start, so that everything that compares identities tells lives apart: views, owner maps, homes, speeds, connections. The life that a later one replaces has ended: its keys move at once. An entry that misses a field or has one of another type is refused with field and value, logged once, and names no server.

--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -1,11 +1,41 @@
 // Package discovery describes the servers that requests can be sent to.
 package discovery
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+)
 
-// ServerID names one life of a server; a restarted server has another one.
+// ServerID names one life of a server; a restarted server has another one, also if it
+// registers under the same instance id again.
 type ServerID string
 
+// lifeMark stands between the instance id and the moment of the start.
+const lifeMark = "@"
+
+// NewServerID returns the id of the life of an instance that began at a moment, in Unix
+// milliseconds; 0 if the instance does not tell, because each start draws a new id.
+func NewServerID(instance string, startedAt int64) ServerID {
+	switch {
+	case startedAt != 0:
+		return ServerID(instance + lifeMark + strconv.FormatInt(startedAt, 36))
+	case strings.Contains(instance, lifeMark):
+		return ServerID(instance + lifeMark)
+	default:
+		return ServerID(instance)
+	}
+}
+
+// Instance returns the id under which the server registered, which its later lives may
+// share.
+func (id ServerID) Instance() string {
+	if mark := strings.LastIndex(string(id), lifeMark); mark >= 0 {
+		return string(id[:mark])
+	}
+	return string(id)
+}
+
 // State is what a server announces about itself.
 type State int
 
@@ -27,8 +57,11 @@
 
 // Server is one life of a server as it registered itself.
 type Server struct {
-	ID      ServerID
-	Service string
+	ID ServerID
+	// StartedAt is when this life began by the server's own clock, in Unix milliseconds; 0
+	// if it does not tell.
+	StartedAt int64
+	Service   string
 	// Version is that of its software.
 	Version string
 	// Address is the server's IP and port.
--- a/internal/dispatch/coldprobes.go
+++ b/internal/dispatch/coldprobes.go
@@ -122,8 +122,9 @@
 		// Nothing but the header is of use; ending the connection is all there is to do.
 		_ = answer.Rest.Close()
 	}
-	id, left := d.headers.Health(answer.Header)
-	if id != due.server.id || left <= 0 {
+	instance, left := d.headers.Health(answer.Header)
+	id := due.server.id
+	if instance != id.Instance() || left <= 0 {
 		probesTotal.WithLabelValues("warm").Inc()
 		return
 	}
--- a/internal/dispatch/coldprobes_test.go
+++ b/internal/dispatch/coldprobes_test.go
@@ -30,12 +30,12 @@
 	w.Header().Set("Left", strconv.FormatInt(h.left.Milliseconds(), 10))
 }
 
-func readHealth(answer http.Header) (discovery.ServerID, time.Duration) {
+func readHealth(answer http.Header) (string, time.Duration) {
 	left, err := strconv.Atoi(answer.Get("Left"))
 	if err != nil {
 		return "", 0
 	}
-	return discovery.ServerID(answer.Get("Id")), time.Duration(left) * time.Millisecond
+	return answer.Get("Id"), time.Duration(left) * time.Millisecond
 }
 
 // probedDocuments makes one warm server s0 at an address, whose warm-up is bounded by a
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,7 +53,7 @@
 	Load func(answer http.Header) (discovery.Load, bool)
 	// Health reads which server gave a health answer, and for how long it warms up; nil
 	// if no server tells.
-	Health func(answer http.Header) (server discovery.ServerID, warmUp time.Duration)
+	Health func(answer http.Header) (instance string, warmUp time.Duration)
 }
 
 // Dispatcher sends requests to the servers of the current view. It is safe for
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -193,7 +193,7 @@
 	left := max(1, time.Until(earlier(limit, request.Deadline)).Milliseconds())
 	fields = append(fields,
 		upstream.Field{Name: d.headers.Deadline, Value: strconv.FormatInt(left, 10)},
-		upstream.Field{Name: d.headers.Target, Value: string(s.id)})
+		upstream.Field{Name: d.headers.Target, Value: s.id.Instance()})
 	return &upstream.Request{
 		Method: request.Method, URI: request.URI, Host: request.Host, Fields: fields,
 		Body: request.Body, Rest: request.Rest, Silence: silence(request),
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -43,7 +43,7 @@
 	// Load reads what a server tells of its load in an answer, if it does.
 	Load func(answer http.Header) (discovery.Load, bool)
 	// Health reads which server gave a health answer, and for how long it warms up.
-	Health func(answer http.Header) (server discovery.ServerID, warmUp time.Duration)
+	Health func(answer http.Header) (instance string, warmUp time.Duration)
 }
 
 const (
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -220,7 +220,7 @@
 				t.firstSeen = now
 			}
 		}
-		ended := addressReused(s, addresses)
+		ended := hasEnded(s, addresses)
 		if ended {
 			dead = append(dead, s.ID)
 		}
@@ -244,11 +244,14 @@
 	return addresses
 }
 
-// addressReused reports whether a server whose entry is missing has surely ended, because
-// another one has its address since. Its keys move at once: they need not wait for its
+// hasEnded reports whether a server whose entry is missing has surely ended, because it
+// registered again as a later life or another one has its address since. Its keys move at once: they need not wait for its
 // entry to come back (goneGrace). An entry that is older says nothing: it may be that of an
 // earlier life.
-func addressReused(s *view.Server, addresses map[string]*view.Server) bool {
+func hasEnded(s *view.Server, addresses map[string]*view.Server) bool {
+	if s.Ended {
+		return true
+	}
 	other := addresses[s.Address]
 	return !s.GoneSince.IsZero() && other != nil && other.ID != s.ID && other.Revision > s.Revision
 }
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -34,6 +34,9 @@
 	revision int64
 	table    *routing.Table
 	servers  *serverIndex
+	// lives holds the newest life of each instance that is in servers.
+	lives    map[string]discovery.ServerID
+	refusals refusedEntries
 	owners   *sharedMap[string, Owners]
 	managers *sharedMap[string, Manager]
 	retired  *sharedMap[string, Retirement]
@@ -53,6 +56,8 @@
 	b := &Builder{layout: layout, documents: documents, logger: logger}
 	b.lapse = func() (time.Time, bool) { return time.Time{}, false }
 	b.servers = newServerIndex()
+	b.lives = make(map[string]discovery.ServerID)
+	b.refusals = make(refusedEntries)
 	b.owners = newSharedMap[string, Owners]()
 	b.managers = newSharedMap[string, Manager]()
 	b.retired = newSharedMap[string, Retirement]()
@@ -95,7 +100,7 @@
 
 func (b *Builder) deleteMissing(present map[string]bool) {
 	for id := range b.servers.byID.content {
-		if key := b.layout.ServerPrefix + string(id); !present[key] {
+		if key := b.layout.ServerPrefix + id.Instance(); !present[key] {
 			b.delete(key)
 		}
 	}
@@ -176,34 +181,6 @@
 	b.logger.Info("configuration in force", zap.Int64("version", spec.Version), zap.Int64("revision", item.Revision))
 }
 
-func (b *Builder) putServer(id string, item topo.Item) {
-	entry, err := b.documents.Server(id, item.Value)
-	if err != nil {
-		b.logger.Error("server entry refused", zap.String("server", id), zap.Error(err))
-		return
-	}
-	now := time.Now()
-	// The entry was written earlier, so that the server is warm by then at the latest. A
-	// server may turn cold again, so each entry counts anew.
-	server := &Server{Server: entry, Revision: item.Revision, WarmAt: now.Add(entry.WarmUp)}
-	before := b.servers.get(entry.ID)
-	if before != nil {
-		server.DrainingSince = before.DrainingSince
-	}
-	if entry.State == discovery.Draining && server.DrainingSince.IsZero() {
-		server.DrainingSince = now
-		b.logger.Info("server draining", zap.String("server", id), zap.Int64("revision", item.Revision))
-	}
-	if b.started && (before == nil || !before.GoneSince.IsZero()) {
-		b.logger.Info("server registered", zap.String("server", id), zap.String("service", entry.Service),
-			zap.String("address", entry.Address), zap.Duration("warm_up", entry.WarmUp), zap.Int64("revision", item.Revision))
-	}
-	if b.started && before != nil && before.WarmUp == 0 && entry.WarmUp > 0 {
-		b.logger.Info("server turned cold", zap.String("server", id), zap.Duration("warm_up", entry.WarmUp), zap.Int64("revision", item.Revision))
-	}
-	b.servers.put(server)
-}
-
 func (b *Builder) isEvacuation(key string) bool {
 	return b.layout.EvacuationPrefix != "" && strings.HasPrefix(key, b.layout.EvacuationPrefix)
 }
@@ -291,7 +268,7 @@
 func (b *Builder) delete(key string) {
 	switch {
 	case strings.HasPrefix(key, b.layout.ServerPrefix):
-		b.markGone(discovery.ServerID(strings.TrimPrefix(key, b.layout.ServerPrefix)))
+		b.markGone(strings.TrimPrefix(key, b.layout.ServerPrefix))
 	case b.isEvacuation(key):
 		b.endEvacuation(strings.TrimPrefix(key, b.layout.EvacuationPrefix))
 	case strings.HasPrefix(key, managerPrefix):
@@ -301,24 +278,13 @@
 	}
 }
 
-func (b *Builder) markGone(id discovery.ServerID) {
-	known := b.servers.get(id)
-	if known == nil || !known.GoneSince.IsZero() {
-		return
-	}
-	gone := *known
-	gone.GoneSince = time.Now()
-	if until, lapsed := b.lapse(); lapsed {
-		gone.LapsedUntil = until
-	}
-	b.servers.put(&gone)
-	b.logger.Info("server gone", zap.String("server", string(id)), zap.Bool("draining", !gone.DrainingSince.IsZero()),
-		zap.Bool("may_return", !gone.LapsedUntil.IsZero()))
-}
-
 // publish makes the next view current. The caller holds the mutex.
 func (b *Builder) publish() *View {
-	b.servers.forget(time.Now().Add(-goneMemory))
+	for _, id := range b.servers.forget(time.Now().Add(-goneMemory)) {
+		if instance := id.Instance(); b.lives[instance] == id {
+			delete(b.lives, instance)
+		}
+	}
 	before := b.current.Load()
 	published := &View{Revision: b.revision, Table: b.table}
 	published.Same.Table = before != nil && before.Table == b.table
--- a/internal/view/shared.go
+++ b/internal/view/shared.go
@@ -95,16 +95,19 @@
 	x.gone[server.ID] = true
 }
 
-// forget removes the servers whose entries have been missing since before a moment.
-func (x *serverIndex) forget(before time.Time) {
+// forget removes and returns the servers whose entries have been missing since before a
+// moment.
+func (x *serverIndex) forget(before time.Time) (forgotten []discovery.ServerID) {
 	for id := range x.gone {
 		server := x.byID.get(id)
 		if server.GoneSince.Before(before) {
 			x.byID.remove(id)
 			x.removeFrom(server.Service, id)
 			delete(x.gone, id)
+			forgotten = append(forgotten, id)
 		}
 	}
+	return forgotten
 }
 
 func (x *serverIndex) removeFrom(service string, id discovery.ServerID) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -79,6 +79,9 @@
 	DrainingSince time.Time
 	// GoneSince is when its entry was first seen missing; zero if it is there.
 	GoneSince time.Time
+	// Ended is true if a later life of it has registered under its instance id, so that
+	// it is not coming back and holds nothing.
+	Ended bool
 	// LapsedUntil is set if the entry may be missing only because the store was
 	// away: until then it may still come back.
 	LapsedUntil time.Time
@@ -89,6 +92,8 @@
 // of their own.
 func (s *Server) Gone(now time.Time, grace time.Duration) bool {
 	switch {
+	case s.Ended:
+		return true
 	case s.GoneSince.IsZero():
 		return false
 	case !s.LapsedUntil.IsZero():
