Tenants: keys are checked at the entry, servers learn the tenant, limits hold over all nodes

The configuration's tenants become a directory beside the routes. The entry decides route, key (401), limit (429), then what exists; the caller's key never leaves the node. A tenant's priority goes before its route's, also through homes. A node whose copy is old answers 503 for keys that it does not know, and with strict revocation for all keys.

--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -13,7 +13,7 @@
 	_, work := d.places(time.Now(), request, nil)
 	since := d.firstTriesOf(request).Since(request.callerDeadline().Sub(request.ArrivedAt))
 	return &schedule.Request{
-		Class: request.Route.Name, Priority: request.Route.Priority,
+		Class: request.Route.Name, Priority: request.Priority,
 		Arrived: request.ArrivedAt, FirstTry: request.ArrivedAt.Add(-since), Caller: request.Caller,
 		Objective: request.Route.Objective, Limit: limit, Deadline: request.callerDeadline(), Work: work,
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -54,6 +54,8 @@
 	Rest    io.Reader
 	Route   *routing.Route
 	Service string
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
 	// Key is the request's key if HasKey.
 	Key    uint32
 	HasKey bool
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -59,8 +59,9 @@
 		Method: []byte(request.Method), Uri: []byte(request.URI), Host: []byte(request.Host), Body: request.Body,
 		RequestId: []byte(request.ID), Key: request.Key, HasKey: request.HasKey,
 		AgeMicros: time.Since(request.ArrivedAt).Microseconds(), LeftMicros: (time.Until(limit) - hopMargin).Microseconds(),
-		NeedsGo: !request.Route.Repeatable,
-		Caller:  []byte(request.Caller), CallerMicros: time.Until(request.Deadline).Microseconds(),
+		NeedsGo:  !request.Route.Repeatable,
+		Priority: int32(request.Priority),
+		Caller:   []byte(request.Caller), CallerMicros: time.Until(request.Deadline).Microseconds(),
 	}
 	for _, field := range request.Fields {
 		handoff.Fields = append(handoff.Fields, &wire.HeaderField{Name: []byte(field.Name), Value: []byte(field.Value)})
--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -134,7 +134,8 @@
 	return &dispatch.Request{
 		ID: string(handoff.GetRequestId()), Method: string(handoff.GetMethod()), URI: string(handoff.GetUri()), Host: string(handoff.GetHost()),
 		Fields: decodeFields(handoff.GetFields()), Body: handoff.GetBody(), Route: route, Service: handoff.GetService(),
-		Key: handoff.GetKey(), HasKey: handoff.GetHasKey(),
+		Priority: int(handoff.GetPriority()),
+		Key:      handoff.GetKey(), HasKey: handoff.GetHasKey(),
 		ArrivedAt: now.Add(-time.Duration(handoff.GetAgeMicros()) * time.Microsecond),
 		Deadline:  now.Add(time.Duration(handoff.GetLeftMicros()) * time.Microsecond),
 		Caller:    string(handoff.GetCaller()), CallerDeadline: now.Add(time.Duration(handoff.GetCallerMicros()) * time.Microsecond),
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -40,6 +40,9 @@
 	NotExecuted string
 	// Key is the request's key.
 	Key string
+	// Credential holds the key that says whose request it is, and Tenant names the tenant
+	// to servers.
+	Credential, Tenant string
 	// Load reads what a server tells of its load in an answer, if it does.
 	Load func(answer http.Header) (discovery.Load, bool)
 	// Health reads which server gave a health answer, and for how long it warms up.
@@ -72,14 +75,17 @@
 	// ended is set once the node closes connections whether requests run or not.
 	ended  atomic.Bool
 	active atomic.Int64
+	// tenancy is what is decided of tenants' requests.
+	tenancy Tenancy
 }
 
 // NewHandler returns a handler.
 func NewHandler(headers Headers, views *view.Builder, dispatcher *dispatch.Dispatcher, logger *zap.Logger) *Handler {
-	h := &Handler{headers: headers, views: views, first: newFirstTable(views), dispatcher: dispatcher, logger: logger, hopByHop: make(map[string]bool)}
+	h := &Handler{tenancy: alwaysFresh(), headers: headers, views: views, first: newFirstTable(views), dispatcher: dispatcher, logger: logger, hopByHop: make(map[string]bool)}
 	for _, name := range []string{
 		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te",
 		"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", headers.Deadline, headers.Target,
+		headers.Credential, headers.Tenant,
 	} {
 		h.hopByHop[http.CanonicalHeaderKey(name)] = true
 	}
@@ -138,12 +144,17 @@
 		http.Error(writer, "no route", http.StatusNotFound)
 		return
 	}
+	tenant, allowed := h.authorize(writer, incoming, table, route)
+	if !allowed {
+		return
+	}
 	request := &dispatch.Request{
 		ID: incoming.Header.Get(h.headers.RequestID), Method: incoming.Method, URI: incoming.RequestURI,
 		Host: incoming.Host, Route: route, ArrivedAt: arrivedAt,
-		Service: route.Choose(h.position()),
-		Caller:  callerOf(incoming),
-		Fields:  h.forwarded(incoming.Header),
+		Service:  route.Choose(h.position()),
+		Priority: priorityOf(route, tenant),
+		Caller:   callerOf(incoming),
+		Fields:   h.withTenant(h.forwarded(incoming.Header), tenant),
 	}
 	request.Deadline = arrivedAt.Add(route.Timeout)
 	if wait, known := h.clientDeadline(incoming.Header); known {
@@ -155,7 +166,11 @@
 	if !h.readBody(writer, incoming, request, table.Limits().BodyBytes) {
 		return
 	}
+	if !h.admit(writer, incoming, request, tenant) {
+		return
+	}
 	answer, trace, err := h.dispatcher.Do(incoming.Context(), request)
+	h.giveBack(tenant, err)
 	if errors.Is(err, dispatch.ErrCanceled) && h.ended.Load() {
 		err = errCutOff
 	}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -25,3 +25,8 @@
 	Name: "micahaven_ingress_start_refusals_total",
 	Help: "Requests that were refused because no configuration was known in time after the node's start.",
 })
+
+var authorizationsTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+	Name: "micahaven_ingress_authorizations_total",
+	Help: "Requests of a configuration with tenants, by what was decided of the key that they show.",
+}, []string{"verdict"})
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -75,6 +75,7 @@
 	}
 	n.dispatcher.SetOptions(dispatchOptions(settings, n.headers))
 	n.peers.setSeeds(settings.Seeds)
+	n.peers.quotas.SetTolerance(settings.tolerance())
 	n.logger.Info("settings reloaded", zap.Strings("seeds", settings.Seeds), zap.Int("drain_millis", settings.DrainMillis),
 		zap.Float64("retry_ratio", settings.Retry.Ratio), zap.Float64("retry_slack", settings.Retry.Slack))
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -22,9 +22,11 @@
 	"github.com/micahaven/micahaven/internal/ingress/pipeline"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
+	"github.com/micahaven/micahaven/internal/quota"
 	"github.com/micahaven/micahaven/internal/routerlog"
 	"github.com/micahaven/micahaven/internal/shardmanager"
 	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/tenants"
 	"github.com/micahaven/micahaven/internal/topo"
 	"github.com/micahaven/micahaven/internal/transport"
 	"github.com/micahaven/micahaven/internal/view"
@@ -125,6 +127,9 @@
 		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
 	n.takePartInHomes(client)
+	n.peers.quotas = quota.NewLimiter(self.Name, quotaCaller{client}, quota.NewKeeper(), settings.tolerance(), logger)
+	n.views.Subscribe(n.peers.followQuotas)
+	n.handler.SetTenancy(ingress.Tenancy{Quotas: n.peers.quotas, Freshness: n.copyFreshness, Staleness: settings.staleness()})
 	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes, linkBytes: settings.linkBytes()}
 	n.dispatcher.SetColdFound(n.peers.coldFound)
 	n.record = &headsRecord{store: platform.Store, feed: changes, mirror: n.mirror, nodes: n.peers.nodes, logger: logger}
@@ -140,6 +145,12 @@
 	return n, n.listen(hello, platform.ReadyPath)
 }
 
+// copyFreshness returns how new the node's copy of the store is.
+func (n *Node) copyFreshness() tenants.Freshness {
+	age, confirmed := n.peers.feed.confirmedAge()
+	return tenants.Freshness{Age: age, Confirmed: confirmed}
+}
+
 // takePartInHomes makes the node home to servers, and hand requests over to other homes.
 func (n *Node) takePartInHomes(client *transport.Client) {
 	if !n.settings.Homes {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -16,6 +16,7 @@
 	"github.com/micahaven/micahaven/internal/handoff"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
+	"github.com/micahaven/micahaven/internal/quota"
 	"github.com/micahaven/micahaven/internal/shardmanager"
 	"github.com/micahaven/micahaven/internal/shards"
 	"github.com/micahaven/micahaven/internal/topo"
@@ -51,7 +52,9 @@
 	feed   *changeFeed
 	copies *copyGiver
 	// home takes requests over from other nodes; nil if this node takes none.
-	home   *handoff.Home
+	home *handoff.Home
+	// quotas keeps the use of tenants within their limits.
+	quotas *quota.Limiter
 	logger *zap.Logger
 
 	mutex sync.Mutex
@@ -241,6 +244,10 @@
 		go p.passOn(order, reply)
 		return
 	}
+	if report := envelope.GetQuotaReport(); report != nil {
+		reply(p.answerQuotas(from, report))
+		return
+	}
 	request := envelope.GetStateRequest()
 	if request == nil {
 		reply(&wire.Envelope{Body: &wire.Envelope_Failure{Failure: &wire.Failure{Message: "unknown call"}}})
--- /dev/null
+++ b/internal/router/quotas.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/quota"
+	"github.com/micahaven/micahaven/internal/transport"
+	"github.com/micahaven/micahaven/internal/view"
+	"github.com/micahaven/micahaven/internal/wire"
+)
+
+// errNoAnswer means that a node did not answer reports of quotas as it should.
+var errNoAnswer = errors.New("no answer to a report of quotas")
+
+// quotaCaller reports to other nodes. It implements quota.Caller.
+type quotaCaller struct{ client *transport.Client }
+
+// Report implements quota.Caller.
+func (c quotaCaller) Report(ctx context.Context, address string, uses []quota.Use) ([]quota.Answer, error) {
+	report := &wire.QuotaReport{Uses: make([]*wire.QuotaUse, 0, len(uses))}
+	for _, use := range uses {
+		report.Uses = append(report.Uses, &wire.QuotaUse{
+			Tenant: use.Tenant, Used: int32(use.Used), Waiting: uint32(use.Waiting), Wish: uint32(use.Wish),
+		})
+	}
+	envelope, err := c.client.Call(ctx, address, &wire.Envelope{Body: &wire.Envelope_QuotaReport{QuotaReport: report}})
+	if err != nil {
+		return nil, errors.Mark(err, errNoAnswer)
+	}
+	if envelope.GetQuotaAnswer() == nil {
+		return nil, errors.Wrap(errNoAnswer, envelope.GetFailure().GetMessage())
+	}
+	answers := make([]quota.Answer, 0, len(uses))
+	for _, grant := range envelope.GetQuotaAnswer().GetGrants() {
+		answers = append(answers, quota.Answer{NotHome: grant.GetNotHome(), Grant: quota.Grant{
+			Granted: int(grant.GetGranted()), Ahead: int(grant.GetAhead()), Calm: grant.GetCalm(),
+			RetryAfter: time.Duration(grant.GetRetryAfterMicros()) * time.Microsecond,
+		}})
+	}
+	return answers, nil
+}
+
+// answerQuotas answers another node's report.
+func (p *peers) answerQuotas(from *wire.Hello, report *wire.QuotaReport) *wire.Envelope {
+	uses := make([]quota.Use, 0, len(report.GetUses()))
+	for _, use := range report.GetUses() {
+		uses = append(uses, quota.Use{Tenant: use.GetTenant(), Report: quota.Report{
+			Used: int(use.GetUsed()), Waiting: int(use.GetWaiting()), Wish: int(use.GetWish()),
+		}})
+	}
+	answer := &wire.QuotaAnswer{Grants: make([]*wire.QuotaGrant, 0, len(uses))}
+	for _, of := range p.quotas.Answer(from.GetNode(), uses) {
+		answer.Grants = append(answer.Grants, &wire.QuotaGrant{
+			Granted: uint32(of.Granted), Ahead: uint32(of.Ahead), Calm: of.Calm, NotHome: of.NotHome,
+			RetryAfterMicros: of.RetryAfter.Microseconds(),
+		})
+	}
+	return &wire.Envelope{Body: &wire.Envelope_QuotaAnswer{QuotaAnswer: answer}}
+}
+
+// followQuotas tells the limiter of the tenants and nodes of a view.
+func (p *peers) followQuotas(current *view.View) {
+	if current.Table == nil || (current.Same.Table && current.Same.Nodes) {
+		return
+	}
+	directory := current.Table.Tenants()
+	if directory.Empty() && p.quotas.Unused() {
+		return
+	}
+	nodes := make([]quota.Node, 0, len(current.Nodes))
+	for _, node := range current.Nodes {
+		nodes = append(nodes, quota.Node{Name: node.Name, Address: node.Address, Process: node.Process, Share: node.Share})
+	}
+	p.quotas.Follow(directory, nodes)
+}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -10,6 +10,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+
+	"github.com/micahaven/micahaven/internal/quota"
+	"github.com/micahaven/micahaven/internal/tenants"
 )
 
 // ErrInvalidSettings means that a settings file cannot be used. The message names
@@ -53,6 +56,21 @@
 		Slack         float64 `yaml:"slack"`
 		WindowSeconds float64 `yaml:"window_seconds"`
 	} `yaml:"retry"`
+	// Quota is by how much the use of a tenant may exceed its limit within any window; left
+	// out: not at all, and each request asks the tenant's home.
+	Quota struct {
+		WindowSeconds float64 `yaml:"window_seconds"`
+		Over          float64 `yaml:"over"`
+		Slack         float64 `yaml:"slack"`
+	} `yaml:"quota"`
+	// Revocation is what a node does that does not hear whether keys were taken away: if it
+	// is Strict, it lets nobody in by a key once it has heard nothing for Millis.
+	Revocation struct {
+		Strict bool `yaml:"strict"`
+		Millis int  `yaml:"millis"`
+	} `yaml:"revocation"`
+	// ConfigurationMillis is how long a change of the configuration may take to be in force.
+	ConfigurationMillis int `yaml:"configuration_millis"`
 	// MaxHoldMillis is the longest grant that servers take.
 	MaxHoldMillis int `yaml:"max_hold_millis"`
 	// MemoryMegabytes is the memory that the process may use.
@@ -89,7 +107,7 @@
 
 // ParseSettings reads and checks the text of a settings file.
 func ParseSettings(text []byte) (*Settings, error) {
-	parsed := &Settings{ProcessorShare: defaultProcessorShare}
+	parsed := &Settings{ProcessorShare: defaultProcessorShare, ConfigurationMillis: defaultConfigurationMillis}
 	if err := yaml.Unmarshal(text, parsed); err != nil {
 		return nil, errors.Mark(errors.Newf("settings: %s", yaml.FormatError(err, false, true)), ErrInvalidSettings)
 	}
@@ -129,6 +147,11 @@
 		{"warm_up.over", s.WarmUp.Over, 0, 1000},
 		{"warm_up.slack", s.WarmUp.Slack, 0, 1e6},
 		{"store.reads_per_second", s.Store.ReadsPerSecond, 0, 1e9},
+		{"quota.window_seconds", s.Quota.WindowSeconds, 0, 3600},
+		{"quota.over", s.Quota.Over, 0, 10},
+		{"quota.slack", s.Quota.Slack, 0, 1e9},
+		{"revocation.millis", float64(s.Revocation.Millis), 0, 600000},
+		{"configuration_millis", float64(s.ConfigurationMillis), 0, 600000},
 		{"retry.ratio", s.Retry.Ratio, 0, 10},
 		{"retry.slack", s.Retry.Slack, 0, 1e9},
 		{"retry.window_seconds", s.Retry.WindowSeconds, 0.1, 3600},
@@ -162,6 +185,36 @@
 	return errors.Wrapf(ErrInvalidSettings, "field %s: %v, allowed: %s", field, value, allowed)
 }
 
+// strictPart is the part of the time in which a key must be out of use after which a node
+// that hears nothing lets nobody in by a key; the rest is for requests on their way.
+const strictPart = 0.8
+
+const (
+	// unknownPart is the part of the time that a change may take after which a node that
+	// hears nothing may lack keys that are in force; a copy in steady state is 1.35 s old at
+	// most.
+	unknownPart = 0.8
+	// defaultConfigurationMillis stands for the time that a change may take if it is left
+	// out.
+	defaultConfigurationMillis = 2500
+)
+
+// staleness returns what a node does with keys that has had no news.
+func (s *Settings) staleness() tenants.Staleness {
+	staleness := tenants.Staleness{Unknown: time.Duration(unknownPart * float64(s.ConfigurationMillis) * float64(time.Millisecond))}
+	if s.Revocation.Strict {
+		staleness.Revoked = time.Duration(strictPart * float64(s.Revocation.Millis) * float64(time.Millisecond))
+	}
+	return staleness
+}
+
+// tolerance returns by how much tenants may exceed their limits.
+func (s *Settings) tolerance() quota.Tolerance {
+	return quota.Tolerance{
+		Window: time.Duration(s.Quota.WindowSeconds * float64(time.Second)), Over: s.Quota.Over, Slack: s.Quota.Slack,
+	}
+}
+
 func (s *Settings) grace() time.Duration { return time.Duration(s.GraceMillis) * time.Millisecond }
 
 func (s *Settings) evacuation() time.Duration {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/tenants"
 )
 
 // ErrInvalid means that a table cannot be used. The message names the field, its
@@ -37,6 +39,8 @@
 	MaxAttempts int
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
+	// Public routes need no key of a tenant.
+	Public   bool
 	Backends []Backend
 }
 
@@ -71,6 +75,7 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
+	Tenants  []tenants.Spec
 	Limits   Limits
 }
 
@@ -79,6 +84,7 @@
 	version  int64
 	limits   Limits
 	services map[string]Service
+	tenants  *tenants.Directory
 	routes   map[string][]*Route
 }
 
@@ -104,6 +110,11 @@
 		}
 		table.services[service.Name] = service
 	}
+	directory, err := tenants.NewDirectory(spec.Tenants)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "tenants of the table"), ErrInvalid)
+	}
+	table.tenants = directory
 	for index := range spec.Routes {
 		route := spec.Routes[index]
 		if err := table.checkRoute(&route); err != nil {
@@ -162,6 +173,9 @@
 // Limits returns the limits for clients.
 func (t *Table) Limits() Limits { return t.limits }
 
+// Tenants returns the tenants.
+func (t *Table) Tenants() *tenants.Directory { return t.tenants }
+
 // Service returns a service by name.
 func (t *Table) Service(name string) (Service, bool) {
 	service, known := t.services[name]
