Benchmark of a node's work for one change, at 100 and at 985 nodes

One node's parts (views, dispatcher with homes, feed, hand-overs) with 1,000 and 10,000 servers of three services.

--- a/internal/router/scale_test.go
+++ b/internal/router/scale_test.go
@@ -9,17 +9,24 @@
 
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/handoff"
 	"github.com/micahaven/micahaven/internal/routing"
 	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/transport"
 	"github.com/micahaven/micahaven/internal/view"
+	"github.com/micahaven/micahaven/internal/wire"
 )
 
-// Sizes of a large deployment.
-const (
-	manyNodes   = 295
-	manyServers = 800
+// fleetSize is the size of a deployment.
+type fleetSize struct{ nodes, servers int }
+
+var (
+	smallFleet = fleetSize{nodes: 100, servers: 1_000}
+	largeFleet = fleetSize{nodes: 985, servers: 10_000}
 )
 
+func (s fleetSize) String() string { return fmt.Sprintf("%d-%d", s.nodes, s.servers) }
+
 // jsonDocuments reads entries that are the router's own types as JSON.
 type jsonDocuments struct{}
 
@@ -33,47 +40,108 @@
 	return server, json.Unmarshal(text, &server)
 }
 
-func mustEncode(b *testing.B, value any) []byte {
+func mustEncode(tb testing.TB, value any) []byte {
+	tb.Helper()
 	encoded, err := json.Marshal(value)
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	return encoded
 }
 
-func manyItems(b *testing.B) []topo.Item {
+const fleetZones = 5
+
+// fleet is one node's parts with a deployment of some size in its view: everything that
+// follows changes of the store.
+type fleet struct {
+	views    *view.Builder
+	size     fleetSize
+	items    []topo.Item
+	revision int64
+}
+
+func newFleet(tb testing.TB, size fleetSize) *fleet {
+	tb.Helper()
+	f := &fleet{size: size}
+	f.views = view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, jsonDocuments{}, zap.NewNop())
+	self := view.Node{Name: "edge-zone-100", Zone: "z1", Address: "127.0.0.1:100"}
+	dispatcher := dispatch.New(dispatch.Options{Node: self.Name, Zone: self.Zone}, f.views, zap.NewNop())
+	changes := newChangeFeed(self, nil, zap.NewNop())
+	f.views.Subscribe(changes.follow)
+	sender := handoff.NewSender(self.Name, transport.NewClient(&wire.Hello{}, nil), zap.NewNop())
+	f.views.Subscribe(sender.Follow)
+	dispatcher.SetHandover(sender)
+	f.items = fleetItems(tb, size)
+	f.revision = int64(len(f.items)) + 1
+	f.views.Replace(f.items, f.revision)
+	return f
+}
+
+// fleetItems are the keys of a store: a table, servers of three services, nodes.
+func fleetItems(tb testing.TB, size fleetSize) []topo.Item {
+	tb.Helper()
 	spec := routing.Spec{
 		Version:  1,
 		Routes:   []routing.Route{{Name: "r", Host: "h", PathPrefix: "/", Timeout: 1, Backends: []routing.Backend{{Service: "a", Weight: 1}}}},
-		Services: []routing.Service{{Name: "a", MaxConnections: 1800}, {Name: "b", MaxConnections: 1800}, {Name: "c", MaxConnections: 1800}},
+		Services: []routing.Service{{Name: "a", MaxConnections: 1800, KeyDivided: true}, {Name: "b", MaxConnections: 1800}, {Name: "c", MaxConnections: 1800}},
 	}
-	items := []topo.Item{{Key: "table", Value: mustEncode(b, spec), Revision: 1}}
-	for index := range manyServers {
-		id := fmt.Sprintf("i-%08x", index*7919)
-		server := discovery.Server{ID: discovery.ServerID(id), Service: string(rune('a' + index%3)), Address: "127.0.0.1:1", Zone: "z", Slots: 2}
-		items = append(items, topo.Item{Key: "servers/" + id, Value: mustEncode(b, server), Revision: int64(index + 2)})
+	items := []topo.Item{{Key: "table", Value: mustEncode(tb, spec), Revision: 1}}
+	for index := range size.servers {
+		items = append(items, topo.Item{Key: serverKey(index), Value: serverEntry(tb, index, discovery.Ready), Revision: int64(index + 2)})
 	}
-	for index := range manyNodes {
-		node := view.Node{Name: fmt.Sprintf("edge-zone-%d", index), Zone: fmt.Sprint("z", index%5), Address: fmt.Sprint("127.0.0.1:", index), Process: "p", Share: 0.16}
-		items = append(items, topo.Item{Key: view.NodeKey(node.Name), Value: mustEncode(b, node), Revision: int64(index + 2)})
+	for index := range size.nodes {
+		items = append(items, nodeItem(tb, index, "p", int64(index+2)))
 	}
 	return items
 }
 
+func serverKey(index int) string { return fmt.Sprintf("servers/i-%08x", index*7919) }
+
+func serverEntry(tb testing.TB, index int, state discovery.State) []byte {
+	tb.Helper()
+	return mustEncode(tb, discovery.Server{
+		ID: discovery.ServerID(fmt.Sprintf("i-%08x", index*7919)), Service: string(rune('a' + index%3)),
+		Address: fmt.Sprint("127.0.0.1:", index), Zone: fmt.Sprint("z", index/3%fleetZones), Slots: 2, State: state,
+	})
+}
+
+func nodeItem(tb testing.TB, index int, process string, revision int64) topo.Item {
+	tb.Helper()
+	node := view.Node{
+		Name: fmt.Sprintf("edge-zone-%d", index), Zone: fmt.Sprint("z", index%fleetZones),
+		Address: fmt.Sprint("127.0.0.1:", index), Process: process, Share: 0.16,
+	}
+	return topo.Item{Key: view.NodeKey(node.Name), Value: mustEncode(tb, node), Revision: revision}
+}
+
+func (f *fleet) apply(item topo.Item) {
+	f.revision++
+	item.Revision = f.revision
+	f.views.Apply([]topo.Event{{Item: item}}, f.revision)
+}
+
 // BenchmarkServerChange measures what a node does when one server's entry changes.
 func BenchmarkServerChange(b *testing.B) {
-	views := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, jsonDocuments{}, zap.NewNop())
-	dispatch.New(dispatch.Options{Zone: "z"}, views, zap.NewNop())
-	changes := newChangeFeed(view.Node{Name: "edge-zone-100", Zone: "z1", Address: "127.0.0.1:100"}, nil, zap.NewNop())
-	views.Subscribe(changes.follow)
-	items := manyItems(b)
-	views.Replace(items, 2000)
-	b.ReportAllocs()
-	revision := int64(2000)
-	for b.Loop() {
-		revision++
-		changed := items[1+int(revision)%manyServers]
-		changed.Revision = revision
-		views.Apply([]topo.Event{{Item: changed}}, revision)
+	for _, size := range []fleetSize{smallFleet, largeFleet} {
+		b.Run(size.String(), func(b *testing.B) {
+			f := newFleet(b, size)
+			b.ReportAllocs()
+			for index := 0; b.Loop(); index++ {
+				f.apply(f.items[1+index%size.servers])
+			}
+		})
+	}
+}
+
+// BenchmarkNodeChange measures what a node does when another one starts again.
+func BenchmarkNodeChange(b *testing.B) {
+	for _, size := range []fleetSize{smallFleet, largeFleet} {
+		b.Run(size.String(), func(b *testing.B) {
+			f := newFleet(b, size)
+			b.ReportAllocs()
+			for index := 0; b.Loop(); index++ {
+				f.apply(nodeItem(b, index%size.nodes, fmt.Sprint("p", index), 0))
+			}
+		})
 	}
 }
