One server's change costs a node the same in a fleet of 985 nodes as in one of 100

And each node kept pools of connections to all servers and looked through all of them each second.

Views hold servers and nodes in parts, of which a change copies one, and say which servers changed. The dispatcher keeps for each service what it needs of its servers together (open ones by rank, preferred ones, those that may be cold, the division among homes) and changes it by the servers that did. Pools come into being when something is sent.

--- a/internal/dispatch/coldprobes.go
+++ b/internal/dispatch/coldprobes.go
@@ -9,6 +9,7 @@
 
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/upstream"
+	"github.com/micahaven/micahaven/internal/view"
 )
 
 // A server may turn cold in place, which its entry tells. While the store is away nobody
@@ -53,6 +54,7 @@
 	}
 	isNew := !now.Before(s.warmAt(d.views.Current()))
 	s.coldUntil = now.Add(left)
+	s.of.cold[s.id] = s
 	return isNew
 }
 
@@ -74,21 +76,31 @@
 		return nil
 	}
 	var due []probe
-	for _, s := range d.servers {
-		service, _ := current.Table.Service(s.Service)
-		bears, bounded := d.boundedWarmUp(current, s)
-		if !bounded || service.HealthPath == "" || !d.rights.Sender(bears) {
+	for _, of := range d.services {
+		configured, _ := current.Table.Service(of.name)
+		if configured.WarmUpRate <= 0 || configured.HealthPath == "" {
 			continue
 		}
-		if now.Before(s.probeAt) || now.Before(s.warmAt(current)) || !s.reachable(now, d.options.LeaveGrace) {
-			continue
+		for _, s := range of.members {
+			if d.probeIsDue(now, current, s) {
+				s.probeAt = now.Add(probeInterval)
+				d.connect(s)
+				due = append(due, probe{s, configured.HealthPath})
+			}
 		}
-		s.probeAt = now.Add(probeInterval)
-		due = append(due, probe{s, service.HealthPath})
 	}
 	return due
 }
 
+// probeIsDue reports whether this node has to ask a server now. The caller holds the mutex.
+func (d *Dispatcher) probeIsDue(now time.Time, current *view.View, s *server) bool {
+	if now.Before(s.probeAt) || now.Before(s.warmAt(current)) || !s.reachable(now, d.options.LeaveGrace) {
+		return false
+	}
+	bears, bounded := d.boundedWarmUp(current, s)
+	return bounded && d.rights.Sender(bears)
+}
+
 // probeColdServers asks the servers that are due; as many as may be on their way at a
 // time, the others at the next call.
 func (d *Dispatcher) probeColdServers(ctx context.Context) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,7 +10,7 @@
 
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/ending"
-	"github.com/micahaven/micahaven/internal/rendezvous"
+	"github.com/micahaven/micahaven/internal/homes"
 	"github.com/micahaven/micahaven/internal/schedule"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
@@ -67,7 +67,13 @@
 
 	mutex   sync.Mutex
 	options Options
-	servers map[discovery.ServerID]*server
+	// servers are those of the view, and services what is known of those of each service
+	// together; pooled are the servers to which there may be connections, and lapsed those
+	// whose missing entry may come back.
+	servers  map[discovery.ServerID]*server
+	services map[string]*service
+	pooled   map[discovery.ServerID]*server
+	lapsed   map[discovery.ServerID]*server
 	waiting map[string][]*waiter
 	budgets map[string]*budget
 	// returns holds, by service, when refused callers of undivided services come back;
@@ -81,6 +87,9 @@
 	moving  map[movingRange]time.Time
 	samples map[string]*samples
 	nodes   int
+	// zone are the nodes of this node's zone, zoneNodes of them.
+	zone      []homes.Node
+	zoneNodes int
 	// rights are those to send to servers that warm up; copyAge says how new this node's
 	// copy of the store is.
 	rights  *warmup.Rights
@@ -95,8 +104,6 @@
 	// handover hands requests over to the homes of their servers; nil if this node sends
 	// all of them itself.
 	handover Handover
-	// divisions are those of undivided services among homes.
-	divisions divisions
 	// sizes are the mean sizes of answers, in bytes, by route.
 	sizes map[string]float64
 }
@@ -121,6 +128,9 @@
 		logger:     logger,
 		link:       upstream.NewLink(),
 		servers:    make(map[discovery.ServerID]*server),
+		services:   make(map[string]*service),
+		pooled:     make(map[discovery.ServerID]*server),
+		lapsed:     make(map[discovery.ServerID]*server),
 		waiting:    make(map[string][]*waiter),
 		budgets:    make(map[string]*budget),
 		returns:    make(map[string]*schedule.Returns),
@@ -154,59 +164,34 @@
 	d.budgets = make(map[string]*budget)
 }
 
-// update takes in a new view and lets waiting requests go on.
-func (d *Dispatcher) update(current *view.View) {
+// update takes in what a new view changes and lets waiting requests go on. Views may come
+// in another order than they were published in, so that what is true now is taken from the
+// newest one.
+func (d *Dispatcher) update(published *view.View) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if !current.Same.Nodes {
-		d.nodes = max(1, len(current.Nodes))
+	now, current := time.Now(), d.views.Current()
+	if !published.Same.Nodes {
+		d.nodes = max(1, current.Nodes.Len())
+		d.followZone(current)
 		for _, b := range d.budgets {
 			b.share(d.options, d.nodes)
 		}
-		d.rights.SetNodes(time.Now(), registeredNodes(current))
+		d.rights.SetNodes(now, registeredNodes(current))
 	}
-	if current.Same != (view.Parts{Table: true, Servers: true, Nodes: true, Evacuations: true}) {
-		d.updateServers(current)
+	if !published.Same.Nodes || !published.Same.Table {
+		d.followServices(now, current)
 	}
-	if !current.Same.Servers || !current.Same.Nodes || !current.Same.Evacuations {
-		d.chooseSubsets(time.Now(), current)
+	if !published.Same.Evacuations {
+		d.followEvacuations(now, current)
 	}
-	d.followDivisions(current)
-	d.followColdRanges(time.Now(), current)
+	d.updateServers(now, current, published.Changed)
+	d.followColdRanges(now, current)
 	for service := range d.waiting {
 		d.pump(service)
 	}
 }
 
-// updateServers takes in the servers of a view. The caller holds the mutex.
-func (d *Dispatcher) updateServers(current *view.View) {
-	for _, servers := range current.Services {
-		places, homePlaces := d.placesAt(current, servers[0].Service)
-		for _, seen := range servers {
-			known := d.servers[seen.ID]
-			if known == nil {
-				known = &server{
-					id: seen.ID, pool: upstream.NewPool(seen.Address, d.link), rank: rendezvous.Score(d.options.Node, string(seen.ID)),
-				}
-				d.servers[seen.ID] = known
-			}
-			known.Server = seen
-			known.places, known.homePlaces = places, homePlaces
-			known.evacuatedSince, known.evacuated = current.Evacuated(seen.Zone)
-		}
-	}
-	if len(d.servers) == len(current.Servers) {
-		return
-	}
-	for id, known := range d.servers {
-		if current.Servers[id] == nil {
-			known.pool.Close()
-			d.rights.Forget(string(id))
-			delete(d.servers, id)
-		}
-	}
-}
-
 // connectionPart is the part of a server's connections that nodes use for
 // requests; orders and health checks need some too.
 const connectionPart = 0.8
@@ -259,9 +244,10 @@
 	if !prune {
 		return
 	}
-	for _, s := range d.servers {
+	for _, s := range d.pooled {
 		s.pool.Prune(now)
 	}
+	d.reopenLapsed(now)
 	for moved, until := range d.moving {
 		if now.After(until) {
 			delete(d.moving, moved)
--- a/internal/dispatch/divisions.go
+++ b/internal/dispatch/divisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/micahaven/micahaven/internal/discovery"
@@ -13,92 +14,134 @@
 // the node sends it itself.
 const maxHomesAsked = 3
 
-// divisions are those of undivided services among homes, by service and zone. They are
-// made when they are first needed.
-type divisions struct {
-	nodes []homes.Node
-	made  map[string]map[string]homes.Division
+// division is that of the servers of an undivided service in this node's zone among homes.
+// It is kept by the servers that change; the homes are found anew when the zone's nodes or
+// the number of slots have changed.
+type division struct {
+	homes []homes.Node
+	// groups holds the servers of each home, by its name.
+	groups map[string]map[discovery.ServerID]*server
+	// slots is the sum of the slots of all servers.
+	slots int
+	// stale is true if the homes may be others now.
+	stale bool
 }
 
-// followDivisions takes in the nodes and servers of a view. The caller holds the mutex.
-func (d *Dispatcher) followDivisions(current *view.View) {
-	if d.handover == nil || (current.Same.Nodes && current.Same.Servers && current.Same.Table) {
-		return
+// followZone takes in which nodes there are in this node's zone. The caller holds the mutex.
+func (d *Dispatcher) followZone(current *view.View) {
+	d.zone = d.zone[:0]
+	for _, node := range current.Nodes.All() {
+		if node.Zone == d.options.Zone {
+			d.zone = append(d.zone, homes.Node{Name: node.Name, Zone: node.Zone, Address: node.Address, Share: node.Share})
+		}
+	}
+	d.zoneNodes = len(d.zone)
+	for _, of := range d.services {
+		of.division.stale = true
 	}
-	d.divisions.made = make(map[string]map[string]homes.Division)
-	if current.Same.Nodes {
+}
+
+// divide gives a server to its home. The caller holds the mutex.
+func (d *Dispatcher) divide(now time.Time, of *service, s *server) {
+	if d.handover == nil || of.divided || s.Zone != d.options.Zone {
 		return
 	}
-	d.divisions.nodes = d.divisions.nodes[:0]
-	for _, node := range current.Nodes {
-		d.divisions.nodes = append(d.divisions.nodes, homes.Node{Name: node.Name, Zone: node.Zone, Address: node.Address, Share: node.Share})
+	division := &of.division
+	if slots := max(1, s.Slots); slots != s.dividedSlots {
+		division.slots += slots - s.dividedSlots
+		s.dividedSlots = slots
+		division.stale = true
+	}
+	if s.homeName == "" && len(division.homes) > 0 {
+		division.give(now, s, d.options)
 	}
 }
 
-// divisionsOf returns the divisions of an undivided service, by zone. The caller holds the
-// mutex.
-func (d *Dispatcher) divisionsOf(current *view.View, service string) map[string]homes.Division {
-	made, known := d.divisions.made[service]
-	if known {
-		return made
-	}
-	servers, slots := make(map[string][]discovery.ServerID), make(map[string]int)
-	for _, s := range current.Services[service] {
-		servers[s.Zone] = append(servers[s.Zone], s.ID)
-		slots[s.Zone] += max(1, s.Slots)
-	}
-	made = make(map[string]homes.Division, len(servers))
-	for zone, ids := range servers {
-		made[zone] = homes.Divide(service, zone, ids, slots[zone], d.divisions.nodes)
-	}
-	d.divisions.made[service] = made
-	d.markGroup(made)
-	return made
+// undivide takes a server from its home. The caller holds the mutex.
+func (d *Dispatcher) undivide(s *server) {
+	if s.dividedSlots == 0 {
+		return
+	}
+	division := &s.of.division
+	division.slots -= s.dividedSlots
+	division.stale = true
+	delete(division.groups[s.homeName], s.id)
+	s.dividedSlots, s.homeName = 0, ""
+}
+
+// give gives a server to that of the homes which it falls to.
+func (v *division) give(now time.Time, s *server, options Options) {
+	home := homes.Among(homes.Server{ID: s.id, Zone: s.Zone}, v.homes)
+	s.homeName = home.Name
+	if v.groups == nil {
+		v.groups = make(map[string]map[discovery.ServerID]*server)
+	}
+	if v.groups[home.Name] == nil {
+		v.groups[home.Name] = make(map[discovery.ServerID]*server)
+	}
+	v.groups[home.Name][s.id] = s
+	s.setHome(now, home.Name == options.Node)
 }
 
-// markGroup notes to which servers of a service this node is home. The caller holds the
-// mutex.
-func (d *Dispatcher) markGroup(made map[string]homes.Division) {
+// divisionOf returns the division of an undivided service. The caller holds the mutex.
+func (d *Dispatcher) divisionOf(current *view.View, name string) *division {
+	of := d.services[name]
+	if of == nil || of.divided {
+		return &division{}
+	}
+	v := &of.division
+	if !v.stale {
+		return v
+	}
+	v.stale = false
+	chosen := homes.Choose(name, d.options.Zone, v.slots, d.zone)
+	if slices.Equal(chosen, v.homes) {
+		return v
+	}
+	v.homes, v.groups = chosen, nil
 	now := time.Now()
-	for _, division := range made {
-		for home, ids := range division.Servers {
-			for _, id := range ids {
-				if s := d.servers[id]; s != nil {
-					s.setHome(now, home == d.options.Node)
-				}
-			}
+	for _, s := range of.members {
+		if s.dividedSlots == 0 {
+			continue
 		}
+		s.homeName = ""
+		if len(chosen) == 0 {
+			s.setHome(now, false)
+			continue
+		}
+		v.give(now, s, d.options)
 	}
+	return v
 }
 
 // homeGroup returns the servers of an undivided service to which this node is home. The
 // caller holds the mutex.
-func (d *Dispatcher) homeGroup(current *view.View, service string) []discovery.ServerID {
+func (d *Dispatcher) homeGroup(current *view.View, name string) map[discovery.ServerID]*server {
 	if d.handover == nil {
 		return nil
 	}
-	return d.divisionsOf(current, service)[d.options.Zone].Servers[d.options.Node]
+	return d.divisionOf(current, name).groups[d.options.Node]
 }
 
 // homesFor returns the homes of an undivided service in this node's zone that a request is
-// offered to: one by chance, as often as it has servers, and others in case it is not
-// there. None are returned if this node may send it to a server that warms up. The caller
-// holds the mutex.
-func (d *Dispatcher) homesFor(now time.Time, current *view.View, service string) []homes.Node {
-	for _, seen := range current.Services[service] {
-		s := d.servers[seen.ID]
-		if s == nil {
-			continue
-		}
-		if may, bounded := d.maySend(now, current, s); may && bounded && s.usable(now, 0) {
+// offered to: one by chance, as often as it has slots, and others in case it is not there.
+// None are returned if this node may send it to a server that warms up. The caller holds
+// the mutex.
+func (d *Dispatcher) homesFor(now time.Time, current *view.View, name string) []homes.Node {
+	of := d.services[name]
+	if of == nil {
+		return nil
+	}
+	for _, s := range d.bounded(now, current, of) {
+		if may, _ := d.maySend(now, current, s); may && s.usable(now, 0) {
 			return nil
 		}
 	}
-	division := d.divisionsOf(current, service)[d.options.Zone]
-	weights, total := make([]int, len(division.Homes)), 0
-	for index, home := range division.Homes {
-		for _, id := range division.Servers[home.Name] {
-			if s := d.servers[id]; s != nil && s.reachable(now, 0) {
+	division := d.divisionOf(current, name)
+	weights, total := make([]int, len(division.homes)), 0
+	for index, home := range division.homes {
+		for _, s := range division.groups[home.Name] {
+			if s.reachable(now, 0) {
 				weights[index] += max(1, s.Slots)
 			}
 		}
@@ -109,7 +152,7 @@
 		at := rand.IntN(total)
 		for index, weight := range weights {
 			if at -= weight; at < 0 {
-				asked = append(asked, division.Homes[index])
+				asked = append(asked, division.homes[index])
 				total -= weight
 				weights[index] = 0
 				break
--- a/internal/dispatch/ending_choice_test.go
+++ b/internal/dispatch/ending_choice_test.go
@@ -20,12 +20,16 @@
 	other.id, other.latency = "b", 3
 	view := *other.Server
 	view.ID, view.Zone = "b", d.options.Zone
-	far := *d.servers["a"].Server
+	near := d.servers["a"]
+	far := *near.Server
 	far.Zone = "far"
-	d.servers["a"].Server = &far
-	other.Server = &view
-	d.servers["b"] = other
-	d.views.Current().Services[far.Service] = append(d.views.Current().Services[far.Service], &view)
+	d.drop(near)
+	near.Server, near.of, near.pool = &far, nil, nil
+	other.Server, other.of, other.open = &view, nil, false
+	for _, s := range []*server{near, other} {
+		d.include(time.Now(), d.views.Current(), s)
+		d.prefer(s.of)
+	}
 	d.EndBy(time.Now().Add(2 * time.Second))
 	request := patient()
 	request.ID = ""
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -261,10 +261,14 @@
 
 // connections is this node's part of the server's connections; 0 means no bound.
 func (s *server) connections() int {
-	if s.home {
-		return s.homePlaces
+	switch {
+	case s.of == nil:
+		return 0
+	case s.home:
+		return s.of.homePlaces
+	default:
+		return s.of.places
 	}
-	return s.places
 }
 
 // tellAgain tells the node that handed a request over that it is sent once more.
--- a/internal/dispatch/handoff_test.go
+++ b/internal/dispatch/handoff_test.go
@@ -330,10 +330,9 @@
 	current := w.views.Current()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	division := w.divisionsOf(current, "plain")["z"]
-	w.options.Node = division.Homes[0].Name
-	w.markGroup(w.divisionsOf(current, "plain"))
-	own := division.Servers[w.options.Node]
+	w.options.Node = w.divisionOf(current, "plain").homes[0].Name
+	w.services["plain"].division.homes, w.services["plain"].division.stale = nil, true
+	own := w.divisionOf(current, "plain").groups[w.options.Node]
 	now, request := time.Now(), requestFor("plain", true)
 	request.ArrivedAt = now
 	for range len(own) {
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -111,11 +111,11 @@
 func (d *Dispatcher) whyNoneOf(now time.Time, request *Request) string {
 	known, leaving, blocked, warmingUp, busy := 0, 0, 0, 0, 0
 	current := d.views.Current()
-	for _, candidate := range current.Services[request.Service] {
-		s := d.servers[candidate.ID]
-		if s == nil {
-			continue
-		}
+	of := d.services[request.Service]
+	if of == nil {
+		return "no servers are known"
+	}
+	for _, s := range of.members {
 		known++
 		may, _ := d.maySend(now, current, s)
 		switch {
--- a/internal/dispatch/samples.go
+++ b/internal/dispatch/samples.go
@@ -46,7 +46,7 @@
 		report.Weight = float64(seen.count) / float64(len(seen.keys))
 		delete(d.samples, service)
 	}
-	for id, s := range d.servers {
+	for id, s := range d.pooled {
 		if s.Service != service || s.attempts == 0 {
 			continue
 		}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -20,10 +20,20 @@
 // Dispatcher.mutex, but for its id and pool.
 type server struct {
 	*view.Server
-	// id and pool never change, so they are read without the mutex.
-	id          discovery.ServerID
-	pool        *upstream.Pool
-	outstanding int
+	// id never changes, and pool does not once there is one, which is before anything is
+	// sent, so they are read without the mutex.
+	id   discovery.ServerID
+	pool *upstream.Pool
+	of   *service
+	// open is true while the server may be preferred, and countedSlots how many slots it
+	// counts with then.
+	open         bool
+	countedSlots int
+	// homeName is the node that is the server's home if its service is undivided and it is
+	// in this node's zone, and dividedSlots how many slots it counts with there.
+	homeName     string
+	dividedSlots int
+	outstanding  int
 	// limit is how many requests this node has at the server at a time.
 	limit limit
 	// rank is how much this node prefers the server to others, and preferred whether it
@@ -40,12 +50,8 @@
 	// probeAt when it may be probed next.
 	coldUntil time.Time
 	probeAt   time.Time
-	// places is this node's part of the server's connections; 0 means no bound.
-	places int
-	// home is true if this node is the server's home, and homePlaces its part of the
-	// connections then.
-	home       bool
-	homePlaces int
+	// home is true if this node is the server's home.
+	home bool
 	// homeAt is when this node last was the home of a server of a divided service.
 	homeAt time.Time
 	// latency is the moving mean of the answers' times, in seconds.
--- a/internal/dispatch/subset.go
+++ b/internal/dispatch/subset.go
@@ -1,9 +1,7 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/micahaven/micahaven/internal/view"
@@ -20,84 +18,84 @@
 	leastSubset = 3
 )
 
-// chooseSubsets marks the servers of undivided services to which this node sends: some of
-// its own zone, and some of the others for when those are busy. Each node has others, so
-// that a server gets requests from few nodes, which therefore know it well, keep their
-// connections busy and cannot overrun it together. The caller holds the mutex.
-func (d *Dispatcher) chooseSubsets(now time.Time, current *view.View) {
-	nodes := len(current.Nodes)
-	zoneNodes := 0
-	for _, node := range current.Nodes {
-		if node.Zone == d.options.Zone {
-			zoneNodes++
-		}
-	}
-	for _, servers := range current.Services {
-		var own, others []*server
-		for _, seen := range servers {
-			s := d.servers[seen.ID]
-			if s == nil {
-				continue
-			}
-			s.preferred = false
-			switch {
-			case !s.reachable(now, 0):
-			case s.Zone == d.options.Zone:
-				own = append(own, s)
-			default:
-				others = append(others, s)
-			}
-		}
-		prefer(own, subsetSize(own, zoneNodes))
-		prefer(others, subsetSize(others, nodes))
+// prefer chooses the servers of an undivided service to which this node sends: some of its
+// own zone, and some of the others for when those are busy. Each node has others, so that a
+// server gets requests from few nodes, which therefore know it well, keep their connections
+// busy and cannot overrun it together. The caller holds the mutex.
+func (d *Dispatcher) prefer(of *service) {
+	for _, s := range of.preferred {
+		s.preferred = false
 	}
+	of.preferred = of.preferred[:0]
+	of.choose(&of.near, d.zoneNodes)
+	of.choose(&of.far, d.nodes)
 }
 
-// subsetSize is how many of some servers a node sends to if a number of nodes share them.
-func subsetSize(servers []*server, nodes int) int {
-	slots := 0
-	for _, s := range servers {
-		slots += max(1, s.Slots)
+// choose marks the first of some servers, which a number of nodes share.
+func (of *service) choose(among *ranked, nodes int) {
+	for _, s := range among.servers[:min(subsetSize(among.slots, nodes), len(among.servers))] {
+		s.preferred = true
+		of.preferred = append(of.preferred, s)
 	}
-	share := float64(nodesPerSlot*slots) / float64(max(1, nodes))
-	return max(leastSubset, int(math.Ceil(share)))
 }
 
-// prefer marks the servers that this node ranks highest.
-func prefer(servers []*server, count int) {
-	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(b.rank, a.rank) })
-	for _, s := range servers[:min(count, len(servers))] {
-		s.preferred = true
-	}
+// subsetSize is how many servers with a number of slots together a node sends to if a
+// number of nodes share them.
+func subsetSize(slots, nodes int) int {
+	share := float64(nodesPerSlot*slots) / float64(max(1, nodes))
+	return max(leastSubset, int(math.Ceil(share)))
 }
 
 // candidates returns the servers of an undivided service to which this node sends now:
 // those that it prefers, or all if none of those can be reached. The caller holds the
 // mutex.
-func (d *Dispatcher) candidates(now time.Time, current *view.View, service string) []*server {
-	all := current.Services[service]
-	preferred := make([]*server, 0, len(all))
+func (d *Dispatcher) candidates(now time.Time, current *view.View, name string) []*server {
+	of := d.services[name]
+	if of == nil {
+		return nil
+	}
+	candidates := make([]*server, 0, len(of.preferred)+len(of.cold))
 	up := false
-	for _, seen := range all {
-		s := d.servers[seen.ID]
-		if s == nil {
-			continue
-		}
+	add := func(s *server) {
 		_, bounded := d.warming(now, current, s)
-		if !s.preferred && !s.home && !bounded {
-			continue
-		}
-		preferred = append(preferred, s)
+		candidates = append(candidates, s)
 		up = up || (!bounded && s.reachable(now, 0) && !now.Before(s.blockedUntil))
 	}
+	for _, s := range of.preferred {
+		add(s)
+	}
+	for _, s := range d.homeGroup(current, name) {
+		if !s.preferred {
+			add(s)
+		}
+	}
+	for _, s := range d.bounded(now, current, of) {
+		if !s.preferred && !s.home {
+			add(s)
+		}
+	}
 	if up {
-		return preferred
+		return candidates
+	}
+	candidates = candidates[:0]
+	for _, s := range of.members {
+		candidates = append(candidates, s)
 	}
-	preferred = preferred[:0]
-	for _, seen := range all {
-		if s := d.servers[seen.ID]; s != nil {
-			preferred = append(preferred, s)
+	return candidates
+}
+
+// bounded returns the servers of a service that warm up, if what they bear then is bounded.
+// The caller holds the mutex.
+func (d *Dispatcher) bounded(now time.Time, current *view.View, of *service) []*server {
+	var found []*server
+	for id, s := range of.cold {
+		if !now.Before(s.warmAt(current)) {
+			delete(of.cold, id)
+			continue
+		}
+		if _, bounded := d.boundedWarmUp(current, s); bounded {
+			found = append(found, s)
 		}
 	}
-	return preferred
+	return found
 }
--- a/internal/dispatch/warming.go
+++ b/internal/dispatch/warming.go
@@ -9,8 +9,8 @@
 
 // registeredNodes returns the nodes of a view.
 func registeredNodes(current *view.View) []warmup.Node {
-	nodes := make([]warmup.Node, 0, len(current.Nodes))
-	for _, node := range current.Nodes {
+	nodes := make([]warmup.Node, 0, current.Nodes.Len())
+	for _, node := range current.Nodes.All() {
 		nodes = append(nodes, warmup.Node{Name: node.Name, Zone: node.Zone})
 	}
 	return nodes
@@ -63,6 +63,7 @@
 // mutex.
 func (d *Dispatcher) occupy(now time.Time, s *server) {
 	s.outstanding++
+	d.connect(s)
 	if server, warms := d.warming(now, d.views.Current(), s); warms {
 		d.rights.Sent(now, server)
 	}
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -42,9 +42,9 @@
 	if current.Same.Nodes {
 		return
 	}
-	nodes := make([]homes.Node, 0, len(current.Nodes))
-	processes := make(map[string]string, len(current.Nodes))
-	for _, node := range current.Nodes {
+	nodes := make([]homes.Node, 0, current.Nodes.Len())
+	processes := make(map[string]string, current.Nodes.Len())
+	for _, node := range current.Nodes.All() {
 		nodes = append(nodes, homes.Node{Name: node.Name, Zone: node.Zone, Address: node.Address, Share: node.Share})
 		processes[node.Name] = node.Process
 	}
--- a/internal/homes/division.go
+++ b/internal/homes/division.go
@@ -33,24 +33,35 @@
 // slots together, among as few of the zone's nodes as bear them. A server or node that
 // comes or goes moves few of them.
 func Divide(service, zone string, servers []discovery.ServerID, slots int, nodes []Node) Division {
-	division := Division{Servers: make(map[string][]discovery.ServerID)}
-	needed := sharePerSlot * float64(slots)
-	for _, node := range strongestFirst(Server{ID: discovery.ServerID(service), Zone: zone}, nodes) {
-		division.Homes = append(division.Homes, node)
-		if needed -= node.Share; needed <= 0 || len(division.Homes) == maxHomesPerService {
-			break
-		}
-	}
+	division := Division{Homes: Choose(service, zone, slots, nodes), Servers: make(map[string][]discovery.ServerID)}
 	if len(division.Homes) == 0 {
 		return division
 	}
 	for _, id := range servers {
-		home := highest(Server{ID: id, Zone: zone}, division.Homes, 1)[0]
+		home := Among(Server{ID: id, Zone: zone}, division.Homes)
 		division.Servers[home.Name] = append(division.Servers[home.Name], id)
 	}
 	return division
 }
 
+// Choose returns the homes of an undivided service in a zone, in the order of their rank:
+// as few of the zone's nodes as bear a number of slots.
+func Choose(service, zone string, slots int, nodes []Node) []Node {
+	var chosen []Node
+	needed := sharePerSlot * float64(slots)
+	for _, node := range strongestFirst(Server{ID: discovery.ServerID(service), Zone: zone}, nodes) {
+		chosen = append(chosen, node)
+		if needed -= node.Share; needed <= 0 || len(chosen) == maxHomesPerService {
+			break
+		}
+	}
+	return chosen
+}
+
+// Among returns which of some homes of its zone, of which there is one at least, a server
+// of an undivided service falls to.
+func Among(server Server, chosen []Node) Node { return highest(server, chosen, 1)[0] }
+
 // strongestFirst returns the nodes of a server's zone by their rank, those with a large
 // share before the others.
 func strongestFirst(server Server, nodes []Node) []Node {
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -50,8 +50,8 @@
 	if current.Same.Nodes {
 		return
 	}
-	members := make([]feed.Member, 0, len(current.Nodes))
-	for _, node := range current.Nodes {
+	members := make([]feed.Member, 0, current.Nodes.Len())
+	for _, node := range current.Nodes.All() {
 		members = append(members, memberOf(node))
 	}
 	c.mutex.Lock()
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -213,7 +213,7 @@
 // and servers, and is not stopping.
 func (n *Node) answerReady(writer http.ResponseWriter, _ *http.Request) {
 	current := n.views.Current()
-	if n.stopping.Load() || current.Table == nil || len(current.Servers) == 0 {
+	if n.stopping.Load() || current.Table == nil || current.Servers.Len() == 0 {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -122,7 +122,7 @@
 func (p *peers) Succeeded(predecessors []shards.Author, item topo.Item) {
 	nodes := p.views.Current().Nodes
 	for _, author := range predecessors {
-		if node, known := nodes[author.Node]; known && node.Name != p.self.Name {
+		if node, known := nodes.Lookup(author.Node); known && node.Name != p.self.Name {
 			p.client.Send(node.Address, itemEnvelope(topo.Event{Item: item}, false))
 		}
 	}
@@ -161,7 +161,7 @@
 }
 
 // nodes returns how many nodes are registered.
-func (p *peers) nodes() int { return len(p.views.Current().Nodes) }
+func (p *peers) nodes() int { return p.views.Current().Nodes.Len() }
 
 // HandleMessage implements transport.Handler.
 func (p *peers) HandleMessage(from *wire.Hello, envelope *wire.Envelope) {
@@ -368,7 +368,7 @@
 
 func (p *peers) otherAddresses() []string {
 	var addresses []string
-	for name, node := range p.views.Current().Nodes {
+	for name, node := range p.views.Current().Nodes.All() {
 		if name != p.self.Name {
 			addresses = append(addresses, node.Address)
 		}
--- a/internal/router/quotas.go
+++ b/internal/router/quotas.go
@@ -70,8 +70,8 @@
 	if directory.Empty() && p.quotas.Unused() {
 		return
 	}
-	nodes := make([]quota.Node, 0, len(current.Nodes))
-	for _, node := range current.Nodes {
+	nodes := make([]quota.Node, 0, current.Nodes.Len())
+	for _, node := range current.Nodes.All() {
 		nodes = append(nodes, quota.Node{Name: node.Name, Address: node.Address, Process: node.Process, Share: node.Share})
 	}
 	p.quotas.Follow(directory, nodes)
--- a/internal/router/scale_test.go
+++ b/internal/router/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"go.uber.org/zap"
@@ -145,3 +146,47 @@
 		})
 	}
 }
+
+// bytesPerChange is how much a node allocates for the change of one server: what it copies
+// or makes anew, which grows as the servers that it looks at.
+func bytesPerChange(tb testing.TB, size fleetSize) float64 {
+	tb.Helper()
+	const changes = 2000
+	f := newFleet(tb, size)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for index := range changes {
+		f.apply(f.items[1+index%size.servers])
+	}
+	runtime.ReadMemStats(&after)
+	return float64(after.TotalAlloc-before.TotalAlloc) / changes
+}
+
+// A change of one server costs a node about the same however many servers and nodes there
+// are.
+func TestAChangeCostsTheSameInALargeFleet(t *testing.T) {
+	const most = 2
+	small, large := bytesPerChange(t, smallFleet), bytesPerChange(t, largeFleet)
+	if large > most*small {
+		t.Errorf("a change takes %.0f bytes with %v and %.0f with %v, want at most %d times as many", small, smallFleet, large, largeFleet, most)
+	}
+}
+
+// BenchmarkFleetMemory reports what a node's parts keep of a deployment.
+func BenchmarkFleetMemory(b *testing.B) {
+	for _, size := range []fleetSize{smallFleet, largeFleet} {
+		b.Run(size.String(), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				f := newFleet(b, size)
+				f.items = nil
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
--- a/internal/shardmanager/ended_test.go
+++ b/internal/shardmanager/ended_test.go
@@ -68,12 +68,12 @@
 	}, 2)
 	views.Apply([]topo.Event{{Item: topo.Item{Key: "servers/later", Revision: 3}, Deleted: true}}, 3)
 	current := views.Current()
-	if hasEnded(current.Servers["later"], serversByAddress(current)) {
+	if hasEnded(current.Servers.Get("later"), serversByAddress(current)) {
 		t.Error("the later life counts as ended")
 	}
 	views.Apply([]topo.Event{{Item: topo.Item{Key: "servers/next", Value: []byte("s a"), Revision: 4}}}, 4)
 	current = views.Current()
-	if !hasEnded(current.Servers["later"], serversByAddress(current)) {
+	if !hasEnded(current.Servers.Get("later"), serversByAddress(current)) {
 		t.Error("the later life doesn't count as ended although another one has its address since")
 	}
 }
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -139,7 +139,7 @@
 // more nodes there are with a greater share of a processor.
 func (m *Manager) campaignDelay() time.Duration {
 	better := 0
-	for _, node := range m.config.Views.Current().Nodes {
+	for _, node := range m.config.Views.Current().Nodes.All() {
 		if node.Share > m.config.Self.Share || (node.Share == m.config.Self.Share && node.Name < m.config.Self.Name) {
 			better++
 		}
--- a/internal/shardmanager/speed.go
+++ b/internal/shardmanager/speed.go
@@ -152,7 +152,7 @@
 	current := t.manager.config.Views.Current()
 	for _, load := range servers {
 		slots := 1
-		if s := current.Servers[load.Server]; s != nil {
+		if s := current.Servers.Get(load.Server); s != nil {
 			slots = s.Slots
 		}
 		t.speeds.record(time.Now(), slots, load)
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -212,7 +212,7 @@
 	var dead []discovery.ServerID
 	addresses := serversByAddress(current)
 	bounded := warmUpBounded(current, t.manager.service)
-	for _, s := range current.Services[t.manager.service] {
+	for _, s := range current.Services[t.manager.service].All() {
 		if !t.known[s.ID] {
 			t.known[s.ID] = true
 			t.lastJoined = now
@@ -235,8 +235,8 @@
 // serversByAddress returns the servers whose entries are there, of those with one address
 // the one whose entry is the newest.
 func serversByAddress(current *view.View) map[string]*view.Server {
-	addresses := make(map[string]*view.Server, len(current.Servers))
-	for _, s := range current.Servers {
+	addresses := make(map[string]*view.Server, current.Servers.Len())
+	for _, s := range current.Servers.All() {
 		if other := addresses[s.Address]; s.GoneSince.IsZero() && (other == nil || s.Revision > other.Revision) {
 			addresses[s.Address] = s
 		}
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -40,7 +40,7 @@
 	owners   *sharedMap[string, Owners]
 	managers *sharedMap[string, Manager]
 	retired  *sharedMap[string, Retirement]
-	nodes    *sharedMap[string, Node]
+	nodes    *sharedIndex[string, Node]
 	// evacuations holds zones that are or were evacuated.
 	evacuations *sharedMap[string, Evacuation]
 	lapse       Lapse
@@ -61,7 +61,7 @@
 	b.owners = newSharedMap[string, Owners]()
 	b.managers = newSharedMap[string, Manager]()
 	b.retired = newSharedMap[string, Retirement]()
-	b.nodes = newSharedMap[string, Node]()
+	b.nodes = newSharedIndex[string, Node]()
 	b.evacuations = newSharedMap[string, Evacuation]()
 	b.publish()
 	return b
@@ -93,18 +93,18 @@
 	b.revision = revision
 	published := b.publish()
 	b.mutex.Unlock()
-	b.logger.Info("state replaced", zap.Int64("revision", revision), zap.Int("servers", len(published.Servers)),
-		zap.Int("nodes", len(published.Nodes)), zap.Int("owner_maps", len(published.Owners)))
+	b.logger.Info("state replaced", zap.Int64("revision", revision), zap.Int("servers", published.Servers.Len()),
+		zap.Int("nodes", published.Nodes.Len()), zap.Int("owner_maps", len(published.Owners)))
 	b.notify(published)
 }
 
 func (b *Builder) deleteMissing(present map[string]bool) {
-	for id := range b.servers.byID.content {
+	for id := range b.servers.byID.content.All() {
 		if key := b.layout.ServerPrefix + id.Instance(); !present[key] {
 			b.delete(key)
 		}
 	}
-	for name := range b.nodes.content {
+	for name := range b.nodes.content.All() {
 		if key := NodeKey(name); !present[key] {
 			b.delete(key)
 		}
@@ -260,7 +260,7 @@
 		b.logger.Error("node entry refused", zap.String("node", name), zap.Error(err))
 		return
 	}
-	if known, present := b.nodes.content[name]; !present || known != node {
+	if known, present := b.nodes.content.Lookup(name); !present || known != node {
 		b.nodes.put(name, node)
 	}
 }
@@ -288,7 +288,7 @@
 	before := b.current.Load()
 	published := &View{Revision: b.revision, Table: b.table}
 	published.Same.Table = before != nil && before.Table == b.table
-	published.Servers, published.Services, published.Same.Servers = b.servers.publish()
+	b.servers.publish(published)
 	published.Nodes, published.Same.Nodes = b.nodes.publish()
 	published.Evacuations, published.Same.Evacuations = b.evacuations.publish()
 	published.Owners, _ = b.owners.publish()
--- a/internal/view/entries_test.go
+++ b/internal/view/entries_test.go
@@ -42,7 +42,7 @@
 	builder := bornBuilder("1000")
 	put(builder, "2000", 2)
 	current := builder.Current()
-	before, after := current.Servers[discovery.NewServerID("one", 1000)], current.Servers[discovery.NewServerID("one", 2000)]
+	before, after := current.Servers.Get(discovery.NewServerID("one", 1000)), current.Servers.Get(discovery.NewServerID("one", 2000))
 	if before == nil || !before.Ended || !before.Gone(time.Now(), time.Hour) {
 		t.Errorf("the life before is %+v, want one that has ended", before)
 	}
@@ -55,7 +55,7 @@
 	builder := bornBuilder("2000")
 	put(builder, "1000", 2)
 	current := builder.Current()
-	if len(current.Servers) != 1 || !current.Servers[discovery.NewServerID("one", 2000)].Serving(time.Now()) {
+	if current.Servers.Len() != 1 || !current.Servers.Get(discovery.NewServerID("one", 2000)).Serving(time.Now()) {
 		t.Errorf("servers %v, want the later life alone", current.Servers)
 	}
 }
@@ -65,7 +65,7 @@
 	builder := bornBuilder("1000")
 	put(builder, "2000", 2)
 	builder.Apply([]topo.Event{{Item: topo.Item{Key: serverKey, Revision: 3}, Deleted: true}}, 3)
-	if server := builder.Current().Servers[discovery.NewServerID("one", 2000)]; server.GoneSince.IsZero() {
+	if server := builder.Current().Servers.Get(discovery.NewServerID("one", 2000)); server.GoneSince.IsZero() {
 		t.Error("the newest life counts as there")
 	}
 }
@@ -73,11 +73,11 @@
 func TestEntryThatCannotBeReadNamesNoServer(t *testing.T) {
 	builder := bornBuilder("1000")
 	put(builder, "scribble", 2)
-	if server := builder.Current().Servers[discovery.NewServerID("one", 1000)]; server.GoneSince.IsZero() {
+	if server := builder.Current().Servers.Get(discovery.NewServerID("one", 1000)); server.GoneSince.IsZero() {
 		t.Error("the server still counts as registered")
 	}
 	put(builder, "1000", 3)
-	if server := builder.Current().Servers[discovery.NewServerID("one", 1000)]; !server.Serving(time.Now()) {
+	if server := builder.Current().Servers.Get(discovery.NewServerID("one", 1000)); !server.Serving(time.Now()) {
 		t.Error("the server does not serve though its entry is there again")
 	}
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -125,14 +125,16 @@
 	Revision int64
 	// Table is nil until a configuration is known.
 	Table   *routing.Table
-	Servers map[discovery.ServerID]*Server
-	// Services holds the servers of each service in the order of their ids.
-	Services map[string][]*Server
+	Servers ServerIndex
+	// Services holds the servers of each service.
+	Services map[string]ServerIndex
+	// Changed are the servers that changed or went since the view published before.
+	Changed []discovery.ServerID
 	Owners   map[string]Owners
 	Managers map[string]Manager
 	// Retired holds retirements by RetiredKey.
 	Retired map[string]Retirement
-	Nodes   map[string]Node
+	Nodes   Index[string, Node]
 	// Evacuations are those of zones that are or were evacuated.
 	Evacuations map[string]Evacuation
 	// Same names the parts that are those of the view published before.
@@ -178,7 +180,7 @@
 // manager of a service: neither has another process of it registered nor has it
 // retired from the term.
 func (v *View) SendsOrders(service, node, process string, epoch int64) bool {
-	if registered, known := v.Nodes[node]; known && registered.Process != process {
+	if registered, known := v.Nodes.Lookup(node); known && registered.Process != process {
 		return false
 	}
 	retired := v.Retired[RetiredKey(service, node)]
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -34,7 +34,7 @@
 func TestServerWhoseEntryIsMissingIsGone(t *testing.T) {
 	builder, _ := withServer()
 	builder.Apply([]topo.Event{{Item: topo.Item{Key: serverKey, Revision: 2}, Deleted: true}}, 2)
-	server := builder.Current().Servers["one"]
+	server := builder.Current().Servers.Get("one")
 	now := time.Now()
 	if !server.Gone(now.Add(time.Millisecond), 0) || server.Serving(now.Add(time.Millisecond)) {
 		t.Fatal("a server whose entry was removed serves")
@@ -53,7 +53,7 @@
 	builder, until := withServer()
 	*until = time.Now().Add(2 * time.Second)
 	builder.Replace(nil, 5)
-	server := builder.Current().Servers["one"]
+	server := builder.Current().Servers.Get("one")
 	if server.Gone(until.Add(-time.Millisecond), 0) || !server.Serving(until.Add(-time.Millisecond)) {
 		t.Fatal("gone although its entry may have lapsed")
 	}
@@ -61,14 +61,14 @@
 		t.Fatal("not gone although its entry is still missing")
 	}
 	builder.Apply([]topo.Event{{Item: topo.Item{Key: serverKey, Revision: 6}}}, 6)
-	server = builder.Current().Servers["one"]
+	server = builder.Current().Servers.Get("one")
 	if server.Gone(until.Add(time.Hour), 0) {
 		t.Fatal("gone although it is back")
 	}
 	// A later end is an end.
 	*until = time.Time{}
 	builder.Apply([]topo.Event{{Item: topo.Item{Key: serverKey, Revision: 7}, Deleted: true}}, 7)
-	if server = builder.Current().Servers["one"]; !server.Gone(time.Now().Add(time.Millisecond), 0) {
+	if server = builder.Current().Servers.Get("one"); !server.Gone(time.Now().Add(time.Millisecond), 0) {
 		t.Fatal("an entry that is removed later counts as lapsed")
 	}
 }
@@ -81,13 +81,13 @@
 	builder.Apply([]topo.Event{{Item: topo.Item{Key: "servers/two", Revision: 2}}}, 2)
 	second := builder.Current()
 	builder.Apply([]topo.Event{{Item: topo.Item{Key: serverKey, Revision: 3}, Deleted: true}}, 3)
-	if len(first.Servers) != 1 || len(first.Services["formulas"]) != 1 {
-		t.Errorf("the first view now has %d servers, %d of the service", len(first.Servers), len(first.Services["formulas"]))
+	if first.Servers.Len() != 1 || first.Services["formulas"].Len() != 1 {
+		t.Errorf("the first view now has %d servers, %d of the service", first.Servers.Len(), first.Services["formulas"].Len())
 	}
-	if !second.Servers["one"].GoneSince.IsZero() || !second.Services["formulas"][0].GoneSince.IsZero() {
+	if !second.Servers.Get("one").GoneSince.IsZero() || !second.Services["formulas"].Get("one").GoneSince.IsZero() {
 		t.Error("the second view now has a server that is gone")
 	}
-	if third := builder.Current(); third.Servers["one"].GoneSince.IsZero() || third.Services["formulas"][0].GoneSince.IsZero() {
+	if third := builder.Current(); third.Servers.Get("one").GoneSince.IsZero() || third.Services["formulas"].Get("one").GoneSince.IsZero() {
 		t.Error("the third view does not know that the server is gone")
 	}
 }
