A node keeps state of its own only for servers of divided services that it sends to

Cause: each node kept a limit, samples, returns and a latency for each of 10,000 servers, of which it sends to some dozens.

The state comes into being when a request is for one of the server's keys.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -72,7 +72,7 @@
 	if owner == nil {
 		return nil
 	}
-	s := d.servers[owner.Owner]
+	s := d.server(owner.Owner)
 	if s == nil || !s.usable(now, d.ownerGrace(s)) {
 		return nil
 	}
--- a/internal/dispatch/choose_test.go
+++ b/internal/dispatch/choose_test.go
@@ -27,7 +27,7 @@
 		t.Run(check.name, func(t *testing.T) {
 			d := newDispatcher(0, 1)
 			d.options.Zone = "here"
-			own := d.servers["a"]
+			own := d.server("a")
 			own.latency, own.outstanding = seconds*check.slower, check.outstanding
 			own.Server = &view.Server{Server: discovery.Server{ID: "a", Zone: "here", Slots: 4}}
 			other := &server{latency: seconds, pool: upstream.NewPool("127.0.0.1:1", upstream.NewLink()), Server: &view.Server{Server: discovery.Server{ID: "b", Zone: "there", Slots: 4}}}
--- a/internal/dispatch/coldprobes.go
+++ b/internal/dispatch/coldprobes.go
@@ -48,7 +48,7 @@
 
 // markCold reports whether a server was not known to be cold. The caller holds the mutex.
 func (d *Dispatcher) markCold(now time.Time, id discovery.ServerID, left time.Duration) bool {
-	s := d.servers[id]
+	s := d.server(id)
 	if s == nil || left <= 0 {
 		return false
 	}
@@ -81,8 +81,11 @@
 		if configured.WarmUpRate <= 0 || configured.HealthPath == "" {
 			continue
 		}
-		for _, s := range of.members {
-			if d.probeIsDue(now, current, s) {
+		for id, seen := range current.Services[of.name].All() {
+			if !d.maySendCold(current, seen) {
+				continue
+			}
+			if s := d.server(id); s != nil && d.probeIsDue(now, current, s) {
 				s.probeAt = now.Add(probeInterval)
 				d.connect(s)
 				due = append(due, probe{s, configured.HealthPath})
@@ -94,10 +97,13 @@
 
 // probeIsDue reports whether this node has to ask a server now. The caller holds the mutex.
 func (d *Dispatcher) probeIsDue(now time.Time, current *view.View, s *server) bool {
-	if now.Before(s.probeAt) || now.Before(s.warmAt(current)) || !s.reachable(now, d.options.LeaveGrace) {
-		return false
-	}
-	bears, bounded := d.boundedWarmUp(current, s)
+	return !now.Before(s.probeAt) && !now.Before(s.warmAt(current)) && s.reachable(now, d.options.LeaveGrace)
+}
+
+// maySendCold reports whether this node has the right to send to a server if it warms up.
+// The caller holds the mutex.
+func (d *Dispatcher) maySendCold(current *view.View, seen *view.Server) bool {
+	bears, bounded := d.boundedWarmUp(current, seen)
 	return bounded && d.rights.Sender(bears)
 }
 
--- a/internal/dispatch/coldranges_test.go
+++ b/internal/dispatch/coldranges_test.go
@@ -132,7 +132,7 @@
 		c := w.coldOf("divided")
 		c.warmSeconds = 0.16
 		now := time.Now()
-		s := w.servers["s0"]
+		s := w.server("s0")
 		if alive {
 			s.answeredAt = now
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -42,7 +42,7 @@
 	for _, nodes := range []int{1, 8, 60, 300} {
 		const maxConnections = 110
 		d := newDispatcher(maxConnections, nodes)
-		s := d.servers["a"]
+		s := d.server("a")
 		now := time.Now()
 		s.limit.set(now, 4)
 		together := s.capacity(now) * nodes
--- a/internal/dispatch/ending_choice_test.go
+++ b/internal/dispatch/ending_choice_test.go
@@ -14,13 +14,13 @@
 		writer.Header().Set("Signature", "signed")
 	})
 	// The fast one is in another zone, which makes it count four times as slow.
-	d.servers["a"].latency = 1
+	d.server("a").latency = 1
 	slow, slowArrived := stopping(t, untilLeft)
-	other := slow.servers["a"]
+	other := slow.server("a")
 	other.id, other.latency = "b", 3
 	view := *other.Server
 	view.ID, view.Zone = "b", d.options.Zone
-	near := d.servers["a"]
+	near := d.server("a")
 	far := *near.Server
 	far.Zone = "far"
 	d.drop(near)
--- a/internal/dispatch/ending_queue_test.go
+++ b/internal/dispatch/ending_queue_test.go
@@ -26,7 +26,7 @@
 func TestServersOfQueuedRequestsAreToldWhenTheNodeEnds(t *testing.T) {
 	serve, told := telling()
 	d, _ := stopping(t, serve)
-	d.servers["a"].outstanding = 100
+	d.server("a").outstanding = 100
 	const left = 10 * time.Second
 	time.AfterFunc(50*time.Millisecond, func() {
 		d.EndBy(time.Now().Add(left))
@@ -45,7 +45,7 @@
 // The same request is refused, and reaches no server, if its answer would come too late.
 func TestHopelessQueuedRequestOfAStoppingNodeReachesNoServer(t *testing.T) {
 	d, arrived := stopping(t, untilLeft)
-	d.servers["a"].outstanding, d.servers["a"].latency = 100, 40
+	d.server("a").outstanding, d.server("a").latency = 100, 40
 	request := patient()
 	time.AfterFunc(50*time.Millisecond, func() {
 		d.EndBy(time.Now().Add(time.Second))
@@ -58,7 +58,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if outstanding := d.servers["a"].outstanding; outstanding != 0 {
+	if outstanding := d.server("a").outstanding; outstanding != 0 {
 		t.Errorf("%d places at the server are still taken", outstanding)
 	}
 }
@@ -68,7 +68,7 @@
 	d, arrived := stopping(t, func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Signature", "signed")
 	})
-	a := d.servers["a"]
+	a := d.server("a")
 	a.limit, a.outstanding, a.latency = limit{value: 1}, 1, 0.001
 	results := make(chan error, 2)
 	queue := func(request *Request, waiting int) {
--- a/internal/dispatch/ending_test.go
+++ b/internal/dispatch/ending_test.go
@@ -54,7 +54,7 @@
 // A request that waits for a server when the node ends has not run.
 func TestWaitingRequestEndsWithTheNode(t *testing.T) {
 	d, arrived := stopping(t, untilLeft)
-	d.servers["a"].outstanding = 100
+	d.server("a").outstanding = 100
 	time.AfterFunc(50*time.Millisecond, func() { d.EndBy(time.Now().Add(200 * time.Millisecond)) })
 	_, _, err := d.Do(context.Background(), patient())
 	var refusal *Refusal
@@ -76,7 +76,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			d, arrived := stopping(t, untilLeft)
-			d.servers["a"].latency = c.latency
+			d.server("a").latency = c.latency
 			d.EndBy(time.Now().Add(c.left))
 			startedAt := time.Now()
 			_, _, err := d.Do(context.Background(), patient())
@@ -88,7 +88,7 @@
 			if took := time.Since(startedAt); took > atOnce {
 				t.Errorf("refused after %v", took)
 			}
-			if outstanding := d.servers["a"].outstanding; outstanding != 0 {
+			if outstanding := d.server("a").outstanding; outstanding != 0 {
 				t.Errorf("%d places at the server are still taken", outstanding)
 			}
 		})
--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		sent[id]++
-		s := w.servers[discovery.ServerID(id)]
+		s := w.server(discovery.ServerID(id))
 		s.outstanding++
 		if id == "s0" {
 			w.finish(now, request, s, sending{took: 5 * time.Millisecond}, resultOf(failedOver, &upstream.Answer{Status: 500}))
@@ -70,7 +70,7 @@
 func TestOwnerThatFailedARequestGetsTheNextOne(t *testing.T) {
 	w := newWarmUpWorld(t, 1, "divided z 0s")
 	w.own(t, "s0")
-	s := w.servers["s0"]
+	s := w.server("s0")
 	s.outstanding++
 	now := time.Now()
 	request := &Request{Service: "divided", HasKey: true, Route: plainRoute()}
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -182,10 +182,10 @@
 		return Destination{Homes: asked, TableVersion: tableVersion(current)}, len(asked) > 0
 	}
 	owner := d.ownerOf(request, owners)
-	if owner == nil || d.servers[owner.Owner] == nil {
+	if owner == nil || d.server(owner.Owner) == nil {
 		return Destination{}, false
 	}
-	s := d.servers[owner.Owner]
+	s := d.server(owner.Owner)
 	if _, warms := d.warming(now, current, s); warms || !s.reachable(now, d.ownerGrace(s)) {
 		return Destination{}, false
 	}
@@ -210,10 +210,10 @@
 		return false
 	}
 	owner := d.ownerOf(request, owners)
-	if owner == nil || d.servers[owner.Owner] == nil {
+	if owner == nil || d.server(owner.Owner) == nil {
 		return false
 	}
-	s := d.servers[owner.Owner]
+	s := d.server(owner.Owner)
 	_, warms := d.warming(now, current, s)
 	return !warms
 }
@@ -222,7 +222,7 @@
 func (d *Dispatcher) setHome(id discovery.ServerID, home bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if s := d.servers[id]; s != nil {
+	if s := d.server(id); s != nil {
 		s.setHome(time.Now(), home)
 	}
 }
@@ -241,7 +241,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := time.Now()
-	if s := d.servers[id]; s != nil && s.home && now.Sub(s.homeAt) > homeMemory {
+	if s := d.server(id); s != nil && s.home && now.Sub(s.homeAt) > homeMemory {
 		s.setHome(now, false)
 	}
 }
--- a/internal/dispatch/handoff_test.go
+++ b/internal/dispatch/handoff_test.go
@@ -180,7 +180,7 @@
 	if _, _, err := d.Do(t.Context(), request); !errors.Is(err, ErrNotExecuted) {
 		t.Errorf("error %v, wanted that it has not run", err)
 	}
-	if occupied := d.servers["a"].outstanding; occupied != 0 || arrived.Load() != 0 {
+	if occupied := d.server("a").outstanding; occupied != 0 || arrived.Load() != 0 {
 		t.Errorf("%d places are occupied, %d requests arrived", occupied, arrived.Load())
 	}
 }
@@ -247,7 +247,7 @@
 // is home no longer starts from what the server told.
 func TestLimitAtHome(t *testing.T) {
 	w, _ := worldWithHomes(t, ErrNoHome, warmDivided)
-	s, now := w.servers["s0"], time.Now()
+	s, now := w.server("s0"), time.Now()
 	s.setHome(now, true)
 	if got := s.capacity(now); got != s.Slots {
 		t.Errorf("%d requests at first, wanted one a slot: %d", got, s.Slots)
@@ -272,13 +272,13 @@
 			w.TakeHome("s0")
 			if err != ErrNoHome {
 				_, _, _ = w.Do(t.Context(), requestFor("divided", false))
-				if !w.servers["s0"].home {
+				if !w.server("s0").home {
 					t.Error("the node does not count as home to those that handed over to it just now")
 				}
 			}
-			w.servers["s0"].homeAt = time.Now().Add(-2 * homeMemory)
+			w.server("s0").homeAt = time.Now().Add(-2 * homeMemory)
 			_, _, _ = w.Do(t.Context(), requestFor("divided", false))
-			if w.servers["s0"].home {
+			if w.server("s0").home {
 				t.Error("the node still counts as home")
 			}
 		})
@@ -286,7 +286,7 @@
 	w, _ := worldWithHomes(t, ErrAtHome, warmDivided)
 	w.own(t, "s0")
 	_, _, _ = w.Do(t.Context(), requestFor("divided", false))
-	if !w.servers["s0"].home {
+	if !w.server("s0").home {
 		t.Error("the node does not count as home where it is")
 	}
 }
@@ -295,7 +295,7 @@
 // fewer there while the server answers, and one while it does not.
 func TestSlowServersKeepTheirSlotsAtHome(t *testing.T) {
 	w, _ := worldWithHomes(t, ErrNoHome, warmDivided)
-	s, now := w.servers["s0"], time.Now()
+	s, now := w.server("s0"), time.Now()
 	s.setHome(now, true)
 	for range 100 {
 		s.limit.guess(now, s.Slots, true)
--- a/internal/dispatch/notsent_test.go
+++ b/internal/dispatch/notsent_test.go
@@ -67,7 +67,7 @@
 	}))
 	defer serving.Close()
 	d := dispatcherOf(map[string]string{"closed": closedAddress(t), "serving": strings.TrimPrefix(serving.URL, "http://")})
-	d.servers["closed"].latency, d.servers["serving"].latency = 0.001, 1
+	d.server("closed").latency, d.server("serving").latency = 0.001, 1
 	d.budget("s").tokens = 0
 	request := order()
 	request.Fields = append(request.Fields, upstream.Field{Name: "Id", Value: request.ID})
@@ -94,7 +94,7 @@
 // longer with each refusal in a row, and its failures stay none.
 func TestServerThatTakesNoMoreConnectionsIsPassedOverShortly(t *testing.T) {
 	d := dispatcherOf(map[string]string{"full": closedAddress(t)})
-	full := d.servers["full"]
+	full := d.server("full")
 	longest := time.Duration(0)
 	for refusals := range 8 {
 		before := time.Now()
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -75,7 +75,7 @@
 	if owner == nil {
 		return nil
 	}
-	return d.servers[owner.Owner]
+	return d.server(owner.Owner)
 }
 
 // closed reports whether the owner of a request's key takes none now: it leaves, is gone
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -23,7 +23,7 @@
 // has waited for longer.
 func TestFreePlaceGoesToARequestInTime(t *testing.T) {
 	d, _ := stopping(t, untilLeft)
-	a := d.servers["a"]
+	a := d.server("a")
 	a.outstanding, a.limit = 1, limit{value: 1}
 	late, inTime := patient(), patient()
 	late.Route.Objective = time.Second
@@ -63,7 +63,7 @@
 // and told to come back within a third of that time.
 func TestHopelessWaitIsRefusedAtOnce(t *testing.T) {
 	d, arrived := stopping(t, untilLeft)
-	a := d.servers["a"]
+	a := d.server("a")
 	a.outstanding, a.latency, a.limit = 1, 5, limit{value: 1}
 	first := patient()
 	first.Route.Timeout, first.Deadline = 3*time.Second, first.ArrivedAt.Add(3*time.Second)
@@ -89,7 +89,7 @@
 	request.Service, request.HasKey = "divided", true
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.servers["s0"].latency = 5
+	w.server("s0").latency = 5
 	if after := w.comeBack(ReasonServerRefused, request); after > time.Second/3 {
 		t.Errorf("told to come back after %v of 1 s", after)
 	}
@@ -104,8 +104,8 @@
 	if w.closed(time.Now(), request) {
 		t.Error("a good owner counts as closed")
 	}
-	w.servers[discovery.ServerID("s0")].failures = 1
-	w.servers[discovery.ServerID("s0")].blockedUntil = time.Now().Add(time.Minute)
+	w.server(discovery.ServerID("s0")).failures = 1
+	w.server(discovery.ServerID("s0")).blockedUntil = time.Now().Add(time.Minute)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if !w.closed(time.Now(), request) {
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -82,7 +82,7 @@
 	if owner == nil {
 		return ReasonNoOwner, "the key has no owner"
 	}
-	s := d.servers[owner.Owner]
+	s := d.server(owner.Owner)
 	switch {
 	case s == nil:
 		return ReasonOwnerGone, fmt.Sprintf("owner %s is not registered", owner.Owner)
--- a/internal/dispatch/second_test.go
+++ b/internal/dispatch/second_test.go
@@ -29,7 +29,7 @@
 		return strings.TrimPrefix(backend.URL, "http://")
 	}
 	d = dispatcherOf(map[string]string{"slow": serve(atSlow, slow), "other": serve(atOther, other)})
-	d.servers["slow"].latency, d.servers["other"].latency = 0.001, 0.1
+	d.server("slow").latency, d.server("other").latency = 0.001, 0.1
 	return d, atSlow, atOther
 }
 
@@ -63,7 +63,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if slow, other := d.servers["slow"].outstanding, d.servers["other"].outstanding; slow != 0 || other != 0 {
+	if slow, other := d.server("slow").outstanding, d.server("other").outstanding; slow != 0 || other != 0 {
 		t.Errorf("%d and %d places are still taken", slow, other)
 	}
 }
@@ -75,7 +75,7 @@
 	d, _, atOther = pair(t, func(writer http.ResponseWriter, incoming *http.Request) {
 		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 			d.mutex.Lock()
-			sent := d.servers["other"].outstanding
+			sent := d.server("other").outstanding
 			d.mutex.Unlock()
 			if sent > 0 {
 				break
@@ -105,7 +105,7 @@
 		close(arrived)
 		<-incoming.Context().Done()
 	})
-	d.servers["other"].latency = 10
+	d.server("other").latency = 10
 	request := read(d)
 	request.Route.Objective = time.Hour
 	request.ArrivedAt = time.Now().Add(-request.Route.Objective / 2)
@@ -115,7 +115,7 @@
 	}
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		d.mutex.Lock()
-		busy := d.servers["other"].outstanding
+		busy := d.server("other").outstanding
 		d.mutex.Unlock()
 		if busy == 0 {
 			break
@@ -123,7 +123,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if failing := d.servers["other"].failing.now(time.Now()); failing > 0 {
+	if failing := d.server("other").failing.now(time.Now()); failing > 0 {
 		t.Errorf("counts as failing %.0f %%", 100*failing)
 	}
 }
@@ -186,14 +186,14 @@
 		{"without budget", func(d *Dispatcher, r *Request) { d.budget(r.Service).tokens = 0 }},
 		{"that would be early", func(_ *Dispatcher, r *Request) { r.ArrivedAt, r.Route.Objective = time.Now(), time.Hour }},
 		{"that would be late", func(_ *Dispatcher, r *Request) { r.Route.Objective = 25 * time.Millisecond }},
-		{"at a busy server", func(d *Dispatcher, _ *Request) { d.servers["other"].outstanding = 1 }},
+		{"at a busy server", func(d *Dispatcher, _ *Request) { d.server("other").outstanding = 1 }},
 		{"while others wait", func(d *Dispatcher, r *Request) { d.waiting[r.Service] = append(d.waiting[r.Service], nil) }},
 	} {
 		t.Run(check.name, func(t *testing.T) {
 			d, _, _ := pair(t, sign, sign)
 			request := read(d)
 			check.change(d, request)
-			delay, may := d.secondDelay(request, d.servers["slow"], &Trace{})
+			delay, may := d.secondDelay(request, d.server("slow"), &Trace{})
 			if may && delay < time.Minute && d.acquireSecond(request, map[discovery.ServerID]bool{"slow": true}) != nil {
 				t.Error("a second try is sent")
 			}
--- a/internal/dispatch/services.go
+++ b/internal/dispatch/services.go
@@ -21,6 +21,8 @@
 	places, homePlaces int
 	// divided is true if the service's keys are divided among its servers.
 	divided bool
+	// members are all servers; those of divided services only once a request was for them,
+	// because a node sends to few of them.
 	members map[discovery.ServerID]*server
 	// near and far are the open servers of this node's zone and of others.
 	near, far ranked
@@ -87,7 +89,7 @@
 		divided := of.divided
 		d.followTable(of, current)
 		if of.divided != divided {
-			d.regroup(now, of)
+			d.regroup(now, current, of)
 		}
 		d.prefer(of)
 	}
@@ -95,8 +97,17 @@
 
 // regroup puts the servers of a service in their places anew, because its keys are divided
 // now or are not any more. The caller holds the mutex.
-func (d *Dispatcher) regroup(now time.Time, of *service) {
+func (d *Dispatcher) regroup(now time.Time, current *view.View, of *service) {
+	if !of.divided {
+		for id := range current.Services[of.name].All() {
+			d.server(id)
+		}
+	}
 	for _, s := range of.members {
+		if of.divided && s.pool == nil {
+			d.drop(s)
+			continue
+		}
 		if of.divided {
 			d.undivide(s)
 		}
@@ -119,7 +130,7 @@
 		}
 	}
 	for of := range touched {
-		if len(of.members) == 0 {
+		if len(of.members) == 0 && current.Services[of.name].Len() == 0 {
 			delete(d.services, of.name)
 			continue
 		}
@@ -135,6 +146,31 @@
 		d.drop(known)
 		known = nil
 	}
+	if of := d.serviceOf(seen.Service); known == nil && of.divided {
+		// It comes into being when a request is for one of its keys.
+		return of
+	}
+	return d.take(now, current, known, seen)
+}
+
+// server returns what is known of a server of the view, or nil if the view has none of that
+// id. The caller holds the mutex.
+func (d *Dispatcher) server(id discovery.ServerID) *server {
+	if known := d.servers[id]; known != nil {
+		return known
+	}
+	current := d.views.Current()
+	seen := current.Servers.Get(id)
+	if seen == nil {
+		return nil
+	}
+	d.take(time.Now(), current, nil, seen)
+	return d.servers[id]
+}
+
+// take takes in what the view says of a server, which is new if known is nil. It returns
+// the server's service. The caller holds the mutex.
+func (d *Dispatcher) take(now time.Time, current *view.View, known *server, seen *view.Server) *service {
 	if known == nil {
 		known = &server{id: seen.ID, rank: rendezvous.Score(d.options.Node, string(seen.ID))}
 	}
--- a/internal/dispatch/subset.go
+++ b/internal/dispatch/subset.go
@@ -93,7 +93,7 @@
 			delete(of.cold, id)
 			continue
 		}
-		if _, bounded := d.boundedWarmUp(current, s); bounded {
+		if _, bounded := d.boundedWarmUp(current, s.Server); bounded {
 			found = append(found, s)
 		}
 	}
--- a/internal/dispatch/warming.go
+++ b/internal/dispatch/warming.go
@@ -22,7 +22,7 @@
 	if current.Table == nil || !now.Before(s.warmAt(current)) {
 		return warmup.Server{}, false
 	}
-	return d.boundedWarmUp(current, s)
+	return d.boundedWarmUp(current, s.Server)
 }
 
 // warmAt is when a server is warm, by its entry and by what it answered to a probe. The
@@ -35,7 +35,7 @@
 }
 
 // boundedWarmUp returns what a server bears while it warms up, and whether that is bounded.
-func (d *Dispatcher) boundedWarmUp(current *view.View, s *server) (warmup.Server, bool) {
+func (d *Dispatcher) boundedWarmUp(current *view.View, s *view.Server) (warmup.Server, bool) {
 	service, _ := current.Table.Service(s.Service)
 	if service.WarmUpRate <= 0 {
 		return warmup.Server{}, false
@@ -44,7 +44,7 @@
 		PerSecond: service.WarmUpRate,
 		Limit:     service.WarmUpRate*max(1, d.options.WarmUpOver) + d.options.WarmUpSlack,
 	}
-	return warmup.Server{ID: string(s.id), Zone: s.Zone, Rate: rate}, true
+	return warmup.Server{ID: string(s.ID), Zone: s.Zone, Rate: rate}, true
 }
 
 // maySend reports whether this node may send a server a request now: always if it is
@@ -80,10 +80,10 @@
 		return 0, false
 	}
 	owner := d.ownerOf(request, owners)
-	if owner == nil || d.servers[owner.Owner] == nil {
+	if owner == nil || d.server(owner.Owner) == nil {
 		return 0, false
 	}
-	s := d.servers[owner.Owner]
+	s := d.server(owner.Owner)
 	may, _ := d.maySend(now, current, s)
 	return s.warmAt(current).Sub(now), !may
 }
--- a/internal/router/scale_test.go
+++ b/internal/router/scale_test.go
@@ -12,6 +12,7 @@
 	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/handoff"
 	"github.com/micahaven/micahaven/internal/routing"
+	"github.com/micahaven/micahaven/internal/shards"
 	"github.com/micahaven/micahaven/internal/topo"
 	"github.com/micahaven/micahaven/internal/transport"
 	"github.com/micahaven/micahaven/internal/view"
@@ -190,3 +191,42 @@
 		})
 	}
 }
+
+// ownerItem is an owner map with two ranges for each server of the divided service, of
+// which one has changed hands.
+func ownerItem(tb testing.TB, size fleetSize, revision int) topo.Item {
+	tb.Helper()
+	owners := &shards.Map{Service: "a", Epoch: 1}
+	pieces := 2 * (size.servers/3 + 1)
+	for piece := range pieces {
+		index := 3 * (piece % (size.servers/3 + 1))
+		if piece == revision%pieces {
+			index = 0
+		}
+		owners.Ranges = append(owners.Ranges, shards.Range{
+			First: uint32(piece * shards.KeyCount / pieces), Last: uint32((piece+1)*shards.KeyCount/pieces - 1),
+			Owner: discovery.ServerID(fmt.Sprintf("i-%08x", index*7919)), Address: fmt.Sprintf("10.128.%d.%d:8080", index>>8, index&255),
+			Fence: uint64(10_000 + piece), Handover: fmt.Sprintf("%016x", piece),
+		})
+	}
+	encoded, err := owners.Encode()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return topo.Item{Key: view.OwnersKey("a"), Value: encoded}
+}
+
+// BenchmarkOwnerChange measures what a node does when a range changes hands.
+func BenchmarkOwnerChange(b *testing.B) {
+	for _, size := range []fleetSize{smallFleet, largeFleet} {
+		b.Run(size.String(), func(b *testing.B) {
+			f := newFleet(b, size)
+			items := []topo.Item{ownerItem(b, size, 1), ownerItem(b, size, 2)}
+			b.SetBytes(int64(len(items[0].Value)))
+			b.ReportAllocs()
+			for index := 0; b.Loop(); index++ {
+				f.apply(items[index%2])
+			}
+		})
+	}
+}
