Nodes keep who owns each key in arrays without pointers

Cause: every node decoded each owner map into ranges of 72 bytes with three strings each, kept the map's text for them, and the garbage collector followed them all.

Nodes read what they need of a map (owner, fence, whether it was handed over) into arrays, and use the names of the map before again; managers still decode whole maps. Cold ranges are found by walking two maps side by side instead of a search for each range.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -68,8 +68,8 @@
 }
 
 func (d *Dispatcher) chooseOwner(now time.Time, current *view.View, request *Request, owners view.Owners) *server {
-	owner := d.ownerOf(request, owners)
-	if owner == nil {
+	owner, owned := d.ownerOf(request, owners)
+	if !owned {
 		return nil
 	}
 	s := d.server(owner.Owner)
@@ -96,15 +96,13 @@
 	return d.options.LeaveGrace
 }
 
-func (d *Dispatcher) ownerOf(request *Request, owners view.Owners) *shards.Range {
-	if owners.Map == nil || !request.HasKey || request.Key > shards.LastKey {
-		return nil
-	}
-	owner := owners.Find(request.Key)
-	if owner == nil || owner.Owner == "" {
-		return nil
+// ownerOf returns the range of a request's key; false if the key has no owner.
+func (d *Dispatcher) ownerOf(request *Request, owners view.Owners) (shards.Held, bool) {
+	if owners.Owners == nil || !request.HasKey || request.Key > shards.LastKey {
+		return shards.Held{}, false
 	}
-	return owner
+	held := owners.Find(request.Key)
+	return held, held.Owner != ""
 }
 
 // cost estimates how long a request would take, with a little chance so that
--- a/internal/dispatch/coldranges.go
+++ b/internal/dispatch/coldranges.go
@@ -26,7 +26,7 @@
 // eight times they only keep their server from answering others.
 type coldRanges struct {
 	// owners is the map that until belongs to, by fence.
-	owners *shards.Map
+	owners *shards.Owners
 	until  map[uint64]time.Time
 	// warmSeconds is how long requests for warm ranges take, in seconds, and factor how
 	// many times longer those for cold ones do. 0 means that nothing is known.
@@ -37,7 +37,7 @@
 
 // follow takes in a newer map. The first one that a node sees tells nothing about when
 // owners got their ranges.
-func (c *coldRanges) follow(now time.Time, owners *shards.Map, warmUp time.Duration) {
+func (c *coldRanges) follow(now time.Time, owners *shards.Owners, warmUp time.Duration) {
 	if owners == nil || c.owners == owners {
 		return
 	}
@@ -46,15 +46,20 @@
 	if before == nil || warmUp <= 0 {
 		return
 	}
-	for _, r := range owners.Ranges {
-		earlier := before.Find(r.First)
+	beside := 0
+	for position := range owners.Len() {
+		r := owners.At(position)
+		for before.At(beside).Last < r.First {
+			beside++
+		}
+		earlier := before.At(beside)
 		switch {
 		case r.Owner == "":
 		case earlier.Owner == r.Owner:
 			if until, cold := known[earlier.Fence]; cold && now.Before(until) {
 				c.until[r.Fence] = until
 			}
-		case r.Handover == "":
+		case !r.HandedOver:
 			c.until[r.Fence] = now.Add(warmUp)
 		}
 	}
@@ -126,7 +131,7 @@
 	}
 	for name, owners := range current.Owners {
 		if service, known := current.Table.Service(name); known && service.KeyDivided {
-			d.coldOf(name).follow(now, owners.Map, service.KeyWarmUp)
+			d.coldOf(name).follow(now, owners.Owners, service.KeyWarmUp)
 		}
 	}
 }
@@ -138,8 +143,8 @@
 	if !divided {
 		return time.Time{}, false
 	}
-	owner := d.ownerOf(request, owners)
-	if owner == nil {
+	owner, owned := d.ownerOf(request, owners)
+	if !owned {
 		return time.Time{}, false
 	}
 	return d.coldOf(request.Service).coldUntil(now, owner.Fence)
--- a/internal/dispatch/coldranges_test.go
+++ b/internal/dispatch/coldranges_test.go
@@ -13,17 +13,26 @@
 const keyWarmUp = 3 * time.Second
 
 // mapOf returns a map with one range.
-func mapOf(owner string, fence uint64, handover string) *shards.Map {
-	return &shards.Map{Service: "divided", Ranges: []shards.Range{{
+func mapOf(owner string, fence uint64, handover string) *shards.Owners {
+	whole := &shards.Map{Service: "divided", Ranges: []shards.Range{{
 		Last: shards.LastKey, Owner: discovery.ServerID(owner), Fence: fence, Handover: handover,
 	}}}
+	encoded, err := whole.Encode()
+	if err != nil {
+		panic(err)
+	}
+	owners, err := shards.DecodeOwners(encoded, nil)
+	if err != nil {
+		panic(err)
+	}
+	return owners
 }
 
 func TestRangesWithoutHandoverAreCold(t *testing.T) {
 	now := time.Now()
 	for _, test := range []struct {
 		name          string
-		before, after *shards.Map
+		before, after *shards.Owners
 		cold          bool
 	}{
 		{"another owner without a handover", mapOf("a", 1, ""), mapOf("b", 2, ""), true},
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -252,8 +252,8 @@
 	current := d.views.Current()
 	owners, divided := d.owners(current, request)
 	if divided && answer.Status == statusMisdirected {
-		owner := d.ownerOf(request, owners)
-		if owner != nil && owner.Owner == s.ID {
+		owner, owned := d.ownerOf(request, owners)
+		if owned && owner.Owner == s.ID {
 			const hold = 300 * time.Millisecond
 			d.moving[movingRange{request.Service, owner.Fence, owner.Last}] = time.Now().Add(hold)
 		}
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -181,8 +181,8 @@
 		asked := d.homesFor(now, current, request.Service)
 		return Destination{Homes: asked, TableVersion: tableVersion(current)}, len(asked) > 0
 	}
-	owner := d.ownerOf(request, owners)
-	if owner == nil || d.server(owner.Owner) == nil {
+	owner, owned := d.ownerOf(request, owners)
+	if !owned || d.server(owner.Owner) == nil {
 		return Destination{}, false
 	}
 	s := d.server(owner.Owner)
@@ -209,8 +209,8 @@
 	if owners.Revision < to.MapRevision {
 		return false
 	}
-	owner := d.ownerOf(request, owners)
-	if owner == nil || d.server(owner.Owner) == nil {
+	owner, owned := d.ownerOf(request, owners)
+	if !owned || d.server(owner.Owner) == nil {
 		return false
 	}
 	s := d.server(owner.Owner)
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -71,8 +71,8 @@
 	if !divided {
 		return nil
 	}
-	owner := d.ownerOf(request, owners)
-	if owner == nil {
+	owner, owned := d.ownerOf(request, owners)
+	if !owned {
 		return nil
 	}
 	return d.server(owner.Owner)
@@ -96,13 +96,13 @@
 	if !divided {
 		return queue
 	}
-	owner := d.ownerOf(request, owners)
-	if owner == nil {
+	owner, owned := d.ownerOf(request, owners)
+	if !owned {
 		return nil
 	}
 	var rivals []*waiter
 	for _, w := range queue {
-		if other := d.ownerOf(w.request, owners); other != nil && other.Owner == owner.Owner {
+		if other, has := d.ownerOf(w.request, owners); has && other.Owner == owner.Owner {
 			rivals = append(rivals, w)
 		}
 	}
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -78,8 +78,8 @@
 	if !divided {
 		return ReasonNoServer, d.whyNoneOf(now, request)
 	}
-	owner := d.ownerOf(request, owners)
-	if owner == nil {
+	owner, owned := d.ownerOf(request, owners)
+	if !owned {
 		return ReasonNoOwner, "the key has no owner"
 	}
 	s := d.server(owner.Owner)
--- a/internal/dispatch/warming.go
+++ b/internal/dispatch/warming.go
@@ -79,8 +79,8 @@
 	if !divided {
 		return 0, false
 	}
-	owner := d.ownerOf(request, owners)
-	if owner == nil || d.server(owner.Owner) == nil {
+	owner, owned := d.ownerOf(request, owners)
+	if !owned || d.server(owner.Owner) == nil {
 		return 0, false
 	}
 	s := d.server(owner.Owner)
--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -136,7 +136,7 @@
 func (m *Manager) disown(ctx context.Context) {
 	current := m.config.Views.Current()
 	owners := current.Owners[m.service]
-	if owners.Map == nil {
+	if owners.Owners == nil {
 		return
 	}
 	last := uint64(0)
--- a/internal/shardmanager/campaign_test.go
+++ b/internal/shardmanager/campaign_test.go
@@ -249,7 +249,7 @@
 	candidateWith(t, store, "n2", newerViews, linked{name: "n2", other: oldViews})
 	waitFor(t, "the second manager knows that the first is over", func() bool {
 		owners := newerViews.Current().Owners[service]
-		return owners.Map != nil && owners.Author.Node == "n2" && len(owners.Pending) == 0
+		return owners.Owners != nil && owners.Author.Node == "n2" && len(owners.Pending) == 0
 	})
 	before := sent.count()
 	// Two renewals would come in this time.
@@ -291,7 +291,7 @@
 	candidateWith(t, store, "n2", newerViews, linked{name: "n2", other: oldViews})
 	waitFor(t, "the second manager begins", func() bool {
 		owners := newerViews.Current().Owners[service]
-		return owners.Map != nil && owners.Author.Node == "n2"
+		return owners.Owners != nil && owners.Author.Node == "n2"
 	})
 	refused.writable.Store(true)
 	waitFor(t, "the first manager has retired", func() bool { return refused.written.Load() > 0 })
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -193,7 +193,7 @@
 // because the map of a term is written together with its lock.
 func (t *term) superseded(current *view.View) bool {
 	owners := current.Owners[t.manager.service]
-	return owners.Map != nil && owners.Epoch > t.epoch
+	return owners.Owners != nil && owners.Epoch > t.epoch
 }
 
 // settled reports whether all servers have probably registered.
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -208,16 +208,17 @@
 }
 
 func (b *Builder) putOwners(service string, item topo.Item) {
-	if item.Revision <= b.owners.get(service).Revision {
+	before := b.owners.get(service)
+	if item.Revision <= before.Revision {
 		// It came ahead of the watch; decoding it again would cost as much as taking it.
 		return
 	}
-	decoded, err := shards.DecodeMap(item.Value)
+	decoded, err := shards.DecodeOwners(item.Value, before.Owners)
 	if err != nil {
 		b.logger.Error("owner map refused", zap.String("service", service), zap.Error(err))
 		return
 	}
-	b.owners.put(service, Owners{Map: decoded, Revision: item.Revision})
+	b.owners.put(service, Owners{Owners: decoded, Revision: item.Revision})
 }
 
 func (b *Builder) putManager(service string, item topo.Item) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -108,7 +108,7 @@
 
 // Owners is an owner map and the store's revision of it.
 type Owners struct {
-	*shards.Map
+	*shards.Owners
 	Revision int64
 }
 
