--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -60,6 +60,16 @@
 	askPause = 30 * time.Millisecond
 	// copyTries is how many nodes are asked for a copy while the node runs.
 	copyTries = 3
+	// firstAskPause is the pause between two rounds of questions at the first start of the
+	// whole system, when all nodes ask the few seeds.
+	firstAskPause = 250 * time.Millisecond
+	// firstPatience is how long a node waits for a copy at the first start while one of the
+	// seeds answers that it has none yet: a list of ten thousand keys takes some seconds of
+	// a busy store, and the copies then pass from node to node.
+	firstPatience = 8 * time.Second
+	// firstSilence is how long it waits while none answers: processes that start together
+	// listen within a second of each other.
+	firstSilence = 1500 * time.Millisecond
 )
 
 // copyGiver gives this node's copy of the store to others.
@@ -198,7 +208,7 @@
 		return t.ask(ctx, known, atLeast, copyTries)
 	}
 	if t.firstStart {
-		return mirror.Copy{}, false
+		return t.firstCopy(ctx, atLeast)
 	}
 	record, err := t.record.read(ctx)
 	if err != nil {
@@ -224,6 +234,30 @@
 	return mirror.Copy{}, false
 }
 
+// firstCopy looks for a copy at the first start of the whole system, when nobody has written
+// who the heads are. The seeds list the store, and the others take copies of theirs, and of
+// those that got one: if each of a thousand nodes listed ten thousand keys, the store's link
+// would be full for half a minute.
+func (t copyTaker) firstCopy(ctx context.Context, atLeast int64) (mirror.Copy, bool) {
+	seeds := t.unregistered()
+	if len(seeds) == 0 || slices.Contains(*t.seeds.Load(), t.self.Address) {
+		return mirror.Copy{}, false
+	}
+	startedAt := time.Now()
+	heard := startedAt
+	for ctx.Err() == nil && time.Since(heard) < firstSilence && time.Since(startedAt) < firstPatience {
+		copied, found, answered := t.askSome(ctx, seeds, atLeast, maxReceivers)
+		if found {
+			return copied, true
+		}
+		if answered {
+			heard = time.Now()
+		}
+		periodic.Pause(ctx, time.Duration((0.5+rand.Float64())*float64(firstAskPause)))
+	}
+	return mirror.Copy{}, false
+}
+
 // listsAreCheap reports whether the store bears it that all nodes list it together.
 func (t copyTaker) listsAreCheap(record *wire.HeadsRecord) bool {
 	pages := (record.GetKeys() + keysPerPage - 1) / keysPerPage
@@ -234,6 +268,12 @@
 
 // ask asks some nodes, and those that they name, for a copy.
 func (t copyTaker) ask(ctx context.Context, candidates []*wire.NodeAddress, atLeast int64, tries int) (mirror.Copy, bool) {
+	copied, found, _ := t.askSome(ctx, candidates, atLeast, tries)
+	return copied, found
+}
+
+// askSome is ask, and reports besides whether any node answered.
+func (t copyTaker) askSome(ctx context.Context, candidates []*wire.NodeAddress, atLeast int64, tries int) (copied mirror.Copy, found, answered bool) {
 	asked := map[string]bool{t.self.Address: true}
 	for range tries {
 		next := t.pick(candidates, asked)
@@ -242,12 +282,13 @@
 		}
 		asked[next.GetAddress()] = true
 		answer := t.askState(ctx, next.GetAddress(), true)
+		answered = answered || answer != nil
 		if copied, usable := t.usable(next, answer, atLeast); usable {
-			return copied, true
+			return copied, true, true
 		}
 		candidates = append(candidates, answer.GetOthers()...)
 	}
-	return mirror.Copy{}, false
+	return mirror.Copy{}, false, answered
 }
 
 // pick returns one of the candidates that were not asked yet, one of this node's zone
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -219,3 +220,36 @@
 		t.Error("a copy that was cut short was taken")
 	}
 }
+
+// At the first start of a large system all nodes start together: its seeds list the store,
+// and the others take their copies from them and from each other.
+func TestFirstStartListsTheStoreAtTheSeeds(t *testing.T) {
+	const keys, others = 500, 12
+	store := storeWith(keys)
+	seed := newCopyNode(t, store, "seed")
+	nodes := []*copyNode{seed}
+	for index := range others {
+		nodes = append(nodes, newCopyNode(t, store, fmt.Sprint("n", index)))
+	}
+	for _, node := range nodes {
+		node.setSeeds([]string{seed.self.Address})
+		node.mirror.TakeFrom(copyTaker{peers: node.peers, record: &headsRecord{store: store, feed: node.feed, mirror: node.mirror, logger: zap.NewNop()}, firstStart: true})
+	}
+	var group sync.WaitGroup
+	for _, node := range nodes[1:] {
+		group.Go(func() { node.run(t) })
+	}
+	seed.run(t)
+	group.Wait()
+	if lists := store.Calls("list"); lists != 1 {
+		t.Errorf("the store was listed %d times by %d nodes, want once", lists, len(nodes))
+	}
+}
+
+func TestFirstStartWithoutSeedsListsTheStore(t *testing.T) {
+	store := storeWith(500)
+	node := newCopyNode(t, store, "n")
+	node.setSeeds([]string{"127.0.0.1:1"})
+	node.mirror.TakeFrom(copyTaker{peers: node.peers, record: &headsRecord{store: store, feed: node.feed, mirror: node.mirror, logger: zap.NewNop()}, firstStart: true})
+	node.run(t)
+}
