Idle connections to servers keep no buffer

Cause: each connection had a buffer of 4 KB for as long as it was kept. The manager's node keeps one to each of 5,783 servers and was the largest process of the fleet (131 to 166 MB seen).

Buffers are taken from a pool while a request is on a connection. TestIdleConnectionsKeepNoBuffer holds it; the effect on the fleet's busiest node is not measured yet.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -126,7 +126,8 @@
 	pool   *Pool
 	socket net.Conn
 	// used is true once the connection has carried a request.
-	used      bool
+	used bool
+	// reader is there while a request is on the connection.
 	reader    *bufio.Reader
 	usableFor time.Duration
 	idleSince time.Time
@@ -216,6 +217,7 @@
 		c.close()
 		return
 	}
+	c.giveReaderBack()
 	c.idleSince = time.Now()
 	c.used = true
 	p.idle = append(p.idle, c)
@@ -259,7 +261,27 @@
 		_ = socket.Close()
 		return nil, errors.Mark(errors.Wrapf(ErrTurnedAway, "connect to %s", p.address), ErrNotSent)
 	}
-	return &connection{pool: p, socket: socket, reader: bufio.NewReaderSize(socket, bufferBytes), usableFor: defaultIdle - idleMargin}, nil
+	return &connection{pool: p, socket: socket, usableFor: defaultIdle - idleMargin}, nil
+}
+
+// readers are those of connections that are idle: a node that renews the grants of some
+// thousand servers keeps a connection to each, of which few are in use at a time.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
+
+// takeReader gives the connection a reader.
+func (c *connection) takeReader() {
+	c.reader = readers.Get().(*bufio.Reader)
+	c.reader.Reset(c.socket)
+}
+
+// giveReaderBack takes it away, if it has one; nothing is buffered in it.
+func (c *connection) giveReaderBack() {
+	if c.reader == nil {
+		return
+	}
+	c.reader.Reset(nil)
+	readers.Put(c.reader)
+	c.reader = nil
 }
 
 // Exchange sends a request and returns its answer. When the context ends, the
@@ -316,6 +338,7 @@
 }
 
 func (c *connection) exchange(request *Request) (*Answer, bool, error) {
+	c.takeReader()
 	wrote, err := c.write(request)
 	if err != nil {
 		return nil, false, errors.Mark(errors.Wrap(err, "send request"), ErrNoAnswer)
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -83,3 +85,19 @@
 		t.Errorf("%d connections, want one", accepted.Load())
 	}
 }
+
+// A connection that is kept for long needs no buffer while nothing is on it.
+func TestIdleConnectionsKeepNoBuffer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	pool := NewPool(strings.TrimPrefix(server.URL, "http://"), NewLink())
+	defer pool.Close()
+	for range 3 {
+		if _, err := pool.Exchange(context.Background(), &Request{Method: http.MethodGet, URI: "/", Host: "a"}); err != nil {
+			t.Fatal(err)
+		}
+		if len(pool.idle) != 1 || pool.idle[0].reader != nil {
+			t.Fatalf("%d idle connections, want one without a buffer", len(pool.idle))
+		}
+	}
+}
