--- a/internal/router/scale_test.go
+++ b/internal/router/scale_test.go
@@ -8,9 +8,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/delta"
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/handoff"
+	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/routing"
 	"github.com/micahaven/micahaven/internal/shards"
 	"github.com/micahaven/micahaven/internal/topo"
@@ -230,3 +232,28 @@
 		})
 	}
 }
+
+// BenchmarkOwnerChangePassedOn measures the same with the mirror, as at a node that is sent the
+// change as a delta.
+func BenchmarkOwnerChangePassedOn(b *testing.B) {
+	for _, size := range []fleetSize{smallFleet, largeFleet} {
+		b.Run(size.String(), func(b *testing.B) {
+			f := newFleet(b, size)
+			copied := mirror.New(nil, f.views, zap.NewNop())
+			items := []topo.Item{ownerItem(b, size, 1), ownerItem(b, size, 2)}
+			first := items[0]
+			first.Revision = f.revision
+			copied.Adopt(append(f.items, first), f.revision)
+			deltas := [][]byte{delta.Make(items[0].Value, items[1].Value), delta.Make(items[1].Value, items[0].Value)}
+			b.SetBytes(int64(len(items[0].Value)))
+			b.ReportAllocs()
+			for index := 0; b.Loop(); index++ {
+				next := items[(index+1)%2]
+				event := topo.Event{Item: topo.Item{Key: next.Key, Revision: f.revision + 1}, Delta: deltas[index%2], BaseRevision: f.revision}
+				copied.Take(topo.Batch{After: f.revision, Revision: f.revision + 1, Events: []topo.Event{event}})
+				f.revision++
+			}
+			b.ReportMetric(float64(len(deltas[0])), "delta-bytes")
+		})
+	}
+}
