--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -477,8 +477,8 @@
 }
 
 const (
-	// renewCost is the pause between renewals for each range: at 2,500 renewals a second
-	// the manager's node spends a few tenths of a processor on them.
+	// renewCost is the pause between renewals for each range, so that one node sends 2,500 a
+	// second at most as long as the longest pause allows.
 	renewCost = 400 * time.Microsecond
 	// renewPart is the part of a hold after which it is renewed at the latest, which leaves
 	// the time for one renewal without an answer and another one.
