One reader of stored maps, one refusal, and no state that can be derived

Found on reading the whole change again; behaviour stays as it is. - Owners and whole maps were read by two walks over the same fields; both use readAuthor, readServer, readRange and eachField (internal/shards/stored.go). - A 429 wrote its Retry-After beside refuse, which takes the status now. - homes.Divide was left to tests alone and stands there; the dispatcher uses Choose and Among. - The dispatcher kept the number of the zone's nodes beside the nodes, and whether a server is open beside its slots, and looked a server up that it had just made.

Seen: go vet, staticcheck of the four packages, go test -race of homes, dispatch, ingress, view, router and handoff, go test of shards (with the fuzz corpus that compares both ways of reading) pass.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -87,9 +87,8 @@
 	moving  map[movingRange]time.Time
 	samples map[string]*samples
 	nodes   int
-	// zone are the nodes of this node's zone, zoneNodes of them.
-	zone      []homes.Node
-	zoneNodes int
+	// zone are the nodes of this node's zone.
+	zone []homes.Node
 	// rights are those to send to servers that warm up; copyAge says how new this node's
 	// copy of the store is.
 	rights  *warmup.Rights
--- a/internal/dispatch/divisions.go
+++ b/internal/dispatch/divisions.go
@@ -35,7 +35,6 @@
 			d.zone = append(d.zone, homes.Node{Name: node.Name, Zone: node.Zone, Address: node.Address, Share: node.Share})
 		}
 	}
-	d.zoneNodes = len(d.zone)
 	for _, of := range d.services {
 		of.division.stale = true
 	}
--- a/internal/dispatch/ending_choice_test.go
+++ b/internal/dispatch/ending_choice_test.go
@@ -25,7 +25,7 @@
 	far.Zone = "far"
 	d.drop(near)
 	near.Server, near.of, near.pool = &far, nil, nil
-	other.Server, other.of, other.open = &view, nil, false
+	other.Server, other.of, other.countedSlots = &view, nil, 0
 	for _, s := range []*server{near, other} {
 		d.include(time.Now(), d.views.Current(), s)
 		d.prefer(s.of)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -25,9 +25,8 @@
 	id   discovery.ServerID
 	pool *upstream.Pool
 	of   *service
-	// open is true while the server may be preferred, and countedSlots how many slots it
-	// counts with then.
-	open         bool
+	// countedSlots is how many slots it counts with among the servers that may be preferred;
+	// 0 while it may not.
 	countedSlots int
 	// homeName is the node that is the server's home if its service is undivided and it is
 	// in this node's zone, and dividedSlots how many slots it counts with there.
--- a/internal/dispatch/services.go
+++ b/internal/dispatch/services.go
@@ -150,7 +150,7 @@
 		// It comes into being when a request is for one of its keys.
 		return of
 	}
-	return d.take(now, current, known, seen)
+	return d.take(now, current, known, seen).of
 }
 
 // server returns what is known of a server of the view, or nil if the view has none of that
@@ -164,20 +164,19 @@
 	if seen == nil {
 		return nil
 	}
-	d.take(time.Now(), current, nil, seen)
-	return d.servers[id]
+	return d.take(time.Now(), current, nil, seen)
 }
 
-// take takes in what the view says of a server, which is new if known is nil. It returns
-// the server's service. The caller holds the mutex.
-func (d *Dispatcher) take(now time.Time, current *view.View, known *server, seen *view.Server) *service {
+// take takes in what the view says of a server, which is new if known is nil, and returns
+// the server. The caller holds the mutex.
+func (d *Dispatcher) take(now time.Time, current *view.View, known *server, seen *view.Server) *server {
 	if known == nil {
 		known = &server{id: seen.ID, rank: rendezvous.Score(d.options.Node, string(seen.ID))}
 	}
 	known.Server = seen
 	known.evacuatedSince, known.evacuated = current.Evacuated(seen.Zone)
 	d.include(now, current, known)
-	return known.of
+	return known
 }
 
 // include puts a server where it belongs by what is known of it now. The caller holds the
@@ -203,22 +202,22 @@
 // setOpen notes whether a server counts among those that may be preferred. The caller holds
 // the mutex.
 func (d *Dispatcher) setOpen(s *server, open bool) {
-	if s.of.divided {
-		open = false
+	slots := 0
+	if open && !s.of.divided {
+		slots = max(1, s.Slots)
 	}
-	slots := max(1, s.Slots)
-	if s.open == open && (!open || s.countedSlots == slots) {
+	if s.countedSlots == slots {
 		return
 	}
 	group := &s.of.far
 	if s.Zone == d.options.Zone {
 		group = &s.of.near
 	}
-	if s.open {
+	if s.countedSlots > 0 {
 		group.remove(s)
 	}
-	s.open, s.countedSlots = open, slots
-	if open {
+	s.countedSlots = slots
+	if slots > 0 {
 		group.add(s)
 	}
 }
--- a/internal/dispatch/subset.go
+++ b/internal/dispatch/subset.go
@@ -27,7 +27,7 @@
 		s.preferred = false
 	}
 	of.preferred = of.preferred[:0]
-	of.choose(&of.near, d.zoneNodes)
+	of.choose(&of.near, len(d.zone))
 	of.choose(&of.far, d.nodes)
 }
 
--- a/internal/homes/division.go
+++ b/internal/homes/division.go
@@ -20,32 +20,9 @@
 	strongPart = 0.5
 )
 
-// Division says which nodes of a zone are home to the servers of an undivided service
-// there. Each request may go to any of them.
-type Division struct {
-	// Homes are in the order of their rank.
-	Homes []Node
-	// Servers are those of each home, by the home's name.
-	Servers map[string][]discovery.ServerID
-}
-
-// Divide divides the servers of an undivided service in a zone, which have a number of
-// slots together, among as few of the zone's nodes as bear them. A server or node that
-// comes or goes moves few of them.
-func Divide(service, zone string, servers []discovery.ServerID, slots int, nodes []Node) Division {
-	division := Division{Homes: Choose(service, zone, slots, nodes), Servers: make(map[string][]discovery.ServerID)}
-	if len(division.Homes) == 0 {
-		return division
-	}
-	for _, id := range servers {
-		home := Among(Server{ID: id, Zone: zone}, division.Homes)
-		division.Servers[home.Name] = append(division.Servers[home.Name], id)
-	}
-	return division
-}
-
 // Choose returns the homes of an undivided service in a zone, in the order of their rank:
-// as few of the zone's nodes as bear a number of slots.
+// as few of the zone's nodes as bear a number of slots. A node that comes or goes moves few of
+// them.
 func Choose(service, zone string, slots int, nodes []Node) []Node {
 	var chosen []Node
 	needed := sharePerSlot * float64(slots)
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -22,7 +22,7 @@
 	case err == nil && answer != nil:
 		h.pass(writer, answer)
 	case errors.As(err, &refusal):
-		refuse(writer, refusal.Detail, refusal.RetryAfter)
+		refuse(writer, http.StatusServiceUnavailable, refusal.Detail, refusal.RetryAfter)
 	case errors.Is(err, dispatch.ErrTimeout):
 		http.Error(writer, "timed out; the request may have run", http.StatusGatewayTimeout)
 	case errors.Is(err, dispatch.ErrNodeEnds):
@@ -34,9 +34,10 @@
 	}
 }
 
-func refuse(writer http.ResponseWriter, reason string, after time.Duration) {
+// refuse says that a request has not run and when to come back.
+func refuse(writer http.ResponseWriter, status int, reason string, after time.Duration) {
 	writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	http.Error(writer, reason, http.StatusServiceUnavailable)
+	http.Error(writer, reason, status)
 }
 
 // pass writes a server's answer to the client.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -134,7 +134,7 @@
 	table := h.first.await(incoming.Context(), h.startPatience(incoming.Header))
 	if table == nil {
 		startRefusalsTotal.Inc()
-		refuse(writer, "no configuration is known yet", notReadyRetry)
+		refuse(writer, http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetry)
 		return
 	}
 	route := table.Match(incoming.Host, incoming.URL.Path)
--- a/internal/ingress/tenancy.go
+++ b/internal/ingress/tenancy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,7 +54,7 @@
 	case tenants.Anonymous, tenants.Known:
 		return tenant, true
 	case tenants.CopyOld:
-		refuse(writer, "this node has not heard for a while which keys are in force", notReadyRetry)
+		refuse(writer, http.StatusServiceUnavailable, "this node has not heard for a while which keys are in force", notReadyRetry)
 	default:
 		http.Error(writer, verdict.String(), http.StatusUnauthorized)
 	}
@@ -81,9 +80,8 @@
 	h.logger.Info("request beyond its tenant's limit", zap.String("request", request.ID), zap.String("tenant", tenant.Name),
 		zap.Float64("rate", tenant.Limit.Rate), zap.Float64("burst", tenant.Limit.Burst), zap.String("detail", decision.Detail),
 		zap.Duration("come_back", decision.RetryAfter), zap.Duration("decided_in", time.Since(askedAt)))
-	writer.Header().Set("Retry-After", strconv.FormatFloat(decision.RetryAfter.Seconds(), 'f', 3, 64))
 	h.closeIfDraining(writer)
-	http.Error(writer, decision.Detail, http.StatusTooManyRequests)
+	refuse(writer, http.StatusTooManyRequests, decision.Detail, decision.RetryAfter)
 	return false
 }
 
--- a/internal/shards/decode.go
+++ b/internal/shards/decode.go
@@ -1,68 +1,22 @@
 package shards
 
 import (
-	"math"
-
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/micahaven/micahaven/internal/discovery"
 )
 
-// Numbers of the fields of the messages ShardMap, ShardAuthor, ShardServer and
-// ShardRange in shards.proto.
-const (
-	mapService  = 1
-	mapEpoch    = 2
-	mapServers  = 3
-	mapRanges   = 4
-	mapNode     = 5
-	mapProcess  = 6
-	mapResigned = 8
-	mapPending  = 9
-
-	mapNumberedRanges = 10
-
-	authorNode    = 1
-	authorProcess = 2
-	authorEpoch   = 3
-
-	serverID      = 1
-	serverAddress = 2
-	serverNumber  = 3
-
-	rangeLast     = 1
-	rangeOwner    = 2
-	rangeFence    = 3
-	rangeHandover = 4
-	rangeLate     = 5
-
-	rangeInherited = 6
-)
-
 // bytesPerRange is about how many bytes a stored map has for each range, its part of
 // the servers included, as counted on maps of large deployments. It only sizes a slice.
 const bytesPerRange = 48
 
-// maxNumber bounds the numbers of owners: a map has no more owners than keys.
-const maxNumber = KeyCount
-
 // owner is a server that ranges of a stored map refer to by its number.
 type owner struct {
 	id      discovery.ServerID
 	address string
 }
 
-// storedRange is a range as it is stored: without its first key, and with the number of
-// its owner; 0 means none.
-type storedRange struct {
-	last, owner uint64
-	fence       uint64
-	handover    string
-	late        bool
-	inherited   bool
-}
-
 // mapDecoder collects the fields of a stored map.
 type mapDecoder struct {
 	decoded *Map
@@ -72,14 +26,11 @@
 	ranges []storedRange
 }
 
-// DecodeMap reads a stored map and checks that it covers the key space. It reads the
-// fields one by one instead of through the generated types: every node reads each
-// new map, a map may have hundreds of ranges, and the generated types take several
-// times the processor time and the memory.
+// DecodeMap reads a stored map and checks that it covers the key space. Managers need all of
+// it; other nodes read its Owners.
 func DecodeMap(encoded []byte) (*Map, error) {
 	decoder := &mapDecoder{decoded: &Map{}, ranges: make([]storedRange, 0, len(encoded)/bytesPerRange)}
-	whole := message{bytes: encoded, text: string(encoded)}
-	if err := whole.each(decoder.take); err != nil {
+	if err := eachField(encoded, decoder.take); err != nil {
 		return nil, err
 	}
 	decoder.decoded.Author.Epoch = decoder.decoded.Epoch
@@ -89,95 +40,44 @@
 	return decoder.decoded, nil
 }
 
-func (d *mapDecoder) take(f field) error {
-	switch f.number {
+func (d *mapDecoder) take(number protowire.Number, value uint64, content []byte) error {
+	switch number {
 	case mapService:
-		d.decoded.Service = f.text
+		d.decoded.Service = string(content)
 	case mapEpoch:
-		d.decoded.Epoch = f.value
+		d.decoded.Epoch = value
 	case mapNode:
-		d.decoded.Author.Node = f.text
+		d.decoded.Author.Node = string(content)
 	case mapProcess:
-		d.decoded.Author.Process = f.text
+		d.decoded.Author.Process = string(content)
 	case mapResigned:
-		d.decoded.Resigned = protowire.DecodeBool(f.value)
+		d.decoded.Resigned = protowire.DecodeBool(value)
 	case mapPending:
-		return d.takePending(f)
+		author, err := readAuthor(content)
+		d.decoded.Pending = append(d.decoded.Pending, author)
+		return err
 	case mapServers:
-		return d.takeServer(f)
+		return d.takeServer(content)
 	case mapRanges, mapNumberedRanges:
-		return d.takeRange(f)
+		stored, err := readRange(content)
+		d.ranges = append(d.ranges, stored)
+		return err
 	}
 	return nil
 }
 
-func (d *mapDecoder) takePending(f field) error {
-	var author Author
-	err := f.message().each(func(inner field) error {
-		switch inner.number {
-		case authorNode:
-			author.Node = inner.text
-		case authorProcess:
-			author.Process = inner.text
-		case authorEpoch:
-			author.Epoch = inner.value
-		}
-		return nil
-	})
-	d.decoded.Pending = append(d.decoded.Pending, author)
-	return err
-}
-
-func (d *mapDecoder) takeServer(f field) error {
-	var server owner
-	number := uint64(len(d.owners)) + 1
-	err := f.message().each(func(inner field) error {
-		switch inner.number {
-		case serverID:
-			server.id = discovery.ServerID(inner.text)
-		case serverAddress:
-			server.address = inner.text
-		case serverNumber:
-			number = inner.value
-		}
-		return nil
-	})
+func (d *mapDecoder) takeServer(content []byte) error {
+	server, err := readServer(content, uint64(len(d.owners))+1)
 	if err != nil {
 		return err
 	}
-	if number == 0 || number > maxNumber {
-		return errors.Wrapf(ErrBadMap, "field number: %d, allowed: 1 to %d", number, maxNumber)
-	}
-	for uint64(len(d.owners)) < number {
+	for uint64(len(d.owners)) < server.number {
 		d.owners = append(d.owners, owner{})
 	}
-	d.owners[number-1] = server
+	d.owners[server.number-1] = owner{id: discovery.ServerID(server.id), address: string(server.address)}
 	return nil
 }
 
-func (d *mapDecoder) takeRange(f field) error {
-	var stored storedRange
-	err := f.message().each(func(inner field) error {
-		switch inner.number {
-		case rangeLast:
-			stored.last = inner.value
-		case rangeOwner:
-			stored.owner = inner.value
-		case rangeFence:
-			stored.fence = inner.value
-		case rangeHandover:
-			stored.handover = inner.text
-		case rangeLate:
-			stored.late = protowire.DecodeBool(inner.value)
-		case rangeInherited:
-			stored.inherited = protowire.DecodeBool(inner.value)
-		}
-		return nil
-	})
-	d.ranges = append(d.ranges, stored)
-	return err
-}
-
 // resolve makes the ranges of the map from the stored ones.
 func (d *mapDecoder) resolve() error {
 	next := uint64(0)
@@ -190,7 +90,7 @@
 			return errors.Wrapf(ErrBadMap, "field owner: %d, allowed: at most %d", stored.owner, len(d.owners))
 		}
 		entry := Range{
-			First: uint32(next), Last: uint32(stored.last), Fence: stored.fence, Handover: stored.handover, Late: stored.late,
+			First: uint32(next), Last: uint32(stored.last), Fence: stored.fence, Handover: string(stored.handover), Late: stored.late,
 			Inherited: stored.inherited,
 		}
 		if stored.owner > 0 {
@@ -208,53 +108,3 @@
 	}
 	return nil
 }
-
-// message is an encoded protobuf message, as bytes and as the same bytes in a string,
-// of which the texts of its fields are parts.
-type message struct {
-	bytes []byte
-	text  string
-}
-
-// field is one field of a message: a number, or bytes that are a text or a message.
-type field struct {
-	number protowire.Number
-	value  uint64
-	bytes  []byte
-	text   string
-}
-
-func (f field) message() message { return message{bytes: f.bytes, text: f.text} }
-
-// each calls take with the fields of a message. Fields of kinds that a map does not
-// have are passed over.
-func (m message) each(take func(field) error) error {
-	for at := 0; at < len(m.bytes); {
-		number, kind, length := protowire.ConsumeTag(m.bytes[at:])
-		if length < 0 {
-			return errors.Wrapf(ErrBadMap, "%v", protowire.ParseError(length))
-		}
-		at += length
-		found := field{number: number}
-		switch kind {
-		case protowire.VarintType:
-			found.value, length = protowire.ConsumeVarint(m.bytes[at:])
-		case protowire.BytesType:
-			found.bytes, length = protowire.ConsumeBytes(m.bytes[at:])
-		default:
-			found.number = math.MaxInt32
-			length = protowire.ConsumeFieldValue(number, kind, m.bytes[at:])
-		}
-		if length < 0 {
-			return errors.Wrapf(ErrBadMap, "%v", protowire.ParseError(length))
-		}
-		at += length
-		if found.bytes != nil {
-			found.text = m.text[at-len(found.bytes) : at]
-		}
-		if err := take(found); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/shards/owners.go
+++ b/internal/shards/owners.go
@@ -94,7 +94,9 @@
 	case mapResigned:
 		d.decoded.Resigned = protowire.DecodeBool(value)
 	case mapPending:
-		return d.takePending(content)
+		author, err := readAuthor(content)
+		d.decoded.Pending = append(d.decoded.Pending, author)
+		return err
 	case mapServers:
 		return d.takeServer(content)
 	case mapRanges, mapNumberedRanges:
@@ -103,48 +105,18 @@
 	return nil
 }
 
-func (d *ownersDecoder) takePending(content []byte) error {
-	var author Author
-	err := eachField(content, func(number protowire.Number, value uint64, content []byte) error {
-		switch number {
-		case authorNode:
-			author.Node = string(content)
-		case authorProcess:
-			author.Process = string(content)
-		case authorEpoch:
-			author.Epoch = value
-		}
-		return nil
-	})
-	d.decoded.Pending = append(d.decoded.Pending, author)
-	return err
-}
-
 func (d *ownersDecoder) takeServer(content []byte) error {
-	var id []byte
-	position := uint64(len(d.decoded.servers)) + 1
-	err := eachField(content, func(number protowire.Number, value uint64, content []byte) error {
-		switch number {
-		case serverID:
-			id = content
-		case serverNumber:
-			position = value
-		}
-		return nil
-	})
+	server, err := readServer(content, uint64(len(d.decoded.servers))+1)
 	if err != nil {
 		return err
 	}
-	if position == 0 || position > maxNumber {
-		return errors.Wrapf(ErrBadMap, "field number: %d, allowed: 1 to %d", position, maxNumber)
-	}
 	if d.decoded.servers == nil {
 		d.decoded.servers = make([]discovery.ServerID, 0, len(d.before.servers)+1)
 	}
-	for uint64(len(d.decoded.servers)) < position {
+	for uint64(len(d.decoded.servers)) < server.number {
 		d.decoded.servers = append(d.decoded.servers, "")
 	}
-	d.decoded.servers[position-1] = d.name(position-1, id)
+	d.decoded.servers[server.number-1] = d.name(server.number-1, server.id)
 	return nil
 }
 
@@ -157,36 +129,21 @@
 }
 
 func (d *ownersDecoder) takeRange(content []byte) error {
-	var last, owner, fence uint64
-	handedOver := false
-	for at := 0; at < len(content); {
-		number, value, inner, length := consumeField(content[at:])
-		if length < 0 {
-			return errors.Wrapf(ErrBadMap, "%v", protowire.ParseError(length))
-		}
-		at += length
-		switch number {
-		case rangeLast:
-			last = value
-		case rangeOwner:
-			owner = value
-		case rangeFence:
-			fence = value
-		case rangeHandover:
-			handedOver = len(inner) > 0
-		}
+	stored, err := readRange(content)
+	if err != nil {
+		return err
 	}
 	o := d.decoded
 	if o.lasts == nil {
 		o.size(d.before.Len() + 1)
 	}
-	if last > LastKey || (len(o.lasts) > 0 && last <= uint64(o.lasts[len(o.lasts)-1])) {
-		return errors.Wrapf(ErrBadMap, "field last: %d, allowed: growing up to %d", last, LastKey)
+	if stored.last > LastKey || (len(o.lasts) > 0 && stored.last <= uint64(o.lasts[len(o.lasts)-1])) {
+		return errors.Wrapf(ErrBadMap, "field last: %d, allowed: growing up to %d", stored.last, LastKey)
 	}
-	o.lasts = append(o.lasts, uint32(last))
-	o.numbers = append(o.numbers, uint32(min(owner, maxNumber+1)))
-	o.fences = append(o.fences, fence)
-	o.handedOver = append(o.handedOver, handedOver)
+	o.lasts = append(o.lasts, uint32(stored.last))
+	o.numbers = append(o.numbers, uint32(min(stored.owner, maxNumber+1)))
+	o.fences = append(o.fences, stored.fence)
+	o.handedOver = append(o.handedOver, len(stored.handover) > 0)
 	return nil
 }
 
@@ -210,42 +167,3 @@
 	}
 	return nil
 }
-
-// eachField calls take with the fields of an encoded message. Fields of kinds that a map
-// does not have come with a number that it does not have either.
-func eachField(encoded []byte, take func(number protowire.Number, value uint64, content []byte) error) error {
-	for at := 0; at < len(encoded); {
-		number, value, content, length := consumeField(encoded[at:])
-		if length < 0 {
-			return errors.Wrapf(ErrBadMap, "%v", protowire.ParseError(length))
-		}
-		at += length
-		if err := take(number, value, content); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// consumeField reads one field: a number, or bytes that are a text or a message. A negative
-// length is protowire's error.
-func consumeField(encoded []byte) (number protowire.Number, value uint64, content []byte, length int) {
-	number, kind, length := protowire.ConsumeTag(encoded)
-	if length < 0 {
-		return 0, 0, nil, length
-	}
-	inner := 0
-	switch kind {
-	case protowire.VarintType:
-		value, inner = protowire.ConsumeVarint(encoded[length:])
-	case protowire.BytesType:
-		content, inner = protowire.ConsumeBytes(encoded[length:])
-	default:
-		inner = protowire.ConsumeFieldValue(number, kind, encoded[length:])
-		number = 0
-	}
-	if inner < 0 {
-		return 0, 0, nil, inner
-	}
-	return number, value, content, length + inner
-}
