Sight: nodes log and count what servers ask for in their answers

Cause: no line or counter told whether a node had been told of a limit, a leave or a rest, so the hypotheses of the incident could not be told apart. Nothing is decided on them yet.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/backpressure"
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/homes"
@@ -54,6 +55,9 @@
 	// Health reads which server gave a health answer, and for how long it warms up; nil
 	// if no server tells.
 	Health func(answer http.Header) (instance string, warmUp time.Duration)
+	// Signals reads what a server asks of the nodes that send to it in an answer with a
+	// status; nil if no server asks anything.
+	Signals func(status int, answer http.Header) backpressure.Signals
 }
 
 // Dispatcher sends requests to the servers of the current view. It is safe for
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -170,6 +170,7 @@
 		}
 		return nil, failedOver, err
 	}
+	d.observeSignals(s, answer)
 	outcome, err := d.judge(request, answer)
 	d.finish(time.Now(), request, s, sending{took: took, cold: cold, load: d.loadIn(answer)}, resultOf(outcome, answer))
 	if outcome == rejected {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -39,6 +39,11 @@
 		Help: "Servers asked whether they warm up, while the copy of the store is old, by what came of it.",
 	}, []string{"result"})
 
+	signalsTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_dispatch_server_signals_total",
+		Help: "Answers with which a server asked for something, by what it asked for.",
+	}, []string{"signal"})
+
 	repeatsDeniedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_dispatch_repeats_denied_total",
 		Help: "Repeats that the retry budget did not allow.",
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/micahaven/micahaven/internal/backpressure"
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/schedule"
 	"github.com/micahaven/micahaven/internal/upstream"
@@ -64,6 +65,8 @@
 	// refusals counts connections in a row that the server refused.
 	refusals     int
 	blockedUntil time.Time
+	// signals are what the server asked for with its last answer.
+	signals backpressure.Signals
 	// attempts and busy sum up what is to be reported.
 	attempts uint32
 	busy     time.Duration
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/backpressure"
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/ingress/pipeline"
@@ -47,6 +48,9 @@
 	Load func(answer http.Header) (discovery.Load, bool)
 	// Health reads which server gave a health answer, and for how long it warms up.
 	Health func(answer http.Header) (instance string, warmUp time.Duration)
+	// Signals reads what a server asks of the nodes that send to it in an answer with a
+	// status; nil if no server asks anything.
+	Signals func(status int, answer http.Header) backpressure.Signals
 }
 
 const (
