Servers in need get no more than the limit that they name

What callers saw: servers that had named a limit were sent several times as much and failed or answered late. Cause: no node read what servers ask for in their answers; the home went on by its own limit on requests at a time. Change: named limits are kept by the accounts of quotas, which learn limits by observation; each request to such a server asks the account before it is sent, whichever node sends it.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -35,7 +35,7 @@
 	bestCost := math.Inf(1)
 	atHome := len(d.homeGroup(current, request.Service)) > 0
 	for _, s := range d.candidates(now, current, request.Service) {
-		if excluded[s.id] || !s.usable(now, 0) {
+		if excluded[s.id] || !s.usable(now, 0) || d.limitLeft(now, s) > 0 {
 			continue
 		}
 		may, bounded := d.maySend(now, current, s)
@@ -73,7 +73,7 @@
 		return nil
 	}
 	s := d.server(owner.Owner)
-	if s == nil || !s.usable(now, d.ownerGrace(s)) {
+	if s == nil || !s.usable(now, d.ownerGrace(s)) || d.limitLeft(now, s) > 0 {
 		return nil
 	}
 	if may, _ := d.maySend(now, current, s); !may {
--- a/internal/dispatch/comeback.go
+++ b/internal/dispatch/comeback.go
@@ -44,6 +44,10 @@
 		if s := d.keyServer(request); s != nil {
 			return s.blockedUntil.Sub(now)
 		}
+	case ReasonOwnerLimited:
+		if s := d.keyServer(request); s != nil {
+			return d.limitLeft(now, s)
+		}
 	case ReasonServerRefused:
 		// It was full. In the time of one answer it works off as many as it has slots; that
 		// is an estimate, for which no caller is told to come back later than it would.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/homes"
+	"github.com/micahaven/micahaven/internal/quota"
 	"github.com/micahaven/micahaven/internal/schedule"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
@@ -99,6 +100,10 @@
 	copyAge CopyAge
 	// coldFound tells the other nodes of a server that a probe found cold.
 	coldFound ColdFound
+	// limits keeps what servers get within the limits that they name, and signalled tells
+	// the other nodes of such limits.
+	limits    ServerLimits
+	signalled Signalled
 	// probes bounds the probes that are on their way.
 	probes chan struct{}
 	// cold holds what is known of ranges that came without a handover, by service.
@@ -148,6 +153,8 @@
 		copyAge:    func() (time.Duration, bool) { return 0, true },
 		ending:     ending.New(),
 
+		limits:    noLimits{},
+		signalled: func(discovery.ServerID, quota.Observation) {},
 		coldFound: func(discovery.ServerID, time.Duration) {},
 		probes:    make(chan struct{}, maxProbes),
 	}
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -65,7 +65,11 @@
 		if s == nil {
 			return lastAnswer, trace, d.giveUp(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
+		if !d.withinLimit(ctx, request, s) {
+			continue
+		}
 		if err := d.begin(ctx, request, s, trace); err != nil {
+			d.limits.GiveBack(string(s.id))
 			return nil, trace, err
 		}
 		trace.MapRevision = d.views.Current().Owners[request.Service].Revision
@@ -166,6 +170,7 @@
 		left := errors.Is(ctx.Err(), context.Canceled)
 		d.finish(time.Now(), request, s, sending{took: took, cold: cold, left: left}, noResult)
 		if errors.Is(err, upstream.ErrNotSent) {
+			d.limits.GiveBack(string(s.id))
 			return nil, notSent, err
 		}
 		return nil, failedOver, err
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -55,13 +55,13 @@
 }
 
 // opens returns for how long this node surely sends nothing to the owner of a request's
-// key, because it has sent its part of what the owner bears. The caller holds the mutex.
+// key, because it has sent its part of what the owner bears, or all have. The caller holds the mutex.
 func (d *Dispatcher) opens(now time.Time, request *Request) time.Duration {
 	s := d.keyServer(request)
 	if s == nil {
 		return 0
 	}
-	return max(0, s.limit.pausedUntil.Sub(now))
+	return max(0, s.limit.pausedUntil.Sub(now), d.limitLeft(now, s))
 }
 
 // keyServer returns the server that owns a request's key; nil if there is none or keys
@@ -119,7 +119,7 @@
 		if s == nil {
 			return 0, 0
 		}
-		return s.throughput(now), seconds(s.expected())
+		return d.throughput(now, s), seconds(s.expected())
 	}
 	current := d.views.Current()
 	sum, count := 0.0, 0
@@ -130,7 +130,7 @@
 		if _, bounded := d.warming(now, current, s); bounded {
 			continue
 		}
-		places += s.throughput(now)
+		places += d.throughput(now, s)
 		sum += s.expected()
 		count++
 	}
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -33,6 +33,8 @@
 	// ReasonKeyWarming: the key's owner got it without a handover, and its answers would
 	// be late.
 	ReasonKeyWarming
+	// ReasonOwnerLimited: the key's owner names a limit, and it is used up.
+	ReasonOwnerLimited
 	reasonCount
 )
 
@@ -40,7 +42,7 @@
 func (r Reason) String() string {
 	names := [reasonCount]string{
 		"no owner", "owner gone", "owner failing", "moving", "owner busy",
-		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming",
+		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming", "owner limited",
 	}
 	if r < 0 || r >= reasonCount {
 		return "unknown"
@@ -97,6 +99,11 @@
 	if left, hopeless := d.keyHopeless(now, request); hopeless {
 		return ReasonKeyWarming, fmt.Sprintf("key came to owner %s without a handover, slow for %v", owner.Owner, left.Round(time.Millisecond))
 	}
+	if left := d.limitLeft(now, s); left > 0 {
+		rate, _ := d.limits.Observed(string(s.id))
+		return ReasonOwnerLimited, fmt.Sprintf("owner %s takes %g requests a second from all nodes, which are used up for %v",
+			owner.Owner, rate, left.Round(time.Millisecond))
+	}
 	if until, held := d.moving[movingRange{request.Service, owner.Fence, owner.Last}]; held && now.Before(until) {
 		return ReasonMoving, fmt.Sprintf("key is moving from %s", owner.Owner)
 	}
@@ -109,7 +116,7 @@
 // whyNoneOf says why none of a service's servers was free. The caller holds the
 // mutex.
 func (d *Dispatcher) whyNoneOf(now time.Time, request *Request) string {
-	known, leaving, blocked, warmingUp, busy := 0, 0, 0, 0, 0
+	known, leaving, blocked, limited, warmingUp, busy := 0, 0, 0, 0, 0, 0
 	current := d.views.Current()
 	of := d.services[request.Service]
 	if of == nil {
@@ -123,11 +130,14 @@
 			leaving++
 		case now.Before(s.blockedUntil):
 			blocked++
+		case d.limitLeft(now, s) > 0:
+			limited++
 		case !may:
 			warmingUp++
 		case s.outstanding >= s.capacity(now):
 			busy++
 		}
 	}
-	return fmt.Sprintf("of %d servers %d leave, %d failed lately, %d warm up, %d are busy", known, leaving, blocked, warmingUp, busy)
+	return fmt.Sprintf("of %d servers %d leave, %d failed lately, the limits of %d are used up, %d warm up, %d are busy",
+		known, leaving, blocked, limited, warmingUp, busy)
 }
--- a/internal/dispatch/second.go
+++ b/internal/dispatch/second.go
@@ -151,7 +151,10 @@
 		return nil
 	}
 	s := d.choose(now, request, passed)
-	if s == nil || s.outstanding > 0 || !d.budget(request.Service).take() {
+	if s == nil {
+		return nil
+	}
+	if _, limited := d.limits.Observed(string(s.id)); limited || s.outstanding > 0 || !d.budget(request.Service).take() {
 		return nil
 	}
 	d.occupy(now, s)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -65,6 +65,9 @@
 	// refusals counts connections in a row that the server refused.
 	refusals     int
 	blockedUntil time.Time
+	// limitedUntil is until when this node sends it nothing because the limit that it names
+	// is used up.
+	limitedUntil time.Time
 	// signals are what the server asked for with its last answer.
 	signals backpressure.Signals
 	// attempts and busy sum up what is to be reported.
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -19,6 +19,7 @@
 	s.signals = signals
 	d.mutex.Unlock()
 	d.logSignals(s, before, signals)
+	d.observeLimit(s, signals)
 }
 
 // signalsOf returns what an answer says; false if it isn't the word of the server that was
--- a/internal/ingress/tenancy.go
+++ b/internal/ingress/tenancy.go
@@ -17,9 +17,9 @@
 
 // Quotas keep what tenants use within their limits.
 type Quotas interface {
-	Admit(ctx context.Context, tenant *tenants.Tenant) quota.Decision
+	Admit(ctx context.Context, tenant string, limit tenants.Limit) quota.Decision
 	// GiveBack tells that a request that was admitted did not run.
-	GiveBack(tenant *tenants.Tenant)
+	GiveBack(tenant string)
 }
 
 // Tenancy is what the handler decides by of tenants' requests.
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.Deadline)
 	defer cancel()
 	askedAt := time.Now()
-	decision := h.tenancy.Quotas.Admit(ctx, tenant)
+	decision := h.tenancy.Quotas.Admit(ctx, tenant.Name, tenant.Limit)
 	if decision.Admitted {
 		return true
 	}
@@ -88,7 +88,7 @@
 // giveBack tells the tenant's account of a request that did not run.
 func (h *Handler) giveBack(tenant *tenants.Tenant, err error) {
 	if tenant != nil && h.tenancy.Quotas != nil && errors.Is(err, dispatch.ErrNotExecuted) {
-		h.tenancy.Quotas.GiveBack(tenant)
+		h.tenancy.Quotas.GiveBack(tenant.Name)
 	}
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"iter"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,17 +27,22 @@
 	holdFor = 100 * time.Millisecond
 )
 
-// Use is a report of one tenant.
+// Use is a report on one name that has a limit: a tenant, or a server that named one.
 type Use struct {
-	Tenant string
+	Name string
 	Report
+	// Observed is the limit that the node knows of if it was observed; nil for one that is
+	// configured, which every node knows.
+	Observed *Observation
 }
 
 // Answer is the home's answer to it.
 type Answer struct {
 	Grant
-	// NotHome is true if the node that was asked is not the tenant's home.
+	// NotHome is true if the node that was asked is not the home of the name.
 	NotHome bool
+	// Observed is what the home knows of an observed limit; nil for a configured one.
+	Observed *Observation
 }
 
 // Caller reports to other nodes.
@@ -54,30 +61,38 @@
 	Detail string
 }
 
-// Limiter lets requests through as far as their tenants' limits allow over all nodes. It
-// is safe for concurrent use.
+// Limiter lets requests through as far as limits allow over all nodes. Each limit has a
+// name; it is configured, or was observed and holds until something else is observed. It is
+// safe for concurrent use.
 type Limiter struct {
+	kind      string
 	self      string
 	caller    Caller
 	keeper    *Keeper
 	logger    *zap.Logger
 	startedAt time.Time
+	// limited is how many observed limits are in force.
+	limited atomic.Int32
 
-	mutex     sync.Mutex
-	tolerance Tolerance
-	directory *tenants.Directory
-	nodes     []Node
-	homes     map[string]Node
-	shares    map[string]*Share
-	links     map[string]*link
+	mutex      sync.Mutex
+	tolerance  Tolerance
+	configured map[string]tenants.Limit
+	observed   map[string]observation
+	nodes      []Node
+	// candidates are the nodes that may be homes.
+	candidates []Node
+	homes      map[string]Node
+	shares     map[string]*Share
+	links      map[string]*link
 }
 
-// NewLimiter returns the limiter of a node, which keeps the accounts of the tenants whose
-// home it is with keeper.
-func NewLimiter(self string, caller Caller, keeper *Keeper, tolerance Tolerance, logger *zap.Logger) *Limiter {
+// NewLimiter returns the limiter of a node for a kind of names, which keeps the accounts of
+// those whose home it is with keeper.
+func NewLimiter(kind, self string, caller Caller, keeper *Keeper, tolerance Tolerance, logger *zap.Logger) *Limiter {
 	return &Limiter{
-		self: self, caller: caller, keeper: keeper, tolerance: tolerance, logger: logger, startedAt: time.Now(),
-		homes: make(map[string]Node), shares: make(map[string]*Share), links: make(map[string]*link),
+		kind: kind, self: self, caller: caller, keeper: keeper, tolerance: tolerance, logger: logger, startedAt: time.Now(),
+		observed: make(map[string]observation),
+		homes:    make(map[string]Node), shares: make(map[string]*Share), links: make(map[string]*link),
 	}
 }
 
@@ -91,24 +106,25 @@
 	l.own()
 }
 
-// Follow takes in the tenants in force and the registered nodes.
-func (l *Limiter) Follow(directory *tenants.Directory, nodes []Node) {
+// Follow takes in the configured limits and the registered nodes. Names without a limit are
+// left out.
+func (l *Limiter) Follow(configured map[string]tenants.Limit, nodes []Node) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.directory, l.nodes = directory, nodes
-	for name := range l.shares {
-		tenant := directory.ByName(name)
-		if tenant == nil {
+	l.configured, l.nodes, l.candidates = configured, nodes, strongest(nodes, mostHomes)
+	for name, share := range l.shares {
+		limit, known := l.limit(name)
+		if !known {
 			delete(l.shares, name)
 			continue
 		}
-		l.shares[name].SetLimit(tenant.Limit)
+		share.SetLimit(limit)
 	}
-	before, candidates := l.homes, strongest(nodes, mostHomes)
-	l.homes = make(map[string]Node, len(directory.All()))
-	for name, tenant := range directory.All() {
-		home, found := homeOf(name, candidates)
-		if !found || tenant.Limit.Unlimited() {
+	before := l.homes
+	l.homes = make(map[string]Node, len(configured))
+	for name := range l.limits() {
+		home, found := homeOf(name, l.candidates)
+		if !found {
 			continue
 		}
 		l.homes[name] = home
@@ -119,40 +135,65 @@
 	l.own()
 }
 
-// Unused reports whether the limiter knows of no tenants.
+// limits returns all limits in force. The caller holds the mutex.
+func (l *Limiter) limits() iter.Seq2[string, tenants.Limit] {
+	return func(yield func(string, tenants.Limit) bool) {
+		for name, limit := range l.configured {
+			if !yield(name, limit) {
+				return
+			}
+		}
+		for name, known := range l.observed {
+			if known.Limited && !yield(name, known.limit()) {
+				return
+			}
+		}
+	}
+}
+
+// limit returns the limit of a name; false if it has none. The caller holds the mutex.
+func (l *Limiter) limit(name string) (tenants.Limit, bool) {
+	if limit, known := l.configured[name]; known {
+		return limit, true
+	}
+	known := l.observed[name]
+	return known.limit(), known.Limited
+}
+
+// Unused reports whether the limiter knows of no limits.
 func (l *Limiter) Unused() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.directory == nil || l.directory.Empty()
+	return len(l.configured) == 0
 }
 
 // own tells the keeper whose home this node is. The caller holds the mutex.
 func (l *Limiter) own() {
 	limits := make(map[string]tenants.Limit)
-	for name, home := range l.homes {
-		if home.Name == l.self {
-			limits[name] = l.directory.ByName(name).Limit
+	for name, limit := range l.limits() {
+		if l.homes[name].Name == l.self {
+			limits[name] = limit
 		}
 	}
 	l.keeper.Own(limits, l.tolerance)
 }
 
-// Admit decides whether a tenant's request may go. It waits for the tenant's home if this
-// node may let none through by itself.
-func (l *Limiter) Admit(ctx context.Context, tenant *tenants.Tenant) Decision {
-	if tenant.Limit.Unlimited() {
+// Admit decides whether a request that counts for a name with a limit may go. It waits for
+// the home of the name if this node may let none through by itself.
+func (l *Limiter) Admit(ctx context.Context, name string, limit tenants.Limit) Decision {
+	if limit.Unlimited() {
 		return Decision{Admitted: true}
 	}
 	l.mutex.Lock()
 	now := l.now()
-	share := l.share(now, tenant)
-	home, found := l.homes[tenant.Name]
+	share := l.share(now, name, limit)
+	home, found := l.homes[name]
 	if share.TakeAhead(now) {
 		if found {
-			l.link(home).report(tenant.Name)
+			l.link(home).report(name)
 		}
 		l.mutex.Unlock()
-		decisionsTotal.WithLabelValues("ahead").Inc()
+		l.count("ahead", 1)
 		return Decision{Admitted: true}
 	}
 	if !found || now < l.link(home).lostUntil {
@@ -160,7 +201,7 @@
 		l.mutex.Unlock()
 		return decision
 	}
-	w := &waiter{tenant: tenant.Name, since: now, decided: make(chan Decision, 1)}
+	w := &waiter{name: name, since: now, decided: make(chan Decision, 1)}
 	l.link(home).ask(w)
 	l.mutex.Unlock()
 	select {
@@ -178,7 +219,7 @@
 	w.left = true
 	select {
 	case decision := <-w.decided:
-		if share := l.shares[w.tenant]; decision.Admitted && share != nil {
+		if share := l.shares[w.name]; decision.Admitted && share != nil {
 			share.GiveBack()
 		}
 	default:
@@ -187,36 +228,41 @@
 }
 
 // GiveBack tells that a request that was let through did not run.
-func (l *Limiter) GiveBack(tenant *tenants.Tenant) {
+func (l *Limiter) GiveBack(name string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	share, home := l.shares[tenant.Name], l.homes[tenant.Name]
-	if share == nil || tenant.Limit.Unlimited() {
+	share, home := l.shares[name], l.homes[name]
+	if share == nil {
 		return
 	}
 	share.GiveBack()
 	if home.Name != "" {
-		l.link(home).report(tenant.Name)
+		l.link(home).report(name)
 	}
 }
 
-// alone decides without the tenant's home. The caller holds the mutex.
+// count counts decisions.
+func (l *Limiter) count(decision string, number int) {
+	decisionsTotal.WithLabelValues(l.kind, decision).Add(float64(number))
+}
+
+// alone decides without the home. The caller holds the mutex.
 func (l *Limiter) alone(now time.Duration, share *Share, home Node) Decision {
 	admitted, after := share.TakeAlone(now, len(l.nodes))
 	if admitted {
-		decisionsTotal.WithLabelValues("alone").Inc()
+		l.count("alone", 1)
 		return Decision{Admitted: true}
 	}
-	decisionsTotal.WithLabelValues("refused alone").Inc()
+	l.count("refused alone", 1)
 	return Decision{RetryAfter: after, Detail: fmt.Sprintf("node %q, which keeps the account, does not answer", home.Name)}
 }
 
-// share returns what this node lets through for a tenant. The caller holds the mutex.
-func (l *Limiter) share(now time.Duration, tenant *tenants.Tenant) *Share {
-	known := l.shares[tenant.Name]
+// share returns what this node lets through for a name. The caller holds the mutex.
+func (l *Limiter) share(now time.Duration, name string, limit tenants.Limit) *Share {
+	known := l.shares[name]
 	if known == nil {
-		known = NewShare(now, tenant.Limit)
-		l.shares[tenant.Name] = known
+		known = NewShare(now, limit)
+		l.shares[name] = known
 	}
 	return known
 }
@@ -241,12 +287,24 @@
 	return l.caller.Report(ctx, home.Address, uses)
 }
 
-// Answer answers a node's reports, as the home of their tenants.
+// Answer answers a node's reports, as the home of the names.
 func (l *Limiter) Answer(node string, uses []Use) []Answer {
 	answers := make([]Answer, 0, len(uses))
 	for _, use := range uses {
-		grant, isHome := l.keeper.Take(use.Tenant, node, use.Report)
-		answers = append(answers, Answer{Grant: grant, NotHome: !isHome})
+		answers = append(answers, l.answer(node, use))
 	}
 	return answers
 }
+
+func (l *Limiter) answer(node string, use Use) Answer {
+	var observed *Observation
+	if use.Observed != nil {
+		known := l.compare(use.Name, *use.Observed)
+		if !known.Limited {
+			return Answer{Grant: Grant{Granted: use.Waiting, Calm: true}, Observed: &known}
+		}
+		observed = &known
+	}
+	grant, isHome := l.keeper.Take(use.Name, node, use.Report)
+	return Answer{Grant: grant, NotHome: !isHome, Observed: observed}
+}
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -55,11 +55,11 @@
 	n := &network{nodes: make(map[string]*Limiter)}
 	var nodes []Node
 	for _, name := range names {
-		n.nodes[name] = NewLimiter(name, port{n, name}, NewKeeper(), Tolerance{Window: time.Second}, zap.NewNop())
+		n.nodes[name] = NewLimiter("tenants", name, port{n, name}, NewKeeper(), Tolerance{Window: time.Second}, zap.NewNop())
 		nodes = append(nodes, Node{Name: name, Address: name, Share: 1})
 	}
 	for _, node := range n.nodes {
-		node.Follow(directory, nodes)
+		node.Follow(directory.Limits(), nodes)
 	}
 	return n, directory
 }
@@ -86,7 +86,7 @@
 	for index := range 60 {
 		node := n.nodes[[]string{"n1", "n2", "n3"}[index%3]]
 		group.Go(func() {
-			decision := node.Admit(context.Background(), directory.ByName("a"))
+			decision := node.Admit(context.Background(), "a", directory.ByName("a").Limit)
 			if decision.Admitted {
 				admitted.Add(1)
 				return
@@ -106,7 +106,7 @@
 func TestRequestsOfATenantWithoutALimitAskNobody(t *testing.T) {
 	n, _ := newNetwork(t, "n1", "n2")
 	for range 100 {
-		if !n.nodes["n1"].Admit(context.Background(), &tenants.Tenant{Name: "b"}).Admitted {
+		if !n.nodes["n1"].Admit(context.Background(), "b", tenants.Limit{}).Admitted {
 			t.Fatal("refused")
 		}
 	}
@@ -119,10 +119,10 @@
 	n, directory := newNetwork(t, "n1")
 	n.fill("a")
 	for range 5 * burstOfTen {
-		if !n.nodes["n1"].Admit(context.Background(), directory.ByName("a")).Admitted {
+		if !n.nodes["n1"].Admit(context.Background(), "a", directory.ByName("a").Limit).Admitted {
 			t.Fatal("refused, though all before did not run")
 		}
-		n.nodes["n1"].GiveBack(directory.ByName("a"))
+		n.nodes["n1"].GiveBack("a")
 	}
 }
 
@@ -132,18 +132,18 @@
 	home := n.fill("a")
 	other := map[string]string{"n1": "n2", "n2": "n1"}[home]
 	n.setCut(true)
-	first := n.nodes[other].Admit(context.Background(), directory.ByName("a"))
+	first := n.nodes[other].Admit(context.Background(), "a", directory.ByName("a").Limit)
 	if first.Admitted || first.RetryAfter <= 0 {
 		t.Errorf("a node that never heard of the home decided %+v at once", first)
 	}
 	calls := n.calls.Load()
-	n.nodes[other].Admit(context.Background(), directory.ByName("a"))
+	n.nodes[other].Admit(context.Background(), "a", directory.ByName("a").Limit)
 	if n.calls.Load() != calls {
 		t.Error("the home was asked again at once")
 	}
 	n.setCut(false)
 	time.Sleep(lostFor + 50*time.Millisecond)
-	if decision := n.nodes[other].Admit(context.Background(), directory.ByName("a")); !decision.Admitted {
+	if decision := n.nodes[other].Admit(context.Background(), "a", directory.ByName("a").Limit); !decision.Admitted {
 		t.Errorf("refused after the home is back: %+v", decision)
 	}
 }
@@ -153,7 +153,7 @@
 	n, _ := newNetwork(t, "n1", "n2")
 	home := n.fill("a")
 	other := map[string]string{"n1": "n2", "n2": "n1"}[home]
-	answers := n.nodes[other].Answer("n3", []Use{{Tenant: "a", Report: Report{Waiting: 1}}})
+	answers := n.nodes[other].Answer("n3", []Use{{Name: "a", Report: Report{Waiting: 1}}})
 	if !answers[0].NotHome || answers[0].Granted != 0 {
 		t.Errorf("answer %+v", answers[0])
 	}
@@ -165,12 +165,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	for range 3 * burstOfTen {
-		n.nodes["n1"].Admit(ctx, directory.ByName("a"))
+		n.nodes["n1"].Admit(ctx, "a", directory.ByName("a").Limit)
 	}
 	time.Sleep(2 * ReportPause)
 	admitted := 0
 	for range burstOfTen {
-		if n.nodes["n1"].Admit(context.Background(), directory.ByName("a")).Admitted {
+		if n.nodes["n1"].Admit(context.Background(), "a", directory.ByName("a").Limit).Admitted {
 			admitted++
 		}
 	}
@@ -184,10 +184,10 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	limiter := NewLimiter("n1", nil, NewKeeper(), Tolerance{Window: time.Second, Over: 0.1}, zap.NewNop())
-	limiter.Follow(directory, []Node{{Name: "n1", Share: 1}})
+	limiter := NewLimiter("tenants", "n1", nil, NewKeeper(), Tolerance{Window: time.Second, Over: 0.1}, zap.NewNop())
+	limiter.Follow(directory.Limits(), []Node{{Name: "n1", Share: 1}})
 	tenant := directory.ByName("a")
 	for b.Loop() {
-		limiter.Admit(context.Background(), tenant)
+		limiter.Admit(context.Background(), tenant.Name, tenant.Limit)
 	}
 }
--- a/internal/quota/link.go
+++ b/internal/quota/link.go
@@ -11,8 +11,8 @@
 
 // waiter is a request that waits for the home's answer.
 type waiter struct {
-	tenant string
-	since  time.Duration
+	name  string
+	since time.Duration
 	// askAt is when it is asked for again; 0 at once.
 	askAt time.Duration
 	// left is true once its caller does not wait any more.
@@ -25,8 +25,8 @@
 type link struct {
 	limiter *Limiter
 	home    Node
-	// waiting are the requests that wait, and unreported the tenants of which something
-	// is to be told.
+	// waiting are the requests that wait, and unreported the names of which something is to
+	// be told.
 	waiting    []*waiter
 	unreported map[string]bool
 	// running is true while a goroutine works on the link; wake tells it that a request
@@ -53,9 +53,9 @@
 	}
 }
 
-// report notes that there is something to tell of a tenant. The caller holds the mutex.
-func (k *link) report(tenant string) {
-	k.unreported[tenant] = true
+// report notes that there is something to tell of a name. The caller holds the mutex.
+func (k *link) report(name string) {
+	k.unreported[name] = true
 	k.start()
 }
 
@@ -117,23 +117,23 @@
 			return false
 		}
 		if !w.left {
-			asked[w.tenant] = append(asked[w.tenant], w)
+			asked[w.name] = append(asked[w.name], w)
 		}
 		return true
 	})
-	tenants := k.unreported
+	names := k.unreported
 	k.unreported = make(map[string]bool)
-	for tenant := range asked {
-		tenants[tenant] = true
+	for name := range asked {
+		names[name] = true
 	}
-	uses := make([]Use, 0, len(tenants))
-	for tenant := range tenants {
-		share := k.limiter.shares[tenant]
+	uses := make([]Use, 0, len(names))
+	for name := range names {
+		share := k.limiter.shares[name]
 		if share == nil {
-			decide(asked[tenant], tenantGone)
+			decide(asked[name], limitGone)
 			continue
 		}
-		uses = append(uses, Use{Tenant: tenant, Report: share.Report(now, len(asked[tenant]))})
+		uses = append(uses, Use{Name: name, Report: share.Report(now, len(asked[name])), Observed: k.limiter.observation(now, name)})
 	}
 	return uses, asked, now
 }
@@ -151,41 +151,44 @@
 		k.lost(now, err)
 	}
 	for index, use := range uses {
-		share := l.shares[use.Tenant]
+		share := l.shares[use.Name]
 		switch {
 		case share == nil:
-			decide(asked[use.Tenant], tenantGone)
+			decide(asked[use.Name], limitGone)
 		case err != nil || answers[index].NotHome:
 			// What was used is told later, to whoever is home then.
-			if !share.Idle() && l.homes[use.Tenant].Name == k.home.Name {
-				k.unreported[use.Tenant] = true
+			if !share.Idle() && l.homes[use.Name].Name == k.home.Name {
+				k.unreported[use.Name] = true
 			}
-			decide(asked[use.Tenant], func(*waiter) Decision { return l.alone(now, share, k.home) })
+			decide(asked[use.Name], func(*waiter) Decision { return l.alone(now, share, k.home) })
 		default:
+			if told := answers[index].Observed; told != nil {
+				// By the moment of the report, so that what the node itself told does not
+				// come back as something newer.
+				l.observe(sentAt, use.Name, *told)
+			}
 			share.Answered(sentAt, now, use.Report, answers[index].Grant)
-			k.divide(now, share, asked[use.Tenant], answers[index].Grant)
+			k.divide(now, share, asked[use.Name], answers[index].Grant)
 		}
 	}
 }
 
-// tenantGone decides on a request of a tenant that the configuration has no more.
-func tenantGone(*waiter) Decision {
-	return Decision{RetryAfter: LongestReturn, Detail: "the tenant is gone"}
-}
+// limitGone decides on a request for a name that has no limit any more.
+func limitGone(*waiter) Decision { return Decision{Admitted: true} }
 
 // lost notes that the home did not answer. Requests that wait for room there wait no more.
 // The caller holds the mutex.
 func (k *link) lost(now time.Duration, cause error) {
 	if k.lostUntil == 0 {
-		k.limiter.logger.Warn("home of tenants not reached", zap.String("home", k.home.Name), zap.Error(cause))
+		k.limiter.logger.Warn("home of limits not reached", zap.String("of", k.limiter.kind), zap.String("home", k.home.Name), zap.Error(cause))
 	}
 	k.lostUntil = now + lostFor
 	homesLostTotal.Inc()
 	decide(k.waiting, func(w *waiter) Decision {
-		if share := k.limiter.shares[w.tenant]; share != nil {
+		if share := k.limiter.shares[w.name]; share != nil {
 			return k.limiter.alone(now, share, k.home)
 		}
-		return tenantGone(w)
+		return limitGone(w)
 	})
 	k.waiting = nil
 }
@@ -194,7 +197,7 @@
 // long waits on if there will be room in a moment. The caller holds the mutex.
 func (k *link) divide(now time.Duration, share *Share, asked []*waiter, grant Grant) {
 	if k.lostUntil != 0 {
-		k.limiter.logger.Info("home of tenants reached again", zap.String("home", k.home.Name))
+		k.limiter.logger.Info("home of limits reached again", zap.String("of", k.limiter.kind), zap.String("home", k.home.Name))
 		k.lostUntil = 0
 	}
 	granted := min(grant.Granted, len(asked))
@@ -204,7 +207,7 @@
 		}
 		return Decision{Admitted: true}
 	})
-	decisionsTotal.WithLabelValues("granted").Add(float64(granted))
+	k.limiter.count("granted", granted)
 	each := time.Duration(float64(time.Second) / share.limit.Rate)
 	for index, w := range asked[granted:] {
 		after := grant.RetryAfter + time.Duration(index)*each
@@ -213,7 +216,7 @@
 			k.waiting = append(k.waiting, w)
 			continue
 		}
-		decisionsTotal.WithLabelValues("refused").Inc()
+		k.limiter.count("refused", 1)
 		w.decided <- Decision{
 			RetryAfter: min(after, LongestReturn),
 			Detail:     fmt.Sprintf("the limit of %g requests a second is used up", share.limit.Rate),
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -127,7 +127,9 @@
 		views: n.views, mirror: n.mirror, dispatcher: n.dispatcher, orders: platform.Orders, logger: logger,
 	}
 	n.takePartInHomes(client)
-	n.peers.quotas = quota.NewLimiter(self.Name, quotaCaller{client}, quota.NewKeeper(), settings.tolerance(), logger)
+	n.peers.quotas = quota.NewLimiter("tenants", self.Name, quotaCaller{client: client}, quota.NewKeeper(), settings.tolerance(), logger)
+	n.peers.serverLimits = quota.NewLimiter("servers", self.Name, quotaCaller{client: client, servers: true}, quota.NewKeeper(), serverTolerance(), logger)
+	n.dispatcher.SetServerLimits(n.peers.serverLimits, n.peers.serverSignalled)
 	n.views.Subscribe(n.peers.followQuotas)
 	n.handler.SetTenancy(ingress.Tenancy{Quotas: n.peers.quotas, Freshness: n.copyFreshness, Staleness: settings.staleness()})
 	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes, linkBytes: settings.linkBytes()}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -55,7 +55,9 @@
 	home *handoff.Home
 	// quotas keeps the use of tenants within their limits.
 	quotas *quota.Limiter
-	logger *zap.Logger
+	// serverLimits keeps what servers get within the limits that they name.
+	serverLimits *quota.Limiter
+	logger       *zap.Logger
 
 	mutex sync.Mutex
 	// heardFrom holds addresses of nodes that sent something, the last one last:
@@ -185,6 +187,8 @@
 		p.recordLoad(body.LoadReport)
 	case *wire.Envelope_ColdServer:
 		p.takeColdServer(body.ColdServer)
+	case *wire.Envelope_ServerSignals:
+		p.takeServerSignals(body.ServerSignals)
 	case *wire.Envelope_TermOver:
 		p.views.TakeRetirement(view.RetiredKey(body.TermOver.GetService(), from.GetNode()), view.Retirement{
 			Process: body.TermOver.GetProcess(), Epoch: int64(body.TermOver.GetEpoch()),
--- a/internal/router/quotas.go
+++ b/internal/router/quotas.go
@@ -16,14 +16,18 @@
 var errNoAnswer = errors.New("no answer to a report of quotas")
 
 // quotaCaller reports to other nodes. It implements quota.Caller.
-type quotaCaller struct{ client *transport.Client }
+type quotaCaller struct {
+	client *transport.Client
+	// servers is true if the limits are those that servers name.
+	servers bool
+}
 
 // Report implements quota.Caller.
 func (c quotaCaller) Report(ctx context.Context, address string, uses []quota.Use) ([]quota.Answer, error) {
-	report := &wire.QuotaReport{Uses: make([]*wire.QuotaUse, 0, len(uses))}
+	report := &wire.QuotaReport{Servers: c.servers, Uses: make([]*wire.QuotaUse, 0, len(uses))}
 	for _, use := range uses {
 		report.Uses = append(report.Uses, &wire.QuotaUse{
-			Tenant: use.Tenant, Used: int32(use.Used), Waiting: uint32(use.Waiting), Wish: uint32(use.Wish),
+			Name: use.Name, Used: int32(use.Used), Waiting: uint32(use.Waiting), Wish: uint32(use.Wish), Observed: encodeObservation(use.Observed),
 		})
 	}
 	envelope, err := c.client.Call(ctx, address, &wire.Envelope{Body: &wire.Envelope_QuotaReport{QuotaReport: report}})
@@ -35,7 +39,7 @@
 	}
 	answers := make([]quota.Answer, 0, len(uses))
 	for _, grant := range envelope.GetQuotaAnswer().GetGrants() {
-		answers = append(answers, quota.Answer{NotHome: grant.GetNotHome(), Grant: quota.Grant{
+		answers = append(answers, quota.Answer{NotHome: grant.GetNotHome(), Observed: decodeObservation(grant.GetObserved()), Grant: quota.Grant{
 			Granted: int(grant.GetGranted()), Ahead: int(grant.GetAhead()), Calm: grant.GetCalm(),
 			RetryAfter: time.Duration(grant.GetRetryAfterMicros()) * time.Microsecond,
 		}})
@@ -47,32 +51,53 @@
 func (p *peers) answerQuotas(from *wire.Hello, report *wire.QuotaReport) *wire.Envelope {
 	uses := make([]quota.Use, 0, len(report.GetUses()))
 	for _, use := range report.GetUses() {
-		uses = append(uses, quota.Use{Tenant: use.GetTenant(), Report: quota.Report{
+		uses = append(uses, quota.Use{Name: use.GetName(), Observed: decodeObservation(use.GetObserved()), Report: quota.Report{
 			Used: int(use.GetUsed()), Waiting: int(use.GetWaiting()), Wish: int(use.GetWish()),
 		}})
 	}
+	limiter := p.quotas
+	if report.GetServers() {
+		limiter = p.serverLimits
+	}
 	answer := &wire.QuotaAnswer{Grants: make([]*wire.QuotaGrant, 0, len(uses))}
-	for _, of := range p.quotas.Answer(from.GetNode(), uses) {
+	for _, of := range limiter.Answer(from.GetNode(), uses) {
 		answer.Grants = append(answer.Grants, &wire.QuotaGrant{
 			Granted: uint32(of.Granted), Ahead: uint32(of.Ahead), Calm: of.Calm, NotHome: of.NotHome,
-			RetryAfterMicros: of.RetryAfter.Microseconds(),
+			RetryAfterMicros: of.RetryAfter.Microseconds(), Observed: encodeObservation(of.Observed),
 		})
 	}
 	return &wire.Envelope{Body: &wire.Envelope_QuotaAnswer{QuotaAnswer: answer}}
 }
 
-// followQuotas tells the limiter of the tenants and nodes of a view.
+func encodeObservation(observed *quota.Observation) *wire.ObservedLimit {
+	if observed == nil {
+		return nil
+	}
+	return &wire.ObservedLimit{Limited: observed.Limited, Rate: observed.Rate, AgeMicros: observed.Age.Microseconds()}
+}
+
+func decodeObservation(observed *wire.ObservedLimit) *quota.Observation {
+	if observed == nil {
+		return nil
+	}
+	return &quota.Observation{
+		Limited: observed.GetLimited(), Rate: observed.GetRate(), Age: time.Duration(observed.GetAgeMicros()) * time.Microsecond,
+	}
+}
+
+// followQuotas tells the limiters of the tenants and nodes of a view.
 func (p *peers) followQuotas(current *view.View) {
 	if current.Table == nil || (current.Same.Table && current.Same.Nodes) {
 		return
 	}
-	directory := current.Table.Tenants()
-	if directory.Empty() && p.quotas.Unused() {
-		return
-	}
 	nodes := make([]quota.Node, 0, current.Nodes.Len())
 	for _, node := range current.Nodes.All() {
 		nodes = append(nodes, quota.Node{Name: node.Name, Address: node.Address, Process: node.Process, Share: node.Share})
 	}
-	p.quotas.Follow(directory, nodes)
+	p.serverLimits.Follow(nil, nodes)
+	directory := current.Table.Tenants()
+	if directory.Empty() && p.quotas.Unused() {
+		return
+	}
+	p.quotas.Follow(directory.Limits(), nodes)
 }
--- a/internal/tenants/directory.go
+++ b/internal/tenants/directory.go
@@ -103,5 +103,13 @@
 // ByName returns a tenant, or nil.
 func (d *Directory) ByName(name string) *Tenant { return d.byName[name] }
 
-// All returns the tenants by name. The map must not be changed.
-func (d *Directory) All() map[string]*Tenant { return d.byName }
+// Limits returns the limits of the tenants that have one, by name.
+func (d *Directory) Limits() map[string]Limit {
+	limits := make(map[string]Limit)
+	for name, tenant := range d.byName {
+		if !tenant.Limit.Unlimited() {
+			limits[name] = tenant.Limit
+		}
+	}
+	return limits
+}
