Keys leave a server that names a limit far below its load

What callers saw: with a server's limit kept, callers of its keys were refused for as long as it was in need, while other servers had room. Cause: the manager judges servers by how fast they answer; one that answers few requests fast counted as one with room. Change: a server's capacity at the manager is bounded by the slots that would serve its limit.

--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -140,7 +140,8 @@
 	options := shards.DefaultOptions()
 	options.Hold = min(options.Hold, time.Duration(settings.MaxHoldMillis)*time.Millisecond)
 	n.managers = newManagers(shardmanager.Config{
-		Self: self, Store: platform.Store, Views: n.views, Orders: &relayedOrders{platform.Orders, n.peers}, Notices: n.peers, Options: options, Logger: logger,
+		Self: self, Store: platform.Store, Views: n.views, Orders: &relayedOrders{platform.Orders, n.peers}, Notices: n.peers, Options: options,
+		Limits: n.peers.serverLimits.Observed, Logger: logger,
 	})
 	n.peers.managers = n.managers
 	n.registration = &registration{self: self, store: platform.Store, logger: logger, regained: n.mirror.Resume}
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -85,7 +85,10 @@
 	Orders  Orders
 	Notices Notices
 	Options shards.Options
-	Logger  *zap.Logger
+	// Limits returns how many requests a second a server takes, if it names a limit; nil if
+	// no server does. It must not call back.
+	Limits func(server string) (rate float64, limited bool)
+	Logger *zap.Logger
 }
 
 // Manager campaigns for one service's lock and manages its keys while it holds it.
--- a/internal/shardmanager/speed.go
+++ b/internal/shardmanager/speed.go
@@ -23,6 +23,8 @@
 	// earlier ones, and minChange how many they must be, to be taken alone.
 	changeFactor = 2.5
 	minChange    = 3
+	// unjudgedWorkSeconds stands for how long servers work on a request before that is known.
+	unjudgedWorkSeconds = 0.1
 	// slowest and fastest bound how much of its slots' share a server gets.
 	slowest, fastest = 0.02, 2.5
 )
@@ -109,6 +111,30 @@
 	judged.record(now, load)
 }
 
+// meanWorkSeconds is how long the service's servers work on a request on average; false if
+// too little is known.
+func (known speeds) meanWorkSeconds() (float64, bool) {
+	sum, count := 0.0, 0
+	for _, judged := range known {
+		if judged.usual.attempts >= minAttempts {
+			sum += judged.workSeconds()
+			count++
+		}
+	}
+	return sum / float64(max(1, count)), count > 0
+}
+
+// capacityWithin bounds the capacity of a server that takes only some requests a second: by
+// the slots that would serve those. Its keys go to servers with more room, instead of being
+// refused there.
+func (known speeds) capacityWithin(rate, capacity float64) float64 {
+	mean, judged := known.meanWorkSeconds()
+	if !judged {
+		mean = unjudgedWorkSeconds
+	}
+	return min(capacity, max(slowest, rate*mean))
+}
+
 // capacity estimates how much load a server should get from its slots and speed.
 // While there are slots to spare, fast servers get more than their share of the
 // throughput, because answers come sooner there.
@@ -118,19 +144,15 @@
 	if judged == nil || judged.usual.attempts < 1 {
 		return slots
 	}
-	sum, count, working, all := 0.0, 0, 0.0, 0.0
+	mean, enough := known.meanWorkSeconds()
+	if !enough {
+		return slots
+	}
+	working, all := 0.0, 0.0
 	for _, other := range known {
 		all += other.slots
 		working += other.workingSlots()
-		if other.usual.attempts >= minAttempts {
-			sum += other.workSeconds()
-			count++
-		}
-	}
-	if count == 0 {
-		return slots
 	}
-	mean := sum / float64(count)
 	attempts := judged.usual.attempts
 	own := (judged.workSeconds()*attempts + mean*priorAttempts) / (attempts + priorAttempts)
 	relative := math.Pow(mean/own, preference(working/all))
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -232,13 +232,24 @@
 			dead = append(dead, s.ID)
 		}
 		servers = append(servers, shards.Server{
-			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !ended && accepts(now, current, s), Capacity: t.speeds.capacity(s.ID, s.Slots),
+			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !ended && accepts(now, current, s), Capacity: t.capacity(s),
 			Warming: bounded && now.Before(current.WarmUntil(s)),
 		})
 	}
 	t.core.SetServers(servers, dead)
 }
 
+// capacity is how much load a server should get. The caller holds the mutex.
+func (t *term) capacity(s *view.Server) float64 {
+	capacity := t.speeds.capacity(s.ID, s.Slots)
+	if limits := t.manager.config.Limits; limits != nil {
+		if rate, limited := limits(string(s.ID)); limited {
+			return t.speeds.capacityWithin(rate, capacity)
+		}
+	}
+	return capacity
+}
+
 // serversByAddress returns the servers whose entries are there, of those with one address
 // the one whose entry is the newest.
 func serversByAddress(current *view.View) map[string]*view.Server {
