--- a/internal/dispatch/coldprobes.go
+++ b/internal/dispatch/coldprobes.go
@@ -97,6 +97,10 @@
 
 // probeIsDue reports whether this node has to ask a server now. The caller holds the mutex.
 func (d *Dispatcher) probeIsDue(now time.Time, current *view.View, s *server) bool {
+	if _, limited := d.limits.Observed(string(s.id)); limited {
+		// A probe would be one more request against its limit.
+		return false
+	}
 	return !now.Before(s.probeAt) && !now.Before(s.warmAt(current)) && s.reachable(now, d.options.LeaveGrace)
 }
 
--- a/internal/dispatch/coldprobes_test.go
+++ b/internal/dispatch/coldprobes_test.go
@@ -139,3 +139,40 @@
 		t.Errorf("%q is chosen, %d nodes told; want the server and none", got, len(found))
 	}
 }
+
+// oneLimit is the limit of one server that has room for nothing.
+type oneLimit struct {
+	noLimits
+	server string
+}
+
+func (l oneLimit) Observed(server string) (float64, bool) { return 1, server == l.server }
+
+// Probes are requests too: two nodes would send four a second to a server that names a limit
+// of one.
+func TestServersThatNameALimitAreNotProbed(t *testing.T) {
+	answers := &healthServer{id: "s0"}
+	w, _ := newProbingNode(t, answers, 10, 5*time.Second)
+	waitProbed(t, answers)
+	w.mutex.Lock()
+	w.limits = oneLimit{server: "s0"}
+	w.mutex.Unlock()
+	// One that was on its way may still arrive.
+	time.Sleep(probeTimeout)
+	before := answers.probes.Load()
+	time.Sleep(3 * probeInterval)
+	if after := answers.probes.Load(); after != before {
+		t.Errorf("%d probes of a server that names a limit", after-before)
+	}
+}
+
+func waitProbed(t *testing.T, answers *healthServer) {
+	t.Helper()
+	for range 200 {
+		if answers.probes.Load() > 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("the server was never probed")
+}
