Servers that say in their answers that they leave get nothing more

What callers saw: requests went to a server that was about to end, while the store was away. Cause: nodes learned from the store alone that a server leaves. Change: a server's word in an answer makes it draining in the view, the first node that hears it tells the others, and nodes read answers that came through a home as well. Why it holds: dispatcher, homes and manager follow the view; an entry of before does not undo it, and a later life of the server is another one.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,7 +12,6 @@
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/ending"
 	"github.com/micahaven/micahaven/internal/homes"
-	"github.com/micahaven/micahaven/internal/quota"
 	"github.com/micahaven/micahaven/internal/schedule"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
@@ -101,7 +100,7 @@
 	// coldFound tells the other nodes of a server that a probe found cold.
 	coldFound ColdFound
 	// limits keeps what servers get within the limits that they name, and signalled tells
-	// the other nodes of such limits.
+	// the other nodes what servers ask of all of them.
 	limits    ServerLimits
 	signalled Signalled
 	// probes bounds the probes that are on their way.
@@ -154,7 +153,7 @@
 		ending:     ending.New(),
 
 		limits:    noLimits{},
-		signalled: func(discovery.ServerID, quota.Observation) {},
+		signalled: func(discovery.ServerID, Signal) {},
 		coldFound: func(discovery.ServerID, time.Duration) {},
 		probes:    make(chan struct{}, maxProbes),
 	}
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -90,6 +90,7 @@
 	}
 	answer, trace, err := d.handover.Do(ctx, request, d.limit(request), to)
 	d.noteSize(request, answer)
+	d.observeHanded(trace, answer)
 	switch {
 	case errors.Is(err, ErrHomeLost):
 		d.otherHome(to.Server)
--- a/internal/dispatch/handoff_test.go
+++ b/internal/dispatch/handoff_test.go
@@ -18,14 +18,15 @@
 
 // fakeHandover answers each handover alike and counts them.
 type fakeHandover struct {
-	err   error
-	trace Trace
-	count int
+	err    error
+	trace  Trace
+	answer *upstream.Answer
+	count  int
 }
 
 func (f *fakeHandover) Do(context.Context, *Request, time.Time, Destination) (*upstream.Answer, Trace, error) {
 	f.count++
-	return nil, f.trace, f.err
+	return f.answer, f.trace, f.err
 }
 
 // worldWithHomes is a world of four nodes in zone z, with servers that are warm, whose
--- a/internal/dispatch/serverlimit.go
+++ b/internal/dispatch/serverlimit.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/backpressure"
-	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/quota"
 )
 
@@ -30,15 +29,9 @@
 	GiveBack(server string)
 }
 
-// Signalled tells the other nodes of a limit that a server named to this one, or that it
-// names none any more.
-type Signalled func(server discovery.ServerID, limit quota.Observation)
-
-// SetServerLimits sets what keeps servers' limits, and what is told of them. It must be
-// called before the first request; without it servers' limits are passed over.
-func (d *Dispatcher) SetServerLimits(limits ServerLimits, signalled Signalled) {
-	d.limits, d.signalled = limits, signalled
-}
+// SetServerLimits sets what keeps servers' limits. It must be called before the first
+// request; without it servers' limits are passed over.
+func (d *Dispatcher) SetServerLimits(limits ServerLimits) { d.limits = limits }
 
 // noLimits is for servers that never name a limit.
 type noLimits struct{}
@@ -57,7 +50,7 @@
 func (d *Dispatcher) observeLimit(s *server, signals backpressure.Signals) {
 	limit := quota.Observation{Limited: signals.Limited, Rate: signals.Rate}
 	if d.limits.Observe(string(s.id), limit) {
-		d.signalled(s.id, limit)
+		d.signalled(s.id, Signal{Limit: &limit})
 	}
 }
 
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -4,9 +4,28 @@
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/backpressure"
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/quota"
 	"github.com/micahaven/micahaven/internal/upstream"
 )
 
+// Signal is what a server asked of all nodes in an answer to this one.
+type Signal struct {
+	// Limit is the limit that it names, or that it names none any more; nil if that hasn't
+	// changed.
+	Limit *quota.Observation
+	// Leaving is true if it has said that it leaves.
+	Leaving bool
+}
+
+// Signalled tells the other nodes what a server asked of all of them. Most of them would
+// hear nothing of it before they have sent the server something themselves.
+type Signalled func(server discovery.ServerID, told Signal)
+
+// SetSignalled sets what is told of what servers ask. It must be called before the first
+// request.
+func (d *Dispatcher) SetSignalled(signalled Signalled) { d.signalled = signalled }
+
 // observeSignals takes in what a server asks for in an answer.
 func (d *Dispatcher) observeSignals(s *server, answer *upstream.Answer) {
 	signals, speaks := d.signalsOf(answer)
@@ -20,6 +39,28 @@
 	d.mutex.Unlock()
 	d.logSignals(s, before, signals)
 	d.observeLimit(s, signals)
+	if signals.Leaving && !before.Leaving && d.views.TakeLeaving(s.id) {
+		d.signalled(s.id, Signal{Leaving: true})
+	}
+}
+
+// observeHanded takes in what a server asks for in an answer that came through its home: this
+// node may send it requests itself, and must know by then.
+func (d *Dispatcher) observeHanded(trace Trace, answer *upstream.Answer) {
+	if answer == nil {
+		return
+	}
+	signals, speaks := d.signalsOf(answer)
+	_, limited := d.limits.Observed(trace.Server)
+	if nothing := !limited && signals == (backpressure.Signals{}); nothing || !speaks {
+		return
+	}
+	d.mutex.Lock()
+	s := d.server(discovery.ServerID(trace.Server))
+	d.mutex.Unlock()
+	if s != nil {
+		d.observeSignals(s, answer)
+	}
 }
 
 // signalsOf returns what an answer says; false if it isn't the word of the server that was
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -129,7 +129,8 @@
 	n.takePartInHomes(client)
 	n.peers.quotas = quota.NewLimiter("tenants", self.Name, quotaCaller{client: client}, quota.NewKeeper(), settings.tolerance(), logger)
 	n.peers.serverLimits = quota.NewLimiter("servers", self.Name, quotaCaller{client: client, servers: true}, quota.NewKeeper(), serverTolerance(), logger)
-	n.dispatcher.SetServerLimits(n.peers.serverLimits, n.peers.serverSignalled)
+	n.dispatcher.SetServerLimits(n.peers.serverLimits)
+	n.dispatcher.SetSignalled(n.peers.serverSignalled)
 	n.views.Subscribe(n.peers.followQuotas)
 	n.handler.SetTenancy(ingress.Tenancy{Quotas: n.peers.quotas, Freshness: n.copyFreshness, Staleness: settings.staleness()})
 	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes, linkBytes: settings.linkBytes()}
--- a/internal/router/serversignals.go
+++ b/internal/router/serversignals.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/quota"
 	"github.com/micahaven/micahaven/internal/wire"
 )
@@ -14,16 +15,17 @@
 	return quota.Tolerance{Window: 4 * time.Second, Over: 0.5, Slack: 5}
 }
 
-// serverSignalled tells the other nodes what a server asked this one for: it asks all of
-// them, and most of them hear nothing of it before they have sent it something themselves.
-func (p *peers) serverSignalled(server discovery.ServerID, limit quota.Observation) {
-	signals := &wire.ServerSignals{Server: string(server), Limit: encodeObservation(&limit)}
+// serverSignalled tells the other nodes what a server asked of all of them.
+func (p *peers) serverSignalled(server discovery.ServerID, told dispatch.Signal) {
+	signals := &wire.ServerSignals{Server: string(server), Limit: encodeObservation(told.Limit), Leaving: told.Leaving}
 	p.toHeads(signalsEnvelope(signals, true))
 	p.toFollowers(signalsEnvelope(signals, false))
 }
 
 func signalsEnvelope(signals *wire.ServerSignals, forward bool) *wire.Envelope {
-	copied := &wire.ServerSignals{Server: signals.GetServer(), Limit: signals.GetLimit(), Forward: forward}
+	copied := &wire.ServerSignals{
+		Server: signals.GetServer(), Limit: signals.GetLimit(), Leaving: signals.GetLeaving(), Forward: forward,
+	}
 	return &wire.Envelope{Body: &wire.Envelope_ServerSignals{ServerSignals: copied}}
 }
 
@@ -32,6 +34,9 @@
 	if limit := decodeObservation(signals.GetLimit()); limit != nil {
 		p.serverLimits.Observe(signals.GetServer(), *limit)
 	}
+	if signals.GetLeaving() {
+		p.views.TakeLeaving(discovery.ServerID(signals.GetServer()))
+	}
 	if signals.GetForward() {
 		p.toFollowers(signalsEnvelope(signals, false))
 	}
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -41,6 +41,8 @@
 	managers *sharedMap[string, Manager]
 	retired  *sharedMap[string, Retirement]
 	nodes    *sharedIndex[string, Node]
+	// leaving holds when servers were first told to be leaving by what they answered.
+	leaving map[discovery.ServerID]time.Time
 	// evacuations holds zones that are or were evacuated.
 	evacuations *sharedMap[string, Evacuation]
 	lapse       Lapse
@@ -57,6 +59,7 @@
 	b.lapse = func() (time.Time, bool) { return time.Time{}, false }
 	b.servers = newServerIndex()
 	b.lives = make(map[string]discovery.ServerID)
+	b.leaving = make(map[discovery.ServerID]time.Time)
 	b.refusals = make(refusedEntries)
 	b.owners = newSharedMap[string, Owners]()
 	b.managers = newSharedMap[string, Manager]()
--- a/internal/view/entries.go
+++ b/internal/view/entries.go
@@ -47,6 +47,9 @@
 	if before != nil {
 		server.DrainingSince = before.DrainingSince
 	}
+	if server.DrainingSince.IsZero() {
+		server.DrainingSince = b.leaving[entry.ID]
+	}
 	if entry.State == discovery.Draining && server.DrainingSince.IsZero() {
 		server.DrainingSince = now
 		b.logger.Info("server draining", zap.String("server", string(entry.ID)), zap.Int64("revision", item.Revision))
@@ -111,3 +114,44 @@
 	b.logger.Info("server gone", zap.String("server", string(known.ID)), zap.Bool("draining", !gone.DrainingSince.IsZero()),
 		zap.Bool("may_return", !gone.LapsedUntil.IsZero()))
 }
+
+// leavingMemory is for how long it is remembered that a server whose entry is missing said
+// that it leaves: its entry may come back with a store that was away, and not tell it.
+const leavingMemory = 10 * time.Minute
+
+// TakeLeaving takes in that a server said in an answer that it leaves, and reports whether
+// that is new. The store may tell it much later, or never if it is away: the server counts as
+// draining from now on, whatever its entry says.
+func (b *Builder) TakeLeaving(id discovery.ServerID) bool {
+	b.mutex.Lock()
+	if _, told := b.leaving[id]; told {
+		b.mutex.Unlock()
+		return false
+	}
+	now := time.Now()
+	b.forgetLeaving(now)
+	b.leaving[id] = now
+	known := b.servers.get(id)
+	if known == nil || !known.DrainingSince.IsZero() {
+		b.mutex.Unlock()
+		return false
+	}
+	leaving := *known
+	leaving.DrainingSince = now
+	b.servers.put(&leaving)
+	published := b.publish()
+	b.mutex.Unlock()
+	b.logger.Info("server draining, as it answered", zap.String("server", string(id)))
+	b.notify(published)
+	return true
+}
+
+// forgetLeaving drops what was told long ago of servers that are gone. The caller holds the
+// mutex.
+func (b *Builder) forgetLeaving(now time.Time) {
+	for id, told := range b.leaving {
+		if b.servers.get(id) == nil && now.Sub(told) > leavingMemory {
+			delete(b.leaving, id)
+		}
+	}
+}
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -108,3 +108,37 @@
 		t.Error("nodes count as changed although the entry is the same")
 	}
 }
+
+// The store may be away when a server says that it leaves, and its entry says otherwise until
+// long after.
+func TestServerThatAnswersThatItLeavesIsDraining(t *testing.T) {
+	builder, _ := withServer()
+	published := 0
+	builder.Subscribe(func(*view.View) { published++ })
+	if !builder.TakeLeaving("one") || builder.TakeLeaving("one") {
+		t.Error("only the first word of a server is new")
+	}
+	if builder.Current().Servers.Get("one").DrainingSince.IsZero() || published != 1 {
+		t.Errorf("it isn't draining; %d views are published, want one", published)
+	}
+	builder.Apply([]topo.Event{{Item: topo.Item{Key: serverKey, Revision: 2}}}, 2)
+	if builder.Current().Servers.Get("one").DrainingSince.IsZero() {
+		t.Error("its entry of before undoes it")
+	}
+}
+
+// What is told of a server that isn't known holds once it registers; that is so when its entry
+// lapsed with a store that was away for long.
+func TestLeavingServerThatRegistersAgainIsDraining(t *testing.T) {
+	builder, _ := withServer()
+	if builder.TakeLeaving("two") {
+		t.Error("news of a server that isn't known")
+	}
+	builder.Apply([]topo.Event{{Item: topo.Item{Key: "servers/two", Revision: 2}}}, 2)
+	if builder.Current().Servers.Get("two").DrainingSince.IsZero() {
+		t.Error("it isn't draining")
+	}
+	if !builder.Current().Servers.Get("one").DrainingSince.IsZero() {
+		t.Error("another server is draining")
+	}
+}
