Servers that ask for rest get it

What callers saw: servers that shed their load were sent dozens of requests that they turned away, some twice within 41 ms, and callers were refused late. Cause: a refusal meant a pause of 30 ms, whatever the server asked for. Change: a server that asks for rest gets nothing from this node until it is over; callers of its keys are refused at once and told when. Why it holds: the rest is kept apart from the pauses, which a success ends, and bounds the choice of server, second tries and probes alike.

--- a/internal/dispatch/coldprobes.go
+++ b/internal/dispatch/coldprobes.go
@@ -101,6 +101,9 @@
 		// A probe would be one more request against its limit.
 		return false
 	}
+	if now.Before(s.restUntil) {
+		return false
+	}
 	return !now.Before(s.probeAt) && !now.Before(s.warmAt(current)) && s.reachable(now, d.options.LeaveGrace)
 }
 
--- a/internal/dispatch/comeback.go
+++ b/internal/dispatch/comeback.go
@@ -48,7 +48,12 @@
 		if s := d.keyServer(request); s != nil {
 			return d.limitLeft(now, s)
 		}
+	case ReasonOwnerResting:
+		return d.restLeft(now, request)
 	case ReasonServerRefused:
+		if left := d.restLeft(now, request); left > 0 {
+			return left
+		}
 		// It was full. In the time of one answer it works off as many as it has slots; that
 		// is an estimate, for which no caller is told to come back later than it would.
 		if s := d.keyServer(request); s != nil {
@@ -57,3 +62,13 @@
 	}
 	return 0
 }
+
+// restLeft is for how long the owner of a request's key still wants nothing from this node.
+// The caller holds the mutex.
+func (d *Dispatcher) restLeft(now time.Time, request *Request) time.Duration {
+	s := d.keyServer(request)
+	if s == nil {
+		return 0
+	}
+	return max(0, s.restUntil.Sub(now))
+}
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -55,13 +55,13 @@
 }
 
 // opens returns for how long this node surely sends nothing to the owner of a request's
-// key, because it has sent its part of what the owner bears, or all have. The caller holds the mutex.
+// key, because the owner asked for that, or all that it bears has been sent. The caller holds the mutex.
 func (d *Dispatcher) opens(now time.Time, request *Request) time.Duration {
 	s := d.keyServer(request)
 	if s == nil {
 		return 0
 	}
-	return max(0, s.limit.pausedUntil.Sub(now), d.limitLeft(now, s))
+	return max(0, s.limit.pausedUntil.Sub(now), s.restUntil.Sub(now), d.limitLeft(now, s))
 }
 
 // keyServer returns the server that owns a request's key; nil if there is none or keys
@@ -124,7 +124,7 @@
 	current := d.views.Current()
 	sum, count := 0.0, 0
 	for _, s := range d.candidates(now, current, request.Service) {
-		if excluded[s.id] || !s.reachable(now, 0) || !now.After(s.blockedUntil) {
+		if excluded[s.id] || !s.reachable(now, 0) || s.passedOver(now) {
 			continue
 		}
 		if _, bounded := d.warming(now, current, s); bounded {
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -35,6 +35,8 @@
 	ReasonKeyWarming
 	// ReasonOwnerLimited: the key's owner names a limit, and it is used up.
 	ReasonOwnerLimited
+	// ReasonOwnerResting: the key's owner has asked this node for rest.
+	ReasonOwnerResting
 	reasonCount
 )
 
@@ -42,7 +44,7 @@
 func (r Reason) String() string {
 	names := [reasonCount]string{
 		"no owner", "owner gone", "owner failing", "moving", "owner busy",
-		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming", "owner limited",
+		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming", "owner limited", "owner resting",
 	}
 	if r < 0 || r >= reasonCount {
 		return "unknown"
@@ -90,6 +92,8 @@
 		return ReasonOwnerGone, fmt.Sprintf("owner %s is not registered", owner.Owner)
 	case !s.reachable(now, d.ownerGrace(s)):
 		return ReasonOwnerGone, fmt.Sprintf("owner %s leaves or is gone", owner.Owner)
+	case now.Before(s.restUntil):
+		return ReasonOwnerResting, fmt.Sprintf("owner %s asked for %v more without requests", owner.Owner, s.restUntil.Sub(now).Round(time.Millisecond))
 	case now.Before(s.blockedUntil):
 		return ReasonOwnerFailing, fmt.Sprintf("owner %s failed %d times in a row", owner.Owner, s.failures)
 	}
@@ -116,7 +120,7 @@
 // whyNoneOf says why none of a service's servers was free. The caller holds the
 // mutex.
 func (d *Dispatcher) whyNoneOf(now time.Time, request *Request) string {
-	known, leaving, blocked, limited, warmingUp, busy := 0, 0, 0, 0, 0, 0
+	known, leaving, resting, blocked, limited, warmingUp, busy := 0, 0, 0, 0, 0, 0, 0
 	current := d.views.Current()
 	of := d.services[request.Service]
 	if of == nil {
@@ -128,6 +132,8 @@
 		switch {
 		case !s.reachable(now, 0):
 			leaving++
+		case now.Before(s.restUntil):
+			resting++
 		case now.Before(s.blockedUntil):
 			blocked++
 		case d.limitLeft(now, s) > 0:
@@ -138,6 +144,6 @@
 			busy++
 		}
 	}
-	return fmt.Sprintf("of %d servers %d leave, %d failed lately, the limits of %d are used up, %d warm up, %d are busy",
-		known, leaving, blocked, limited, warmingUp, busy)
+	return fmt.Sprintf("of %d servers %d leave, %d asked for rest, %d failed lately, the limits of %d are used up, %d warm up, %d are busy",
+		known, leaving, resting, blocked, limited, warmingUp, busy)
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -65,6 +65,9 @@
 	// refusals counts connections in a row that the server refused.
 	refusals     int
 	blockedUntil time.Time
+	// restUntil is until when the server wants nothing from this node, as it said itself when
+	// it turned a request away. Nothing but time ends that.
+	restUntil time.Time
 	// limitedUntil is until when this node sends it nothing because the limit that it names
 	// is used up.
 	limitedUntil time.Time
@@ -169,11 +172,24 @@
 	return s.latency
 }
 
+// passedOver reports whether this node sends the server nothing for a while, although it is
+// there.
+func (s *server) passedOver(now time.Time) bool {
+	return now.Before(s.blockedUntil) || now.Before(s.restUntil)
+}
+
+// rest passes the server over for as long as it asked for.
+func (s *server) rest(now time.Time, asked time.Duration) {
+	if until := now.Add(asked); until.After(s.restUntil) {
+		s.restUntil = until
+	}
+}
+
 // usable reports whether a request may be sent to the server now. A server whose
 // entry is missing is used a little longer, because entries may lapse while the
 // store is down and come back.
 func (s *server) usable(now time.Time, leaveGrace time.Duration) bool {
-	if now.Before(s.blockedUntil) || s.outstanding >= s.capacity(now) {
+	if s.passedOver(now) || s.outstanding >= s.capacity(now) {
 		return false
 	}
 	return s.reachable(now, leaveGrace)
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/backpressure"
@@ -26,31 +28,21 @@
 // request.
 func (d *Dispatcher) SetSignalled(signalled Signalled) { d.signalled = signalled }
 
-// observeSignals takes in what a server asks for in an answer.
+// observeSignals takes in what a server asks for in an answer to this node.
 func (d *Dispatcher) observeSignals(s *server, answer *upstream.Answer) {
-	signals, speaks := d.signalsOf(answer)
-	if !speaks {
-		return
-	}
-	countSignals(signals)
-	d.mutex.Lock()
-	before := s.signals
-	s.signals = signals
-	d.mutex.Unlock()
-	d.logSignals(s, before, signals)
-	d.observeLimit(s, signals)
-	if signals.Leaving && !before.Leaving && d.views.TakeLeaving(s.id) {
-		d.signalled(s.id, Signal{Leaving: true})
+	if signals, speaks := d.signalsOf(answer); speaks {
+		d.takeSignals(s, signals)
 	}
 }
 
 // observeHanded takes in what a server asks for in an answer that came through its home: this
-// node may send it requests itself, and must know by then.
+// node may send it requests itself, and must know by then. Rest was asked of the home alone.
 func (d *Dispatcher) observeHanded(trace Trace, answer *upstream.Answer) {
 	if answer == nil {
 		return
 	}
 	signals, speaks := d.signalsOf(answer)
+	signals.Rest = 0
 	_, limited := d.limits.Observed(trace.Server)
 	if nothing := !limited && signals == (backpressure.Signals{}); nothing || !speaks {
 		return
@@ -59,7 +51,25 @@
 	s := d.server(discovery.ServerID(trace.Server))
 	d.mutex.Unlock()
 	if s != nil {
-		d.observeSignals(s, answer)
+		d.takeSignals(s, signals)
+	}
+}
+
+// takeSignals takes in what a server asks for.
+func (d *Dispatcher) takeSignals(s *server, signals backpressure.Signals) {
+	countSignals(signals)
+	now := time.Now()
+	d.mutex.Lock()
+	before := s.signals
+	s.signals = signals
+	if signals.Rest > 0 {
+		s.rest(now, signals.Rest)
+	}
+	d.mutex.Unlock()
+	d.logSignals(s, before, signals)
+	d.observeLimit(s, signals)
+	if signals.Leaving && !before.Leaving && d.views.TakeLeaving(s.id) {
+		d.signalled(s.id, Signal{Leaving: true})
 	}
 }
 
--- a/internal/dispatch/subset.go
+++ b/internal/dispatch/subset.go
@@ -59,7 +59,7 @@
 	add := func(s *server) {
 		_, bounded := d.warming(now, current, s)
 		candidates = append(candidates, s)
-		up = up || (!bounded && s.reachable(now, 0) && !now.Before(s.blockedUntil))
+		up = up || (!bounded && s.reachable(now, 0) && !s.passedOver(now))
 	}
 	for _, s := range of.preferred {
 		add(s)
