Requests that crash servers are found and sent nowhere

What callers saw: one request that crashed each server that ran it took servers away for seconds, again and again, and every third other request failed. Cause: nothing counted which requests servers crash of. Change: package poison: evidence is a connection that ended without an answer and a new one that is refused; three lives without an answer in between make it certain; nodes tell each other; a certain request is refused at once and tried again later by one node at a time. Why it holds: a life counts once whoever saw it, only the most suspected are blamed, and an answer clears.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -99,6 +99,8 @@
 	copyAge CopyAge
 	// coldFound tells the other nodes of a server that a probe found cold.
 	coldFound ColdFound
+	// guard keeps requests that crash servers from them.
+	guard Guard
 	// limits keeps what servers get within the limits that they name, and signalled tells
 	// the other nodes what servers ask of all of them.
 	limits    ServerLimits
@@ -152,6 +154,7 @@
 		copyAge:    func() (time.Duration, bool) { return 0, true },
 		ending:     ending.New(),
 
+		guard:     noGuard{},
 		limits:    noLimits{},
 		signalled: func(discovery.ServerID, Signal) {},
 		coldFound: func(discovery.ServerID, time.Duration) {},
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -35,7 +35,7 @@
 // Do sends a request to servers until one answers, or it must be given up.
 func (d *Dispatcher) Do(ctx context.Context, request *Request) (*upstream.Answer, Trace, error) {
 	ctx, bounds := d.ending.Bound(ctx, request.limit())
-	answer, trace, err := d.throughHome(ctx, request)
+	answer, trace, err := d.unlessCrashing(ctx, request)
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		refusalSeconds.WithLabelValues(refusal.Reason.String()).Observe(time.Since(request.ArrivedAt).Seconds())
@@ -51,6 +51,14 @@
 	return answer, trace, err
 }
 
+// unlessCrashing sends a request if it is not known to crash servers.
+func (d *Dispatcher) unlessCrashing(ctx context.Context, request *Request) (*upstream.Answer, Trace, error) {
+	if refusal := d.refuseCrashing(request); refusal != nil {
+		return nil, Trace{}, refusal
+	}
+	return d.throughHome(ctx, request)
+}
+
 func (d *Dispatcher) attempts(ctx context.Context, request *Request) (*upstream.Answer, Trace, error) {
 	var trace Trace
 	var lastAnswer *upstream.Answer
@@ -75,7 +83,11 @@
 		trace.MapRevision = d.views.Current().Owners[request.Service].Revision
 		limit := d.limit(request)
 		sentAt := time.Now()
-		s, answer, outcome, err := d.sendTwice(ctx, request, s, limit, &trace, excluded)
+		s, answer, outcome, err := d.sendGuarded(ctx, request, s, limit, &trace, excluded)
+		var refused *Refusal
+		if errors.As(err, &refused) && !mayHaveRun {
+			return nil, trace, refused
+		}
 		trace.Server = string(s.id)
 		trace.AtServers += time.Since(sentAt)
 		if outcome == notSent {
@@ -164,6 +176,7 @@
 	answer, err := s.pool.Exchange(ctx, outgoing)
 	took := time.Since(startedAt)
 	if err != nil {
+		d.lookForCrash(ctx, request, s, err)
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			d.fault(s, err)
 		}
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -37,6 +37,8 @@
 	ReasonOwnerLimited
 	// ReasonOwnerResting: the key's owner has asked this node for rest.
 	ReasonOwnerResting
+	// ReasonCrashesServers: servers crashed each time they ran the request.
+	ReasonCrashesServers
 	reasonCount
 )
 
@@ -44,7 +46,7 @@
 func (r Reason) String() string {
 	names := [reasonCount]string{
 		"no owner", "owner gone", "owner failing", "moving", "owner busy",
-		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming", "owner limited", "owner resting",
+		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming", "owner limited", "owner resting", "crashes servers",
 	}
 	if r < 0 || r >= reasonCount {
 		return "unknown"
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -22,6 +22,7 @@
 	"github.com/micahaven/micahaven/internal/ingress/pipeline"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
+	"github.com/micahaven/micahaven/internal/poison"
 	"github.com/micahaven/micahaven/internal/quota"
 	"github.com/micahaven/micahaven/internal/routerlog"
 	"github.com/micahaven/micahaven/internal/shardmanager"
@@ -131,6 +132,9 @@
 	n.peers.serverLimits = quota.NewLimiter("servers", self.Name, quotaCaller{client: client, servers: true}, quota.NewKeeper(), serverTolerance(), logger)
 	n.dispatcher.SetServerLimits(n.peers.serverLimits)
 	n.dispatcher.SetSignalled(n.peers.serverSignalled)
+	n.peers.guard = poison.NewGuard(self.Name, n.peers.tellCrashes, logger)
+	n.views.Subscribe(n.peers.followNodes)
+	n.dispatcher.SetGuard(n.peers.guard)
 	n.views.Subscribe(n.peers.followQuotas)
 	n.handler.SetTenancy(ingress.Tenancy{Quotas: n.peers.quotas, Freshness: n.copyFreshness, Staleness: settings.staleness()})
 	n.peers.copies = &copyGiver{mirror: n.mirror, feed: changes, linkBytes: settings.linkBytes()}
@@ -257,6 +261,9 @@
 		return periodic.Run(ctx, idlePrune, func(context.Context) { n.connections.Prune(time.Now()) })
 	})
 	actor(func(ctx context.Context) error { return periodic.Run(ctx, heldInterval, n.logHeld()) })
+	actor(func(ctx context.Context) error {
+		return periodic.Run(ctx, poison.TellAgainEvery, func(context.Context) { n.peers.guard.TellAgain() })
+	})
 	actor(n.peers.reportLoad)
 	actor(n.peers.exchangeState)
 	actor(func(ctx context.Context) error { return n.watchSignals(ctx, signals) })
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -16,6 +16,7 @@
 	"github.com/micahaven/micahaven/internal/handoff"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
+	"github.com/micahaven/micahaven/internal/poison"
 	"github.com/micahaven/micahaven/internal/quota"
 	"github.com/micahaven/micahaven/internal/shardmanager"
 	"github.com/micahaven/micahaven/internal/shards"
@@ -57,7 +58,9 @@
 	quotas *quota.Limiter
 	// serverLimits keeps what servers get within the limits that they name.
 	serverLimits *quota.Limiter
-	logger       *zap.Logger
+	// guard keeps requests that crash servers from them.
+	guard  *poison.Guard
+	logger *zap.Logger
 
 	mutex sync.Mutex
 	// heardFrom holds addresses of nodes that sent something, the last one last:
@@ -189,6 +192,8 @@
 		p.takeColdServer(body.ColdServer)
 	case *wire.Envelope_ServerSignals:
 		p.takeServerSignals(body.ServerSignals)
+	case *wire.Envelope_CrashReport:
+		p.takeCrashes(body.CrashReport)
 	case *wire.Envelope_TermOver:
 		p.views.TakeRetirement(view.RetiredKey(body.TermOver.GetService(), from.GetNode()), view.Retirement{
 			Process: body.TermOver.GetProcess(), Epoch: int64(body.TermOver.GetEpoch()),
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -145,6 +145,23 @@
 	return sockets.Dialer(dialTimeout, silenceLimit).DialContext(ctx, "tcp", address)
 }
 
+// refusesTimeout bounds how long a server's machine may take to refuse a connection.
+const refusesTimeout = 200 * time.Millisecond
+
+// Refuses reports whether the server's machine refuses a new connection: nothing listens there
+// any more. A machine that says nothing does not refuse.
+func (p *Pool) Refuses(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, refusesTimeout)
+	defer cancel()
+	socket, err := p.dial(bounded, p.address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// It was opened only to see; there is nobody to tell.
+	_ = socket.Close()
+	return false
+}
+
 func settleTime(opening time.Duration) time.Duration { return min(opening, maxSettle) }
 
 // Close ends idle connections; those in use end with their request.
