--- a/cmd/micahaven-soak/main.go
+++ b/cmd/micahaven-soak/main.go
@@ -24,6 +24,7 @@
 	nodes := flag.Int("nodes", 4, fmt.Sprintf("number of router processes, 1 to %d", mostNodes))
 	length := flag.Duration("length", 30*time.Second, "how long faults are injected in a round")
 	planned := flag.Bool("planned", false, "play planned work beside servers that misbehave instead of random faults")
+	needs := flag.Bool("needs", false, "let servers ask for limits, rest and an end in their answers, and crash of some requests, beside the random faults")
 	logs := flag.String("logs", "", "folder in which the logs are kept; the system's one for temporary files if left out")
 	flag.Parse()
 	if *nodes < 1 || *nodes > mostNodes {
@@ -33,7 +34,7 @@
 	broken := 0
 	for round := range *rounds {
 		broken += play(*logs, soak.Options{
-			Router: *router, Seed: *seed + uint64(round), Nodes: *nodes, Length: *length, Planned: *planned,
+			Router: *router, Seed: *seed + uint64(round), Nodes: *nodes, Length: *length, Planned: *planned, Needs: *needs,
 		})
 	}
 	if broken > 0 {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -49,6 +49,7 @@
 	endsTold := make(map[*Node]int)
 	client := &http.Client{Timeout: time.Second}
 	for turn := 0; ctx.Err() == nil; turn++ {
+		s.needs.look(time.Now(), s.allInTouch())
 		s.checkDrained()
 		s.checkOwners(overlaps)
 		s.checkEnds(endsTold)
@@ -66,6 +67,7 @@
 	stable := s.world.storeStable()
 	for _, arrival := range s.world.ledger.TakeArrivals() {
 		s.checkCold(arrival)
+		s.checkNeeds(arrival)
 		if stable {
 			s.checkEvacuated(arrival)
 		}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -44,3 +44,20 @@
 		}
 	}
 }
+
+func TestCalmIsWhatAllNodesHadForLong(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var watch needsWatch
+	watch.look(start, true)
+	watch.look(start.Add(time.Second), true)
+	if !watch.calmFor(start.Add(time.Second), contactTime+time.Second) {
+		t.Error("not calm, though nodes have been in touch for a second, which they are after a contact time")
+	}
+	if watch.calmFor(start.Add(time.Second), contactTime+2*time.Second) {
+		t.Error("calm for longer than it was")
+	}
+	watch.look(start.Add(2*time.Second), false)
+	if watch.calmFor(start.Add(3*time.Second), 0) {
+		t.Error("calm with a node that isn't in touch")
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -166,6 +166,14 @@
 	}},
 }
 
+// kinds are the kinds of faults of this round.
+func (s *soak) kinds() []fault {
+	if s.options.Needs {
+		return slices.Concat(faults, needFaults, needFaults)
+	}
+	return faults
+}
+
 func (s *soak) node(random *rand.Rand) *Node { return s.nodes[random.IntN(len(s.nodes))] }
 
 // server picks a server, mostly of the service that is divided by key.
@@ -192,14 +200,14 @@
 
 // inject injects faults, some at the same time, until the length is over, and
 // returns how many when all have been taken away.
-func (s *soak) inject(random *rand.Rand, length time.Duration) int {
+func (s *soak) inject(random *rand.Rand, kinds []fault, length time.Duration) int {
 	var group sync.WaitGroup
 	busy := make(map[string]bool)
 	var mutex sync.Mutex
 	count := 0
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		pause := 200*time.Millisecond + time.Duration(random.Int64N(int64(1300*time.Millisecond)))
-		chosen := faults[random.IntN(len(faults))]
+		chosen := kinds[random.IntN(len(kinds))]
 		lasts := minFault + time.Duration(random.Int64N(int64(maxFault-minFault)))
 		own := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		time.Sleep(pause)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,7 +29,10 @@
 	// Planned plays the operator's planned work, beside servers that misbehave,
 	// instead of random faults, with clients that account for each request.
 	Planned bool
-	Output  io.Writer
+	// Needs makes servers ask for limits, rest and an end in their answers, and crash of
+	// some requests, beside the random faults.
+	Needs  bool
+	Output io.Writer
 }
 
 // Result is what a soak saw.
@@ -89,8 +92,10 @@
 	history faultHistory
 	stalls  stallWatch
 	started time.Time
-	// cold counts the requests at cold servers. Only watch uses it.
-	cold lastSecond
+	// cold counts the requests at cold servers, and needs those at servers that ask for
+	// something. Only watch uses them.
+	cold  lastSecond
+	needs needsWatch
 
 	mutex    sync.Mutex
 	breaches []string
@@ -147,7 +152,7 @@
 	if s.options.Planned {
 		count, recovery = s.planWork(random, s.options.Length), plannedRecovery
 	} else {
-		count = s.inject(random, s.options.Length)
+		count = s.inject(random, s.kinds(), s.options.Length)
 	}
 	s.world.heal()
 	s.waitReady(startPatience)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,3 +50,9 @@
 		t.Errorf("%d series, want one at least for each of %d troubles", result.Faults, troubles)
 	}
 }
+
+// Servers that ask for limits, rest and an end in their answers, and that crash of some
+// requests, beside random faults.
+func TestServersGetWhatTheyAskForUnderFaults(t *testing.T) {
+	play(t, soak.Options{Seed: 1, Nodes: 4, Length: 25 * time.Second, Needs: true})
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	leftAt time.Time
 	// cold are the times in which the server was cold.
 	cold []span
+	// need is what it asks for; nil if nothing.
+	need *need
 }
 
 // span is a time from one moment to another; until is zero while it lasts.
@@ -51,6 +54,8 @@
 	configuredAt   time.Time
 	faults         memory.Faults
 	storeDisturbed time.Time
+	// crashed counts servers that crashed of requests, by path.
+	crashed map[string]int
 	// evacuated holds the times in which zones were evacuated.
 	evacuated map[string][]span
 }
@@ -93,6 +98,7 @@
 		return failed
 	}
 	started.link = link
+	started.CrashesOf(crashes, func(r *http.Request) { w.crashBy(started, r) })
 	started.SetFaults(standin.Faults{Work: serverWork})
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays the fault soak: the seeds that ever failed, then fresh ones, of random faults
-# and of planned work.
+# Plays the fault soak: the seeds that ever failed, then fresh ones, of random faults, of
+# planned work, and of random faults beside servers that ask for something.
 # ROUNDS is the number of fresh seeds of each, LENGTH how long faults last in a round,
 # NODES the number of processes.
 set -euo pipefail
@@ -11,10 +11,13 @@
 failed=0
 for seed in $(grep -v '^#' internal/soak/seeds.txt | cut -d' ' -f1); do
   planned=""
-  case "$seed" in planned:*) planned=--planned ;; esac
-  ./bin/micahaven-soak $planned --seed "${seed#planned:}" --nodes "$nodes" --length "$length" || failed=1
+  case "$seed" in
+    planned:*) planned=--planned ;;
+    needs:*) planned=--needs ;;
+  esac
+  ./bin/micahaven-soak $planned --seed "${seed#*:}" --nodes "$nodes" --length "$length" || failed=1
 done
-for planned in "" --planned; do
+for planned in "" --planned --needs; do
   ./bin/micahaven-soak $planned --rounds "${ROUNDS:-3}" --nodes "$nodes" --length "$length" || failed=1
 done
 exit $failed
