A manager's term is measured on the clock that runs while the machine is suspended

What callers saw: nothing yet; by reading, two servers could hold a key after a long sleep. Cause: lock, authority without the store and grants were measured on a clock that stands still. Change: the manager takes its time from clock.Boot, given in by the node. Why it holds: each step asks that clock before it sends orders, whatever timers say.

--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -18,8 +18,8 @@
 	lease topo.LeaseID
 	// revision is the one at which the lock was written.
 	revision int64
-	// keptAt is when the last successful renewal was sent.
-	keptAt time.Time
+	// keptAt is the manager's clock's reading when the last successful renewal was sent.
+	keptAt time.Duration
 }
 
 // ownerMap is an owner map as it is in the store; Map is nil if there is none.
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	attempt := &candidacy{found: found, lock: lock{keptAt: time.Now()}}
+	attempt := &candidacy{found: found, lock: lock{keptAt: m.config.Clock()}}
 	attempt.lock.lease, _, err = m.config.Store.GrantLease(ctx, lockTTL)
 	if err != nil {
 		return nil, err
--- a/internal/shardmanager/campaign_test.go
+++ b/internal/shardmanager/campaign_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/clock"
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/routing"
@@ -70,18 +71,33 @@
 	return candidateWith(t, store, name, newViews(), notices{})
 }
 
+// suspendable is the clock of a machine that may be suspended: no other clock of the process
+// runs on while it is.
+type suspendable struct{ slept atomic.Int64 }
+
+func (s *suspendable) now() time.Duration { return clock.Boot() + time.Duration(s.slept.Load()) }
+
+func (s *suspendable) sleep(length time.Duration) { s.slept.Add(int64(length)) }
+
 func newViews() *view.Builder {
 	return view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, documents{}, zap.NewNop())
 }
 
 // candidateWith is candidate with views and notices of the test.
 func candidateWith(t *testing.T, store topo.Store, name string, views *view.Builder, told shardmanager.Notices) (*orders, func()) {
+	t.Helper()
+	return suspendableCandidate(t, store, name, views, told, clock.Boot)
+}
+
+// suspendableCandidate is candidateWith on a machine with a clock of its own.
+func suspendableCandidate(t *testing.T, store topo.Store, name string, views *view.Builder, told shardmanager.Notices, measures clock.Clock) (*orders, func()) {
 	t.Helper()
 	copied := mirror.New(store, views, zap.NewNop())
 	sent := &orders{}
 	manager := shardmanager.New(shardmanager.Config{
 		Self:  view.Node{Name: name, Process: "process of " + name, Share: 1},
-		Store: store, Views: views, Orders: sent, Notices: told, Options: shards.DefaultOptions(), Logger: zap.NewNop(),
+		Store: store, Views: views, Orders: sent, Notices: told, Options: shards.DefaultOptions(),
+		Clock: measures, Logger: zap.NewNop(),
 	}, service)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/shardmanager/ended_test.go
+++ b/internal/shardmanager/ended_test.go
@@ -3,10 +3,10 @@
 import (
 	"strings"
 	"testing"
-	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/clock"
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/routing"
 	"github.com/micahaven/micahaven/internal/shards"
@@ -39,8 +39,8 @@
 		}
 		views.Apply(events, 4)
 		core := shards.NewManager("s", 1, shards.Author{}, nil, shards.DefaultOptions(), 0)
-		manager := New(Config{Views: views, Logger: zap.NewNop()}, "s")
-		held := &term{manager: manager, start: time.Now(), core: core, speeds: make(speeds), known: make(map[discovery.ServerID]bool)}
+		manager := New(Config{Views: views, Clock: clock.Boot, Logger: zap.NewNop()}, "s")
+		held := &term{manager: manager, start: clock.Boot(), core: core, speeds: make(speeds), known: make(map[discovery.ServerID]bool)}
 		held.lookAtServers(views.Current())
 		core.Start()
 		commands := core.Tick(held.now())
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/clock"
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/shards"
@@ -88,6 +89,9 @@
 	// Limits returns how many requests a second a server takes, if it names a limit; nil if
 	// no server does. It must not call back.
 	Limits func(server string) (rate float64, limited bool)
+	// Clock measures what others count on: how long the lock lasts and for how long a manager
+	// may go on without the store. It must run while the machine is suspended.
+	Clock  clock.Clock
 	Logger *zap.Logger
 }
 
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -22,7 +22,8 @@
 	lock    *lock
 	// epoch is that of the maps and fences of this term.
 	epoch uint64
-	start time.Time
+	// start is the clock's reading at the begin of the term.
+	start time.Duration
 	ended context.CancelFunc
 	// calls is the context of orders to servers; endCalls ends them.
 	calls    context.Context
@@ -32,8 +33,9 @@
 	core        *shards.Manager
 	mapRevision int64
 	// written is the map that the store holds; nil before the first one.
-	written     *shards.Map
-	keptAt      time.Time
+	written *shards.Map
+	// keptAt is the clock's reading when the last successful renewal of the lock was sent.
+	keptAt      time.Duration
 	storeFailed bool
 	speeds      speeds
 	firstSeen   time.Time
@@ -53,7 +55,7 @@
 		manager: m,
 		lock:    &won.lock,
 		epoch:   won.epoch,
-		start:   time.Now(),
+		start:   m.config.Clock(),
 		core:    won.core,
 		keptAt:  won.lock.keptAt,
 		speeds:  make(speeds),
@@ -89,7 +91,12 @@
 	})
 }
 
-func (t *term) now() time.Duration { return time.Since(t.start) }
+// now is how long the term has lasted, suspension of the machine included: servers and other
+// managers count on the length of grants and of this term.
+func (t *term) now() time.Duration { return t.manager.config.Clock() - t.start }
+
+// unkept is how long ago the lock was last surely held.
+func (t *term) unkept() time.Duration { return t.manager.config.Clock() - t.keptAt }
 
 // run manages until the lock is lost or the parent context ends; then it resigns.
 func (t *term) run(parent context.Context) {
@@ -134,7 +141,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		sentAt := time.Now()
+		sentAt := t.manager.config.Clock()
 		bounded, cancel := context.WithTimeout(ctx, keepTimeout)
 		err := t.manager.config.Store.KeepLease(bounded, t.lock.lease)
 		cancel()
@@ -151,7 +158,7 @@
 		if err == nil {
 			t.keptAt = sentAt
 		}
-		expired := time.Since(t.keptAt) > outageAuthority
+		expired := t.unkept() > outageAuthority
 		t.mutex.Unlock()
 		if errors.Is(err, topo.ErrLeaseGone) || expired {
 			t.manager.logger.Warn("manager lock lost", zap.Uint64("epoch", t.epoch), zap.Error(err))
@@ -175,14 +182,14 @@
 		t.ended()
 		return
 	}
-	if time.Since(t.keptAt) > outageAuthority {
+	if t.unkept() > outageAuthority {
 		t.mutex.Unlock()
 		t.ended()
 		return
 	}
 	t.lookAtServers(current)
 	t.lookAtPredecessors(current)
-	t.core.SetStoreHealthy(!t.storeFailed && time.Since(t.keptAt) < lockTTL)
+	t.core.SetStoreHealthy(!t.storeFailed && t.unkept() < lockTTL)
 	if !t.core.Started() && t.settled() {
 		t.core.Start()
 	}
