--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -1,10 +1,11 @@
-// Package quota holds what all nodes together let through for a tenant to the tenant's
-// limit. Each tenant has one home among the nodes, which keeps its account; the other nodes
-// report what they used, ask for requests that wait, and may use a few ahead of the next
-// report. docs/design/quotas.md has the ways that were weighed.
+// Package quota holds what all nodes together let through to limits: those that are
+// configured for tenants, and those that servers in need name. Each limit has one home among
+// the nodes, which keeps its account; the other nodes report what they used, ask for requests
+// that wait, and may use a few ahead of the next report. docs/design/quotas.md and
+// backpressure.md have the ways that were weighed.
 //
 // Account and Share are pure: time comes in as an argument, as the time since any moment
-// by a steady clock.
+// by a clock that runs while the machine is suspended.
 package quota
 
 import (
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -2,15 +2,15 @@
 
 import (
 	"sync"
-	"time"
 
+	"github.com/micahaven/micahaven/internal/clock"
 	"github.com/micahaven/micahaven/internal/tenants"
 )
 
 // Keeper keeps the accounts of the tenants whose home this node is. It is safe for
 // concurrent use.
 type Keeper struct {
-	startedAt time.Time
+	clock clock.Clock
 
 	mutex    sync.Mutex
 	accounts map[string]*Account
@@ -18,7 +18,7 @@
 
 // NewKeeper returns a keeper of no accounts.
 func NewKeeper() *Keeper {
-	return &Keeper{startedAt: time.Now(), accounts: make(map[string]*Account)}
+	return &Keeper{clock: clock.Boot, accounts: make(map[string]*Account)}
 }
 
 // Own sets whose home this node is. An account that another node kept in the meantime
@@ -26,7 +26,7 @@
 func (k *Keeper) Own(limits map[string]tenants.Limit, tolerance Tolerance) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	now := time.Since(k.startedAt)
+	now := k.clock()
 	for name := range k.accounts {
 		if _, owned := limits[name]; !owned {
 			delete(k.accounts, name)
@@ -50,5 +50,5 @@
 	if account == nil {
 		return Grant{}, false
 	}
-	return account.Take(time.Since(k.startedAt), node, report), true
+	return account.Take(k.clock(), node, report), true
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/clock"
 	"github.com/micahaven/micahaven/internal/tenants"
 )
 
@@ -65,12 +66,14 @@
 // name; it is configured, or was observed and holds until something else is observed. It is
 // safe for concurrent use.
 type Limiter struct {
-	kind      string
-	self      string
-	caller    Caller
-	keeper    *Keeper
-	logger    *zap.Logger
-	startedAt time.Time
+	kind   string
+	self   string
+	caller Caller
+	keeper *Keeper
+	logger *zap.Logger
+	// clock runs while the machine is suspended: what was given ahead lapses for the home too.
+	clock     clock.Clock
+	startedAt time.Duration
 	// limited is how many observed limits are in force.
 	limited atomic.Int32
 
@@ -90,13 +93,13 @@
 // those whose home it is with keeper.
 func NewLimiter(kind, self string, caller Caller, keeper *Keeper, tolerance Tolerance, logger *zap.Logger) *Limiter {
 	return &Limiter{
-		kind: kind, self: self, caller: caller, keeper: keeper, tolerance: tolerance, logger: logger, startedAt: time.Now(),
+		kind: kind, self: self, caller: caller, keeper: keeper, tolerance: tolerance, logger: logger, clock: clock.Boot, startedAt: clock.Boot(),
 		observed: make(map[string]observation),
 		homes:    make(map[string]Node), shares: make(map[string]*Share), links: make(map[string]*link),
 	}
 }
 
-func (l *Limiter) now() time.Duration { return time.Since(l.startedAt) }
+func (l *Limiter) now() time.Duration { return l.clock() - l.startedAt }
 
 // SetTolerance replaces the tolerance.
 func (l *Limiter) SetTolerance(tolerance Tolerance) {
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/clock"
 	"github.com/micahaven/micahaven/internal/tenants"
 )
 
@@ -179,6 +180,27 @@
 	}
 }
 
+// What a node was given ahead lapses while its machine sleeps: the home counts on that.
+func TestWhatWasGivenAheadLapsesInSleep(t *testing.T) {
+	n, directory := newNetwork(t, "n1", "n2")
+	home := n.fill("a")
+	other := n.nodes[map[string]string{"n1": "n2", "n2": "n1"}[home]]
+	for _, node := range n.nodes {
+		node.SetTolerance(Tolerance{Window: time.Second, Slack: 4 * burstOfTen})
+	}
+	other.Admit(context.Background(), "a", directory.ByName("a").Limit)
+	other.mutex.Lock()
+	defer other.mutex.Unlock()
+	share := other.shares["a"]
+	if share.ahead == 0 || other.now() >= share.aheadUntil {
+		t.Fatal("nothing was given ahead")
+	}
+	other.clock = func() time.Duration { return clock.Boot() + aheadFor }
+	if share.TakeAhead(other.now()) {
+		t.Error("the node uses what it was given before it slept, without asking")
+	}
+}
+
 func BenchmarkAdmitAhead(b *testing.B) {
 	directory, err := tenants.NewDirectory([]tenants.Spec{{Tenant: tenants.Tenant{Name: "a", Limit: tenants.Limit{Rate: 1e9, Burst: 1e9}}}})
 	if err != nil {
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -95,9 +95,6 @@
 // managers count on the length of grants and of this term.
 func (t *term) now() time.Duration { return t.manager.config.Clock() - t.start }
 
-// unkept is how long ago the lock was last surely held.
-func (t *term) unkept() time.Duration { return t.manager.config.Clock() - t.keptAt }
-
 // run manages until the lock is lost or the parent context ends; then it resigns.
 func (t *term) run(parent context.Context) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
@@ -133,41 +130,6 @@
 	t.resigning = true
 }
 
-// keepLock renews the lock and ends the term when it is surely lost.
-func (t *term) keepLock(ctx context.Context) {
-	wait := lockKeep
-	for {
-		periodic.Pause(ctx, wait)
-		if ctx.Err() != nil {
-			return
-		}
-		sentAt := t.manager.config.Clock()
-		bounded, cancel := context.WithTimeout(ctx, keepTimeout)
-		err := t.manager.config.Store.KeepLease(bounded, t.lock.lease)
-		cancel()
-		wait = lockKeep
-		if err != nil {
-			wait = keepRetry
-		}
-		t.mutex.Lock()
-		failed := err != nil
-		if failed != t.storeFailed {
-			t.manager.logger.Info("manager's store contact changed", zap.Bool("lost", failed), zap.Error(err))
-		}
-		t.storeFailed = failed
-		if err == nil {
-			t.keptAt = sentAt
-		}
-		expired := t.unkept() > outageAuthority
-		t.mutex.Unlock()
-		if errors.Is(err, topo.ErrLeaseGone) || expired {
-			t.manager.logger.Warn("manager lock lost", zap.Uint64("epoch", t.epoch), zap.Error(err))
-			t.ended()
-			return
-		}
-	}
-}
-
 // step lets the core look at the world and carries out what it asks for.
 func (t *term) step(ctx context.Context) {
 	current := t.manager.config.Views.Current()
