Model of managers: a machine may be suspended; a variant whose clock stands still fails

Cause: whether two servers could hold a key on the code as it was had been by reasoning only. Change: a variant in which the first manager measures its authority on a clock that stands still. As specified nothing changes: suspension is an order of events that it has.

--- a/model/managers.pml
+++ b/model/managers.pml
@@ -9,6 +9,10 @@
  * may be lost, or be carried out at any time up to LATE after it was sent; a grant
  * lasts for HOLD from then.
  *
+ * The machine of the first manager may be suspended at any time: it does nothing
+ * while time goes on. That is one of the orders in which things may happen, as long
+ * as it measures its authority on a clock that runs on meanwhile.
+ *
  * Properties: at most one server holds the range at any time, and the fence under
  * which it is held never goes back.
  *
@@ -18,12 +22,15 @@
  *   NOSTOP       the first one goes on renewing after it has said that it is over
  *   NOFLOOR      a server takes a grant below a fence that released the range
  *   EARLYGRANT   a new owner gets its grant before the map names it
+ *   STANDSTILL   the first one measures its authority on a clock that stands still
+ *                while its machine is suspended
  */
 #define HOLD 2
 #define LATE 2
 #define AUTHORITY 1
 #define HORIZON 8
 #define MAXFENCE 2
+#define MAXSLEPT 4    /* for how long the first manager's machine is suspended in all */
 #define SLOTS 1       /* grants on their way at once */
 #define NONE 15
 
@@ -44,6 +51,12 @@
 bool stopped = false; /* the first one sends no orders any more */
 byte lostAt = NONE;   /* when the store took the first one's lock */
 byte inheritedUntil = 0;
+#ifdef STANDSTILL
+byte slept = 0;       /* for how long the first one's clock stood still since then */
+#define MEASURED (now - slept)
+#else
+#define MEASURED now
+#endif
 
 /* The servers. */
 byte held[2];
@@ -55,7 +68,7 @@
 byte newest = 0;
 
 #define HOLDS(s) (held[s] > 0 && now < until[s])
-#define FIRST_SENDS (!stopped && (lock == 1 || (lostAt != NONE && now <= lostAt + AUTHORITY)))
+#define FIRST_SENDS (!stopped && (lock == 1 || (lostAt != NONE && MEASURED <= lostAt + AUTHORITY)))
 #define SENDS(m) ((m == 0 && FIRST_SENDS) || (m == 1 && begun))
 #define MAX(a, b) (a > b -> a : b)
 
@@ -132,6 +145,9 @@
   d_step { ownerKnown[0] = 0; fenceKnown[0] = 1 }
   do
   :: now < HORIZON -> now++
+#ifdef STANDSTILL
+  :: lostAt != NONE && now < HORIZON && slept < MAXSLEPT -> d_step { now++; slept++ }
+#endif
   :: /* the store takes the first manager's lock */
      lock == 1 -> d_step { lock = 0; lostAt = now }
   :: /* the second manager takes the lock and writes its map with it */
