A server that named a limit keeps some keys that are requested

Nothing was moved back: a server without keys is given pieces of at most its fair load (1.2 requests of the window), and the smallest piece is 2. Only a response can show that a limit has ended, and without keys there is none. The same holds for servers judged many times slower than the others.

Fix: the balance moves the smallest piece to a reduced server if its keys were not requested within the long window. Why it works: the server then gets about one request in 3 s, whose response ends or confirms the limit.

Ruled out: asking the health path (it is not said to name limits); letting the limit lapse sooner (the nodes would exceed it before the first response).

Tests: TestServerWithReducedCapacityStillGetsRequests and ...AndUnusedKeysGetsOthers, seen failing (59.4 and 59.95 s without a request), pass; TestServerWithReducedCapacityKeepsItsKeys bounds the moves.

--- a/internal/shardmanager/speed.go
+++ b/internal/shardmanager/speed.go
@@ -27,6 +27,8 @@
 	unjudgedWorkSeconds = 0.1
 	// slowest and fastest bound how much of its slots' share a server gets.
 	slowest, fastest = 0.02, 2.5
+	// reducedPart is the part of its slots below which a server's capacity counts as reduced.
+	reducedPart = 0.1
 )
 
 // fading sums up requests that count less the older they are.
@@ -159,6 +161,12 @@
 	return slots * min(fastest, max(slowest, relative))
 }
 
+// isReduced reports whether a server has so little capacity, by its rate limit or its speed,
+// that the balance may leave it without requests.
+func isReduced(capacity float64, slots int) bool {
+	return capacity < reducedPart*float64(max(1, slots))
+}
+
 // preference is the power to which speed counts: 2 with most slots idle, 1 (in
 // proportion to the throughput) when the servers are nearly full.
 func preference(utilization float64) float64 {
--- a/internal/shardmanager/speed_test.go
+++ b/internal/shardmanager/speed_test.go
@@ -107,3 +107,34 @@
 		t.Errorf("capacities change by %.3f of themselves in 0.2 s, want 0.04 at most", change)
 	}
 }
+
+// Guards against servers that lose their last requests without counting as reduced: by a
+// small rate limit, or by being many times slower than the others.
+func TestLimitedAndSlowServersAreReduced(t *testing.T) {
+	const slots = 4
+	known := make(speeds)
+	now := time.Now()
+	for range 100 {
+		now = now.Add(reportTime)
+		for _, id := range []discovery.ServerID{"usual 1", "usual 2", "usual 3"} {
+			known.record(now, slots, ServerLoad{Server: id, Attempts: 4, Busy: 4 * 20 * time.Millisecond})
+		}
+		known.record(now, slots, ServerLoad{Server: "slow", Attempts: 1, Busy: time.Second})
+	}
+	usual := known.capacity("usual 1", slots)
+	cases := map[string]struct {
+		capacity float64
+		reduced  bool
+	}{
+		"usual":                  {usual, false},
+		"limited to 0.2/s":       {known.capacityWithin(0.2, usual), true},
+		"limited to 40/s":        {known.capacityWithin(40, usual), false},
+		"many times slower":      {known.capacity("slow", slots), true},
+		"nothing is known of it": {known.capacity("new", slots), false},
+	}
+	for name, c := range cases {
+		if reduced := isReduced(c.capacity, slots); reduced != c.reduced {
+			t.Errorf("%s: capacity %.3f of %d slots, reduced %v", name, c.capacity, slots, reduced)
+		}
+	}
+}
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -200,8 +200,10 @@
 		if ended {
 			dead = append(dead, s.ID)
 		}
+		capacity := t.capacity(s)
 		servers = append(servers, shards.Server{
-			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !ended && accepts(now, current, s), Capacity: t.capacity(s),
+			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !ended && accepts(now, current, s),
+			Capacity: capacity, Reduced: isReduced(capacity, s.Slots),
 			Warming: bounded && now.Before(current.WarmUntil(s)),
 		})
 	}
--- a/internal/shards/arrivals.go
+++ b/internal/shards/arrivals.go
@@ -9,14 +9,14 @@
 // Servers come and go: those that joined get keys although no other server is above its
 // fair load, and keys of servers that leave go to servers that stay.
 
-// fillEmpty moves keys to servers that own none, each from the server with the most load
-// for its capacity. The balance would give them some only once another server is far above
-// its fair load.
-func (m *Manager) fillEmpty(now time.Duration, accepting []Server, loads map[discovery.ServerID]float64, fair float64) {
+// supplyIdle moves keys to servers that get no requests for want of keys, each from the server
+// with the most load for its capacity. The balance would give them some only once another
+// server is far above its fair load.
+func (m *Manager) supplyIdle(now time.Duration, accepting []Server, loads map[discovery.ServerID]float64, fair float64) {
 	l := look{accepting: accepting, loads: loads, fair: fair, window: m.load, scale: 1, least: minPiece}
 	most := max(m.options.MaxMoves, len(accepting)/serversPerMove) - m.moving()
 	stuck := make(map[discovery.ServerID]bool)
-	for _, empty := range m.withoutKeys(accepting) {
+	for _, idle := range m.idleServers(accepting, loads) {
 		for most > 0 {
 			source, found := fullest(accepting, loads, stuck)
 			if !found {
@@ -24,36 +24,39 @@
 			}
 			// Half of what the source has leaves both with the same.
 			half := loads[source.ID] / 2
-			index, moved := m.choosePiece(now, l, gap{
-				source: source.ID, target: empty.ID, excess: half, room: min(half, fair*empty.Capacity),
-			})
+			// The smallest piece that can be moved may exceed what is fair for a reduced server.
+			room := max(minPiece, min(half, fair*idle.Capacity))
+			index, moved := m.choosePiece(now, l, gap{source: source.ID, target: idle.ID, excess: half, room: room})
 			if index < 0 {
 				stuck[source.ID] = true
 				continue
 			}
-			m.startRelease(m.shards[index], now, empty.ID, Move{EmptyServer, moved})
+			m.startRelease(m.shards[index], now, idle.ID, Move{IdleServer, moved})
 			loads[source.ID] -= moved
-			loads[empty.ID] += moved
+			loads[idle.ID] += moved
 			most--
 			break
 		}
 	}
 }
 
-// withoutKeys returns the servers that own no range and to which none is on its way.
-func (m *Manager) withoutKeys(accepting []Server) []Server {
+// idleServers returns the servers that own no range and to which none is on its way, and the
+// reduced ones whose ranges were not requested within the long window.
+func (m *Manager) idleServers(accepting []Server, loads map[discovery.ServerID]float64) []Server {
 	owners := make(map[discovery.ServerID]bool, len(accepting))
 	for _, s := range m.shards {
 		owners[s.Owner] = true
 		owners[s.target] = true
 	}
-	var without []Server
+	var idle []Server
 	for _, server := range accepting {
-		if !owners[server.ID] {
-			without = append(without, server)
+		// One request counts 1; a range without requests counts less.
+		unrequested := server.Reduced && loads[server.ID] < 1
+		if unrequested || !owners[server.ID] {
+			idle = append(idle, server)
 		}
 	}
-	return without
+	return idle
 }
 
 // fullest returns the server with the most load for its capacity that is not stuck.
--- a/internal/shards/balance.go
+++ b/internal/shards/balance.go
@@ -106,7 +106,7 @@
 		return
 	}
 	m.plan.nextLook = now + balanceInterval
-	m.fillEmpty(now, accepting, loads, fair)
+	m.supplyIdle(now, accepting, loads, fair)
 	most := max(m.options.MaxMoves, len(accepting)/serversPerMove)
 	m.moveSome(now, look{
 		accepting: accepting, loads: loads, fair: fair, window: m.load, scale: 1, least: minPiece, reason: Balance,
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -102,4 +102,7 @@
 	// Warming servers are given no keys while others accept some, because they bear only
 	// a few requests; what they have they keep.
 	Warming bool
+	// Reduced servers have a small part of their usual capacity, for a reason whose end only
+	// their responses show: they keep some keys that are requested.
+	Reduced bool
 }
--- a/internal/shards/move.go
+++ b/internal/shards/move.go
@@ -13,8 +13,8 @@
 	Surge
 	// Balance means that the owner is above its fair load.
 	Balance
-	// EmptyServer means that the next owner has no keys.
-	EmptyServer
+	// IdleServer means that the next owner gets no requests for want of keys.
+	IdleServer
 	// Unfinished means that the owner saw a higher fence, of a release that was not
 	// finished.
 	Unfinished
@@ -31,8 +31,8 @@
 		return "surge"
 	case Balance:
 		return "balance"
-	case EmptyServer:
-		return "empty server"
+	case IdleServer:
+		return "idle server"
 	case Unfinished:
 		return "unfinished release"
 	default:
--- /dev/null
+++ b/internal/shards/reduced_test.go
@@ -0,0 +1,117 @@
+package shards_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/shards"
+)
+
+const (
+	// reducedCapacity is that of a server that is next to unusable, of reducedOf slots.
+	reducedCapacity = 0.02
+	reducedOf       = 2
+	// longestSilence is how long such a server may go without a request.
+	longestSilence = 10 * time.Second
+)
+
+// reducedRun counts the requests that a server with reduced capacity gets.
+type reducedRun struct {
+	*bench
+	server      discovery.ServerID
+	draw        func() []uint32
+	requests    int
+	lastRequest time.Duration
+	silence     time.Duration
+}
+
+func newReducedRun(draw func() []uint32) *reducedRun {
+	r := &reducedRun{bench: newBench(reducedOf, reducedOf, reducedOf), server: "a", draw: draw}
+	r.run(8*time.Second, func() { r.core.RecordLoad(r.now, r.draw(), 1) })
+	r.servers[0].Capacity, r.servers[0].Reduced = reducedCapacity, true
+	r.lastRequest = r.now
+	return r
+}
+
+// count runs for some time and records how long the server goes without a request.
+func (r *reducedRun) count(length time.Duration) {
+	r.run(length, func() {
+		keys := r.draw()
+		for _, key := range keys {
+			if r.stored.Find(key).Owner != r.server {
+				continue
+			}
+			r.requests++
+			r.lastRequest = r.now
+		}
+		r.silence = max(r.silence, r.now-r.lastRequest)
+		r.core.RecordLoad(r.now, keys, 1)
+	})
+}
+
+// sparseDraw draws two keys a step from a sequence that spreads over all keys.
+func sparseDraw() func() []uint32 {
+	number := 0
+	return func() []uint32 {
+		keys := make([]uint32, 0, 2)
+		for range cap(keys) {
+			number++
+			keys = append(keys, uint32(number*7919%shards.KeyCount))
+		}
+		return keys
+	}
+}
+
+// Guards against a server whose rate limit or slowness nobody could see the end of, because
+// all of its keys had been moved away.
+func TestServerWithReducedCapacityStillGetsRequests(t *testing.T) {
+	r := newReducedRun(sparseDraw())
+	const counted = 60 * time.Second
+	r.count(counted)
+	if r.silence > longestSilence {
+		t.Errorf("no request in %v, want one each %v at least", r.silence, longestSilence)
+	}
+	perSecond := 2 * int(time.Second/step)
+	if most := perSecond * int(counted/time.Second) / 20; r.requests > most {
+		t.Errorf("%d requests in %v, want %d at most", r.requests, counted, most)
+	}
+}
+
+// Guards against the same with keys left that are not requested any more.
+func TestServerWithReducedCapacityAndUnusedKeysGetsOthers(t *testing.T) {
+	var unused shards.Map
+	all := sparseDraw()
+	r := newReducedRun(func() []uint32 {
+		keys := all()
+		if len(unused.Ranges) == 0 {
+			return keys
+		}
+		requested := keys[:0]
+		for _, key := range keys {
+			if unused.Find(key).Owner != "a" {
+				requested = append(requested, key)
+			}
+		}
+		return requested
+	})
+	r.count(10 * time.Second)
+	unused = *r.stored
+	r.silence, r.lastRequest = 0, r.now
+	r.count(60 * time.Second)
+	if r.silence > longestSilence {
+		t.Errorf("no request in %v, want one each %v at least", r.silence, longestSilence)
+	}
+}
+
+// Guards against needless moves: a server that is requested at all keeps its few keys.
+func TestServerWithReducedCapacityKeepsItsKeys(t *testing.T) {
+	r := newReducedRun(sparseDraw())
+	r.count(20 * time.Second)
+	before := r.moves
+	const counted = 60 * time.Second
+	r.count(counted)
+	if moves := r.moves - before; moves > int(counted/longestSilence) {
+		t.Errorf("%d moves in %v", moves, counted)
+	}
+}
