Servers far below their fair load get keys, although no other is above its own

Cause: keys are taken only from servers that exceed their fair load by a quarter and chance. With one idle server of three, the others exceed it by half at most, which is within the noise of a low load; with one of twenty by a twentieth, which is never enough. supplyIdle was there for servers without keys, and this one had a few.

Fix: a server below a quarter of its fair load is given pieces like one without keys. It works because the amount that moves is bounded by the server's own gap, not by what others are above theirs; a fair load of 20 requests in the window is asked for, of which chance leaves less than 5 once in 10^4 looks or less.

Test: TestRecoveredServerGetsItsShareAmongMany, seen failing (0 of 1600 requests 10 s after the recovery, 26 wanted).

--- a/internal/shards/arrivals.go
+++ b/internal/shards/arrivals.go
@@ -9,14 +9,14 @@
 // Servers come and go: those that joined get keys although no other server is above its
 // fair load, and keys of servers that leave go to servers that stay.
 
-// supplyIdle moves keys to servers that get no requests for want of keys, each from the server
+// supplyIdle moves keys to servers that get few requests for want of keys, each from the server
 // with the most load for its capacity. The balance would give them some only once another
 // server is far above its fair load.
 func (m *Manager) supplyIdle(now time.Duration, accepting []Server, loads map[discovery.ServerID]float64, fair float64) {
 	l := look{accepting: accepting, loads: loads, fair: fair, window: m.load, scale: 1, least: minPiece}
 	most := max(m.options.MaxMoves, len(accepting)/serversPerMove) - m.moving()
 	stuck := make(map[discovery.ServerID]bool)
-	for _, idle := range m.idleServers(accepting, loads) {
+	for _, idle := range m.idleServers(accepting, loads, fair) {
 		for most > 0 {
 			source, found := fullest(accepting, loads, stuck)
 			if !found {
@@ -25,7 +25,7 @@
 			// Half of what the source has leaves both with the same.
 			half := loads[source.ID] / 2
 			// The smallest piece that can be moved may exceed what is fair for a reduced server.
-			room := max(minPiece, min(half, fair*idle.Capacity))
+			room := max(minPiece, min(half, fair*idle.Capacity-loads[idle.ID]))
 			index, moved := m.choosePiece(now, l, gap{source: source.ID, target: idle.ID, excess: half, room: room})
 			if index < 0 {
 				stuck[source.ID] = true
@@ -40,9 +40,17 @@
 	}
 }
 
-// idleServers returns the servers that own no range and to which none is on its way, and the
-// reduced ones whose ranges were not requested within the long window.
-func (m *Manager) idleServers(accepting []Server, loads map[discovery.ServerID]float64) []Server {
+const (
+	// idlePart is the part of its fair load below which a server is idle.
+	idlePart = 0.25
+	// leastIdleGoal is the least fair load, in requests of the long window, of which chance
+	// leaves less than idlePart too seldom to matter.
+	leastIdleGoal = 20
+)
+
+// idleServers returns the servers that own no range and to which none is on its way, and
+// those whose ranges are requested too little.
+func (m *Manager) idleServers(accepting []Server, loads map[discovery.ServerID]float64, fair float64) []Server {
 	owners := make(map[discovery.ServerID]bool, len(accepting))
 	for _, s := range m.shards {
 		owners[s.Owner] = true
@@ -50,15 +58,24 @@
 	}
 	var idle []Server
 	for _, server := range accepting {
-		// One request counts 1; a range without requests counts less.
-		unrequested := server.Reduced && loads[server.ID] < 1
-		if unrequested || !owners[server.ID] {
+		if !owners[server.ID] || isIdle(server, loads[server.ID], fair) {
 			idle = append(idle, server)
 		}
 	}
 	return idle
 }
 
+// isIdle reports whether a server with some load should be given more keys although no other
+// server has to be relieved.
+func isIdle(server Server, load, fair float64) bool {
+	if server.Reduced {
+		// One request counts 1; ranges without requests count less.
+		return load < 1
+	}
+	goal := fair * server.Capacity
+	return goal >= leastIdleGoal && load < idlePart*goal
+}
+
 // fullest returns the server with the most load for its capacity that is not stuck.
 func fullest(accepting []Server, loads map[discovery.ServerID]float64, stuck map[discovery.ServerID]bool) (Server, bool) {
 	var most Server
--- a/internal/shards/move.go
+++ b/internal/shards/move.go
@@ -13,7 +13,7 @@
 	Surge
 	// Balance means that the owner is above its fair load.
 	Balance
-	// IdleServer means that the next owner gets no requests for want of keys.
+	// IdleServer means that the next owner gets few requests for want of keys.
 	IdleServer
 	// Unfinished means that the owner saw a higher fence, of a release that was not
 	// finished.
--- a/internal/shards/reduced_test.go
+++ b/internal/shards/reduced_test.go
@@ -115,3 +115,36 @@
 		t.Errorf("%d moves in %v", moves, counted)
 	}
 }
+
+// Guards against a recovered server that stays nearly idle, because each of the many others
+// has only a little more than its fair load.
+func TestRecoveredServerGetsItsShareAmongMany(t *testing.T) {
+	const servers, perStep, recovery = 20, 20, 10 * time.Second
+	b := newBench(manyServers(servers)...)
+	usual := newDemand(0, 1)
+	load := func() { b.core.RecordLoad(b.now, usual.draw(perStep), 1) }
+	b.run(8*time.Second, load)
+	capacity := b.servers[0].Capacity
+	b.servers[0].Capacity, b.servers[0].Reduced = reducedCapacity, true
+	b.run(20*time.Second, load)
+	b.servers[0].Capacity, b.servers[0].Reduced = capacity, false
+	b.run(recovery, load)
+	before := b.stored
+	got, all := 0, 0
+	b.run(4*time.Second, func() {
+		keys := usual.draw(perStep)
+		for _, key := range keys {
+			all++
+			if b.stored.Find(key).Owner == b.servers[0].ID {
+				got++
+			}
+		}
+		b.core.RecordLoad(b.now, keys, 1)
+	})
+	if least := all / servers / 3; got < least {
+		t.Errorf("%d of %d requests %v after the recovery, want %d", got, all, recovery, least)
+	}
+	if moved := b.moved(before); moved > shards.KeyCount/20 {
+		t.Errorf("%d keys moved within 4s after the recovery", moved)
+	}
+}
