A busy home or sender is not taken for lost

Cause: both time-outs measured one stream by the wall clock.

Ruled out: lost messages (all came), messages behind large answers (none is on its way then).

It works because a frozen, dead or cut-off peer is silent on every stream, and a busy one is not.

--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -76,6 +76,7 @@
 // Do implements dispatch.Handover.
 func (s *Sender) Do(ctx context.Context, request *dispatch.Request, limit time.Time, to dispatch.Destination) (*upstream.Answer, dispatch.Trace, error) {
 	var full *dispatch.Refusal
+	notTaken := dispatch.ErrNoHome
 	for _, home := range s.homesOf(to) {
 		if home.Name == s.self {
 			return nil, dispatch.Trace{}, dispatch.ErrAtHome
@@ -89,11 +90,12 @@
 		if !errors.Is(err, dispatch.ErrNoHome) || ctx.Err() != nil {
 			return answer, trace, err
 		}
+		notTaken = err
 	}
 	if full != nil {
 		return nil, dispatch.Trace{}, full
 	}
-	return nil, dispatch.Trace{}, dispatch.ErrNoHome
+	return nil, dispatch.Trace{}, notTaken
 }
 
 // handTo hands a request to one home. The error matches dispatch.ErrNoHome if that home
@@ -106,7 +108,7 @@
 		if ctx.Err() == nil {
 			s.missed(home.Name, "not reached")
 		}
-		return nil, dispatch.Trace{}, errors.Wrapf(dispatch.ErrNoHome, "%v", err)
+		return nil, dispatch.Trace{}, errors.Wrapf(dispatch.ErrNoHome, "home %s not reached: %v", home.Name, err)
 	}
 	h := &handing{sender: s, home: home.Name, stream: stream, needsGo: !request.Route.Repeatable}
 	answer, trace, err := h.follow(ctx)
@@ -189,17 +191,26 @@
 	}
 }
 
-// receive waits for the home's next word for as long as it may be silent. A home that has
-// the go is waited for until the request's end: it may come back, and its answer counts.
+// receive waits for the home's next message. A home that has the go is waited for until the
+// request's end: it may come back, and its answer counts.
 func (h *handing) receive(ctx context.Context) (*wire.Envelope, error) {
-	if h.gone {
+	switch {
+	case h.gone:
 		return h.stream.Receive(ctx)
+	case h.acknowledged:
+		return h.receiveWithin(ctx, silentAfter)
 	}
-	silence := silentAfter
-	if !h.acknowledged {
-		silence = ackWithin
+	waiting := newPatience(time.Now(), h.stream, ackWithin)
+	for {
+		envelope, err := h.receiveWithin(ctx, patienceSlice)
+		if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil || waiting.exhausted(time.Now()) {
+			return envelope, err
+		}
 	}
-	bounded, cancel := context.WithTimeout(ctx, silence)
+}
+
+func (h *handing) receiveWithin(ctx context.Context, limit time.Duration) (*wire.Envelope, error) {
+	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return h.stream.Receive(bounded)
 }
@@ -229,10 +240,11 @@
 	if ctx.Err() == nil {
 		h.sender.missed(h.home, causeOf(cause))
 	}
+	lost := dispatch.ErrNoHome
 	if h.mayRun() {
-		return errors.Wrapf(dispatch.ErrHomeLost, "home %s: %v", h.home, cause)
+		lost = dispatch.ErrHomeLost
 	}
-	return errors.Wrapf(dispatch.ErrNoHome, "home %s: %v", h.home, cause)
+	return errors.Wrapf(lost, "home %s (acknowledged %v): %v", h.home, h.acknowledged, cause)
 }
 
 func causeOf(err error) string {
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +43,8 @@
 	outgoing chan *wire.Envelope
 	closed   chan struct{}
 	once     sync.Once
+	// arrivals counts the envelopes that were read.
+	arrivals atomic.Uint64
 }
 
 func newConnection(socket net.Conn) *connection {
@@ -139,6 +142,7 @@
 		if err != nil {
 			return err
 		}
+		c.arrivals.Add(1)
 		receive(envelope)
 	}
 }
