An answer to HEAD keeps the length that its server named

Callers saw: HEAD was answered with Content-Length: 0, so that a client that asks for a size before a download found an empty resource.

Cause: the length of each answer was set to the bytes of the body that the node read, and an answer to HEAD has no body. Evidence: with two nodes and a server, GET says 16 and HEAD 0, at the sending node and at a forwarding one.

Fix: the length that the server named is passed on, or none. It works because a response to HEAD is read without a body, so the named length never bounds a read.

Tests: TestContentLengthOfAnAnswer (two of seven cases) and TestHeadKeepsItsLength seen failing before.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -13,14 +13,14 @@
 	"github.com/micahaven/micahaven/internal/upstream"
 )
 
-// answer gives a client its final answer: a server's, or one that says what is known.
-func (h *Handler) answer(writer http.ResponseWriter, answer *upstream.Answer, err error) {
+// answer gives a client the final answer to its request of some method: a server's, or one that says what is known.
+func (h *Handler) answer(writer http.ResponseWriter, method string, answer *upstream.Answer, err error) {
 	// The node may have begun to drain since the request came.
 	h.closeIfDraining(writer)
 	var refusal *dispatch.Refusal
 	switch {
 	case err == nil && answer != nil:
-		h.pass(writer, answer)
+		h.pass(writer, method, answer)
 	case errors.As(err, &refusal):
 		refuse(writer, http.StatusServiceUnavailable, refusal.Detail, refusal.RetryAfter)
 	case errors.Is(err, dispatch.ErrTimeout):
@@ -40,8 +40,8 @@
 	http.Error(writer, reason, status)
 }
 
-// pass writes a server's answer to the client.
-func (h *Handler) pass(writer http.ResponseWriter, answer *upstream.Answer) {
+// pass writes a server's answer to a request of some method to the client.
+func (h *Handler) pass(writer http.ResponseWriter, method string, answer *upstream.Answer) {
 	named := connectionNamed(answer.Header)
 	into := writer.Header()
 	for name, values := range answer.Header {
@@ -51,9 +51,7 @@
 		into[name] = values
 	}
 	if answer.Rest == nil {
-		if answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
-			into.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-		}
+		setLength(into, method, answer)
 		writer.WriteHeader(answer.Status)
 		// A client that has left is noticed by the server's own reading.
 		_, _ = h.paced(writer, len(answer.Body), false).Write(answer.Body)
@@ -71,6 +69,20 @@
 	}
 }
 
+// setLength sets the length of an answer that was read whole.
+func setLength(header http.Header, method string, answer *upstream.Answer) {
+	switch {
+	case answer.Status == http.StatusNoContent, answer.Status == http.StatusNotModified:
+	case method == http.MethodHead:
+		// The server names the length that the body would have.
+		if named := answer.Header.Get("Content-Length"); named != "" {
+			header.Set("Content-Length", named)
+		}
+	default:
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+}
+
 // outcomeOf names how a request ended, for the metrics.
 func outcomeOf(answer *upstream.Answer, err error) string {
 	switch {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -183,7 +183,7 @@
 		h.log(request, trace, answer, err, table.Version(), took, behind)
 	})
 	requestSeconds.WithLabelValues(request.Service, outcomeOf(answer, err)).Observe(took.Seconds())
-	h.answer(writer, answer, err)
+	h.answer(writer, incoming.Method, answer, err)
 }
 
 // position returns evenly spread numbers between 0 and 1: multiples of the
