--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// ackWithin is how long a home may be silent, on all streams, before it has acknowledged
-	// a request: above the pauses of a node whose share of a processor is used up for a tenth
-	// of a second, and short enough to leave the caller time for another way.
+	// ackWithin is how long a home may take to say that it has a request: above the pauses
+	// of a node whose share of a processor is used up for a tenth of a second, and short
+	// enough to leave the caller time for another way.
 	ackWithin = 200 * time.Millisecond
 	// ackAfter is when a home says so if it has not said before that it sends the request.
 	ackAfter = 50 * time.Millisecond
@@ -31,7 +31,7 @@
 	aliveEvery  = 400 * time.Millisecond
 	silentAfter = time.Second
 	// goWithin is how long a home keeps a place at a server for a request whose go does
-	// not come while its sender is silent: some round trips, and the pause of a node as above.
+	// not come: some round trips, and the pause of a node as above.
 	goWithin = 150 * time.Millisecond
 	// hopMargin is what a home gets less of a request's time, so that its own answer that
 	// the time is over arrives before the sender's time is.
--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -204,30 +204,16 @@
 	if !t.needsGo {
 		return nil
 	}
-	if !t.awaitGo(ctx) {
-		t.unsent.Store(true)
-		return errNoGo
-	}
-	return nil
-}
-
-// awaitGo reports whether the sender lets the request go.
-func (t *taken) awaitGo(ctx context.Context) bool {
-	waiting := newPatience(time.Now(), t.stream, goWithin)
-	slices := time.NewTicker(patienceSlice)
-	defer slices.Stop()
-	for {
-		select {
-		case <-t.goes:
-			return true
-		case <-ctx.Done():
-			return false
-		case <-slices.C:
-		}
-		if waiting.exhausted(time.Now()) {
-			return false
-		}
+	timer := time.NewTimer(goWithin)
+	defer timer.Stop()
+	select {
+	case <-t.goes:
+		return nil
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	t.unsent.Store(true)
+	return errNoGo
 }
 
 // again implements dispatch.TakenOver.Again. A sender that is not told counts one attempt
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -191,26 +191,17 @@
 	}
 }
 
-// receive waits for the home's next message. A home that has the go is waited for until the
-// request's end: it may come back, and its answer counts.
+// receive waits for the home's next word for as long as it may be silent. A home that has
+// the go is waited for until the request's end: it may come back, and its answer counts.
 func (h *handing) receive(ctx context.Context) (*wire.Envelope, error) {
-	switch {
-	case h.gone:
+	if h.gone {
 		return h.stream.Receive(ctx)
-	case h.acknowledged:
-		return h.receiveWithin(ctx, silentAfter)
 	}
-	waiting := newPatience(time.Now(), h.stream, ackWithin)
-	for {
-		envelope, err := h.receiveWithin(ctx, patienceSlice)
-		if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil || waiting.exhausted(time.Now()) {
-			return envelope, err
-		}
+	silence := silentAfter
+	if !h.acknowledged {
+		silence = ackWithin
 	}
-}
-
-func (h *handing) receiveWithin(ctx context.Context, limit time.Duration) (*wire.Envelope, error) {
-	bounded, cancel := context.WithTimeout(ctx, limit)
+	bounded, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
 	return h.stream.Receive(bounded)
 }
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,8 +42,6 @@
 	outgoing chan *wire.Envelope
 	closed   chan struct{}
 	once     sync.Once
-	// arrivals counts the envelopes that were read.
-	arrivals atomic.Uint64
 }
 
 func newConnection(socket net.Conn) *connection {
@@ -142,7 +139,6 @@
 		if err != nil {
 			return err
 		}
-		c.arrivals.Add(1)
 		receive(envelope)
 	}
 }
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -94,9 +94,6 @@
 	}
 }
 
-// Arrivals returns how many envelopes have arrived on the stream's connection, of any stream.
-func (s *Stream) Arrivals() uint64 { return s.live.arrivals.Load() }
-
 // SendLast queues the last envelope and ends the stream with it. It is sent unless the
 // connection is lost.
 func (s *Stream) SendLast(envelope *wire.Envelope) {
