The store's era and discarded copies are logged; stand-in of a store that is restored from an older copy

The incident's logs hold each node's own revision only, so that a store restored from an older copy, a compacted one and an overloaded one look alike. A node now logs the era that the store names and a copy that is discarded because it is older than its own, with both revisions; micahaven_mirror_store_era is the era. The stand-in saves and restores itself. No decision changes.

--- a/internal/mirror/list.go
+++ b/internal/mirror/list.go
@@ -69,6 +69,8 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if revision < m.revision {
+		m.logger.Warn("older copy discarded", zap.Int64("revision", m.revision), zap.Int64("copy", revision),
+			zap.Int64("era", m.store.Era()))
 		return
 	}
 	adopted := make(map[string]topo.Item, len(items))
--- a/internal/mirror/metrics.go
+++ b/internal/mirror/metrics.go
@@ -15,6 +15,11 @@
 		Name: "micahaven_mirror_revision",
 		Help: "Revision of the store that the local copy reflects.",
 	})
+
+	eraSeen = promauto.NewGauge(prometheus.GaugeOpts{
+		Name: "micahaven_mirror_store_era",
+		Help: "Era of the store: how often it was restored from an older copy.",
+	})
 )
 
 var copiesTotal = promauto.NewCounterVec(prometheus.CounterOpts{
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -90,6 +90,8 @@
 	awaited int64
 	// lost is true while the store does not answer this node.
 	lost atomic.Bool
+	// era is the store's era that was logged last.
+	era atomic.Int64
 	// cancelWatch ends the watch that is waiting.
 	cancelWatch context.CancelFunc
 }
@@ -116,6 +118,7 @@
 			continue
 		}
 		err := m.step(ctx)
+		m.logEra()
 		switch {
 		case err == nil:
 			if m.lost.Swap(false) {
@@ -138,6 +141,15 @@
 	return nil
 }
 
+// logEra logs a new era of the store.
+func (m *Mirror) logEra() {
+	era := m.store.Era()
+	if before := m.era.Swap(era); before != era {
+		eraSeen.Set(float64(era))
+		m.logger.Info("store era", zap.Int64("era", era), zap.Int64("before", before), zap.Int64("revision", m.Revision()))
+	}
+}
+
 // follows reports whether the copy is kept through Take instead of a watch.
 func (m *Mirror) follows() bool { return !m.mustList() && !m.mustWatch() && !m.observer.Watching() }
 
--- a/internal/topo/memory/memory.go
+++ b/internal/topo/memory/memory.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -24,6 +26,7 @@
 	history   []topo.Event
 	compacted int64
 	revision  int64
+	era       int64
 	leases    map[topo.LeaseID]*lease
 	nextLease topo.LeaseID
 	changed   chan struct{}
@@ -89,6 +92,45 @@
 	return s.revision
 }
 
+// Saved is a copy of a store at some moment.
+type Saved struct {
+	items     map[string]topo.Item
+	history   []topo.Event
+	compacted int64
+	revision  int64
+	ttls      map[topo.LeaseID]time.Duration
+}
+
+// Save returns a copy of the store as it is now.
+func (s *Store) Save() Saved {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	saved := Saved{
+		items: maps.Clone(s.items), history: slices.Clone(s.history), compacted: s.compacted, revision: s.revision,
+		ttls: make(map[topo.LeaseID]time.Duration, len(s.leases)),
+	}
+	for id, l := range s.leases {
+		saved.ttls[id] = l.ttl
+	}
+	return saved
+}
+
+// Restore makes the store what it was when a copy was saved and begins a new era. Leases
+// of that time last for as long as if they were renewed now.
+func (s *Store) Restore(saved Saved) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	s.items, s.history = maps.Clone(saved.items), slices.Clone(saved.history)
+	s.compacted, s.revision = saved.compacted, saved.revision
+	s.leases = make(map[topo.LeaseID]*lease, len(saved.ttls))
+	for id, ttl := range saved.ttls {
+		s.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	}
+	s.wake()
+}
+
 // Calls returns how often each kind of call was made.
 func (s *Store) Calls(kind string) int {
 	s.mutex.Lock()
@@ -167,6 +209,13 @@
 	return found, s.revision, nil
 }
 
+// Era implements topo.Store.
+func (s *Store) Era() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era
+}
+
 // Revision implements topo.Store.
 func (s *Store) Revision(context.Context) (int64, error) {
 	s.mutex.Lock()
@@ -213,7 +262,7 @@
 		return nil, 0, nil, topo.ErrUnavailable
 	case s.faults.Deaf:
 		return nil, after, s.changed, nil
-	case after < s.compacted:
+	case after < s.compacted, after > s.revision:
 		return nil, 0, nil, topo.ErrCompacted
 	}
 	var events []topo.Event
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -85,6 +85,10 @@
 	// Watch waits up to wait for changes after a revision and returns them with
 	// the revision to continue from.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+	// Era returns the highest era that an answer of the store has named; 0 before the first
+	// one, and always if the store has no eras. The era rises each time that the store is
+	// restored from an older copy of itself.
+	Era() int64
 	// Revision returns the store's current revision.
 	Revision(ctx context.Context) (int64, error)
 	// Commit applies a transaction and returns its revision.
