Copies of the store follow it into a new era

Cause: the platform may restore its store from an older copy. Revisions then go back and are given out again. Nodes ordered everything by revision alone: a watch from the old one got 410, the list that followed was older than the copy and was discarded, again and again, until the store's revisions had passed. After that the watch went on silently, over keys and values that the store no longer had.

Evidence: the new log line in the failing tests names the era and a discarded copy below the node's own revision.

Change: the era that the store names is part of every revision (topo.RevisionIn), so that all comparisons, between nodes too, order by era first. A watch from an earlier era fails at once, also after the numbers have passed. What has not changed keeps its revision, so that followers get the differences. The batch that crosses eras is applied only by copies at exactly its beginning: others may have changes that were lost. Entries that are missing may return within 2 s, as after an outage.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -288,6 +288,10 @@
 	}
 }
 
+// Restored records that the store was restored from an older copy: entries that were written
+// since are missing until their servers have written them again.
+func (f *Feed) Restored(now time.Duration) { f.returned, f.returnedAt = true, now }
+
 // Changed takes in that this node's copy changed, the first time that it is there
 // at all, and returns what its followers have to be told.
 func (f *Feed) Changed(now time.Duration, batch topo.Batch) []Message {
--- a/internal/feed/followers.go
+++ b/internal/feed/followers.go
@@ -51,8 +51,9 @@
 		if batch.Revision <= known.sent {
 			continue
 		}
-		if batch.After > known.sent {
-			// The follower is too far behind; it will find out by its lag.
+		if batch.After > known.sent || batch.CrossesEras() && batch.After != known.sent {
+			// The follower is too far behind, or has changes that are lost in the new era; it
+			// will find out by its lag.
 			return messages
 		}
 		missing := newerThan(batch, known.sent)
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -42,6 +42,12 @@
 		}
 		m.observer.Confirmed(sentAt, current)
 		found(current)
+		if topo.EraOf(current) > topo.EraOf(m.Revision()) {
+			// No watch can bring it.
+			m.listAgain(current)
+			m.Resume()
+			continue
+		}
 		m.CatchUp(ctx, current)
 	}
 }
--- a/internal/mirror/list.go
+++ b/internal/mirror/list.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -75,19 +76,18 @@
 	}
 	adopted := make(map[string]topo.Item, len(items))
 	for _, item := range items {
-		adopted[item.Key] = item
+		adopted[item.Key] = asKnown(m.items[item.Key], item)
 	}
 	batch := topo.Batch{After: m.revision, Revision: revision, Events: difference(m.items, adopted, revision)}
 	first := !m.listed
 	m.items = adopted
 	m.revision = revision
 	m.listed = true
-	m.reached()
-	for key, offered := range m.ahead {
-		if offered.Revision <= revision {
-			delete(m.ahead, key)
-		}
+	if !first && batch.CrossesEras() {
+		m.beginEra()
 	}
+	m.reached()
+	m.dropOffered()
 	if first {
 		m.receiver.Replace(items, revision)
 	} else {
@@ -98,6 +98,17 @@
 	m.observer.Changed(batch)
 }
 
+// asKnown returns an item of another copy as this node has it, if it is the same change: the
+// store lists what has not changed since an earlier era with a revision of the present one. The
+// earliest revision counts, so that all nodes come to have the same.
+func asKnown(own, item topo.Item) topo.Item {
+	isSame := topo.NumberOf(own.Revision) == topo.NumberOf(item.Revision) && own.Revision < item.Revision && bytes.Equal(own.Value, item.Value)
+	if isSame && own.Revision > 0 {
+		return own
+	}
+	return item
+}
+
 // difference returns the changes that lead from one copy to another, which
 // reflects a revision.
 func difference(before, after map[string]topo.Item, revision int64) []topo.Event {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -46,6 +46,9 @@
 	// Changed is called with each change of the copy, in order, under the mirror's
 	// lock.
 	Changed(batch topo.Batch)
+	// Restored is called before the first change of a new era: the store was restored from
+	// an older copy, so that keys may be missing for a moment.
+	Restored()
 	// Confirmed is called when the store told this node that it had a revision at a
 	// moment, and Told when another node did.
 	Confirmed(at time.Time, revision int64)
@@ -59,6 +62,7 @@
 type alone struct{}
 
 func (alone) Changed(topo.Batch)         {}
+func (alone) Restored()                  {}
 func (alone) Confirmed(time.Time, int64) {}
 func (alone) Told(time.Time, int64)      {}
 func (alone) Watching() bool             { return true }
@@ -130,6 +134,10 @@
 			m.logger.Info("history compacted, listing again", zap.Int64("revision", m.Revision()))
 			m.listAgain(m.Revision() + 1)
 			continue
+		case errors.Is(err, topo.ErrRestored):
+			m.logger.Warn("store restored from an older copy, listing again", zap.Int64("revision", m.Revision()), zap.Int64("era", m.store.Era()))
+			m.listAgain(topo.RevisionIn(m.store.Era(), 0))
+			continue
 		case errors.Is(err, context.Canceled):
 			continue
 		case !m.lost.Swap(true):
@@ -273,6 +281,11 @@
 	if !m.listed || batch.Revision < m.revision || batch.After > m.revision {
 		return
 	}
+	if batch.CrossesEras() && batch.After != m.revision {
+		// What this copy has beyond the batch's beginning may be lost in the new era.
+		m.wanted = max(m.wanted, batch.Revision)
+		return
+	}
 	fresh, complete := m.resolve(batch.Events)
 	if !complete {
 		m.logger.Warn("change cannot be made from its delta, listing again", zap.Int64("revision", m.revision))
@@ -288,6 +301,9 @@
 	}
 	after := m.revision
 	m.revision = batch.Revision
+	if batch.CrossesEras() {
+		m.beginEra()
+	}
 	m.reached()
 	if news := m.news(fresh); len(news) > 0 {
 		m.receiver.Apply(news, batch.Revision)
@@ -297,6 +313,21 @@
 	}
 }
 
+// beginEra drops what was offered in earlier eras. The caller holds the mutex.
+func (m *Mirror) beginEra() {
+	m.dropOffered()
+	m.observer.Restored()
+}
+
+// dropOffered drops what was offered before the copy's revision. The caller holds the mutex.
+func (m *Mirror) dropOffered() {
+	for key, offered := range m.ahead {
+		if offered.Revision <= m.revision {
+			delete(m.ahead, key)
+		}
+	}
+}
+
 // news returns those of some changes that are no older than what was offered of their
 // keys. What was offered is not ahead any more then. The caller holds the mutex.
 func (m *Mirror) news(events []topo.Event) []topo.Event {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -194,6 +194,7 @@
 }
 
 func (o observer) Changed(batch topo.Batch)   { o.changed <- batch }
+func (o observer) Restored()                  {}
 func (o observer) Confirmed(time.Time, int64) {}
 func (o observer) Told(time.Time, int64)      {}
 func (o observer) Watching() bool             { return o.watching }
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -67,6 +67,13 @@
 	c.send(messages)
 }
 
+// Restored implements mirror.Observer.
+func (c *changeFeed) Restored() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.core.Restored(c.now())
+}
+
 // Confirmed implements mirror.Observer.
 func (c *changeFeed) Confirmed(at time.Time, revision int64) {
 	c.mutex.Lock()
--- a/internal/topo/memory/memory.go
+++ b/internal/topo/memory/memory.go
@@ -89,7 +89,7 @@
 		s.put(topo.Put{Key: key, Value: value})
 	}
 	s.wake()
-	return s.revision
+	return s.at()
 }
 
 // Saved is a copy of a store at some moment.
@@ -202,11 +202,12 @@
 	var found []topo.Item
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) {
+			item.Revision = topo.RevisionIn(s.era, item.Revision)
 			found = append(found, item)
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	return found, s.revision, nil
+	return found, s.at(), nil
 }
 
 // Era implements topo.Store.
@@ -223,9 +224,12 @@
 	if err := s.enter("revision"); err != nil {
 		return 0, err
 	}
-	return s.revision, nil
+	return s.at(), nil
 }
 
+// at returns the current revision. The caller holds the mutex.
+func (s *Store) at() int64 { return topo.RevisionIn(s.era, s.revision) }
+
 // Watch implements topo.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Event, int64, error) {
 	deadline := time.NewTimer(wait)
@@ -262,16 +266,22 @@
 		return nil, 0, nil, topo.ErrUnavailable
 	case s.faults.Deaf:
 		return nil, after, s.changed, nil
+	case topo.EraOf(after) < s.era:
+		return nil, 0, nil, topo.ErrRestored
+	}
+	after = topo.NumberOf(after)
+	switch {
 	case after < s.compacted, after > s.revision:
 		return nil, 0, nil, topo.ErrCompacted
 	}
 	var events []topo.Event
 	for _, event := range s.history {
 		if event.Revision > after && strings.HasPrefix(event.Key, prefix) {
+			event.Revision = topo.RevisionIn(s.era, event.Revision)
 			events = append(events, event)
 		}
 	}
-	return events, s.revision, s.changed, nil
+	return events, s.at(), s.changed, nil
 }
 
 // Commit implements topo.Store.
@@ -282,7 +292,7 @@
 		return 0, err
 	}
 	for _, condition := range transaction.Conditions {
-		if s.items[condition.Key].Revision != condition.Revision {
+		if s.items[condition.Key].Revision != topo.NumberOf(condition.Revision) {
 			return 0, topo.ErrConflict
 		}
 	}
@@ -302,7 +312,7 @@
 	if s.faults.LoseAnswers {
 		return 0, topo.ErrUnavailable
 	}
-	return s.revision, nil
+	return s.at(), nil
 }
 
 // GrantLease implements topo.Store.
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -20,6 +20,8 @@
 	ErrLeaseGone = errors.New("lease has ended")
 	// ErrCompacted means that a watch asked for history that the store forgot.
 	ErrCompacted = errors.New("history is compacted")
+	// ErrRestored means that a watch asked for changes since a revision of an earlier era.
+	ErrRestored = errors.New("store was restored from an older copy")
 	// ErrRefused means that the store answered and did nothing (overload).
 	ErrRefused = errors.New("store refused the call")
 	// ErrUnavailable means that the store did not answer in time.
@@ -77,7 +79,8 @@
 	Deletes    []string
 }
 
-// Store is a linearizable key-value store with one revision counter.
+// Store is a linearizable key-value store with one revision counter. Revisions include the
+// era; conditions hold if the number of the key's revision is equal, whatever the era.
 type Store interface {
 	// List returns all keys with a prefix and the revision from which a watch
 	// may continue without missing a change.
