--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -37,6 +37,7 @@
 	if until, lapsed := core.LapsedUntil(3 * time.Second); !lapsed || until != 4500*time.Millisecond {
 		t.Fatalf("half a second after the store was restored: until %v, %v", until, lapsed)
 	}
+	core.Confirm(3*time.Second, 0)
 	core.Confirm(4*time.Second, 0)
 	if _, lapsed := core.LapsedUntil(5 * time.Second); lapsed {
 		t.Fatal("an entry that vanishes later is taken as lapsed")
