--- a/internal/dispatch/warming_test.go
+++ b/internal/dispatch/warming_test.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.write(view.OwnersKey("divided"), string(text))
+	w.write(view.OwnersKey("divided", 0), string(text))
 }
 
 // after is a moment at which a node that was registered at the start may send.
--- a/internal/router/scale_test.go
+++ b/internal/router/scale_test.go
@@ -215,7 +215,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	return topo.Item{Key: view.OwnersKey("a"), Value: encoded}
+	return topo.Item{Key: view.OwnersKey("a", 0), Value: encoded}
 }
 
 // BenchmarkOwnerChange measures what a node does when a range changes hands.
--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -13,7 +13,7 @@
 	"github.com/micahaven/micahaven/internal/view"
 )
 
-// lock is a manager's lock in the store.
+// lock is a manager's lock in the store. One of an earlier era of the store is void.
 type lock struct {
 	lease topo.LeaseID
 	// revision is the one at which the lock was written.
@@ -22,16 +22,25 @@
 	keptAt time.Duration
 }
 
-// ownerMap is an owner map as it is in the store; Map is nil if there is none.
+// era returns the store's era in which the lock was taken.
+func (l lock) era() int64 { return topo.EraOf(l.revision) }
+
+// ownerMap is an owner map from which a term continues; Map is nil if there is none.
 type ownerMap struct {
 	*shards.Map
+	// key is where the store has the map, and revision the one of it; 0 if it has none.
+	key      string
 	revision int64
+	// frozen is true if the map comes from a term of this process.
+	frozen bool
 }
 
 // candidacy is one attempt to take the lock.
 type candidacy struct {
-	lock     lock
-	epoch    uint64
+	lock  lock
+	epoch uint64
+	// era is the store's era for which the candidacy is.
+	era      int64
 	core     *shards.Manager
 	found    ownerMap
 	written  *shards.Map
@@ -41,9 +50,10 @@
 
 // campaign tries to take the lock. The map of the new term is written together
 // with it, so that a manager that has the lock may send orders at once, even if
-// the store is lost right after.
-func (m *Manager) campaign(ctx context.Context) (*term, error) {
-	attempt, err := m.prepare(ctx)
+// the store is lost right after. The term continues from the map of a frozen term of this
+// process, if there is one, or else from the newest that the store or this node has.
+func (m *Manager) campaign(ctx context.Context, frozen *shards.Map) (*term, error) {
+	attempt, err := m.prepare(ctx, frozen)
 	if err != nil {
 		return nil, err
 	}
@@ -51,39 +61,48 @@
 	if err != nil {
 		err = m.settleCampaign(ctx, attempt, err)
 	}
+	if err == nil && attempt.lock.era() != attempt.era {
+		err = topo.ErrRestored
+	}
 	if err != nil {
 		m.withdraw(ctx, attempt)
 		return nil, err
 	}
 	termsTotal.WithLabelValues(m.service).Inc()
-	m.logger.Info("manager lock taken", zap.Uint64("epoch", attempt.epoch), zap.Int64("revision", attempt.lock.revision))
+	m.logger.Info("manager lock taken", zap.Uint64("epoch", attempt.epoch), zap.Int64("revision", attempt.lock.revision),
+		zap.Bool("verified", attempt.core.Verified()), zap.Bool("continued", attempt.found.frozen))
 	return newTerm(m, attempt), nil
 }
 
 // prepare reads the map and gets a lease.
-func (m *Manager) prepare(ctx context.Context) (*candidacy, error) {
-	found, err := m.readMap(ctx)
+func (m *Manager) prepare(ctx context.Context, frozen *shards.Map) (*candidacy, error) {
+	found, era, err := m.readMap(ctx)
 	if err != nil {
 		return nil, err
 	}
-	attempt := &candidacy{found: found, lock: lock{keptAt: m.config.Clock()}}
+	if frozen != nil {
+		written := found.key == view.OwnersKey(m.service, era)
+		if written && found.Author.Process != m.config.Self.Process {
+			return nil, errors.Wrapf(errSucceeded, "era %d", era)
+		}
+		found.Map, found.frozen = frozen, true
+	}
+	attempt := &candidacy{found: found, era: era, lock: lock{keptAt: m.config.Clock()}}
 	attempt.lock.lease, _, err = m.config.Store.GrantLease(ctx, lockTTL)
 	if err != nil {
 		return nil, err
 	}
-	if found.Map != nil {
-		m.lastEpoch = max(m.lastEpoch, found.Epoch)
-	}
-	// An earlier attempt may still be carried out; its epoch is not used again.
-	m.lastEpoch++
-	attempt.epoch = m.lastEpoch
+	attempt.epoch = m.nextEpoch(found.Map, era)
 	author := shards.Author{Node: m.config.Self.Name, Process: m.config.Self.Process, Epoch: attempt.epoch}
 	attempt.core = shards.NewManager(m.service, attempt.epoch, author, found.Map, m.config.Options, 0)
-	attempt.identity, err = json.Marshal(m.config.Self)
+	if found.frozen {
+		attempt.core.Resume(frozen)
+	}
+	attempt.identity, err = json.Marshal(view.Manager{Node: m.config.Self, Era: era})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode manager entry")
 	}
-	if found.Map == nil {
+	if !attempt.core.Started() {
 		return attempt, nil
 	}
 	attempt.written = attempt.core.Map(0)
@@ -91,16 +110,44 @@
 	return attempt, err
 }
 
-// candidacyOf returns the transaction that takes the lock and installs the map.
+// errSucceeded means that another manager has written a map since the store was restored.
+var errSucceeded = errors.New("another manager has begun a term")
+
+// eraEpochs is how many epochs an era of the store has. The epochs of an era are above those
+// of all earlier ones, whose maps may be lost.
+const eraEpochs = 1 << 20
+
+// nextEpoch returns the epoch of a candidacy. An earlier attempt may still be carried out; its
+// epoch is not used again.
+func (m *Manager) nextEpoch(found *shards.Map, era int64) uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.lastEpoch = max(m.lastEpoch, uint64(era)*eraEpochs)
+	if found != nil {
+		m.lastEpoch = max(m.lastEpoch, found.Epoch)
+	}
+	m.lastEpoch++
+	return m.lastEpoch
+}
+
+// candidacyOf returns the transaction that takes the lock and installs the map. A lock of an
+// earlier era is replaced, and maps of earlier eras are removed.
 func (m *Manager) candidacyOf(attempt *candidacy) topo.Transaction {
-	lockKey, mapKey := view.ManagerKey(m.service), view.OwnersKey(m.service)
-	transaction := topo.Transaction{
-		Conditions: []topo.Condition{{Key: lockKey}, {Key: mapKey, Revision: attempt.found.revision}},
-		Puts:       []topo.Put{{Key: lockKey, Value: attempt.identity, Lease: attempt.lock.lease}},
+	lockKey, mapKey := view.ManagerKey(m.service), view.OwnersKey(m.service, attempt.era)
+	lockCondition, mapCondition := topo.Condition{Key: lockKey}, topo.Condition{Key: mapKey}
+	if held := m.config.Views.Current().Managers[m.service]; held.Era < attempt.era {
+		lockCondition.Revision = held.Revision
 	}
+	transaction := topo.Transaction{Puts: []topo.Put{{Key: lockKey, Value: attempt.identity, Lease: attempt.lock.lease}}}
 	if attempt.encoded != nil {
 		transaction.Puts = append(transaction.Puts, topo.Put{Key: mapKey, Value: attempt.encoded})
 	}
+	if attempt.found.key == mapKey {
+		mapCondition.Revision = attempt.found.revision
+	} else if attempt.found.key != "" && attempt.encoded != nil {
+		transaction.Deletes = []string{attempt.found.key}
+	}
+	transaction.Conditions = []topo.Condition{lockCondition, mapCondition}
 	return transaction
 }
 
@@ -151,18 +198,51 @@
 	}
 }
 
-// readMap returns the owner map that the store has.
-func (m *Manager) readMap(ctx context.Context) (ownerMap, error) {
-	key := view.OwnersKey(m.service)
-	items, _, err := m.config.Store.List(ctx, key)
+// readMap returns the newest owner map that the store or this node has, and the store's era. A
+// map of an earlier era is unverified, and so is a service without a map in a store that was
+// restored before.
+func (m *Manager) readMap(ctx context.Context) (ownerMap, int64, error) {
+	items, at, err := m.config.Store.List(ctx, view.OwnersKey(m.service, 0))
 	if err != nil {
-		return ownerMap{}, err
+		return ownerMap{}, 0, err
 	}
+	era := topo.EraOf(at)
+	var newest topo.Item
+	newestEra := int64(-1)
 	for _, item := range items {
-		if item.Key == key {
-			decoded, err := shards.DecodeMap(item.Value)
-			return ownerMap{Map: decoded, revision: item.Revision}, err
+		service, written, found := view.OwnersOf(item.Key)
+		if found && service == m.service && written > newestEra {
+			newest, newestEra = item, written
+		}
+	}
+	found := ownerMap{key: newest.Key, revision: newest.Revision}
+	if newestEra >= 0 {
+		if found.Map, err = shards.DecodeMap(newest.Value); err != nil {
+			return ownerMap{}, 0, err
+		}
+	}
+	if newestEra == era || newestEra < 0 && era == 0 {
+		return found, era, nil
+	}
+	found.Map, err = m.rememberedMap(found.Map)
+	return found, era, err
+}
+
+// rememberedMap returns the newer one of an owner map of a restored store, nil if it has none,
+// and the one that this node knows. It is unverified.
+func (m *Manager) rememberedMap(restored *shards.Map) (*shards.Map, error) {
+	newest := &shards.Map{Service: m.service}
+	if restored != nil {
+		*newest = *restored
+	}
+	known := m.config.Views.Current().Owners[m.service]
+	if known.Owners != nil && known.NewerThan(&shards.Owners{Epoch: newest.Epoch, Sequence: newest.Sequence}) {
+		decoded, err := shards.DecodeMap(known.Encoded)
+		if err != nil {
+			return nil, err
 		}
+		newest = decoded
 	}
-	return ownerMap{}, nil
+	newest.Unverified = true
+	return newest, nil
 }
--- a/internal/shardmanager/keeplock.go
+++ b/internal/shardmanager/keeplock.go
@@ -30,6 +30,10 @@
 		if err != nil {
 			wait = keepRetry
 		}
+		if t.isVoid() {
+			// Nothing that is said of the lease holds for the lock.
+			err, wait = topo.ErrRestored, lockKeep
+		}
 		t.mutex.Lock()
 		failed := err != nil
 		if failed != t.storeFailed {
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -66,6 +66,10 @@
 	// maxCampaignPause bounds the pause after campaigns that failed: each call
 	// costs, refused ones too.
 	maxCampaignPause = 1200 * time.Millisecond
+	// eraPatience is how long the manager of an earlier era has to take its lock again.
+	eraPatience = 1500 * time.Millisecond
+	// eraLook is the pause between two looks at the store's era.
+	eraLook = 20 * time.Millisecond
 	// settleTime is how long no server must have registered before the first map
 	// is made, and settleLimit how long that is waited for.
 	settleTime  = 1500 * time.Millisecond
@@ -101,10 +105,13 @@
 	service string
 	logger  *zap.Logger
 
+	mutex sync.Mutex
 	// lastEpoch is the greatest epoch that this process has tried to begin.
 	lastEpoch uint64
-
-	mutex sync.Mutex
+	// era is the store's era that this manager saw last, outside of terms, and eraSince the
+	// clock's reading when it did so first.
+	era      int64
+	eraSince time.Duration
 	// term is the current time in office; nil without the lock.
 	term *term
 }
@@ -127,7 +134,7 @@
 		if ctx.Err() != nil || m.taken() {
 			continue
 		}
-		elected, err := m.campaign(ctx)
+		elected, err := m.campaign(ctx, nil)
 		if err != nil {
 			if !errors.Is(err, topo.ErrConflict) {
 				m.logger.Info("campaign failed", zap.Error(err))
@@ -142,8 +149,31 @@
 	return nil
 }
 
-// taken reports whether a manager holds the service's lock.
-func (m *Manager) taken() bool { return m.config.Views.Current().Managers[m.service].Epoch != 0 }
+// taken reports whether a manager holds the service's lock. One that held it in an earlier era
+// is given time to take it again, since it knows best who holds keys.
+func (m *Manager) taken() bool {
+	current := m.config.Views.Current()
+	held := current.Managers[m.service]
+	era := max(m.config.Store.Era(), topo.EraOf(current.Revision))
+	if held.Revision != 0 && held.Era >= era {
+		return true
+	}
+	owners := current.Owners[m.service]
+	if owners.Owners == nil || owners.Resigned || owners.Era >= era {
+		return false
+	}
+	return m.isPatient(era) && current.SendsOrders(m.service, owners.Author.Node, owners.Author.Process, int64(owners.Author.Epoch))
+}
+
+// isPatient reports whether an era of the store began so lately, as this node knows, that its
+// earlier manager may still take the lock again.
+func (m *Manager) isPatient(era int64) bool {
+	now := m.config.Clock()
+	if m.era != era {
+		m.era, m.eraSince = era, now
+	}
+	return now-m.eraSince < eraPatience
+}
 
 // campaignDelay is how long this node waits before it campaigns: the longer the
 // more nodes there are with a greater share of a processor.
@@ -158,18 +188,65 @@
 	return delay + time.Duration(rand.Int64N(int64(campaignStep/2)))
 }
 
-// serve manages the keys until the lock is lost or the context ends.
+// serve manages the keys until the lock is lost or the context ends. If the store is restored,
+// the next term follows without a pause.
 func (m *Manager) serve(ctx context.Context, t *term) {
-	m.setTerm(t)
 	defer m.setTerm(nil)
+	for t != nil {
+		m.setTerm(t)
+		t = m.serveTerm(ctx, t)
+	}
+}
+
+// serveTerm manages the keys for one term, and returns the one that continues it in a new era
+// of the store; nil if there is none.
+func (m *Manager) serveTerm(ctx context.Context, t *term) *term {
+	var next *term
+	var succession sync.WaitGroup
+	watching, cancel := context.WithCancel(ctx)
+	succession.Go(func() { next = m.succeed(watching, t) })
 	t.run(ctx)
+	cancel()
+	succession.Wait()
+	if next != nil {
+		return next
+	}
 	if ctx.Err() == nil {
 		m.retire(ctx, t)
-		return
+		return nil
 	}
-	ending, cancel := context.WithTimeout(context.Background(), lockKeep)
-	defer cancel()
+	ending, cancelEnd := context.WithTimeout(context.Background(), lockKeep)
+	defer cancelEnd()
 	_ = m.config.Store.EndLease(ending, t.lock.lease)
+	return nil
+}
+
+// succeed waits for a new era of the store, takes the lock again in it and returns the term
+// that continues the given one. It returns nil if the context ends or another manager has the
+// lock.
+func (m *Manager) succeed(ctx context.Context, t *term) *term {
+	for m.config.Store.Era() <= t.lock.era() {
+		periodic.Pause(ctx, eraLook)
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	frozen := t.freeze()
+	m.logger.Warn("manager lock void, store was restored", zap.Uint64("epoch", t.epoch), zap.Int64("era", m.config.Store.Era()))
+	for pause := eraLook; ctx.Err() == nil; pause = min(2*pause, campaignPause) {
+		next, err := m.campaign(ctx, frozen)
+		if err == nil {
+			t.ended()
+			return next
+		}
+		m.logger.Info("campaign in a new era failed", zap.Error(err))
+		if errors.Is(err, errSucceeded) {
+			t.ended()
+			return nil
+		}
+		periodic.Pause(ctx, pause)
+	}
+	return nil
 }
 
 // retire tells the next manager that a term which lost its lock sends no orders
--- a/internal/shardmanager/resign_test.go
+++ b/internal/shardmanager/resign_test.go
@@ -23,7 +23,7 @@
 	waitFor(t, "the first manager takes the lock", held)
 	end()
 	waitFor(t, "the first manager gives the lock back", func() bool { return !held() })
-	items, _, err := store.List(t.Context(), view.OwnersKey(service))
+	items, _, err := store.List(t.Context(), view.OwnersKey(service, 0))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/shardmanager/restored_test.go
@@ -0,0 +1,127 @@
+package shardmanager_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/topo/memory"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+// storedMap returns the owner map that the store has for an era; nil if there is none.
+func storedMap(t *testing.T, store topo.Store, era int64) *shards.Map {
+	t.Helper()
+	key := view.OwnersKey(service, era)
+	items, _, err := store.List(context.Background(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, item := range items {
+		if item.Key != key {
+			continue
+		}
+		decoded, err := shards.DecodeMap(item.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return decoded
+	}
+	return nil
+}
+
+// startedStore returns a store with a server and what it was before its first manager.
+func startedStore() (*memory.Store, memory.Saved) {
+	store := memory.New()
+	store.Write("servers/a", []byte("address a"))
+	return store, store.Save()
+}
+
+func TestManagerContinuesInANewEra(t *testing.T) {
+	store, saved := startedStore()
+	sent, _ := candidate(t, store, "n1")
+	waitFor(t, "the manager grants", func() bool { return sent.count() > 0 })
+	before := storedMap(t, store, 0)
+	store.Restore(saved)
+	waitFor(t, "the map of the new era is verified", func() bool {
+		current := storedMap(t, store, 1)
+		return current != nil && !current.Unverified
+	})
+	current := storedMap(t, store, 1)
+	if current.Author.Process != before.Author.Process || current.Epoch <= before.Epoch || current.Find(0).Owner != before.Find(0).Owner {
+		t.Fatalf("the map of the new era is %+v, before it was %+v", current, before)
+	}
+	if storedMap(t, store, 0) != nil {
+		t.Error("the map of the earlier era is still there")
+	}
+}
+
+func TestEpochsOfANewEraAreAboveLostOnes(t *testing.T) {
+	store, saved := startedStore()
+	lost := uint64(0)
+	for _, name := range []string{"n1", "n2", "n3"} {
+		sent, end := candidate(t, store, name)
+		waitFor(t, name+" grants", func() bool { return sent.count() > 0 })
+		end()
+		waitFor(t, name+" has ended", func() bool { return storedMap(t, store, 0).Resigned })
+		lost = storedMap(t, store, 0).Epoch
+	}
+	store.Restore(saved)
+	candidate(t, store, "n4")
+	waitFor(t, "the first manager of the new era has a map", func() bool { return storedMap(t, store, 1) != nil })
+	if found := storedMap(t, store, 1); found.Epoch <= lost {
+		t.Fatalf("epoch %d after %d was given out in what is lost", found.Epoch, lost)
+	}
+}
+
+// recordedStore keeps the transactions that are sent to it.
+type recordedStore struct {
+	topo.Store
+	mutex        sync.Mutex
+	transactions []topo.Transaction
+}
+
+func (r *recordedStore) Commit(ctx context.Context, transaction topo.Transaction) (int64, error) {
+	r.mutex.Lock()
+	r.transactions = append(r.transactions, transaction)
+	r.mutex.Unlock()
+	return r.Store.Commit(ctx, transaction)
+}
+
+func TestLateWritesOfAnEarlierEraLeaveTheMapAlone(t *testing.T) {
+	store, saved := startedStore()
+	recorded := &recordedStore{Store: store}
+	sent, end := candidate(t, recorded, "n1")
+	waitFor(t, "the first manager grants", func() bool { return sent.count() > 0 })
+	end()
+	waitFor(t, "the first manager has ended", func() bool { return storedMap(t, store, 0).Resigned })
+	store.Restore(saved)
+	candidate(t, store, "n2")
+	waitFor(t, "the second manager has a verified map", func() bool {
+		current := storedMap(t, store, 1)
+		return current != nil && !current.Unverified && current.Author.Node == "n2"
+	})
+	// The numbers of the revisions recur, whatever they are.
+	for _, transaction := range recorded.transactions {
+		for index, condition := range transaction.Conditions {
+			items, _, _ := store.List(context.Background(), condition.Key)
+			transaction.Conditions[index].Revision = 0
+			for _, item := range items {
+				if item.Key == condition.Key {
+					transaction.Conditions[index].Revision = item.Revision
+				}
+			}
+		}
+		for index := range transaction.Puts {
+			transaction.Puts[index].Lease = 0
+		}
+		if _, err := store.Commit(context.Background(), transaction); err != nil {
+			t.Fatal(err)
+		}
+		if current := storedMap(t, store, 1); current == nil || current.Author.Node != "n2" {
+			t.Fatalf("the map of the new era is %+v after a write of the earlier one", current)
+		}
+	}
+}
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -66,7 +66,7 @@
 		t.core.Installed(0)
 		t.mapRevision = won.lock.revision
 		t.written = won.written
-		item := topo.Item{Key: view.OwnersKey(m.service), Value: won.encoded, Revision: won.lock.revision}
+		item := topo.Item{Key: view.OwnersKey(m.service, won.era), Value: won.encoded, Revision: won.lock.revision}
 		m.config.Notices.Written(item)
 		m.config.Notices.Succeeded(won.written.Pending, item)
 	}
@@ -165,7 +165,7 @@
 // because the map of a term is written together with its lock.
 func (t *term) superseded(current *view.View) bool {
 	owners := current.Owners[t.manager.service]
-	return owners.Owners != nil && owners.Epoch > t.epoch
+	return owners.Owners != nil && owners.Epoch > t.epoch && owners.Author.Process != t.manager.config.Self.Process
 }
 
 // settled reports whether all servers have probably registered.
@@ -356,7 +356,7 @@
 	t.core.GrantDone(t.now(), shards.GrantResult{Grant: grant, SentAt: sentAt, Outcome: outcome})
 	// The fences of a term are above those of all terms before it. Without the store, this
 	// is how a manager learns of the next one.
-	over := outcome == shards.Superseded && t.storeFailed
+	over := outcome == shards.Superseded && t.storeFailed && shards.EpochOf(grant.Fence) == t.epoch
 	t.mutex.Unlock()
 	if over {
 		t.manager.logger.Warn("manager superseded, as a server tells", zap.Uint64("epoch", t.epoch), zap.String("server", string(grant.Owner)))
@@ -398,22 +398,26 @@
 	t.mutex.Lock()
 	expected := t.mapRevision
 	t.mutex.Unlock()
-	key := view.OwnersKey(t.manager.service)
+	key := t.mapKey()
 	transaction := topo.Transaction{
 		Conditions: []topo.Condition{{Key: view.ManagerKey(t.manager.service), Revision: t.lock.revision}, {Key: key, Revision: expected}},
 		Puts:       []topo.Put{{Key: key, Value: encoded}},
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !t.isVoid() {
 		revision, err := t.manager.config.Store.Commit(ctx, transaction)
 		if err != nil {
 			revision, err = t.settle(ctx, expected, encoded, err)
 		}
+		if err == nil && topo.EraOf(revision) != t.lock.era() {
+			// The lock is void, and so is what is written under it.
+			return false
+		}
 		if err == nil {
 			t.manager.config.Notices.Written(topo.Item{Key: key, Value: encoded, Revision: revision})
 			t.committed(ctx, revision, written)
 			return true
 		}
-		if errors.Is(err, topo.ErrConflict) {
+		if errors.Is(err, topo.ErrConflict) && !t.isVoid() {
 			t.manager.logger.Warn("owner map changed by another manager", zap.Uint64("epoch", t.epoch))
 			t.ended()
 			return false
@@ -423,9 +427,26 @@
 	return false
 }
 
+// mapKey is where the maps of this term are.
+func (t *term) mapKey() string { return view.OwnersKey(t.manager.service, t.lock.era()) }
+
+// isVoid reports whether the store was restored since the term began.
+func (t *term) isVoid() bool { return t.manager.config.Store.Era() > t.lock.era() }
+
+// freeze makes the term renew what it granted and do nothing else, and returns the map that the
+// next term of this process may continue from; nil if there is none.
+func (t *term) freeze() *shards.Map {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.core.Started() {
+		return nil
+	}
+	return t.core.Freeze(t.now())
+}
+
 // settle finds out whether a write that failed was done after all.
 func (t *term) settle(ctx context.Context, expected int64, encoded []byte, cause error) (int64, error) {
-	key := view.OwnersKey(t.manager.service)
+	key := t.mapKey()
 	items, _, err := t.manager.config.Store.List(ctx, key)
 	if err != nil {
 		return 0, err
--- a/internal/shards/decode.go
+++ b/internal/shards/decode.go
@@ -52,6 +52,10 @@
 		d.decoded.Author.Process = string(content)
 	case mapResigned:
 		d.decoded.Resigned = protowire.DecodeBool(value)
+	case mapSequence:
+		d.decoded.Sequence = value
+	case mapUnverified:
+		d.decoded.Unverified = protowire.DecodeBool(value)
 	case mapPending:
 		author, err := readAuthor(content)
 		d.decoded.Pending = append(d.decoded.Pending, author)
--- /dev/null
+++ b/internal/shards/fencing_test.go
@@ -0,0 +1,154 @@
+package shards_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/shards"
+)
+
+// restoredMap is a map of two servers whose latest changes may be lost.
+func restoredMap() *shards.Map {
+	const half = shards.KeyCount / 2
+	return &shards.Map{
+		Service: "s", Epoch: 1, Author: author("p1", 1), Unverified: true,
+		Ranges: []shards.Range{
+			{First: 0, Last: half - 1, Owner: "a", Address: "a", Fence: 1<<20 | 1},
+			{First: half, Last: shards.LastKey, Owner: "b", Address: "b", Fence: 1<<20 | 2},
+		},
+	}
+}
+
+// fenced drives a manager for some time. Servers in silent acknowledge nothing. It returns what
+// was sent.
+func fenced(core *shards.Manager, from, length time.Duration, silent ...discovery.ServerID) (grants []shards.Grant, releases []shards.Release) {
+	for now := from; now < from+length; now += step {
+		commands := core.Tick(now)
+		grants, releases = append(grants, commands.Grants...), append(releases, commands.Releases...)
+		for _, release := range commands.Releases {
+			if len(silent) > 0 && release.Owner == silent[0] {
+				continue
+			}
+			core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: shards.Accepted})
+		}
+		for _, grant := range commands.Grants {
+			core.GrantDone(now, shards.GrantResult{Grant: grant, SentAt: now, Outcome: shards.Accepted})
+		}
+		if commands.Commit != nil {
+			core.Committed(now)
+		}
+	}
+	return grants, releases
+}
+
+func newSuccessor(previous *shards.Map) *shards.Manager {
+	core := shards.NewManager("s", 2, author("p2", 2), previous, shards.DefaultOptions(), 0)
+	var servers []shards.Server
+	for _, id := range []discovery.ServerID{"a", "b", "c"} {
+		servers = append(servers, shards.Server{ID: id, Address: string(id), Capacity: 1, Accepting: true})
+	}
+	core.SetServers(servers, nil)
+	return core
+}
+
+func TestNothingIsGrantedBeforeAllServersAreFencedOff(t *testing.T) {
+	core := newSuccessor(restoredMap())
+	grants, releases := fenced(core, 0, 10*time.Second, "c")
+	if len(grants) > 0 {
+		t.Fatalf("granted %+v although server c may hold any key", grants[0])
+	}
+	keys := make(map[discovery.ServerID]uint32)
+	for _, release := range releases {
+		if release.Owner != "c" {
+			keys[release.Owner] += release.Last - release.First + 1
+		}
+		if release.Fence <= 1<<20|2 {
+			t.Fatalf("released under fence %d, which earlier grants may exceed", release.Fence)
+		}
+	}
+	for owner, count := range keys {
+		if count != shards.KeyCount/2 {
+			t.Errorf("%s released %d keys, want those that the map gives to others", owner, count)
+		}
+	}
+	grants, _ = fenced(core, 10*time.Second, 2*time.Second)
+	if len(grants) == 0 || !core.Verified() {
+		t.Fatal("nothing is granted after all servers were fenced off")
+	}
+	for _, grant := range grants {
+		if shards.EpochOf(grant.Fence) != 2 {
+			t.Errorf("granted under fence %d of an earlier manager", grant.Fence)
+		}
+	}
+}
+
+func TestSilentServerIsWaitedForUntilItsGrantsHaveEnded(t *testing.T) {
+	core := newSuccessor(restoredMap())
+	options := shards.DefaultOptions()
+	longest := options.PreviousAuthority + options.LateOrder + options.Hold
+	if grants, _ := fenced(core, 0, longest, "c"); len(grants) > 0 {
+		t.Fatal("a key is granted although an unknown manager may still renew it at server c")
+	}
+	const slack = time.Second
+	if grants, _ := fenced(core, longest, slack, "c"); len(grants) == 0 {
+		t.Fatal("keys are not granted after all earlier grants have ended")
+	}
+}
+
+func TestManagerThatContinuesRenewsUnderItsEarlierFences(t *testing.T) {
+	first := newSuccessor(&shards.Map{Service: "s", Epoch: 1, Author: author("p1", 1), Ranges: restoredMap().Ranges})
+	fenced(first, 0, 2*time.Second)
+	frozen := first.Freeze(2 * time.Second)
+	core := shards.NewManager("s", 3, author("p2", 3), frozen, shards.DefaultOptions(), 0)
+	core.Resume(frozen)
+	core.SetServers([]shards.Server{{ID: "c", Address: "c", Capacity: 1, Accepting: true}}, nil)
+	grants, _ := fenced(core, 0, 5*time.Second, "c")
+	if len(grants) == 0 {
+		t.Fatal("nothing is renewed")
+	}
+	for _, grant := range grants {
+		if shards.EpochOf(grant.Fence) != 2 {
+			t.Fatalf("renewed under fence %d, which a server that gave the keys up would accept", grant.Fence)
+		}
+	}
+}
+
+func TestFrozenManagerOnlyRenews(t *testing.T) {
+	core := newSuccessor(&shards.Map{Service: "s", Epoch: 1, Author: author("p1", 1), Ranges: restoredMap().Ranges})
+	fenced(core, 0, 2*time.Second)
+	core.SetServers([]shards.Server{{ID: "c", Address: "c", Capacity: 1, Accepting: true}}, nil)
+	commands := core.Tick(2 * time.Second)
+	if len(commands.Releases) == 0 {
+		t.Fatal("no range is taken from servers that are gone")
+	}
+	frozen := core.Freeze(2 * time.Second)
+	for _, release := range commands.Releases {
+		core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: shards.Accepted})
+	}
+	core.Committed(2 * time.Second)
+	for now := 2 * time.Second; now < 8*time.Second; now += step {
+		commands := core.Tick(now)
+		if commands.Commit != nil || len(commands.Releases) > 0 || len(commands.Grants) > 0 {
+			t.Fatalf("a frozen manager whose ranges were all released commands %+v", commands)
+		}
+	}
+	if frozen.Find(0).Owner != "a" {
+		t.Fatalf("the frozen map gives key 0 to %q, want the owner that may hold it", frozen.Find(0).Owner)
+	}
+}
+
+func TestMapWithoutRangesIsFencedBeforeTheFirstGrants(t *testing.T) {
+	core := newSuccessor(&shards.Map{Service: "s", Unverified: true})
+	core.Start()
+	if core.Started() {
+		t.Fatal("keys are given out before servers are fenced off")
+	}
+	if _, releases := fenced(core, 0, 3*time.Second); len(releases) != 3 {
+		t.Fatalf("%d releases, want one of all keys at each server", len(releases))
+	}
+	core.Start()
+	if grants, _ := fenced(core, 3*time.Second, time.Second); len(grants) == 0 {
+		t.Fatal("nothing is granted after all servers were fenced off")
+	}
+}
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -48,6 +48,9 @@
 // fenceEpochShift leaves room for a million fences in one epoch.
 const fenceEpochShift = 20
 
+// EpochOf returns the epoch of the manager that gave out a fence.
+func EpochOf(fence uint64) uint64 { return fence >> fenceEpochShift }
+
 type phase int
 
 const (
@@ -83,6 +86,9 @@
 	mapped, writing discovery.ServerID
 	// lateUntil is when a late grant can no longer hold the range.
 	lateUntil time.Duration
+	// previousFence is that of this process' earlier grant of the range, which may be renewed
+	// while the map is unverified; 0 if there is none.
+	previousFence uint64
 	// older is true if the owner may hold the range by a grant of any earlier manager
 	// that is not known to be over, and not only by one of the last map's author.
 	older bool
@@ -107,6 +113,9 @@
 // author of the map that a manager finds is the last one that sent orders, and the
 // orders of those before it are over but for the pending ones that the map names.
 //
+// A map that was read from a restored store may lack changes of owners. A manager that
+// continues from it fences off all servers first (see fencing).
+//
 // The first map of a manager gives each range to the owner that it has, under a fence of
 // its own. Once the owner has taken that, it refuses whatever earlier managers sent it, so
 // that nobody need know whether they are over; until then the range is inherited.
@@ -114,6 +123,12 @@
 	service string
 	epoch   uint64
 	author  Author
+	// sequence counts the maps of this manager.
+	sequence uint64
+	// fencing is nil once the map surely names the only possible owners.
+	fencing *fencing
+	// frozen managers renew and do nothing else.
+	frozen bool
 	// installed is true once a map of this epoch is committed.
 	installed bool
 	resigned  bool
@@ -123,6 +138,8 @@
 	inheritedUntil time.Duration
 	lastUntil      time.Duration
 	pending        []Author
+	// unknownAuthors is true if there may be earlier managers that no map names.
+	unknownAuthors bool
 	// last is the author of the map that this manager continues from.
 	last Author
 	// noteAt is when it is time to write which ranges are inherited no more; 0 if the
@@ -160,6 +177,7 @@
 		service:      service,
 		epoch:        epoch,
 		author:       author,
+		sequence:     1,
 		options:      options,
 		servers:      make(map[discovery.ServerID]Server),
 		dead:         make(map[discovery.ServerID]bool),
@@ -173,7 +191,8 @@
 		m.installed = true
 		return m
 	}
-	m.uncommitted = true
+	m.installed = len(previous.Ranges) == 0
+	m.uncommitted = !m.installed
 	m.pending = pendingAfter(previous)
 	m.last = previous.Author
 	m.inheritedUntil = now + options.PreviousAuthority + options.LateOrder + m.holdBound()
@@ -182,7 +201,7 @@
 	// did not live to note.
 	late := previous.anyLate()
 	for _, r := range previous.Ranges {
-		s := &shard{Range: r, phase: owned, renewAt: now, older: r.Inherited}
+		s := &shard{Range: r, phase: owned, renewAt: now, older: r.Inherited || previous.Unverified}
 		if r.Owner == "" {
 			s.phase = vacant
 		} else {
@@ -194,6 +213,10 @@
 		}
 		m.shards = append(m.shards, s)
 	}
+	if previous.Unverified {
+		m.unknownAuthors = true
+		m.fencing = newFencing(m.nextFence(), now, m.inheritedUntil)
+	}
 	m.lookAtPending(now)
 	return m
 }
@@ -211,6 +234,7 @@
 	current := &Map{
 		Service: m.service, Epoch: m.epoch, Ranges: make([]Range, 0, len(m.shards)),
 		Author: m.author, Pending: append([]Author(nil), m.pending...), Resigned: m.resigned,
+		Sequence: m.sequence, Unverified: m.fencing != nil,
 	}
 	for _, s := range m.shards {
 		current.Ranges = append(current.Ranges, s.Range)
@@ -249,7 +273,7 @@
 
 // Start makes the first map: every accepting server gets an equal part.
 func (m *Manager) Start() {
-	if m.Started() {
+	if m.Started() || m.fencing != nil {
 		return
 	}
 	accepting := m.accepting()
@@ -311,11 +335,21 @@
 // Tick advances the manager to a moment and returns what is to be done.
 func (m *Manager) Tick(now time.Duration) Commands {
 	var commands Commands
+	if m.frozen {
+		m.renew(now, &commands)
+		return commands
+	}
 	m.forgetPending(now)
 	if !m.installed || m.resigned {
 		m.commit(now, &commands)
 		return commands
 	}
+	if m.fencing != nil {
+		m.fenceOff(now, &commands)
+		m.commit(now, &commands)
+		m.renew(now, &commands)
+		return commands
+	}
 	m.evacuate(now)
 	if m.storeHealthy {
 		m.balance(now)
@@ -461,6 +495,7 @@
 	m.commitInFlight = true
 	m.uncommitted = false
 	m.noteAt = 0
+	m.sequence++
 	written := m.Map(now)
 	for _, s := range m.shards {
 		s.writing = s.Owner
@@ -479,6 +514,9 @@
 
 // Committed reports that the map of the last commit is in the store.
 func (m *Manager) Committed(now time.Duration) {
+	if m.frozen {
+		return
+	}
 	m.commitInFlight = false
 	m.installed = true
 	for _, s := range m.shards {
--- a/internal/shards/map.go
+++ b/internal/shards/map.go
@@ -55,8 +55,11 @@
 // Map is the owner map of one service. It is immutable once published.
 type Map struct {
 	Service string
-	// Epoch is the epoch of the manager that wrote the map.
-	Epoch uint64
+	// Epoch is the epoch of the manager that wrote the map, and Sequence counts its maps.
+	Epoch, Sequence uint64
+	// Unverified is true while servers may hold keys that the map does not give them, because
+	// the store was restored and changes of owners may be lost.
+	Unverified bool
 	// Ranges are sorted, adjacent and cover the whole key space.
 	Ranges []Range
 	Author Author
@@ -92,7 +95,7 @@
 func (m *Map) Encode() ([]byte, error) {
 	stored := &wire.ShardMap{
 		Service: m.Service, Epoch: m.Epoch, Node: m.Author.Node, Process: m.Author.Process,
-		Resigned: m.Resigned,
+		Resigned: m.Resigned, Sequence: m.Sequence, Unverified: m.Unverified,
 	}
 	for _, author := range m.Pending {
 		stored.Pending = append(stored.Pending, &wire.ShardAuthor{Node: author.Node, Process: author.Process, Epoch: author.Epoch})
--- a/internal/shards/move.go
+++ b/internal/shards/move.go
@@ -18,6 +18,8 @@
 	// Unfinished means that the owner saw a higher fence, of a release that was not
 	// finished.
 	Unfinished
+	// Fencing means that the server may hold the keys by a change of owners that is lost.
+	Fencing
 )
 
 // String names the reason for logs and metrics.
@@ -35,6 +37,8 @@
 		return "idle server"
 	case Unfinished:
 		return "unfinished release"
+	case Fencing:
+		return "fencing"
 	default:
 		return "unknown"
 	}
--- a/internal/shards/owners.go
+++ b/internal/shards/owners.go
@@ -1,6 +1,7 @@
 package shards
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -14,9 +15,9 @@
 // so the ranges are kept in arrays without pointers: a fifth of the memory of a Map, and
 // nothing for the garbage collector to follow.
 type Owners struct {
-	// Epoch is the epoch of the manager that wrote the map.
-	Epoch  uint64
-	Author Author
+	// Epoch is the epoch of the manager that wrote the map, and Sequence counts its maps.
+	Epoch, Sequence uint64
+	Author          Author
 	// Pending are managers before the author that may still send orders.
 	Pending []Author
 	// Resigned is true if the author sends no orders after this map.
@@ -42,6 +43,11 @@
 	HandedOver bool
 }
 
+// NewerThan reports whether a map was written after another one of the same service.
+func (o *Owners) NewerThan(other *Owners) bool {
+	return cmp.Or(cmp.Compare(o.Epoch, other.Epoch), cmp.Compare(o.Sequence, other.Sequence)) > 0
+}
+
 // Len returns how many ranges there are.
 func (o *Owners) Len() int { return len(o.lasts) }
 
@@ -93,6 +99,8 @@
 		d.decoded.Author.Process = string(content)
 	case mapResigned:
 		d.decoded.Resigned = protowire.DecodeBool(value)
+	case mapSequence:
+		d.decoded.Sequence = value
 	case mapPending:
 		author, err := readAuthor(content)
 		d.decoded.Pending = append(d.decoded.Pending, author)
--- a/internal/shards/predecessor.go
+++ b/internal/shards/predecessor.go
@@ -10,7 +10,7 @@
 // and the author itself unless it resigned.
 func pendingAfter(previous *Map) []Author {
 	pending := append([]Author(nil), previous.Pending...)
-	if !previous.Resigned {
+	if !previous.Resigned && previous.Author.Process != "" {
 		pending = append(pending, previous.Author)
 	}
 	return pending
@@ -35,8 +35,11 @@
 }
 
 // lookAtPending shortens the wait for earlier managers' grants once none of them
-// can send more.
+// can send more. Managers whose maps were lost with a restored store are not known.
 func (m *Manager) lookAtPending(now time.Duration) {
+	if m.unknownAuthors {
+		return
+	}
 	if len(m.pending) == 0 {
 		m.inheritedUntil = min(m.inheritedUntil, now+m.holdBound())
 	}
--- a/internal/shards/renew.go
+++ b/internal/shards/renew.go
@@ -20,6 +20,10 @@
 // renew grants owned ranges. A range that is releasing is renewed no more.
 func (m *Manager) renew(now time.Duration, commands *Commands) {
 	pause := m.renewPause()
+	if m.fencing != nil {
+		m.renewPrevious(now, pause, commands)
+		return
+	}
 	for _, s := range m.shards {
 		if s.Late && now > max(s.lateUntil, s.heldUntil-m.holdBound()) {
 			s.Late = false
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -38,7 +38,7 @@
 	case Superseded:
 		// A release of this manager was not finished. Without the store a later manager
 		// has taken the range, and nothing may be taken from its owner.
-		if s.phase == owned && m.storeHealthy {
+		if s.phase == owned && m.storeHealthy && !m.frozen {
 			m.startRelease(s, now, s.Owner, Move{Reason: Unfinished})
 		}
 	case Broken:
@@ -75,6 +75,10 @@
 	if result.Outcome != Accepted {
 		return
 	}
+	if m.fencing != nil && result.Release.Fence == m.fencing.fence {
+		m.fencing.acknowledged(result.Release)
+		return
+	}
 	for _, s := range m.within(result.Release.First, result.Release.Last) {
 		if s.phase == releasing && s.Owner == result.Release.Owner && s.releaseFence == result.Release.Fence {
 			m.vacate(s, result.Handover)
--- /dev/null
+++ b/internal/shards/simulation_restore_test.go
@@ -0,0 +1,147 @@
+package shards_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/shards"
+)
+
+// restores is how a simulated store is restored from older copies of itself.
+type restores struct {
+	// percent is the chance for it in each step; 0 means never.
+	percent int
+	// trusting managers take the map of a restored store for the truth.
+	trusting bool
+	// history are the maps of the last steps, the oldest first, and isOld is true if the map in
+	// the store was written before it was restored.
+	history []*shards.Map
+	isOld   bool
+}
+
+// lostSteps is how many steps a copy of the store is old at most.
+const lostSteps = 100
+
+func (w *world) store(written *shards.Map) { w.stored, w.restores.isOld = written, false }
+
+// found returns the map that a new manager finds.
+func (w *world) found() *shards.Map {
+	if !w.restores.isOld || w.restores.trusting {
+		return w.stored
+	}
+	found := &shards.Map{Service: "s"}
+	if w.stored != nil {
+		*found = *w.stored
+	}
+	found.Unverified = true
+	return found
+}
+
+// installFirst writes the first map of a new manager together with its lock, if the store was
+// restored.
+func (w *world) installFirst() {
+	core := w.active[len(w.active)-1].core
+	if !w.restores.isOld || !core.Started() {
+		return
+	}
+	w.store(core.Map(w.now))
+	core.Installed(w.now)
+}
+
+// restoreStore may restore the store. Its manager continues in the same process, ends, or does
+// not learn of it.
+func (w *world) restoreStore() {
+	if w.restores.percent == 0 {
+		return
+	}
+	w.restores.history = append(w.restores.history, w.stored)
+	if len(w.restores.history) > lostSteps {
+		w.restores.history = w.restores.history[1:]
+	}
+	if !w.chance(w.restores.percent) {
+		return
+	}
+	w.stored, w.restores.isOld = w.restores.history[w.random.IntN(len(w.restores.history))], true
+	w.restores.history = nil
+	holder := w.holder()
+	if holder == nil {
+		return
+	}
+	switch w.random.IntN(3) {
+	case 0:
+		w.ended[holder.process] = true
+		w.active = w.active[:len(w.active)-1]
+	case 1:
+		holder.cutAt = w.now
+		holder.core.SetStoreHealthy(false)
+	default:
+		w.continueTerm(holder)
+	}
+}
+
+// continueTerm replaces a manager by one of the same process that continues its term.
+func (w *world) continueTerm(holder *simManager) {
+	if !holder.core.Started() {
+		return
+	}
+	w.active = w.active[:len(w.active)-1]
+	w.epoch++
+	author := shards.Author{Node: "n", Process: holder.process, Epoch: w.epoch}
+	frozen := holder.core.Freeze(w.now)
+	frozen.Unverified = !w.restores.trusting
+	next := &simManager{core: shards.NewManager("s", w.epoch, author, frozen, w.options, w.now), process: holder.process, started: w.now}
+	next.core.Resume(frozen)
+	w.active = append(w.active, next)
+	w.installFirst()
+}
+
+// knownDead returns the servers that are known to have ended, if the store is restored at all.
+func (w *world) knownDead() []discovery.ServerID {
+	var dead []discovery.ServerID
+	for _, s := range w.servers {
+		if w.restores.percent > 0 && !s.up {
+			dead = append(dead, s.id)
+		}
+	}
+	return dead
+}
+
+func TestNoKeyHasTwoHoldersWhenTheStoreIsRestored(t *testing.T) {
+	if violation := firstViolationWith(*simulationRuns/3, shards.DefaultOptions(), restores{percent: 1}); violation != "" {
+		t.Fatal(violation)
+	}
+}
+
+func TestTrustInARestoredMapIsCaught(t *testing.T) {
+	if firstViolationWith(*simulationRuns, shards.DefaultOptions(), restores{percent: 1, trusting: true}) == "" {
+		t.Fatalf("no violation in %d runs", *simulationRuns)
+	}
+}
+
+// Managers must come to the end of fencing often enough for the simulation to show anything.
+func TestRestoredStoresAreVerifiedInTheSimulation(t *testing.T) {
+	verified, moves := 0, 0
+	for seed := range uint64(20) {
+		w := newWorld(seed, shards.DefaultOptions())
+		w.restores = restores{percent: 1}
+		before := false
+		for w.now < time.Minute {
+			w.tick()
+			holder := w.holder()
+			if holder == nil || !holder.core.Started() {
+				continue
+			}
+			if now := holder.core.Verified(); now != before {
+				before = now
+				moves++
+				if now {
+					verified++
+				}
+			}
+		}
+	}
+	if verified < 20 {
+		t.Errorf("maps were verified %d times in 20 runs (%d changes), want once in each", verified, moves)
+	}
+}
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -79,6 +79,8 @@
 	ended   map[string]bool
 	// retiring are managers without orders under way that have not said so yet.
 	retiring []*simManager
+	// restores is how the store is restored from older copies now and then.
+	restores restores
 }
 
 func newWorld(seed uint64, options shards.Options) *world {
@@ -119,10 +121,11 @@
 	w.epoch++
 	author := shards.Author{Node: "n", Process: fmt.Sprintf("p%d", w.epoch), Epoch: w.epoch}
 	w.active = append(w.active, &simManager{
-		core:    shards.NewManager("s", w.epoch, author, w.stored, w.options, w.now),
+		core:    shards.NewManager("s", w.epoch, author, w.found(), w.options, w.now),
 		process: author.Process,
 		started: w.now,
 	})
+	w.installFirst()
 }
 
 // disturb draws what goes wrong in this step.
@@ -153,6 +156,7 @@
 	w.now += step
 	w.takeLateGrants()
 	w.disturb()
+	w.restoreStore()
 	w.elect()
 	var kept []*simManager
 	for _, manager := range w.active {
@@ -192,7 +196,7 @@
 		// A server that is cut off or dead has left the list.
 		servers = append(servers, shards.Server{ID: s.id, Address: string(s.id), Capacity: 2, Accepting: s.up && s.reachable})
 	}
-	manager.core.SetServers(servers, nil)
+	manager.core.SetServers(servers, w.knownDead())
 	if manager == w.holder() {
 		manager.core.AuthorsOver(w.now, func(author shards.Author) bool { return w.ended[author.Process] })
 	}
@@ -213,7 +217,7 @@
 	if manager != w.holder() {
 		return
 	}
-	w.stored = written
+	w.store(written)
 	answerLost := w.chance(50)
 	manager.results = append(manager.results, func() {
 		// A manager that has lost the store may never learn that it was done.
@@ -338,8 +342,13 @@
 // firstViolation runs the simulation with many seeds and returns the first broken
 // promise, or an empty string.
 func firstViolation(runs uint64, options shards.Options) string {
+	return firstViolationWith(runs, options, restores{})
+}
+
+func firstViolationWith(runs uint64, options shards.Options, how restores) string {
 	for seed := range runs {
 		w := newWorld(seed, options)
+		w.restores = how
 		for range simulationSteps {
 			w.tick()
 			if w.violation != "" {
--- a/internal/shards/stored.go
+++ b/internal/shards/stored.go
@@ -22,6 +22,8 @@
 	mapPending  = 9
 
 	mapNumberedRanges = 10
+	mapSequence       = 11
+	mapUnverified     = 12
 
 	authorNode    = 1
 	authorProcess = 2
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -155,7 +155,7 @@
 	case b.isEvacuation(item.Key):
 		b.putEvacuation(strings.TrimPrefix(item.Key, b.layout.EvacuationPrefix), item)
 	case strings.HasPrefix(item.Key, ownersPrefix):
-		b.putOwners(strings.TrimPrefix(item.Key, ownersPrefix), item)
+		b.putOwners(item)
 	case strings.HasPrefix(item.Key, managerPrefix):
 		b.putManager(strings.TrimPrefix(item.Key, managerPrefix), item)
 	case strings.HasPrefix(item.Key, retiredPrefix):
@@ -210,7 +210,10 @@
 	b.logger.Info("zone evacuated no more", zap.String("zone", zone))
 }
 
-func (b *Builder) putOwners(service string, item topo.Item) {
+// putOwners takes a map that was written after the known one. A restored store may have older
+// ones.
+func (b *Builder) putOwners(item topo.Item) {
+	service, era, _ := OwnersOf(item.Key)
 	before := b.owners.get(service)
 	if item.Revision <= before.Revision {
 		// It came ahead of the watch; decoding it again would cost as much as taking it.
@@ -221,16 +224,22 @@
 		b.logger.Error("owner map refused", zap.String("service", service), zap.Error(err))
 		return
 	}
-	b.owners.put(service, Owners{Owners: decoded, Revision: item.Revision})
+	if before.Owners != nil && before.NewerThan(decoded) {
+		b.logger.Warn("older owner map ignored", zap.String("service", service), zap.Uint64("epoch", decoded.Epoch),
+			zap.Uint64("sequence", decoded.Sequence), zap.Int64("revision", item.Revision))
+		return
+	}
+	b.owners.put(service, Owners{Owners: decoded, Revision: item.Revision, Era: era, Encoded: item.Value})
 }
 
 func (b *Builder) putManager(service string, item topo.Item) {
-	var node Node
-	if err := json.Unmarshal(item.Value, &node); err != nil {
+	var manager Manager
+	if err := json.Unmarshal(item.Value, &manager); err != nil {
 		b.logger.Error("manager entry refused", zap.String("service", service), zap.Error(err))
 		return
 	}
-	b.managers.put(service, Manager{Node: node, Epoch: item.Revision})
+	manager.Revision = item.Revision
+	b.managers.put(service, manager)
 }
 
 func (b *Builder) putRetired(item topo.Item) {
@@ -264,7 +273,8 @@
 		b.logger.Error("node entry refused", zap.String("node", name), zap.Error(err))
 		return
 	}
-	if known, present := b.nodes.content.Lookup(name); !present || known != node {
+	known, present := b.nodes.content.Lookup(name)
+	if !present || known != node {
 		b.nodes.put(name, node)
 	}
 }
--- /dev/null
+++ b/internal/view/restored_test.go
@@ -0,0 +1,55 @@
+package view_test
+
+import (
+	"testing"
+
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+func encodedMap(t *testing.T, epoch, sequence uint64) []byte {
+	t.Helper()
+	written := shards.Map{
+		Service: "s", Epoch: epoch, Sequence: sequence, Author: shards.Author{Node: "n", Process: "p", Epoch: epoch},
+		Ranges: []shards.Range{{Last: shards.LastKey, Owner: "a", Address: "a", Fence: epoch << 20}},
+	}
+	encoded, err := written.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+func TestOlderOwnerMapOfARestoredStoreIsIgnored(t *testing.T) {
+	builder, _ := withServer()
+	put := func(key string, epoch, sequence uint64, revision int64) {
+		builder.Apply([]topo.Event{{Item: topo.Item{Key: key, Value: encodedMap(t, epoch, sequence), Revision: revision}}}, revision)
+	}
+	wants := func(epoch, sequence uint64) {
+		t.Helper()
+		if known := builder.Current().Owners["s"]; known.Epoch != epoch || known.Sequence != sequence {
+			t.Fatalf("map %d of epoch %d, want map %d of epoch %d", known.Sequence, known.Epoch, sequence, epoch)
+		}
+	}
+	put(view.OwnersKey("s", 0), 2, 7, 10)
+	restored := topo.RevisionIn(1, 5)
+	put(view.OwnersKey("s", 0), 2, 6, restored)
+	wants(2, 7)
+	put(view.OwnersKey("s", 0), 1, 9, restored+1)
+	wants(2, 7)
+	put(view.OwnersKey("s", 1), 2, 8, restored+2)
+	wants(2, 8)
+	put(view.OwnersKey("s", 1), 3, 1, restored+3)
+	wants(3, 1)
+}
+
+func TestKeysOfOwnerMapsNameServiceAndEra(t *testing.T) {
+	for _, service := range []string{"s", "s/t", "s/era/x"} {
+		for _, era := range []int64{0, 1, 12} {
+			if named, written, found := view.OwnersOf(view.OwnersKey(service, era)); !found || named != service || written != era {
+				t.Errorf("service %q, era %d: read %q, %d, %v", service, era, named, written, found)
+			}
+		}
+	}
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -3,6 +3,8 @@
 package view
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/micahaven/micahaven/internal/discovery"
@@ -28,8 +30,31 @@
 // ManagerKey is the lock of a service's manager.
 func ManagerKey(service string) string { return managerPrefix + service }
 
-// OwnersKey holds the owner map of a service.
-func OwnersKey(service string) string { return ownersPrefix + service }
+// eraSuffix and the era's number end the key of an owner map that was written in an era.
+const eraSuffix = "/era/"
+
+// OwnersKey holds the owner map of a service that was written in an era of the store. Maps of
+// different eras have different keys, because their revisions may have the same numbers.
+func OwnersKey(service string, era int64) string {
+	if era == 0 {
+		return ownersPrefix + service
+	}
+	return ownersPrefix + service + eraSuffix + strconv.FormatInt(era, 10)
+}
+
+// OwnersOf returns the service and the era of an owner map's key; false for another key.
+func OwnersOf(key string) (service string, era int64, found bool) {
+	name, found := strings.CutPrefix(key, ownersPrefix)
+	if !found {
+		return "", 0, false
+	}
+	if at := strings.LastIndex(name, eraSuffix); at >= 0 {
+		if era, err := strconv.ParseInt(name[at+len(eraSuffix):], 10, 64); err == nil {
+			return name[:at], era, true
+		}
+	}
+	return name, 0, true
+}
 
 // RetiredKey holds the last term of a node as the manager of a service that ended
 // with the loss of the lock.
@@ -62,7 +87,7 @@
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
-	// Process differs between two lives of a node.
+	// Process differs between two lives of a node. That of the later one is greater.
 	Process string `json:"process"`
 	// Share is the part of a processor that the node has.
 	Share float64 `json:"share"`
@@ -110,13 +135,19 @@
 type Owners struct {
 	*shards.Owners
 	Revision int64
+	// Era is the store's era in which the map was written.
+	Era int64
+	// Encoded is the form in which the map is stored.
+	Encoded []byte
 }
 
-// Manager is who holds a service's manager lock.
+// Manager is who holds a service's manager lock, or held it in an earlier era.
 type Manager struct {
 	Node
-	// Epoch is the revision at which the lock was taken.
-	Epoch int64
+	// Era is the store's era in which the lock was taken.
+	Era int64 `json:"era,omitempty"`
+	// Revision is the one at which the lock was taken; 0 if there is no lock.
+	Revision int64 `json:"-"`
 }
 
 // View is what the router believes at one revision. It is immutable; parts that a
@@ -177,7 +208,7 @@
 }
 
 // SendsOrders reports whether a node may still send orders of its term as the
-// manager of a service: neither has another process of it registered nor has it
+// manager of a service: neither has a later process of it registered nor has it
 // retired from the term.
 func (v *View) SendsOrders(service, node, process string, epoch int64) bool {
 	if registered, known := v.Nodes.Lookup(node); known && registered.Process != process {
