What a restored store says of servers and processes does not outdate what nodes know

The same cause elsewhere, found by reading all comparisons of revisions and of processes: a server whose entry was lost counted as ended if the restored store had the entry of an earlier server at its address, and its keys would have moved at once while it held them; a manager's process counted as over if the store named an earlier process of its node. An entry proves an end only within one era, and only a later process (they are ordered) proves that one is over.

--- a/internal/shardmanager/ended_test.go
+++ b/internal/shardmanager/ended_test.go
@@ -77,3 +77,17 @@
 		t.Error("the later life doesn't count as ended although another one has its address since")
 	}
 }
+
+func TestEntryOfARestoredStoreEndsNoServer(t *testing.T) {
+	views := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, addressDocuments{}, zap.NewNop())
+	views.Replace([]topo.Item{{Key: "servers/present", Value: []byte("s a"), Revision: 9}}, 9)
+	restored := topo.RevisionIn(1, 5)
+	views.Apply([]topo.Event{
+		{Item: topo.Item{Key: "servers/present", Revision: restored}, Deleted: true},
+		{Item: topo.Item{Key: "servers/earlier", Value: []byte("s a"), Revision: restored - 2}},
+	}, restored)
+	current := views.Current()
+	if hasEnded(current.Servers.Get("present"), serversByAddress(current)) {
+		t.Fatal("a server counts as ended by the entry of an earlier one at its address")
+	}
+}
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -242,7 +242,11 @@
 		return true
 	}
 	other := addresses[s.Address]
-	return !s.GoneSince.IsZero() && other != nil && other.ID != s.ID && other.Revision > s.Revision
+	if s.GoneSince.IsZero() || other == nil || other.ID == s.ID {
+		return false
+	}
+	// A restored store may have the entry of an earlier server.
+	return other.Revision > s.Revision && topo.EraOf(other.Revision) == topo.EraOf(s.Revision)
 }
 
 // accepts reports whether a server may be given keys.
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -274,6 +274,11 @@
 		return
 	}
 	known, present := b.nodes.content.Lookup(name)
+	// A restored store has the entry of an earlier process until the present one registers.
+	if _, lapsed := b.lapse(); lapsed && known.Process > node.Process {
+		b.logger.Info("entry of an earlier process ignored", zap.String("node", name), zap.Int64("revision", item.Revision))
+		return
+	}
 	if !present || known != node {
 		b.nodes.put(name, node)
 	}
--- a/internal/view/restored_test.go
+++ b/internal/view/restored_test.go
@@ -1,7 +1,9 @@
 package view_test
 
 import (
+	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/micahaven/micahaven/internal/shards"
 	"github.com/micahaven/micahaven/internal/topo"
@@ -53,3 +55,39 @@
 		}
 	}
 }
+
+func nodeItem(t *testing.T, process string, revision int64) topo.Item {
+	t.Helper()
+	value, err := json.Marshal(view.Node{Name: "n", Process: process})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return topo.Item{Key: view.NodeKey("n"), Value: value, Revision: revision}
+}
+
+func TestEarlierProcessOfARestoredStoreDoesNotReplaceTheLaterOne(t *testing.T) {
+	builder, until := withServer()
+	builder.Apply([]topo.Event{{Item: nodeItem(t, "02", 10)}}, 10)
+	*until = time.Now().Add(2 * time.Second)
+	restored := topo.RevisionIn(1, 5)
+	builder.Apply([]topo.Event{{Item: nodeItem(t, "01", restored)}}, restored)
+	if node := builder.Current().Nodes.Get("n"); node.Process != "02" {
+		t.Fatalf("process %s after the store was restored, want 02", node.Process)
+	}
+	builder.Apply([]topo.Event{{Item: nodeItem(t, "03", restored+1)}}, restored+1)
+	if node := builder.Current().Nodes.Get("n"); node.Process != "03" {
+		t.Fatalf("process %s, want 03, which registered last", node.Process)
+	}
+}
+
+func TestManagerIsNotOverByAnEarlierProcessOfItsNode(t *testing.T) {
+	builder, _ := withServer()
+	builder.Apply([]topo.Event{{Item: nodeItem(t, "01", 10)}}, 10)
+	current := builder.Current()
+	if !current.SendsOrders("s", "n", "02", 1) {
+		t.Error("a process counts as over although only an earlier one is registered")
+	}
+	if current.SendsOrders("s", "n", "00", 1) {
+		t.Error("a process counts as present although a later one is registered")
+	}
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -211,7 +211,8 @@
 // manager of a service: neither has a later process of it registered nor has it
 // retired from the term.
 func (v *View) SendsOrders(service, node, process string, epoch int64) bool {
-	if registered, known := v.Nodes.Lookup(node); known && registered.Process != process {
+	// A restored store may name an earlier process than the one in question.
+	if registered, known := v.Nodes.Lookup(node); known && registered.Process > process {
 		return false
 	}
 	retired := v.Retired[RetiredKey(service, node)]
