Registrations and the record of the heads are written again in a new era

A restored store may have a node's lease without its entry. The lease was renewed for ever, and the node was registered nowhere. The heads write their record again.

--- a/internal/router/headsrecord.go
+++ b/internal/router/headsrecord.go
@@ -32,6 +32,8 @@
 	logger *zap.Logger
 
 	seen, written []feed.Member
+	// era is the store's era in which the record was written.
+	era int64
 }
 
 // read returns the record that was written last; an empty one if there is none.
@@ -65,7 +67,7 @@
 		r.written = nil
 		return
 	}
-	if !settled || slices.Equal(heads, r.written) {
+	if !settled || slices.Equal(heads, r.written) && r.era == r.store.Era() {
 		return
 	}
 	record := &wire.HeadsRecord{Keys: uint32(r.mirror.Size()), Nodes: uint32(r.nodes())}
@@ -77,11 +79,11 @@
 		r.logger.Error("record of the heads not encoded", zap.Error(err))
 		return
 	}
-	_, err = r.store.Commit(ctx, topo.Transaction{Puts: []topo.Put{{Key: view.HeadsKey, Value: value}}})
+	revision, err := r.store.Commit(ctx, topo.Transaction{Puts: []topo.Put{{Key: view.HeadsKey, Value: value}}})
 	if err != nil {
 		r.logger.Info("record of the heads not written", zap.Error(err))
 		return
 	}
-	r.written = heads
+	r.written, r.era = heads, topo.EraOf(revision)
 	r.logger.Info("record of the heads written", zap.Int("heads", len(heads)))
 }
--- a/internal/router/registration.go
+++ b/internal/router/registration.go
@@ -27,7 +27,9 @@
 	regained func()
 
 	lease topo.LeaseID
-	lost  bool
+	// era is the store's era in which the entry was written.
+	era  int64
+	lost bool
 }
 
 // step registers the node or renews its registration.
@@ -49,7 +51,9 @@
 func (r *registration) keep(ctx context.Context) error {
 	if r.lease != 0 {
 		err := r.store.KeepLease(ctx, r.lease)
-		if !errors.Is(err, topo.ErrLeaseGone) {
+		// A restored store may have the lease without the entry, or an earlier one.
+		restored := err == nil && r.store.Era() > r.era
+		if !errors.Is(err, topo.ErrLeaseGone) && !restored {
 			return err
 		}
 		r.lease = 0
@@ -62,11 +66,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode node entry")
 	}
-	_, err = r.store.Commit(ctx, topo.Transaction{
+	revision, err := r.store.Commit(ctx, topo.Transaction{
 		Puts: []topo.Put{{Key: view.NodeKey(r.self.Name), Value: value, Lease: lease}},
 	})
 	if err == nil {
-		r.lease = lease
+		r.lease, r.era = lease, topo.EraOf(revision)
 	}
 	return err
 }
