Soak: the store is restored from older copies; a server that crashed does not stop renewals

Cause: the server can't be fenced off, the manager that had carried on lost its lock to a refusing store, and its successor granted nothing for up to 79 s, as an unknown manager might be alive.

Change: an unverified map by a manager that carried on holds the fences under which owners were granted their keys, so that a successor renews under them too: a key that moved from an owner's hands before the restore was either given up, and is refused, or moved after that manager's authority had ended, which it had not. A silent server is waited for as long as known earlier managers may send orders, and then for late orders and a hold (18 s): the notes of late grants may be lost. What is assumed: a manager that lives has told the nodes its maps.

--- a/cmd/micahaven-soak/main.go
+++ b/cmd/micahaven-soak/main.go
@@ -25,6 +25,7 @@
 	length := flag.Duration("length", 30*time.Second, "how long faults are injected in a round")
 	planned := flag.Bool("planned", false, "play planned work beside servers that misbehave instead of random faults")
 	needs := flag.Bool("needs", false, "let servers ask for limits, rest and an end in their answers, and crash of some requests, beside the random faults")
+	restores := flag.Bool("restores", false, "restore the store from older copies of itself, beside the random faults")
 	logs := flag.String("logs", "", "folder in which the logs are kept; the system's one for temporary files if left out")
 	flag.Parse()
 	if *nodes < 1 || *nodes > mostNodes {
@@ -34,7 +35,7 @@
 	broken := 0
 	for round := range *rounds {
 		broken += play(*logs, soak.Options{
-			Router: *router, Seed: *seed + uint64(round), Nodes: *nodes, Length: *length, Planned: *planned, Needs: *needs,
+			Router: *router, Seed: *seed + uint64(round), Nodes: *nodes, Length: *length, Planned: *planned, Needs: *needs, Restores: *restores,
 		})
 	}
 	if broken > 0 {
--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -95,9 +95,6 @@
 	attempt.epoch = m.nextEpoch(found.Map, era)
 	author := shards.Author{Node: m.config.Self.Name, Process: m.config.Self.Process, Epoch: attempt.epoch}
 	attempt.core = shards.NewManager(m.service, attempt.epoch, author, found.Map, m.config.Options, 0)
-	if found.frozen {
-		attempt.core.Resume(frozen)
-	}
 	attempt.identity, err = json.Marshal(view.Manager{Node: m.config.Self, Era: era})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode manager entry")
@@ -243,6 +240,6 @@
 		}
 		newest = decoded
 	}
-	newest.Unverified = true
+	newest.Unverified, newest.Continued = true, false
 	return newest, nil
 }
--- a/internal/shards/decode.go
+++ b/internal/shards/decode.go
@@ -56,6 +56,8 @@
 		d.decoded.Sequence = value
 	case mapUnverified:
 		d.decoded.Unverified = protowire.DecodeBool(value)
+	case mapContinued:
+		d.decoded.Continued = protowire.DecodeBool(value)
 	case mapPending:
 		author, err := readAuthor(content)
 		d.decoded.Pending = append(d.decoded.Pending, author)
--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -22,9 +22,7 @@
 	fence uint64
 	// completeAt is when all live servers are known.
 	completeAt time.Duration
-	// until is when the last grant of any earlier manager has ended.
-	until   time.Duration
-	servers map[discovery.ServerID]*fencedServer
+	servers    map[discovery.ServerID]*fencedServer
 }
 
 // fencedServer is a server and the runs of keys whose release it has not acknowledged.
@@ -37,10 +35,8 @@
 // keyRun is a run of keys, both ends inside.
 type keyRun struct{ first, last uint32 }
 
-func newFencing(fence uint64, now, until time.Duration) *fencing {
-	return &fencing{
-		fence: fence, completeAt: now + registerGrace, until: until, servers: make(map[discovery.ServerID]*fencedServer),
-	}
+func newFencing(fence uint64, now time.Duration) *fencing {
+	return &fencing{fence: fence, completeAt: now + registerGrace, servers: make(map[discovery.ServerID]*fencedServer)}
 }
 
 // acknowledged records that a server has released a run of keys.
@@ -79,7 +75,7 @@
 			})
 		}
 	}
-	if left == 0 && now >= m.fencing.completeAt || now > m.fencing.until {
+	if left == 0 && now >= m.fencing.completeAt || now > m.inheritedUntil {
 		m.verify(now)
 	}
 }
@@ -127,7 +123,7 @@
 
 // verify ends the fencing: owners get their keys under fences of this manager.
 func (m *Manager) verify(now time.Duration) {
-	m.fencing = nil
+	m.fencing, m.continued = nil, false
 	m.uncommitted = m.Started()
 	for _, s := range m.shards {
 		s.renewAt = now
@@ -135,44 +131,47 @@
 	}
 }
 
+// written returns the range as the map names it.
+func (s *shard) written() Range {
+	r := s.Range
+	if s.previousFence != 0 {
+		r.Fence = s.previousFence
+	}
+	return r
+}
+
 // Freeze makes the manager renew what it has granted and do nothing else from now on. It
-// returns the map from which another manager of the same process may continue, under Resume.
-// Ranges whose next owner was being written have none: nobody holds them.
+// returns the map from which another manager of the same process may continue. Ranges whose next
+// owner was being written have none: nobody holds them.
 func (m *Manager) Freeze(now time.Duration) *Map {
 	m.frozen = true
 	current := m.Map(now)
-	current.Unverified = true
+	current.Unverified, current.Continued = true, m.fencing == nil || m.continued
 	for index, s := range m.shards {
-		r := &current.Ranges[index]
-		if s.phase == committing {
+		if r := &current.Ranges[index]; s.phase == committing {
 			r.Owner, r.Address, r.Handover = "", "", ""
 		}
-		if s.previousFence != 0 {
-			r.Fence = s.previousFence
-		}
 	}
 	return current
 }
 
-// Resume lets the manager renew what a frozen manager of the same process had granted, under
-// the fences of that: a server that has given a range up since refuses them.
-func (m *Manager) Resume(frozen *Map) {
+// resume lets the manager renew what was granted before the restore.
+func (m *Manager) resume(previous *Map) {
+	m.continued = true
 	for index, s := range m.shards {
 		if s.phase == owned {
-			s.previousFence = frozen.Ranges[index].Fence
+			s.previousFence = previous.Ranges[index].Fence
 		}
 	}
 }
 
-// renewPrevious renews what this process granted before the map became unverified.
+// renewPrevious renews what was granted before the restore.
 func (m *Manager) renewPrevious(now, pause time.Duration, commands *Commands) {
 	for _, s := range m.shards {
 		if s.previousFence == 0 || now < s.renewAt {
 			continue
 		}
 		s.renewAt = now + pause
-		renewed := s.Range
-		renewed.Fence = s.previousFence
-		commands.Grants = append(commands.Grants, Grant{Range: renewed, Hold: m.options.Hold})
+		commands.Grants = append(commands.Grants, Grant{Range: s.written(), Hold: m.options.Hold})
 	}
 }
--- a/internal/shards/fencing_test.go
+++ b/internal/shards/fencing_test.go
@@ -96,12 +96,42 @@
 	}
 }
 
+func TestSilentServerIsWaitedForLateGrantsOfManagersThatAreOver(t *testing.T) {
+	core := newSuccessor(restoredMap())
+	core.AuthorsOver(0, func(shards.Author) bool { return true })
+	options := shards.DefaultOptions()
+	longest := options.LateOrder + options.Hold
+	if grants, _ := fenced(core, 0, longest, "c"); len(grants) > 0 {
+		t.Fatal("a key is granted although the note of a late grant to server c may be lost")
+	}
+	const slack = time.Second
+	if grants, _ := fenced(core, longest, slack, "c"); len(grants) == 0 {
+		t.Fatal("keys are not granted after all earlier grants have ended")
+	}
+}
+
+func TestSuccessorOfAManagerThatContinuedRenewsToo(t *testing.T) {
+	first := newSuccessor(&shards.Map{Service: "s", Epoch: 1, Author: author("p1", 1), Ranges: restoredMap().Ranges})
+	fenced(first, 0, 2*time.Second)
+	continued := shards.NewManager("s", 3, author("p2", 3), first.Freeze(2*time.Second), shards.DefaultOptions(), 0)
+	successor := shards.NewManager("s", 4, author("p3", 4), continued.Map(0), shards.DefaultOptions(), 0)
+	successor.SetServers([]shards.Server{{ID: "c", Address: "c", Capacity: 1, Accepting: true}}, nil)
+	grants, _ := fenced(successor, 0, 5*time.Second, "c")
+	if len(grants) == 0 {
+		t.Fatal("nothing is renewed")
+	}
+	for _, grant := range grants {
+		if shards.EpochOf(grant.Fence) != 2 {
+			t.Fatalf("renewed under fence %d, which a server that gave the keys up would accept", grant.Fence)
+		}
+	}
+}
+
 func TestManagerThatContinuesRenewsUnderItsEarlierFences(t *testing.T) {
 	first := newSuccessor(&shards.Map{Service: "s", Epoch: 1, Author: author("p1", 1), Ranges: restoredMap().Ranges})
 	fenced(first, 0, 2*time.Second)
 	frozen := first.Freeze(2 * time.Second)
 	core := shards.NewManager("s", 3, author("p2", 3), frozen, shards.DefaultOptions(), 0)
-	core.Resume(frozen)
 	core.SetServers([]shards.Server{{ID: "c", Address: "c", Capacity: 1, Accepting: true}}, nil)
 	grants, _ := fenced(core, 0, 5*time.Second, "c")
 	if len(grants) == 0 {
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -86,7 +86,7 @@
 	mapped, writing discovery.ServerID
 	// lateUntil is when a late grant can no longer hold the range.
 	lateUntil time.Duration
-	// previousFence is that of this process' earlier grant of the range, which may be renewed
+	// previousFence is that of the grant before the restore of the store, which may be renewed
 	// while the map is unverified; 0 if there is none.
 	previousFence uint64
 	// older is true if the owner may hold the range by a grant of any earlier manager
@@ -127,6 +127,8 @@
 	sequence uint64
 	// fencing is nil once the map surely names the only possible owners.
 	fencing *fencing
+	// continued is true while the manager renews what was granted before the restore.
+	continued bool
 	// frozen managers renew and do nothing else.
 	frozen bool
 	// installed is true once a map of this epoch is committed.
@@ -138,8 +140,9 @@
 	inheritedUntil time.Duration
 	lastUntil      time.Duration
 	pending        []Author
-	// unknownAuthors is true if there may be earlier managers that no map names.
-	unknownAuthors bool
+	// restored is true if the map that this manager continues from is unverified, so that notes
+	// of late grants may be lost.
+	restored bool
 	// last is the author of the map that this manager continues from.
 	last Author
 	// noteAt is when it is time to write which ranges are inherited no more; 0 if the
@@ -214,8 +217,11 @@
 		m.shards = append(m.shards, s)
 	}
 	if previous.Unverified {
-		m.unknownAuthors = true
-		m.fencing = newFencing(m.nextFence(), now, m.inheritedUntil)
+		m.restored = true
+		m.fencing = newFencing(m.nextFence(), now)
+	}
+	if previous.Unverified && previous.Continued {
+		m.resume(previous)
 	}
 	m.lookAtPending(now)
 	return m
@@ -234,10 +240,10 @@
 	current := &Map{
 		Service: m.service, Epoch: m.epoch, Ranges: make([]Range, 0, len(m.shards)),
 		Author: m.author, Pending: append([]Author(nil), m.pending...), Resigned: m.resigned,
-		Sequence: m.sequence, Unverified: m.fencing != nil,
+		Sequence: m.sequence, Unverified: m.fencing != nil, Continued: m.continued,
 	}
 	for _, s := range m.shards {
-		current.Ranges = append(current.Ranges, s.Range)
+		current.Ranges = append(current.Ranges, s.written())
 	}
 	m.numbers = numberOwners(m.numbers, current.Ranges)
 	current.numbers = m.numbers
--- a/internal/shards/map.go
+++ b/internal/shards/map.go
@@ -60,6 +60,10 @@
 	// Unverified is true while servers may hold keys that the map does not give them, because
 	// the store was restored and changes of owners may be lost.
 	Unverified bool
+	// Continued is true if the fences of an unverified map are those under which the owners
+	// were granted their keys before the restore, by a manager that lived on. A server that has
+	// given keys up since refuses them, so that any manager may renew under them.
+	Continued bool
 	// Ranges are sorted, adjacent and cover the whole key space.
 	Ranges []Range
 	Author Author
@@ -95,7 +99,7 @@
 func (m *Map) Encode() ([]byte, error) {
 	stored := &wire.ShardMap{
 		Service: m.Service, Epoch: m.Epoch, Node: m.Author.Node, Process: m.Author.Process,
-		Resigned: m.Resigned, Sequence: m.Sequence, Unverified: m.Unverified,
+		Resigned: m.Resigned, Sequence: m.Sequence, Unverified: m.Unverified, Continued: m.Continued,
 	}
 	for _, author := range m.Pending {
 		stored.Pending = append(stored.Pending, &wire.ShardAuthor{Node: author.Node, Process: author.Process, Epoch: author.Epoch})
--- a/internal/shards/predecessor.go
+++ b/internal/shards/predecessor.go
@@ -35,16 +35,17 @@
 }
 
 // lookAtPending shortens the wait for earlier managers' grants once none of them
-// can send more. Managers whose maps were lost with a restored store are not known.
+// can send more.
 func (m *Manager) lookAtPending(now time.Duration) {
-	if m.unknownAuthors {
-		return
+	until := now + m.holdBound()
+	if m.restored {
+		until += m.options.LateOrder
 	}
 	if len(m.pending) == 0 {
-		m.inheritedUntil = min(m.inheritedUntil, now+m.holdBound())
+		m.inheritedUntil = min(m.inheritedUntil, until)
 	}
 	if !slices.Contains(m.pending, m.last) {
-		m.lastUntil = min(m.lastUntil, now+m.holdBound())
+		m.lastUntil = min(m.lastUntil, until)
 	}
 }
 
--- a/internal/shards/simulation_restore_test.go
+++ b/internal/shards/simulation_restore_test.go
@@ -1,6 +1,7 @@
 package shards_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -23,30 +24,38 @@
 // lostSteps is how many steps a copy of the store is old at most.
 const lostSteps = 100
 
-func (w *world) store(written *shards.Map) { w.stored, w.restores.isOld = written, false }
+func (w *world) store(manager *simManager, written *shards.Map) {
+	w.stored, w.restores.isOld, manager.wrote = written, false, written
+}
 
 // found returns the map that a new manager finds.
 func (w *world) found() *shards.Map {
 	if !w.restores.isOld || w.restores.trusting {
 		return w.stored
 	}
-	found := &shards.Map{Service: "s"}
+	found := shards.Map{Service: "s"}
 	if w.stored != nil {
-		*found = *w.stored
+		found = *w.stored
+	}
+	// Managers that live have told the nodes what they wrote.
+	for _, manager := range slices.Concat(w.active, w.retiring) {
+		if known := manager.wrote; known != nil && (known.Epoch > found.Epoch || known.Epoch == found.Epoch && known.Sequence > found.Sequence) {
+			found = *known
+		}
 	}
-	found.Unverified = true
-	return found
+	found.Unverified, found.Continued = true, false
+	return &found
 }
 
 // installFirst writes the first map of a new manager together with its lock, if the store was
 // restored.
 func (w *world) installFirst() {
-	core := w.active[len(w.active)-1].core
-	if !w.restores.isOld || !core.Started() {
+	manager := w.active[len(w.active)-1]
+	if !w.restores.isOld || !manager.core.Started() {
 		return
 	}
-	w.store(core.Map(w.now))
-	core.Installed(w.now)
+	w.store(manager, manager.core.Map(w.now))
+	manager.core.Installed(w.now)
 }
 
 // restoreStore may restore the store. Its manager continues in the same process, ends, or does
@@ -91,7 +100,6 @@
 	frozen := holder.core.Freeze(w.now)
 	frozen.Unverified = !w.restores.trusting
 	next := &simManager{core: shards.NewManager("s", w.epoch, author, frozen, w.options, w.now), process: holder.process, started: w.now}
-	next.core.Resume(frozen)
 	w.active = append(w.active, next)
 	w.installFirst()
 }
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -59,6 +59,8 @@
 	// cutAt is when it lost the store; 0 means that it has it.
 	cutAt   time.Duration
 	results []func()
+	// wrote is the map that it wrote last.
+	wrote *shards.Map
 }
 
 type world struct {
@@ -217,7 +219,7 @@
 	if manager != w.holder() {
 		return
 	}
-	w.store(written)
+	w.store(manager, written)
 	answerLost := w.chance(50)
 	manager.results = append(manager.results, func() {
 		// A manager that has lost the store may never learn that it was done.
--- a/internal/shards/stored.go
+++ b/internal/shards/stored.go
@@ -24,6 +24,7 @@
 	mapNumberedRanges = 10
 	mapSequence       = 11
 	mapUnverified     = 12
+	mapContinued      = 13
 
 	authorNode    = 1
 	authorProcess = 2
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -168,10 +168,14 @@
 
 // kinds are the kinds of faults of this round.
 func (s *soak) kinds() []fault {
-	if s.options.Needs {
+	switch {
+	case s.options.Needs:
 		return slices.Concat(faults, needFaults, needFaults)
+	case s.options.Restores:
+		return slices.Concat(faults, restoreFaults, restoreFaults, restoreFaults, restoreFaults)
+	default:
+		return faults
 	}
-	return faults
 }
 
 func (s *soak) node(random *rand.Rand) *Node { return s.nodes[random.IntN(len(s.nodes))] }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,8 +31,10 @@
 	Planned bool
 	// Needs makes servers ask for limits, rest and an end in their answers, and crash of
 	// some requests, beside the random faults.
-	Needs  bool
-	Output io.Writer
+	Needs bool
+	// Restores makes the store come back from older copies of itself, beside the random faults.
+	Restores bool
+	Output   io.Writer
 }
 
 // Result is what a soak saw.
@@ -91,6 +93,7 @@
 	pooled  *pooledClients
 	history faultHistory
 	stalls  stallWatch
+	copies  copies
 	started time.Time
 	// cold counts the requests at cold servers, and needs those at servers that ask for
 	// something. Only watch uses them.
@@ -144,6 +147,9 @@
 	group.Go(func() { s.clients.run(ctx, s.options.Seed) })
 	group.Go(func() { s.watch(ctx) })
 	group.Go(func() { s.stalls.run(ctx.Done()) })
+	if s.options.Restores {
+		group.Go(func() { s.copies.run(ctx, s.world.store) })
+	}
 	if s.options.Planned {
 		s.waitOwned(startPatience)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -56,3 +56,8 @@
 func TestServersGetWhatTheyAskForUnderFaults(t *testing.T) {
 	play(t, soak.Options{Seed: 1, Nodes: 4, Length: 25 * time.Second, Needs: true})
 }
+
+// A store that comes back from older copies of itself, beside random faults.
+func TestPromisesHoldWhenTheStoreIsRestored(t *testing.T) {
+	play(t, soak.Options{Seed: 1, Nodes: 4, Length: 20 * time.Second, Restores: true})
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -235,15 +235,19 @@
 	w.version++
 	version := w.version
 	w.mutex.Unlock()
-	routes := append(standin.DefaultRoutes(), standin.Route{
+	standin.Configure(w.store, version, routesOf(version))
+	w.mutex.Lock()
+	w.configuredAt = time.Now()
+	w.mutex.Unlock()
+}
+
+// routesOf returns the routes of a version of the configuration.
+func routesOf(version int) []standin.Route {
+	return append(standin.DefaultRoutes(), standin.Route{
 		Name: "long", Prefix: longPrefix, Service: standin.PlainService, Repeatable: true, Timeout: longTimeout,
 	}, standin.Route{
 		Name: fmt.Sprintf("extra%d", version), Prefix: extraPath(version), Service: standin.PlainService, Repeatable: true,
 	})
-	standin.Configure(w.store, version, routes)
-	w.mutex.Lock()
-	w.configuredAt = time.Now()
-	w.mutex.Unlock()
 }
 
 func extraPath(version int) string { return fmt.Sprintf("/extra%d/", version) }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Plays the fault soak: the seeds that ever failed, then fresh ones, of random faults, of
-# planned work, and of random faults beside servers that ask for something.
+# planned work, and of random faults beside servers that ask for something and beside a store
+# that is restored from older copies.
 # ROUNDS is the number of fresh seeds of each, LENGTH how long faults last in a round,
 # NODES the number of processes.
 set -euo pipefail
@@ -14,10 +15,11 @@
   case "$seed" in
     planned:*) planned=--planned ;;
     needs:*) planned=--needs ;;
+    restores:*) planned=--restores ;;
   esac
   ./bin/micahaven-soak $planned --seed "${seed#*:}" --nodes "$nodes" --length "$length" || failed=1
 done
-for planned in "" --planned --needs; do
+for planned in "" --planned --needs --restores; do
   ./bin/micahaven-soak $planned --rounds "${ROUNDS:-3}" --nodes "$nodes" --length "$length" || failed=1
 done
 exit $failed
