--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -43,6 +43,8 @@
 for variant in NOJOURNAL OPTIMIST; do check once fails $variant; done
 check managers holds
 for variant in NOPENDING NOLATE NOSTOP NOFLOOR EARLYGRANT STANDSTILL RESTOREWRITTEN; do check managers fails $variant; done
+check restore holds
+for variant in TRUSTMAP SAMEEPOCH SAMEKEY NOWAIT NOFLOOR; do check restore fails $variant; done
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
