A new era is followed at once: no pause after failed calls, and the lock is read instead of remembered

The candidate reads the lock, one call more in a campaign after a restore, and the pause ends with the era. Both tests were seen failing.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -143,12 +143,25 @@
 		case !m.lost.Swap(true):
 			m.logger.Warn("store lost", zap.Int64("revision", m.Revision()), zap.Error(err))
 		}
-		periodic.Pause(ctx, retry)
+		m.pauseInEra(ctx, retry)
 		retry = min(2*retry, maxRetryPause)
 	}
 	return nil
 }
 
+// pauseInEra pauses after a failed call, but no longer than until another call has shown that
+// the store answers in a new era.
+func (m *Mirror) pauseInEra(ctx context.Context, length time.Duration) {
+	era := m.store.Era()
+	for end := time.Now().Add(length); ctx.Err() == nil && m.store.Era() == era; {
+		left := time.Until(end)
+		if left <= 0 {
+			return
+		}
+		periodic.Pause(ctx, min(left, followPause))
+	}
+}
+
 // logEra logs a new era of the store.
 func (m *Mirror) logEra() {
 	era := m.store.Era()
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -96,3 +96,17 @@
 		t.Fatalf("the change to the new era is %+v, want that of b only", batch)
 	}
 }
+
+func TestRestoredStoreIsListedWithoutThePauseAfterFailures(t *testing.T) {
+	store, saved, received := restoredStore(t)
+	store.SetFaults(memory.Faults{Down: true})
+	// The pause grows to its longest.
+	time.Sleep(2400 * time.Millisecond)
+	store.Restore(saved)
+	store.SetFaults(memory.Faults{})
+	const bound = 400 * time.Millisecond
+	time.Sleep(bound)
+	if received.value("a") != "9" || received.value("lost") != "" {
+		t.Errorf("a is %q, lost is %q, %v after the store was restored", received.value("a"), received.value("lost"), bound)
+	}
+}
--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -39,8 +39,10 @@
 type candidacy struct {
 	lock  lock
 	epoch uint64
-	// era is the store's era for which the candidacy is.
+	// era is the store's era for which the candidacy is, and voidLock the revision of the lock of
+	// an earlier era that it replaces; 0 if there is none.
 	era      int64
+	voidLock int64
 	core     *shards.Manager
 	found    ownerMap
 	written  *shards.Map
@@ -87,7 +89,11 @@
 		}
 		found.Map, found.frozen = frozen, true
 	}
-	attempt := &candidacy{found: found, era: era, lock: lock{keptAt: m.config.Clock()}}
+	voidLock, err := m.readVoidLock(ctx, era)
+	if err != nil {
+		return nil, err
+	}
+	attempt := &candidacy{found: found, era: era, voidLock: voidLock, lock: lock{keptAt: m.config.Clock()}}
 	attempt.lock.lease, _, err = m.config.Store.GrantLease(ctx, lockTTL)
 	if err != nil {
 		return nil, err
@@ -131,10 +137,7 @@
 // earlier era is replaced, and maps of earlier eras are removed.
 func (m *Manager) candidacyOf(attempt *candidacy) topo.Transaction {
 	lockKey, mapKey := view.ManagerKey(m.service), view.OwnersKey(m.service, attempt.era)
-	lockCondition, mapCondition := topo.Condition{Key: lockKey}, topo.Condition{Key: mapKey}
-	if held := m.config.Views.Current().Managers[m.service]; held.Era < attempt.era {
-		lockCondition.Revision = held.Revision
-	}
+	lockCondition, mapCondition := topo.Condition{Key: lockKey, Revision: attempt.voidLock}, topo.Condition{Key: mapKey}
 	transaction := topo.Transaction{Puts: []topo.Put{{Key: lockKey, Value: attempt.identity, Lease: attempt.lock.lease}}}
 	if attempt.encoded != nil {
 		transaction.Puts = append(transaction.Puts, topo.Put{Key: mapKey, Value: attempt.encoded})
@@ -225,6 +228,32 @@
 	return found, era, err
 }
 
+// readVoidLock returns the revision of a lock that was taken in an era before the given one; 0 if
+// there is none.
+func (m *Manager) readVoidLock(ctx context.Context, era int64) (int64, error) {
+	if era == 0 {
+		return 0, nil
+	}
+	key := view.ManagerKey(m.service)
+	items, _, err := m.config.Store.List(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	for _, item := range items {
+		var held view.Manager
+		if item.Key != key {
+			continue
+		}
+		if err := json.Unmarshal(item.Value, &held); err != nil {
+			return 0, errors.Wrapf(err, "read manager entry %q", key)
+		}
+		if held.Era < era {
+			return item.Revision, nil
+		}
+	}
+	return 0, nil
+}
+
 // rememberedMap returns the newer one of an owner map of a restored store, nil if it has none,
 // and the one that this node knows. It is unverified.
 func (m *Manager) rememberedMap(restored *shards.Map) (*shards.Map, error) {
--- a/internal/shardmanager/restored_test.go
+++ b/internal/shardmanager/restored_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/micahaven/micahaven/internal/shards"
 	"github.com/micahaven/micahaven/internal/topo"
@@ -125,3 +128,22 @@
 		}
 	}
 }
+
+// droppedChanges is a store whose new era does not reach a node's copy.
+type droppedChanges struct{ topo.Store }
+
+func (d droppedChanges) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Event, int64, error) {
+	events, at, err := d.Store.Watch(ctx, prefix, after, wait)
+	if errors.Is(err, topo.ErrRestored) {
+		<-ctx.Done()
+	}
+	return events, at, err
+}
+
+func TestLockOfALostTermIsReplacedBeforeTheNodeHasTheNewCopy(t *testing.T) {
+	store, saved := startedStore()
+	sent, _ := candidate(t, droppedChanges{store}, "n1")
+	waitFor(t, "the manager grants", func() bool { return sent.count() > 0 })
+	store.Restore(saved)
+	waitFor(t, "the manager has a map of the new era", func() bool { return storedMap(t, store, 1) != nil })
+}
