--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -39,15 +39,15 @@
 type candidacy struct {
 	lock  lock
 	epoch uint64
-	// era is the store's era for which the candidacy is, and voidLock the revision of the lock of
+	// era is the store's era for which the candidacy is, and staleLock the revision of the lock of
 	// an earlier era that it replaces; 0 if there is none.
-	era      int64
-	voidLock int64
-	core     *shards.Manager
-	found    ownerMap
-	written  *shards.Map
-	encoded  []byte
-	identity []byte
+	era       int64
+	staleLock int64
+	core      *shards.Manager
+	found     ownerMap
+	written   *shards.Map
+	encoded   []byte
+	identity  []byte
 }
 
 // campaign tries to take the lock. The map of the new term is written together
@@ -89,11 +89,11 @@
 		}
 		found.Map, found.frozen = frozen, true
 	}
-	voidLock, err := m.readVoidLock(ctx, era)
+	staleLock, err := m.readStaleLock(ctx, era)
 	if err != nil {
 		return nil, err
 	}
-	attempt := &candidacy{found: found, era: era, voidLock: voidLock, lock: lock{keptAt: m.config.Clock()}}
+	attempt := &candidacy{found: found, era: era, staleLock: staleLock, lock: lock{keptAt: m.config.Clock()}}
 	attempt.lock.lease, _, err = m.config.Store.GrantLease(ctx, lockTTL)
 	if err != nil {
 		return nil, err
@@ -113,31 +113,11 @@
 	return attempt, err
 }
 
-// errSucceeded means that another manager has written a map since the store was restored.
-var errSucceeded = errors.New("another manager has begun a term")
-
-// eraEpochs is how many epochs an era of the store has. The epochs of an era are above those
-// of all earlier ones, whose maps may be lost.
-const eraEpochs = 1 << 20
-
-// nextEpoch returns the epoch of a candidacy. An earlier attempt may still be carried out; its
-// epoch is not used again.
-func (m *Manager) nextEpoch(found *shards.Map, era int64) uint64 {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.lastEpoch = max(m.lastEpoch, uint64(era)*eraEpochs)
-	if found != nil {
-		m.lastEpoch = max(m.lastEpoch, found.Epoch)
-	}
-	m.lastEpoch++
-	return m.lastEpoch
-}
-
 // candidacyOf returns the transaction that takes the lock and installs the map. A lock of an
 // earlier era is replaced, and maps of earlier eras are removed.
 func (m *Manager) candidacyOf(attempt *candidacy) topo.Transaction {
 	lockKey, mapKey := view.ManagerKey(m.service), view.OwnersKey(m.service, attempt.era)
-	lockCondition, mapCondition := topo.Condition{Key: lockKey, Revision: attempt.voidLock}, topo.Condition{Key: mapKey}
+	lockCondition, mapCondition := topo.Condition{Key: lockKey, Revision: attempt.staleLock}, topo.Condition{Key: mapKey}
 	transaction := topo.Transaction{Puts: []topo.Put{{Key: lockKey, Value: attempt.identity, Lease: attempt.lock.lease}}}
 	if attempt.encoded != nil {
 		transaction.Puts = append(transaction.Puts, topo.Put{Key: mapKey, Value: attempt.encoded})
@@ -227,48 +207,3 @@
 	found.Map, err = m.rememberedMap(found.Map)
 	return found, era, err
 }
-
-// readVoidLock returns the revision of a lock that was taken in an era before the given one; 0 if
-// there is none.
-func (m *Manager) readVoidLock(ctx context.Context, era int64) (int64, error) {
-	if era == 0 {
-		return 0, nil
-	}
-	key := view.ManagerKey(m.service)
-	items, _, err := m.config.Store.List(ctx, key)
-	if err != nil {
-		return 0, err
-	}
-	for _, item := range items {
-		var held view.Manager
-		if item.Key != key {
-			continue
-		}
-		if err := json.Unmarshal(item.Value, &held); err != nil {
-			return 0, errors.Wrapf(err, "read manager entry %q", key)
-		}
-		if held.Era < era {
-			return item.Revision, nil
-		}
-	}
-	return 0, nil
-}
-
-// rememberedMap returns the newer one of an owner map of a restored store, nil if it has none,
-// and the one that this node knows. It is unverified.
-func (m *Manager) rememberedMap(restored *shards.Map) (*shards.Map, error) {
-	newest := &shards.Map{Service: m.service}
-	if restored != nil {
-		*newest = *restored
-	}
-	known := m.config.Views.Current().Owners[m.service]
-	if known.Owners != nil && known.NewerThan(&shards.Owners{Epoch: newest.Epoch, Sequence: newest.Sequence}) {
-		decoded, err := shards.DecodeMap(known.Encoded)
-		if err != nil {
-			return nil, err
-		}
-		newest = decoded
-	}
-	newest.Unverified, newest.Continued = true, false
-	return newest, nil
-}
--- a/internal/shardmanager/keeplock.go
+++ b/internal/shardmanager/keeplock.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			wait = keepRetry
 		}
-		if t.isVoid() {
+		if t.lockVoid() {
 			// Nothing that is said of the lease holds for the lock.
 			err, wait = topo.ErrRestored, lockKeep
 		}
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -66,10 +66,6 @@
 	// maxCampaignPause bounds the pause after campaigns that failed: each call
 	// costs, refused ones too.
 	maxCampaignPause = 1200 * time.Millisecond
-	// eraPatience is how long the manager of an earlier era has to take its lock again.
-	eraPatience = 1500 * time.Millisecond
-	// eraLook is the pause between two looks at the store's era.
-	eraLook = 20 * time.Millisecond
 	// settleTime is how long no server must have registered before the first map
 	// is made, and settleLimit how long that is waited for.
 	settleTime  = 1500 * time.Millisecond
@@ -162,17 +158,7 @@
 	if owners.Owners == nil || owners.Resigned || owners.Era >= era {
 		return false
 	}
-	return m.isPatient(era) && current.SendsOrders(m.service, owners.Author.Node, owners.Author.Process, int64(owners.Author.Epoch))
-}
-
-// isPatient reports whether an era of the store began so lately, as this node knows, that its
-// earlier manager may still take the lock again.
-func (m *Manager) isPatient(era int64) bool {
-	now := m.config.Clock()
-	if m.era != era {
-		m.era, m.eraSince = era, now
-	}
-	return now-m.eraSince < eraPatience
+	return m.inReclaimGrace(era) && current.SendsOrders(m.service, owners.Author.Node, owners.Author.Process, int64(owners.Author.Epoch))
 }
 
 // campaignDelay is how long this node waits before it campaigns: the longer the
@@ -202,12 +188,12 @@
 // of the store; nil if there is none.
 func (m *Manager) serveTerm(ctx context.Context, t *term) *term {
 	var next *term
-	var succession sync.WaitGroup
+	var reclaiming sync.WaitGroup
 	watching, cancel := context.WithCancel(ctx)
-	succession.Go(func() { next = m.succeed(watching, t) })
+	reclaiming.Go(func() { next = m.reclaim(watching, t) })
 	t.run(ctx)
 	cancel()
-	succession.Wait()
+	reclaiming.Wait()
 	if next != nil {
 		return next
 	}
@@ -221,34 +207,6 @@
 	return nil
 }
 
-// succeed waits for a new era of the store, takes the lock again in it and returns the term
-// that continues the given one. It returns nil if the context ends or another manager has the
-// lock.
-func (m *Manager) succeed(ctx context.Context, t *term) *term {
-	for m.config.Store.Era() <= t.lock.era() {
-		periodic.Pause(ctx, eraLook)
-		if ctx.Err() != nil {
-			return nil
-		}
-	}
-	frozen := t.freeze()
-	m.logger.Warn("manager lock void, store was restored", zap.Uint64("epoch", t.epoch), zap.Int64("era", m.config.Store.Era()))
-	for pause := eraLook; ctx.Err() == nil; pause = min(2*pause, campaignPause) {
-		next, err := m.campaign(ctx, frozen)
-		if err == nil {
-			t.ended()
-			return next
-		}
-		m.logger.Info("campaign in a new era failed", zap.Error(err))
-		if errors.Is(err, errSucceeded) {
-			t.ended()
-			return nil
-		}
-		periodic.Pause(ctx, pause)
-	}
-	return nil
-}
-
 // retire tells the next manager that a term which lost its lock sends no orders
 // any more, so that it need not wait for them.
 func (m *Manager) retire(ctx context.Context, t *term) {
--- /dev/null
+++ b/internal/shardmanager/restored.go
@@ -0,0 +1,141 @@
+package shardmanager
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/periodic"
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+// This file is about a store that was restored from an older copy: locks of earlier eras are
+// void, maps of earlier eras are unverified, and epochs of an era are above all earlier ones.
+
+const (
+	// reclaimGrace is how long the manager of an earlier era has to take its lock again.
+	reclaimGrace = 1500 * time.Millisecond
+	// eraPollInterval is the pause between two looks at the store's era.
+	eraPollInterval = 20 * time.Millisecond
+)
+
+// errSucceeded means that another manager has written a map since the store was restored.
+var errSucceeded = errors.New("another manager has begun a term")
+
+// eraEpochs is how many epochs an era of the store has. The epochs of an era are above those
+// of all earlier ones, whose maps may be lost.
+const eraEpochs = 1 << 20
+
+// nextEpoch returns the epoch of a candidacy. An earlier attempt may still be carried out; its
+// epoch is not used again.
+func (m *Manager) nextEpoch(found *shards.Map, era int64) uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.lastEpoch = max(m.lastEpoch, uint64(era)*eraEpochs)
+	if found != nil {
+		m.lastEpoch = max(m.lastEpoch, found.Epoch)
+	}
+	m.lastEpoch++
+	return m.lastEpoch
+}
+
+// inReclaimGrace reports whether an era of the store began so lately, as this node knows, that its
+// earlier manager may still take the lock again.
+func (m *Manager) inReclaimGrace(era int64) bool {
+	now := m.config.Clock()
+	if m.era != era {
+		m.era, m.eraSince = era, now
+	}
+	return now-m.eraSince < reclaimGrace
+}
+
+// reclaim waits for a new era of the store, takes the lock again in it and returns the term
+// that continues the given one. It returns nil if the context ends or another manager has the
+// lock.
+func (m *Manager) reclaim(ctx context.Context, t *term) *term {
+	for m.config.Store.Era() <= t.lock.era() {
+		periodic.Pause(ctx, eraPollInterval)
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	frozen := t.freeze()
+	m.logger.Warn("manager lock void, store was restored", zap.Uint64("epoch", t.epoch), zap.Int64("era", m.config.Store.Era()))
+	for pause := eraPollInterval; ctx.Err() == nil; pause = min(2*pause, campaignPause) {
+		next, err := m.campaign(ctx, frozen)
+		if err == nil {
+			t.ended()
+			return next
+		}
+		m.logger.Info("campaign in a new era failed", zap.Error(err))
+		if errors.Is(err, errSucceeded) {
+			t.ended()
+			return nil
+		}
+		periodic.Pause(ctx, pause)
+	}
+	return nil
+}
+
+// lockVoid reports whether the store was restored since the term began.
+func (t *term) lockVoid() bool { return t.manager.config.Store.Era() > t.lock.era() }
+
+// freeze makes the term renew what it granted and do nothing else, and returns the map that the
+// next term of this process may continue from; nil if there is none.
+func (t *term) freeze() *shards.Map {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.core.Started() {
+		return nil
+	}
+	return t.core.Freeze(t.now())
+}
+
+// readStaleLock returns the revision of a lock that was taken in an era before the given one; 0 if
+// there is none.
+func (m *Manager) readStaleLock(ctx context.Context, era int64) (int64, error) {
+	if era == 0 {
+		return 0, nil
+	}
+	key := view.ManagerKey(m.service)
+	items, _, err := m.config.Store.List(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	for _, item := range items {
+		var held view.Manager
+		if item.Key != key {
+			continue
+		}
+		if err := json.Unmarshal(item.Value, &held); err != nil {
+			return 0, errors.Wrapf(err, "read manager entry %q", key)
+		}
+		if held.Era < era {
+			return item.Revision, nil
+		}
+	}
+	return 0, nil
+}
+
+// rememberedMap returns the newer one of an owner map of a restored store, nil if it has none,
+// and the one that this node knows. It is unverified.
+func (m *Manager) rememberedMap(restored *shards.Map) (*shards.Map, error) {
+	newest := &shards.Map{Service: m.service}
+	if restored != nil {
+		*newest = *restored
+	}
+	known := m.config.Views.Current().Owners[m.service]
+	if known.Owners != nil && known.NewerThan(&shards.Owners{Epoch: newest.Epoch, Sequence: newest.Sequence}) {
+		decoded, err := shards.DecodeMap(known.Encoded)
+		if err != nil {
+			return nil, err
+		}
+		newest = decoded
+	}
+	newest.Unverified, newest.Continued = true, false
+	return newest, nil
+}
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -407,7 +407,7 @@
 		Conditions: []topo.Condition{{Key: view.ManagerKey(t.manager.service), Revision: t.lock.revision}, {Key: key, Revision: expected}},
 		Puts:       []topo.Put{{Key: key, Value: encoded}},
 	}
-	for ctx.Err() == nil && !t.isVoid() {
+	for ctx.Err() == nil && !t.lockVoid() {
 		revision, err := t.manager.config.Store.Commit(ctx, transaction)
 		if err != nil {
 			revision, err = t.settle(ctx, expected, encoded, err)
@@ -421,7 +421,7 @@
 			t.committed(ctx, revision, written)
 			return true
 		}
-		if errors.Is(err, topo.ErrConflict) && !t.isVoid() {
+		if errors.Is(err, topo.ErrConflict) && !t.lockVoid() {
 			t.manager.logger.Warn("owner map changed by another manager", zap.Uint64("epoch", t.epoch))
 			t.ended()
 			return false
@@ -434,20 +434,6 @@
 // mapKey is where the maps of this term are.
 func (t *term) mapKey() string { return view.OwnersKey(t.manager.service, t.lock.era()) }
 
-// isVoid reports whether the store was restored since the term began.
-func (t *term) isVoid() bool { return t.manager.config.Store.Era() > t.lock.era() }
-
-// freeze makes the term renew what it granted and do nothing else, and returns the map that the
-// next term of this process may continue from; nil if there is none.
-func (t *term) freeze() *shards.Map {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if !t.core.Started() {
-		return nil
-	}
-	return t.core.Freeze(t.now())
-}
-
 // settle finds out whether a write that failed was done after all.
 func (t *term) settle(ctx context.Context, expected int64, encoded []byte, cause error) (int64, error) {
 	key := t.mapKey()
--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -131,15 +131,6 @@
 	}
 }
 
-// written returns the range as the map names it.
-func (s *shard) written() Range {
-	r := s.Range
-	if s.previousFence != 0 {
-		r.Fence = s.previousFence
-	}
-	return r
-}
-
 // Freeze makes the manager renew what it has granted and do nothing else from now on. It
 // returns the map from which another manager of the same process may continue. Ranges whose next
 // owner was being written have none: nobody holds them.
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -8,92 +8,12 @@
 	"github.com/micahaven/micahaven/internal/discovery"
 )
 
-// Options are the durations of the ownership protocol.
-type Options struct {
-	// Hold is how long a grant is valid, by the server's clock.
-	Hold time.Duration
-	// Renew is the pause between two renewals of a grant.
-	Renew time.Duration
-	// CallTimeout is after how long an order counts as unanswered.
-	CallTimeout time.Duration
-	// LateOrder is how long after it was sent an unanswered order may still be
-	// carried out.
-	LateOrder time.Duration
-	// ReleaseRetry is the pause before a release is sent once more.
-	ReleaseRetry time.Duration
-	// PreviousAuthority is how long an earlier manager that lost the store may
-	// have gone on renewing.
-	PreviousAuthority time.Duration
-	// Drift is how much longer a server's clock may count, as a factor.
-	Drift float64
-	// MaxMoves bounds how many ranges are released at a time for balance, as long
-	// as there are few servers.
-	MaxMoves int
-}
-
-// DefaultOptions returns the durations that the design was measured with.
-func DefaultOptions() Options {
-	return Options{
-		Hold:              5 * time.Second,
-		Renew:             1200 * time.Millisecond,
-		CallTimeout:       time.Second,
-		LateOrder:         13 * time.Second,
-		ReleaseRetry:      700 * time.Millisecond,
-		PreviousAuthority: 61 * time.Second,
-		Drift:             1.03,
-		MaxMoves:          8,
-	}
-}
-
 // fenceEpochShift leaves room for a million fences in one epoch.
 const fenceEpochShift = 20
 
 // EpochOf returns the epoch of the manager that gave out a fence.
 func EpochOf(fence uint64) uint64 { return fence >> fenceEpochShift }
 
-type phase int
-
-const (
-	// vacant ranges have no possible holder and wait for an owner.
-	vacant phase = iota
-	// committing ranges have a new owner that is being written to the store.
-	committing
-	// owned ranges are granted to their owner and renewed.
-	owned
-	// releasing ranges are being taken from their owner.
-	releasing
-)
-
-// shard is a range and what the manager does with it.
-type shard struct {
-	Range
-	phase phase
-	// heldUntil is the latest moment at which the owner's hold can end, as far
-	// as it follows from grants that are not in flight.
-	heldUntil time.Duration
-	// inFlight counts grants that have neither been answered nor timed out.
-	inFlight int
-	renewAt  time.Duration
-	// releaseFence is the fence of the release, if the range is releasing.
-	releaseFence uint64
-	releaseAt    time.Duration
-	// move is why it is releasing.
-	move Move
-	// target is the planned next owner; empty means any.
-	target discovery.ServerID
-	// mapped is the owner that the last committed map names, and writing the one that the
-	// map names whose commit is in flight.
-	mapped, writing discovery.ServerID
-	// lateUntil is when a late grant can no longer hold the range.
-	lateUntil time.Duration
-	// previousFence is that of the grant before the restore of the store, which may be renewed
-	// while the map is unverified; 0 if there is none.
-	previousFence uint64
-	// older is true if the owner may hold the range by a grant of any earlier manager
-	// that is not known to be over, and not only by one of the last map's author.
-	older bool
-}
-
 // Manager decides about the owners of one service's keys. It must be driven by
 // one goroutine.
 //
