A retirement that a restored store has lost is written again

The manager before had lost its lock and retired; the store was restored from a copy without the retirement; its successor, whose node had not heard of it, waited 79 s for its orders to end, because a crashed server could not be fenced off. The retired process now writes it again when the map of a later era names its term as pending.

--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -172,8 +172,12 @@
 			last = max(last, author.Epoch)
 		}
 	}
+	if last == 0 || owners.Resigned {
+		return
+	}
 	self := m.config.Self
-	if last > 0 && !owners.Resigned && current.SendsOrders(m.service, self.Name, self.Process, int64(last)) {
+	// A restored store may have lost the retirement.
+	if owners.Era > m.retiredEra || current.SendsOrders(m.service, self.Name, self.Process, int64(last)) {
 		m.writeRetirement(ctx, last)
 	}
 }
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -104,6 +104,8 @@
 	mutex sync.Mutex
 	// lastEpoch is the greatest epoch that this process has tried to begin.
 	lastEpoch uint64
+	// retiredEra is the store's era in which the last retirement was written.
+	retiredEra int64
 	// era is the store's era that this manager saw last, outside of terms, and eraSince the
 	// clock's reading when it did so first.
 	era      int64
@@ -235,8 +237,10 @@
 	for ctx.Err() == nil {
 		// The store may turn this node away, but not the present manager's.
 		m.config.Notices.TermOver(m.service, epoch)
-		_, err = m.config.Store.Commit(ctx, topo.Transaction{Puts: []topo.Put{{Key: key, Value: value}}})
+		var revision int64
+		revision, err = m.config.Store.Commit(ctx, topo.Transaction{Puts: []topo.Put{{Key: key, Value: value}}})
 		if err == nil {
+			m.retiredEra = topo.EraOf(revision)
 			// The store's word may take seconds to come back; it need not be written
 			// twice.
 			m.config.Views.TakeRetirement(key, retirement)
--- /dev/null
+++ b/internal/shardmanager/retired_test.go
@@ -0,0 +1,54 @@
+package shardmanager
+
+import (
+	"context"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/clock"
+	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/topo/memory"
+	"github.com/micahaven/micahaven/internal/view"
+)
+
+// silentNotices tells nobody.
+type silentNotices struct{}
+
+func (silentNotices) Moving(string, uint64, []shards.Range) {}
+func (silentNotices) Written(topo.Item)                     {}
+func (silentNotices) Succeeded([]shards.Author, topo.Item)  {}
+func (silentNotices) TermOver(string, uint64)               {}
+
+func TestRetirementThatWasLostIsWrittenAgain(t *testing.T) {
+	ctx := context.Background()
+	store := memory.New()
+	views := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, addressDocuments{}, zap.NewNop())
+	self := view.Node{Name: "n1", Process: "p1"}
+	retired := New(Config{Self: self, Store: store, Views: views, Notices: silentNotices{}, Clock: clock.Boot, Logger: zap.NewNop()}, "s")
+	saved := store.Save()
+	retired.writeRetirement(ctx, 1)
+	store.Restore(saved)
+	successor := shards.Map{
+		Service: "s", Epoch: 2, Author: shards.Author{Node: "n2", Process: "p2", Epoch: 2},
+		Pending: []shards.Author{{Node: self.Name, Process: self.Process, Epoch: 1}},
+		Ranges:  []shards.Range{{Last: shards.LastKey, Owner: "a", Address: "a", Fence: 2 << 20}},
+	}
+	encoded, err := successor.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := topo.RevisionIn(1, 1)
+	views.Apply([]topo.Event{{Item: topo.Item{Key: view.OwnersKey("s", 1), Value: encoded, Revision: at}}}, at)
+	retired.disown(ctx)
+	items, _, err := store.List(ctx, view.RetiredKey("s", self.Name))
+	if err != nil || len(items) != 1 {
+		t.Fatalf("%d retirements in the restored store, error %v, want 1", len(items), err)
+	}
+	writes := store.Calls("commit")
+	retired.disown(ctx)
+	if more := store.Calls("commit") - writes; more != 0 {
+		t.Errorf("%d more writes, want none", more)
+	}
+}
