A limited server gets keys for its part of the requests, not for the slots that its limit keeps busy

Cause: the capacity of a limited server was the limit times the time of a request, a quarter of a slot for 12 requests of 20 ms, compared with the two slots each of servers that are mostly idle. Now it is what gives the server four fifths of its limit as its part of the requests. The unit test's inputs follow the new signature, its expectations are as they were.

--- a/internal/shardmanager/speed.go
+++ b/internal/shardmanager/speed.go
@@ -23,8 +23,6 @@
 	// earlier ones, and minChange how many they must be, to be taken alone.
 	changeFactor = 2.5
 	minChange    = 3
-	// unjudgedWorkSeconds stands for how long servers work on a request before that is known.
-	unjudgedWorkSeconds = 0.1
 	// slowest and fastest bound how much of its slots' share a server gets.
 	slowest, fastest = 0.02, 2.5
 	// reducedPart is the part of its slots below which a server's capacity counts as reduced.
@@ -126,15 +124,19 @@
 	return sum / float64(max(1, count)), count > 0
 }
 
-// capacityWithin bounds the capacity of a server that takes only some requests a second: by
-// the slots that would serve those. Its keys go to servers with more room, instead of being
-// refused there.
-func (known speeds) capacityWithin(rate, capacity float64) float64 {
-	mean, judged := known.meanWorkSeconds()
-	if !judged {
-		mean = unjudgedWorkSeconds
+// limitUse is the part of its rate limit that a server is planned to get: requests come
+// unevenly.
+const limitUse = 0.8
+
+// capacityWithin bounds the capacity of a server with a rate limit, so that its part of all
+// requests stays below the limit. others is the capacity of the service's other servers, and
+// requestRate how many requests a second the service gets.
+func capacityWithin(limit, capacity, others, requestRate float64) float64 {
+	planned := limitUse * limit
+	if planned >= requestRate {
+		return capacity
 	}
-	return min(capacity, max(slowest, rate*mean))
+	return min(capacity, max(slowest, others*planned/(requestRate-planned)))
 }
 
 // capacity estimates how much load a server should get from its slots and speed.
--- a/internal/shardmanager/speed_test.go
+++ b/internal/shardmanager/speed_test.go
@@ -122,13 +122,14 @@
 		known.record(now, slots, ServerLoad{Server: "slow", Attempts: 1, Busy: time.Second})
 	}
 	usual := known.capacity("usual 1", slots)
+	const requestRate = 65.0
 	cases := map[string]struct {
 		capacity float64
 		reduced  bool
 	}{
 		"usual":                  {usual, false},
-		"limited to 0.2/s":       {known.capacityWithin(0.2, usual), true},
-		"limited to 40/s":        {known.capacityWithin(40, usual), false},
+		"limited to 0.2/s":       {capacityWithin(0.2, usual, 3*usual, requestRate), true},
+		"limited to 40/s":        {capacityWithin(40, usual, 3*usual, requestRate), false},
 		"many times slower":      {known.capacity("slow", slots), true},
 		"nothing is known of it": {known.capacity("new", slots), false},
 	}
@@ -138,3 +139,14 @@
 		}
 	}
 }
+
+func TestServerWithARateLimitGetsAPartThatTheLimitAllows(t *testing.T) {
+	const usual, others, requestRate = 2.0, 4.0, 40.0
+	for limit, want := range map[float64]float64{1: 1, 12: 12, 16: 13.4, 1000: 13.4} {
+		capacity := capacityWithin(limit, usual, others, requestRate)
+		part := requestRate * capacity / (others + capacity)
+		if part > want || part < 0.7*want {
+			t.Errorf("limit of %v requests a second: %.2f planned of %v, want %.2f to %.2f", limit, part, requestRate, 0.7*want, want)
+		}
+	}
+}
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -200,25 +200,38 @@
 		if ended {
 			dead = append(dead, s.ID)
 		}
-		capacity := t.capacity(s)
+		capacity := t.speeds.capacity(s.ID, s.Slots)
 		servers = append(servers, shards.Server{
 			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !ended && accepts(now, current, s),
 			Capacity: capacity, Reduced: isReduced(capacity, s.Slots),
 			Warming: bounded && now.Before(current.WarmUntil(s)),
 		})
 	}
+	t.applyRateLimits(current, servers)
 	t.core.SetServers(servers, dead)
 }
 
-// capacity is how much load a server should get. The caller holds the mutex.
-func (t *term) capacity(s *view.Server) float64 {
-	capacity := t.speeds.capacity(s.ID, s.Slots)
-	if limits := t.manager.config.Limits; limits != nil {
-		if rate, limited := limits(string(s.ID)); limited {
-			return t.speeds.capacityWithin(rate, capacity)
+// applyRateLimits bounds the capacities of servers with a rate limit. The caller holds the mutex.
+func (t *term) applyRateLimits(current *view.View, servers []shards.Server) {
+	if t.manager.config.Limits == nil {
+		return
+	}
+	all := 0.0
+	for _, server := range servers {
+		if server.Accepting {
+			all += server.Capacity
+		}
+	}
+	requestRate := t.core.RequestRate(t.now())
+	for index := range servers {
+		server := &servers[index]
+		limit, limited := t.manager.config.Limits(string(server.ID))
+		if !limited {
+			continue
 		}
+		server.Capacity = capacityWithin(limit, server.Capacity, all-server.Capacity, requestRate)
+		server.Reduced = isReduced(server.Capacity, current.Servers.Get(server.ID).Slots)
 	}
-	return capacity
 }
 
 // serversByAddress returns the servers whose entries are there, of those with one address
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -197,6 +197,11 @@
 	m.onset.Add(now, keys, weight)
 }
 
+// RequestRate returns how many requests a second were measured lately.
+func (m *Manager) RequestRate(now time.Duration) float64 {
+	return m.load.Total(now) / balanceWindow.Seconds()
+}
+
 // Start makes the first map: every accepting server gets an equal part.
 func (m *Manager) Start() {
 	if m.Started() || m.fencing != nil {
