A verified map grants nothing to servers that are gone

The keys of a server that had left were waited for once more, 5 s after the 18 s that a silent server is waited for: in the tick that verified the map, its ranges were renewed before they were taken away. The test was seen failing.

--- a/internal/shards/fencing_test.go
+++ b/internal/shards/fencing_test.go
@@ -182,3 +182,17 @@
 		t.Fatal("nothing is granted after all servers were fenced off")
 	}
 }
+
+func TestServerThatIsGoneIsNotGrantedItsKeysOnceTheMapIsVerified(t *testing.T) {
+	core := newSuccessor(restoredMap())
+	core.SetServers([]shards.Server{{ID: "b", Address: "b", Capacity: 1, Accepting: true}}, nil)
+	grants, _ := fenced(core, 0, 10*time.Second)
+	if !core.Verified() {
+		t.Fatal("the map is not verified although all servers acknowledged")
+	}
+	for _, grant := range grants {
+		if grant.Owner == "a" {
+			t.Fatalf("server a is gone and is granted keys from %d", grant.First)
+		}
+	}
+}
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -277,6 +277,8 @@
 	}
 	if m.fencing != nil {
 		m.fenceOff(now, &commands)
+	}
+	if m.fencing != nil {
 		m.commit(now, &commands)
 		m.renew(now, &commands)
 		return commands
