All but the root leave it to others to list a restored store

By reasoning on the size of the fleet: after an outage every node watches the store, and each finds the new era and lists it, 200 pages of 50 keys at 985 nodes, twelve seconds of the store's reads. Where lists of all nodes would take more than an eighth of a second's reads, nodes look for a copy for 0.3 to 0.6 s (heads) or 1.5 to 1.8 s before they list the store; the root lists at once. A copy that came through the feed meanwhile ends that.

--- a/internal/mirror/list.go
+++ b/internal/mirror/list.go
@@ -32,6 +32,10 @@
 	m.mutex.Unlock()
 	copied, found := m.copies.Copy(ctx, wanted)
 	countCopy(found)
+	if !found && !m.mustList() {
+		// What was wanted has come from another node meanwhile.
+		return nil
+	}
 	if !found {
 		return m.listStore(ctx)
 	}
--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -54,6 +54,9 @@
 	listPart = 1.0 / 8
 	// keysPerPage is how many keys a page of a list has on the users' platform.
 	keysPerPage = 50
+	// restoredPatience is how long a node that is no head looks for a copy of a store that was
+	// restored before it lists the store.
+	restoredPatience = 1500 * time.Millisecond
 	// quickAsk is for how long a copy is looked for then.
 	quickAsk = 80 * time.Millisecond
 	// askPause is the pause between two rounds of questions.
@@ -205,6 +208,9 @@
 // while: if the whole system starts, only the heads list the store.
 func (t copyTaker) Copy(ctx context.Context, atLeast int64) (mirror.Copy, bool) {
 	if known := t.knownHeads(); len(known) > 0 {
+		if t.sparesStore(atLeast) {
+			return t.restoredCopy(ctx, known, atLeast)
+		}
 		return t.ask(ctx, known, atLeast, copyTries)
 	}
 	if t.firstStart {
@@ -234,6 +240,35 @@
 	return mirror.Copy{}, false
 }
 
+// sparesStore reports whether this node leaves it to others to list a store that was restored:
+// all nodes need a copy of the new era at the same moment.
+func (t copyTaker) sparesStore(atLeast int64) bool {
+	if topo.EraOf(atLeast) <= topo.EraOf(t.mirror.Revision()) || t.feed.root() {
+		return false
+	}
+	return !t.listsAreCheap(&wire.HeadsRecord{Keys: uint32(t.mirror.Size()), Nodes: uint32(t.nodes())})
+}
+
+// restoredCopy looks for a copy of a new era. The root lists the store, and the heads do so
+// before the other nodes if no copy is found.
+func (t copyTaker) restoredCopy(ctx context.Context, heads []*wire.NodeAddress, atLeast int64) (mirror.Copy, bool) {
+	patience := restoredPatience
+	if slices.ContainsFunc(t.feed.headMembers(), func(head feed.Member) bool { return head.Address == t.self.Address }) {
+		patience = startPatience
+	}
+	patience += time.Duration(rand.Int64N(int64(startSpread)))
+	for giveUpAt := time.Now().Add(patience); time.Now().Before(giveUpAt) && ctx.Err() == nil; {
+		if t.mirror.Revision() >= atLeast {
+			return mirror.Copy{}, false
+		}
+		if copied, found := t.ask(ctx, heads, atLeast, copyTries); found {
+			return copied, true
+		}
+		periodic.Pause(ctx, askPause)
+	}
+	return mirror.Copy{}, false
+}
+
 // firstCopy looks for a copy at the first start of the whole system, when nobody has written
 // who the heads are. The seeds list the store, and the others take copies of theirs, and of
 // those that got one: if each of a thousand nodes listed ten thousand keys, the store's link
--- a/internal/router/restored_test.go
+++ b/internal/router/restored_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/feed"
+	"github.com/micahaven/micahaven/internal/topo"
 	"github.com/micahaven/micahaven/internal/topo/memory"
 	"github.com/micahaven/micahaven/internal/view"
 )
@@ -35,3 +38,45 @@
 		t.Errorf("%d more writes by the next renewal, want none", more)
 	}
 }
+
+func TestNodesTakeTheCopyOfARestoredStoreFromAHead(t *testing.T) {
+	const keys = 500
+	store := storeWith(keys)
+	node, root := newCopyNode(t, store, "a"), newCopyNode(t, store, "b")
+	members := []feed.Member{memberOf(node.self), memberOf(root.self)}
+	for _, each := range []*copyNode{node, root} {
+		each.feed.core.SetMembers(each.feed.now(), members)
+		each.run(t)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const often = 100 * time.Millisecond
+	go func() {
+		_ = root.mirror.CheckFreshness(ctx, func() (time.Duration, bool) { return often, true }, func(int64) {})
+	}()
+	saved := store.Save()
+	store.Write("other/0", []byte("lost"))
+	waitForRevision(t, root, 501)
+	waitForRevision(t, node, 501)
+	// Without the store, each node comes to ask it.
+	store.SetFaults(memory.Faults{Down: true})
+	time.Sleep(3 * time.Second)
+	before := store.Calls("list")
+	store.Restore(saved)
+	store.SetFaults(memory.Faults{})
+	waitForRevision(t, root, topo.RevisionIn(1, 0))
+	waitForRevision(t, node, topo.RevisionIn(1, 0))
+	if lists := store.Calls("list") - before; lists != 1 {
+		t.Errorf("the store was listed %d times by two nodes, want once", lists)
+	}
+}
+
+func waitForRevision(t *testing.T, node *copyNode, revision int64) {
+	t.Helper()
+	const patience = 5 * time.Second
+	for deadline := time.Now().Add(patience); node.mirror.Revision() < revision; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s is at revision %d, want %d", node.self.Name, node.mirror.Revision(), revision)
+		}
+	}
+}
