Renewals of an unverified map count when keys are taken from their owner

With a server crashed, the map counts as verified after 18 s; an owner that leaves then lost its range at once, without a release that it acknowledged, because renewals under the fence from before the restore were recorded nowhere, and went on holding it for up to 5 s. Outcomes of such renewals now set until when the owner may hold the range, as those of other grants do.

--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -127,7 +127,6 @@
 	m.uncommitted = m.Started()
 	for _, s := range m.shards {
 		s.renewAt = now
-		s.previousFence = 0
 	}
 }
 
@@ -156,13 +155,40 @@
 	}
 }
 
+// written returns a range as the map names it.
+func (m *Manager) written(s *shard) Range {
+	r := s.Range
+	if m.continued && s.previousFence != 0 {
+		r.Fence = s.previousFence
+	}
+	return r
+}
+
 // renewPrevious renews what was granted before the restore.
 func (m *Manager) renewPrevious(now, pause time.Duration, commands *Commands) {
 	for _, s := range m.shards {
-		if s.previousFence == 0 || now < s.renewAt {
+		if !m.continued || s.previousFence == 0 || s.inFlight > 0 || now < s.renewAt {
 			continue
 		}
+		s.inFlight++
 		s.renewAt = now + pause
-		commands.Grants = append(commands.Grants, Grant{Range: s.written(), Hold: m.options.Hold})
+		commands.Grants = append(commands.Grants, Grant{Range: m.written(s), Hold: m.options.Hold})
+	}
+}
+
+// settlePrevious records until when the owner may hold a range by a renewal of the grant before
+// the restore.
+func (m *Manager) settlePrevious(now time.Duration, s *shard, result GrantResult) {
+	switch result.Outcome {
+	case Accepted, Broken:
+		s.heldUntil = max(s.heldUntil, now+m.holdBound())
+	case Unanswered:
+		s.heldUntil = max(s.heldUntil, result.SentAt+m.options.LateOrder+m.holdBound())
+		s.lateUntil = s.heldUntil
+		if !s.Late {
+			s.Late = true
+			m.uncommitted = true
+		}
+	case Superseded, NotSent:
 	}
 }
--- a/internal/shards/fencing_test.go
+++ b/internal/shards/fencing_test.go
@@ -196,3 +196,37 @@
 		}
 	}
 }
+
+func TestRenewedKeysStayWithTheirOwnerWhenTheMapIsVerifiedWithoutAllServers(t *testing.T) {
+	first := newSuccessor(&shards.Map{Service: "s", Epoch: 1, Author: author("p1", 1), Ranges: restoredMap().Ranges})
+	fenced(first, 0, 2*time.Second)
+	core := shards.NewManager("s", 3, author("p2", 3), first.Freeze(2*time.Second), shards.DefaultOptions(), 0)
+	core.AuthorsOver(0, func(shards.Author) bool { return true })
+	servers := []shards.Server{{ID: "b", Address: "b", Capacity: 1, Accepting: true}, {ID: "c", Address: "c", Capacity: 1, Accepting: true}}
+	core.SetServers(append(servers, shards.Server{ID: "a", Address: "a", Capacity: 1}), nil)
+	options := shards.DefaultOptions()
+	released := false
+	for now := time.Duration(0); now < options.LateOrder+2*options.Hold; now += step {
+		commands := core.Tick(now)
+		for _, grant := range commands.Grants {
+			if grant.First == 0 && grant.Owner != "a" && !released {
+				t.Fatalf("server %s is granted keys at %v that server a holds", grant.Owner, now)
+			}
+			core.GrantDone(now, shards.GrantResult{Grant: grant, SentAt: now, Outcome: shards.Accepted})
+		}
+		for _, release := range commands.Releases {
+			if release.Owner == "c" || release.Owner == "a" && core.Verified() {
+				continue
+			}
+			core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: shards.Accepted})
+		}
+		if commands.Commit != nil {
+			core.Committed(now)
+		}
+		// Server a answers no release once the map is verified; its last hold ends by itself.
+		released = now > options.LateOrder+options.Hold+options.Hold
+	}
+	if !core.Verified() {
+		t.Fatal("the map is not verified after all earlier grants have ended")
+	}
+}
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -163,7 +163,7 @@
 		Sequence: m.sequence, Unverified: m.fencing != nil, Continued: m.continued,
 	}
 	for _, s := range m.shards {
-		current.Ranges = append(current.Ranges, s.written())
+		current.Ranges = append(current.Ranges, m.written(s))
 	}
 	m.numbers = numberOwners(m.numbers, current.Ranges)
 	current.numbers = m.numbers
@@ -369,6 +369,7 @@
 	s.Handover = handover
 	s.heldUntil = 0
 	s.inFlight = 0
+	s.previousFence = 0
 	s.Inherited = false
 	s.older = false
 	s.Late = false
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -8,12 +8,17 @@
 // GrantDone takes in how a grant ended.
 func (m *Manager) GrantDone(now time.Duration, result GrantResult) {
 	for _, s := range m.within(result.Grant.First, result.Grant.Last) {
-		if s.Fence != result.Grant.Fence || s.Owner != result.Grant.Owner {
+		previous := result.Grant.Fence == s.previousFence && s.previousFence != 0
+		if s.Owner != result.Grant.Owner || s.Fence != result.Grant.Fence && !previous {
 			continue
 		}
 		if s.inFlight > 0 {
 			s.inFlight--
 		}
+		if previous {
+			m.settlePrevious(now, s, result)
+			continue
+		}
 		m.settleGrant(now, s, result)
 	}
 }
--- a/internal/shards/shard.go
+++ b/internal/shards/shard.go
@@ -41,19 +41,10 @@
 	mapped, writing discovery.ServerID
 	// lateUntil is when a late grant can no longer hold the range.
 	lateUntil time.Duration
-	// previousFence is that of the grant before the restore of the store, which may be renewed
-	// while the map is unverified; 0 if there is none.
+	// previousFence is that of the grant before the restore of the store, which is renewed while
+	// the map is unverified; 0 if there is none.
 	previousFence uint64
 	// older is true if the owner may hold the range by a grant of any earlier manager
 	// that is not known to be over, and not only by one of the last map's author.
 	older bool
 }
-
-// written returns the range as the map names it.
-func (s *shard) written() Range {
-	r := s.Range
-	if s.previousFence != 0 {
-		r.Fence = s.previousFence
-	}
-	return r
-}
--- a/internal/shards/simulation_restore_test.go
+++ b/internal/shards/simulation_restore_test.go
@@ -64,6 +64,10 @@
 	if w.restores.percent == 0 {
 		return
 	}
+	if w.chance(1) {
+		leaving := w.servers[w.random.IntN(len(w.servers))]
+		leaving.leaving = !leaving.leaving
+	}
 	w.restores.history = append(w.restores.history, w.stored)
 	if len(w.restores.history) > lostSteps {
 		w.restores.history = w.restores.history[1:]
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -40,6 +40,8 @@
 	seen [sampledKeys]uint64
 	// reachable is false while the server is cut off from managers.
 	reachable bool
+	// leaving is true while it accepts no keys; only simulated restores have that.
+	leaving bool
 	// lateOrders is true while orders get no answer and are taken later.
 	lateOrders bool
 }
@@ -196,11 +198,13 @@
 	var servers []shards.Server
 	for _, s := range w.servers {
 		// A server that is cut off or dead has left the list.
-		servers = append(servers, shards.Server{ID: s.id, Address: string(s.id), Capacity: 2, Accepting: s.up && s.reachable})
+		servers = append(servers, shards.Server{ID: s.id, Address: string(s.id), Capacity: 2, Accepting: s.up && s.reachable && !s.leaving})
 	}
 	manager.core.SetServers(servers, w.knownDead())
 	if manager == w.holder() {
-		manager.core.AuthorsOver(w.now, func(author shards.Author) bool { return w.ended[author.Process] })
+		manager.core.AuthorsOver(w.now, func(author shards.Author) bool {
+			return w.ended[author.Process] || author.Process == manager.process
+		})
 	}
 	manager.core.Start()
 	commands := manager.core.Tick(w.now)
