Simulation of restored stores: rounds in which waits come to their end

With managers that stop after 4 s and late orders within 2 s, and servers that are not known to be dead, maps are often verified without all servers. Test code only.

--- a/internal/shards/simulation_restore_test.go
+++ b/internal/shards/simulation_restore_test.go
@@ -11,16 +11,32 @@
 
 // restores is how a simulated store is restored from older copies of itself.
 type restores struct {
-	// percent is the chance for it in each step; 0 means never.
-	percent int
+	// perMille is the chance for it in each step; 0 means never.
+	perMille int
 	// trusting managers take the map of a restored store for the truth.
 	trusting bool
+	// quick makes managers without the store stop soon, and late orders come soon, so that more
+	// waits come to their end.
+	quick bool
 	// history are the maps of the last steps, the oldest first, and isOld is true if the map in
 	// the store was written before it was restored.
 	history []*shards.Map
 	isOld   bool
 }
 
+// quickAuthority and quickLate are the authority and the latest delay of an order in quick runs.
+const (
+	quickAuthority = 4 * time.Second
+	quickLate      = 2 * time.Second
+)
+
+// quickOptions are options for quick runs.
+func quickOptions() shards.Options {
+	options := shards.DefaultOptions()
+	options.PreviousAuthority, options.LateOrder = quickAuthority+time.Second, quickLate+time.Second
+	return options
+}
+
 // lostSteps is how many steps a copy of the store is old at most.
 const lostSteps = 100
 
@@ -61,7 +77,7 @@
 // restoreStore may restore the store. Its manager continues in the same process, ends, or does
 // not learn of it.
 func (w *world) restoreStore() {
-	if w.restores.percent == 0 {
+	if w.restores.perMille == 0 {
 		return
 	}
 	if w.chance(1) {
@@ -72,7 +88,7 @@
 	if len(w.restores.history) > lostSteps {
 		w.restores.history = w.restores.history[1:]
 	}
-	if !w.chance(w.restores.percent) {
+	if w.random.IntN(1000) >= w.restores.perMille {
 		return
 	}
 	w.stored, w.restores.isOld = w.restores.history[w.random.IntN(len(w.restores.history))], true
@@ -112,7 +128,7 @@
 func (w *world) knownDead() []discovery.ServerID {
 	var dead []discovery.ServerID
 	for _, s := range w.servers {
-		if w.restores.percent > 0 && !s.up {
+		if w.restores.perMille > 0 && !w.restores.quick && !s.up {
 			dead = append(dead, s.id)
 		}
 	}
@@ -120,13 +136,16 @@
 }
 
 func TestNoKeyHasTwoHoldersWhenTheStoreIsRestored(t *testing.T) {
-	if violation := firstViolationWith(*simulationRuns/3, shards.DefaultOptions(), restores{percent: 1}); violation != "" {
+	if violation := firstViolationWith(*simulationRuns/6, shards.DefaultOptions(), restores{perMille: 10}); violation != "" {
 		t.Fatal(violation)
 	}
+	if violation := firstViolationWith(*simulationRuns/3, quickOptions(), restores{perMille: 3, quick: true}); violation != "" {
+		t.Fatal("quick: " + violation)
+	}
 }
 
 func TestTrustInARestoredMapIsCaught(t *testing.T) {
-	if firstViolationWith(*simulationRuns, shards.DefaultOptions(), restores{percent: 1, trusting: true}) == "" {
+	if firstViolationWith(*simulationRuns, shards.DefaultOptions(), restores{perMille: 10, trusting: true}) == "" {
 		t.Fatalf("no violation in %d runs", *simulationRuns)
 	}
 }
@@ -136,7 +155,7 @@
 	verified, moves := 0, 0
 	for seed := range uint64(20) {
 		w := newWorld(seed, shards.DefaultOptions())
-		w.restores = restores{percent: 1}
+		w.restores = restores{perMille: 10}
 		before := false
 		for w.now < time.Minute {
 			w.tick()
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -85,10 +85,14 @@
 	retiring []*simManager
 	// restores is how the store is restored from older copies now and then.
 	restores restores
+	// authority is how long a manager renews without the store, and leastLate and mostLate are the
+	// delays of late orders.
+	authority, leastLate, mostLate time.Duration
 }
 
 func newWorld(seed uint64, options shards.Options) *world {
 	w := &world{random: rand.New(rand.NewPCG(seed, 0)), options: options, ended: make(map[string]bool)}
+	w.authority, w.leastLate, w.mostLate = authority, 2*time.Second, 12*time.Second
 	for range 4 {
 		w.addServer()
 	}
@@ -164,7 +168,7 @@
 	w.elect()
 	var kept []*simManager
 	for _, manager := range w.active {
-		if manager.cutAt != 0 && w.now > manager.cutAt+authority {
+		if manager.cutAt != 0 && w.now > manager.cutAt+w.authority {
 			w.retiring = append(w.retiring, manager)
 			continue
 		}
@@ -255,7 +259,7 @@
 		}
 	case target.lateOrders && w.chance(50):
 		outcome = shards.Unanswered
-		delay := time.Duration((2000 + w.random.IntN(10000))) * time.Millisecond
+		delay := w.leastLate + time.Duration(w.random.Int64N(int64(w.mostLate-w.leastLate)))
 		w.late = append(w.late, lateGrant{at: w.now + delay, server: target, grant: grant})
 	default:
 		if !w.take(target, grant) {
@@ -355,6 +359,9 @@
 	for seed := range runs {
 		w := newWorld(seed, options)
 		w.restores = how
+		if how.quick {
+			w.authority, w.leastLate, w.mostLate = quickAuthority, quickLate/4, quickLate
+		}
 		for range simulationSteps {
 			w.tick()
 			if w.violation != "" {
