--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -183,12 +183,7 @@
 	case Accepted, Broken:
 		s.heldUntil = max(s.heldUntil, now+m.holdBound())
 	case Unanswered:
-		s.heldUntil = max(s.heldUntil, result.SentAt+m.options.LateOrder+m.holdBound())
-		s.lateUntil = s.heldUntil
-		if !s.Late {
-			s.Late = true
-			m.uncommitted = true
-		}
+		m.recordLate(s, result.SentAt)
 	case Superseded, NotSent:
 	}
 }
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -33,13 +33,7 @@
 		s.heldUntil = max(s.heldUntil, now+m.holdBound())
 		return
 	case Unanswered:
-		s.heldUntil = max(s.heldUntil, result.SentAt+m.options.LateOrder+m.holdBound())
-		s.lateUntil = s.heldUntil
-		if !s.Late {
-			// The next manager has to know.
-			s.Late = true
-			m.uncommitted = true
-		}
+		m.recordLate(s, result.SentAt)
 	case Superseded:
 		// A release of this manager was not finished. Without the store a later manager
 		// has taken the range, and nothing may be taken from its owner.
@@ -55,6 +49,17 @@
 	}
 }
 
+// recordLate records that a grant without an answer may be carried out late.
+func (m *Manager) recordLate(s *shard, sentAt time.Duration) {
+	s.heldUntil = max(s.heldUntil, sentAt+m.options.LateOrder+m.holdBound())
+	s.lateUntil = s.heldUntil
+	if !s.Late {
+		// The next manager has to know.
+		s.Late = true
+		m.uncommitted = true
+	}
+}
+
 // inheritedNote is how long the note that a range is inherited no more waits for others,
 // because owners take the first grants of a new manager one after the other. A successor
 // that does not know of it waits longer, no more.
