Servers that are gone are not renewed while the map is unverified

A manager that had carried on renewed a crashed server for 18 s; each broken connection counted as a possible hold, so that its keys waited for 5 s more after that.

--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -164,10 +164,12 @@
 	return r
 }
 
-// renewPrevious renews what was granted before the restore.
+// renewPrevious renews what was granted before the restore. Servers that leave or are gone get no
+// requests, and their keys can be taken the sooner.
 func (m *Manager) renewPrevious(now, pause time.Duration, commands *Commands) {
 	for _, s := range m.shards {
-		if !m.continued || s.previousFence == 0 || s.inFlight > 0 || now < s.renewAt {
+		isDue := m.continued && s.previousFence != 0 && s.inFlight == 0 && now >= s.renewAt
+		if !isDue || !m.servers[s.Owner].Accepting {
 			continue
 		}
 		s.inFlight++
