The manager of an earlier era is waited for from when this node has a copy of the new one

The store named its new era in refusals for 3 s; the 1.5 s that others wait for the manager to take its lock again were over before the store served anybody, and a node without its knowledge took the lock 0.1 s earlier. The test was seen failing.

--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -148,12 +148,13 @@
 }
 
 // taken reports whether a manager holds the service's lock. One that held it in an earlier era
-// is given time to take it again, since it knows best who holds keys.
+// is given time to take it again, since it knows best who holds keys; that time begins when this
+// node has a copy of the new era, because the store may refuse calls before.
 func (m *Manager) taken() bool {
 	current := m.config.Views.Current()
 	held := current.Managers[m.service]
 	era := max(m.config.Store.Era(), topo.EraOf(current.Revision))
-	if held.Revision != 0 && held.Era >= era {
+	if held.Revision != 0 && held.Era >= era || topo.EraOf(current.Revision) < era {
 		return true
 	}
 	owners := current.Owners[m.service]
--- a/internal/shardmanager/retired_test.go
+++ b/internal/shardmanager/retired_test.go
@@ -52,3 +52,21 @@
 		t.Errorf("%d more writes, want none", more)
 	}
 }
+
+func TestOthersDoNotCampaignBeforeTheyHaveACopyOfTheNewEra(t *testing.T) {
+	store := memory.New()
+	views := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, addressDocuments{}, zap.NewNop())
+	other := New(Config{Self: view.Node{Name: "n1", Process: "p1"}, Store: store, Views: views, Clock: clock.Boot, Logger: zap.NewNop()}, "s")
+	if other.taken() {
+		t.Fatal("the lock counts as taken although nobody has it")
+	}
+	store.Restore(store.Save())
+	if !other.taken() {
+		t.Fatal("the lock counts as free although this node knows nothing of the new era")
+	}
+	at := topo.RevisionIn(1, 1)
+	views.Apply(nil, at)
+	if other.taken() {
+		t.Fatal("the lock counts as taken although nobody has it in the new era")
+	}
+}
