Suspects of crashing servers are logged with method, host, URI, caller and body length

A digest alone doesn't tell which part of two requests differs, nor lets an operator find the request. The node that saw the crash logs the parts now; nodes that hear of a suspect have only its digest.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -45,7 +45,7 @@
 	nodes []string
 	// pendingCrashes holds, by server, the requests lost in a crash that has not been
 	// attributed yet.
-	pendingCrashes map[string][]Digest
+	pendingCrashes map[string][]lostRequest
 	// exclusive holds, by service, a channel that is closed when the suspect running
 	// exclusively has ended.
 	exclusive map[string]chan struct{}
@@ -56,7 +56,7 @@
 func NewGuard(self string, broadcast Broadcast, logger *zap.Logger) *Guard {
 	return &Guard{
 		self: self, broadcast: broadcast, logger: logger, table: NewTable(),
-		pendingCrashes: make(map[string][]Digest), exclusive: make(map[string]chan struct{}),
+		pendingCrashes: make(map[string][]lostRequest), exclusive: make(map[string]chan struct{}),
 	}
 }
 
@@ -163,8 +163,8 @@
 	digest := DigestOf(request)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	digests, scheduled := g.pendingCrashes[server]
-	g.pendingCrashes[server] = append(digests, digest)
+	lost, scheduled := g.pendingCrashes[server]
+	g.pendingCrashes[server] = append(lost, newLostRequest(digest, request))
 	if !scheduled {
 		time.AfterFunc(crashGroupingTime, func() { g.attributeCrash(server) })
 	}
@@ -176,26 +176,35 @@
 	g.mutex.Lock()
 	running := g.pendingCrashes[server]
 	delete(g.pendingCrashes, server)
-	blamed := g.table.RecordCrash(now, server, running)
+	digests := make([]Digest, 0, len(running))
+	fields := make(map[Digest][]zap.Field, len(running))
+	for _, lost := range running {
+		digests = append(digests, lost.digest)
+		fields[lost.digest] = lost.fields
+	}
+	blamed := g.table.RecordCrash(now, server, digests)
 	g.suspectCount.Store(int32(g.table.Len()))
 	g.mutex.Unlock()
 	crashesTotal.Inc()
 	g.logger.Info("server crashed", zap.String("server", server), zap.Int("running", len(running)), zap.Int("blamed", len(blamed)))
 	for _, suspect := range blamed {
-		g.logSuspect(suspect)
+		g.logSuspect(suspect, fields[suspect.Digest]...)
 	}
 	if len(blamed) > 0 {
 		g.broadcast(blamed)
 	}
 }
 
-func (g *Guard) logSuspect(suspect Suspect) {
+// logSuspect logs what is known of a suspect. identity describes the request, if this node has
+// sent it.
+func (g *Guard) logSuspect(suspect Suspect, identity ...zap.Field) {
 	text := "request suspected of crashing servers"
 	if suspect.Confirmed() {
 		text = "request confirmed to crash servers"
 		changesTotal.WithLabelValues("certain").Inc()
 	}
-	g.logger.Info(text, zap.String("digest", hex.EncodeToString(suspect.Digest[:])), zap.Strings("servers", suspect.Lives))
+	digest, servers := zap.String("digest", hex.EncodeToString(suspect.Digest[:])), zap.Strings("servers", suspect.Lives)
+	g.logger.Info(text, append([]zap.Field{digest, servers}, identity...)...)
 }
 
 // Receive merges suspects received from another node.
--- /dev/null
+++ b/internal/poison/lost.go
@@ -0,0 +1,21 @@
+package poison
+
+import "go.uber.org/zap"
+
+// maxLoggedURI bounds the part of a URI that is logged, in bytes.
+const maxLoggedURI = 256
+
+// lostRequest is a request that was lost in a crash, with the log fields that let an operator
+// recognize it.
+type lostRequest struct {
+	digest Digest
+	fields []zap.Field
+}
+
+func newLostRequest(digest Digest, request Request) lostRequest {
+	return lostRequest{digest: digest, fields: []zap.Field{
+		zap.String("service", request.Service), zap.String("method", request.Method), zap.String("host", request.Host),
+		zap.String("uri", request.URI[:min(len(request.URI), maxLoggedURI)]), zap.String("caller", request.Caller),
+		zap.Int("body_bytes", len(request.Body)),
+	}}
+}
