A request that crashes servers is the same whatever address it comes from

Cause: the digest by which attempts of one request are recognized covered the address of the client's connection. Whoever repeats the request does so from any address: it came to nodes of three zones, and each zone's clients have addresses of their own. A network address doesn't identify who calls. Class: an identity taken from a property of the path instead of the thing itself. Change: the address is not in the digest; the tenant is, which is what a deployment that tells its callers apart has for it. A home reads it from the header that it forwards. The log still names the address. TestDigestsTellRequestsApart asked for different digests of two callers' addresses, which was the fault; it now asks for equal ones, and for different ones of two tenants.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -42,15 +42,28 @@
 
 func (noGuard) Lost(string, poison.Request) {}
 
-// identity returns the attributes by which two attempts count as the same request.
-func (r *Request) identity() poison.Request {
-	return poison.Request{Service: r.Service, Method: r.Method, Host: r.Host, URI: r.URI, Caller: r.Caller, Body: r.Body}
+// identity describes a request for the guard.
+func (d *Dispatcher) identity(request *Request) poison.Request {
+	return poison.Request{
+		Service: request.Service, Method: request.Method, Host: request.Host, URI: request.URI,
+		Tenant: request.field(d.headers.Tenant), Body: request.Body, ClientAddress: request.Caller,
+	}
+}
+
+// field returns the value of a header field; empty if there is none.
+func (r *Request) field(name string) string {
+	for _, field := range r.Fields {
+		if field.Name == name {
+			return field.Value
+		}
+	}
+	return ""
 }
 
 // refusePoisoned returns the refusal of a request that is known to crash servers; nil if
 // the request may be sent.
 func (d *Dispatcher) refusePoisoned(request *Request) *Refusal {
-	after, refused := d.guard.Refused(request.identity)
+	after, refused := d.guard.Refused(func() poison.Request { return d.identity(request) })
 	if !refused {
 		return nil
 	}
@@ -64,7 +77,7 @@
 // sendGuarded sends a request like sendHedged unless it is suspected to crash servers. A
 // suspected request is sent to one server only, or refused with an error.
 func (d *Dispatcher) sendGuarded(ctx context.Context, request *Request, s *server, deadline time.Time, trace *Trace, excluded map[discovery.ServerID]bool) (*server, *upstream.Response, attemptOutcome, error) {
-	decision := d.guard.Admit(ctx, request.identity)
+	decision := d.guard.Admit(ctx, func() poison.Request { return d.identity(request) })
 	switch {
 	case decision.Refused:
 		d.limits.GiveBack(string(s.id))
@@ -77,7 +90,7 @@
 		return d.sendHedged(ctx, request, s, deadline, trace, excluded)
 	}
 	answer, outcome, err := d.send(ctx, request, s, deadline)
-	d.guard.Ended(request.identity(), decision, outcome == answered || (outcome == failed && answer != nil))
+	d.guard.Ended(d.identity(request), decision, outcome == answered || (outcome == failed && answer != nil))
 	return s, answer, outcome, err
 }
 
@@ -99,7 +112,7 @@
 	if leaves {
 		return
 	}
-	identity := request.identity()
+	identity := d.identity(request)
 	go func() {
 		periodic.Pause(context.WithoutCancel(ctx), crashCheckDelay)
 		if s.pool.Refuses(context.WithoutCancel(ctx)) {
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/micahaven/micahaven/internal/poison"
 	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
 )
 
@@ -30,6 +31,21 @@
 	return time.Minute, g.refuses
 }
 
+// Guards against counting the crashes of two tenants' requests together, also at a home, which
+// has the tenant from the header alone.
+func TestRequestsOfTwoTenantsAreToldApart(t *testing.T) {
+	d, _ := newAbortingNode(t, nil)
+	d.headers.Tenant = "Tenant"
+	ofTenant := func(name string) poison.Request {
+		request := requestFor("plain", false)
+		request.Fields = append(request.Fields, upstream.Field{Name: "Tenant", Value: name})
+		return d.identity(request)
+	}
+	if poison.DigestOf(ofTenant("a")) == poison.DigestOf(ofTenant("b")) {
+		t.Error("requests of two tenants have the same digest")
+	}
+}
+
 // newAbortingNode returns a node whose only server calls before and then closes each
 // connection without a response.
 func newAbortingNode(t *testing.T, before func(server *httptest.Server, builder *view.Builder)) (*Dispatcher, *recordingGuard) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,6 +50,8 @@
 	Signature   string
 	Target      string
 	NotExecuted string
+	// Tenant names the tenant of a request; empty if there are no tenants.
+	Tenant string
 	// Load parses the load that a server reports in a response; nil if servers do not report
 	// it.
 	Load func(answer http.Header) (discovery.Load, bool)
--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -8,10 +8,14 @@
 // maxDigestedBytes is how many bytes at the start of a body enter the digest.
 const maxDigestedBytes = 64 << 10
 
-// Request is what identifies a request: two attempts with the same fields are the same request.
+// Request is a request as the client sent it. Two attempts that differ in ClientAddress alone are
+// the same request: a client that retries may come from any address.
 type Request struct {
-	Service, Method, Host, URI, Caller string
-	Body                               []byte
+	Service, Method, Host, URI string
+	// Tenant is empty if the request belongs to none.
+	Tenant        string
+	Body          []byte
+	ClientAddress string
 }
 
 // DigestOf returns the digest of a request. It covers the length of the body, but of a long
@@ -25,7 +29,7 @@
 		_, _ = sum.Write(length[:])
 		_, _ = sum.Write(text[:min(len(text), maxDigestedBytes)])
 	}
-	for _, field := range []string{request.Service, request.Method, request.Host, request.URI, request.Caller} {
+	for _, field := range []string{request.Service, request.Method, request.Host, request.URI, request.Tenant} {
 		add([]byte(field))
 	}
 	add(request.Body)
--- a/internal/poison/lost.go
+++ b/internal/poison/lost.go
@@ -15,7 +15,7 @@
 func newLostRequest(digest Digest, request Request) lostRequest {
 	return lostRequest{digest: digest, fields: []zap.Field{
 		zap.String("service", request.Service), zap.String("method", request.Method), zap.String("host", request.Host),
-		zap.String("uri", request.URI[:min(len(request.URI), maxLoggedURI)]), zap.String("caller", request.Caller),
-		zap.Int("body_bytes", len(request.Body)),
+		zap.String("uri", request.URI[:min(len(request.URI), maxLoggedURI)]), zap.String("tenant", request.Tenant),
+		zap.String("client", request.ClientAddress), zap.Int("body_bytes", len(request.Body)),
 	}}
 }
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -240,17 +240,17 @@
 }
 
 func TestDigestsTellRequestsApart(t *testing.T) {
-	same := Request{Service: "s", Method: "GET", Host: "h", URI: "/a", Caller: "c", Body: []byte("b")}
+	same := Request{Service: "s", Method: "GET", Host: "h", URI: "/a", Tenant: "c", ClientAddress: "192.0.2.1", Body: []byte("b")}
 	seen := map[Digest]string{DigestOf(same): "itself"}
 	copied := same
-	copied.Body = []byte("b")
+	copied.Body, copied.ClientAddress = []byte("b"), "192.0.2.2"
 	if DigestOf(copied) != DigestOf(same) {
 		t.Error("equal requests have different digests")
 	}
 	for name, change := range map[string]func(*Request){
 		"service": func(r *Request) { r.Service = "t" }, "method": func(r *Request) { r.Method = "PUT" },
 		"host": func(r *Request) { r.Host = "i" }, "path": func(r *Request) { r.URI = "/b" },
-		"caller": func(r *Request) { r.Caller = "d" }, "body": func(r *Request) { r.Body = []byte("c") },
+		"tenant": func(r *Request) { r.Tenant = "d" }, "body": func(r *Request) { r.Body = []byte("c") },
 		"fields moved": func(r *Request) { r.Host, r.URI = "h/", "a" },
 		"long body":    func(r *Request) { r.Body = make([]byte, maxDigestedBytes) },
 		"longer body":  func(r *Request) { r.Body = make([]byte, maxDigestedBytes+1) },
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -200,7 +200,8 @@
 		RetryWindow:     time.Duration(settings.Retry.WindowSeconds * float64(time.Second)),
 		Headers: dispatch.Headers{
 			RequestID: headers.RequestID, Deadline: headers.Deadline, Signature: headers.Signature,
-			Target: headers.Target, NotExecuted: headers.NotExecuted, Load: headers.Load, Health: headers.Health, Signals: headers.Signals,
+			Target: headers.Target, NotExecuted: headers.NotExecuted, Tenant: headers.Tenant,
+			Load: headers.Load, Health: headers.Health, Signals: headers.Signals,
 		},
 	}
 }
