--- a/internal/soak/backpressure.go
+++ b/internal/soak/backpressure.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -225,11 +226,12 @@
 	crashed []time.Time
 }
 
-// run sends the request to random nodes until stop is closed, and checks how many servers
-// it crashes.
+// clientAddressCount is the number of loopback addresses that the request comes from.
+const clientAddressCount = 20
+
+// run sends the request from random addresses to random nodes until stop is closed, and
+// checks how many servers it crashes.
 func (p *poisoned) run(random *rand.Rand, stop <-chan struct{}) {
-	client := &http.Client{Timeout: requestDeadline}
-	defer client.CloseIdleConnections()
 	for number := 0; ; number++ {
 		select {
 		case <-stop:
@@ -237,7 +239,7 @@
 		case <-time.After(poisonInterval):
 		}
 		before := p.soak.world.crashCount(p.path)
-		p.send(client, p.soak.node(random), number)
+		p.send(clientFrom(byte(2+random.IntN(clientAddressCount))), p.soak.node(random), number)
 		for range p.soak.world.crashCount(p.path) - before {
 			p.crashed = append(p.crashed, time.Now())
 		}
@@ -245,6 +247,12 @@
 	}
 }
 
+// clientFrom returns a client whose connections come from a loopback address of their own.
+func clientFrom(host byte) *http.Client {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, host)}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}, Timeout: requestDeadline}
+}
+
 func (p *poisoned) send(client *http.Client, n *Node, number int) {
 	request, err := http.NewRequest(http.MethodGet, "http://"+n.Clients+p.path, http.NoBody)
 	if err != nil {
