An answer clears a request at all nodes, also after one crash

A node that loses an innocent request with a server reports it to all others, and their tables count the crash. If the request is answered then, the node forgot the crash itself but told the others only from two crashes on. A request that is lost once, answered, lost and answered again at one node was refused by all other nodes after the third time, though it had been answered after each crash. Fix: each change from suspected to cleared is told, at most as many as requests were blamed. Evidence: TestAnswerAfterOneCrashClearsAtAllNodes fails before (n2 refuses). TestAnswerClears took for granted that others don't suspect after one crash, which is what was wrong; it now asks for the broadcast, and for none when the request is already cleared.

--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -151,3 +151,17 @@
 		guard.Admit(context.Background(), asked(2))
 	}
 }
+
+// Guards an innocent request against being refused by nodes that see its crashes but not its
+// responses.
+func TestAnswerAfterOneCrashClearsAtAllNodes(t *testing.T) {
+	nodes, _ := newGuards("n1", "n2")
+	for server := range refuseThreshold {
+		loseRequests(nodes["n1"], server, 1)
+		decision := nodes["n1"].Admit(t.Context(), asked(1))
+		nodes["n1"].Ended(request(1), decision, true)
+	}
+	if _, refused := nodes["n2"].Refused(asked(1)); refused {
+		t.Error("n2 refuses a request that was answered after each crash")
+	}
+}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -131,15 +131,14 @@
 }
 
 // RecordAnswer records that a server answered a request, which clears it. update must be sent
-// to the other nodes if broadcast is true, since they may suspect the request too.
+// to the other nodes if broadcast is true: they count the crashes that this node has reported.
 func (t *Table) RecordAnswer(now time.Time, digest Digest) (update Suspect, broadcast bool) {
 	known := t.entries[digest]
 	if known == nil || known.cleared {
 		return Suspect{}, false
 	}
-	crashes := len(known.crashes)
 	*known = entry{eventAt: now, cleared: true}
-	return t.suspect(now, digest), crashes >= exclusiveThreshold
+	return t.suspect(now, digest), true
 }
 
 // Verdict returns how to handle a request, and for how much longer it is refused. rank is the
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -60,8 +60,11 @@
 func TestAnswerClears(t *testing.T) {
 	table, innocent := NewTable(), digest(1)
 	crash(table, start, 0, innocent)
+	if _, broadcast := table.RecordAnswer(start, innocent); !broadcast {
+		t.Error("a response after one crash is not broadcast, and the other nodes go on counting")
+	}
 	if _, broadcast := table.RecordAnswer(start, innocent); broadcast {
-		t.Error("a response is broadcast although the other nodes do not suspect the request")
+		t.Error("a further response is broadcast although the request is cleared")
 	}
 	crash(table, start, 1, innocent)
 	crash(table, start, 2, innocent)
