Crashes of a request in several services add up

Change: evidence is kept under two digests, the request at its service and at any service, and the stricter verdict holds. One digest without the service would not do: an answer clears a request, so the old version of a service would clear what crashes its canary, again and again. Evidence: TestCrashesInSeveralServicesAddUp fails before (sent to each of three services after three crashes); TestAnswerOfOneServiceClearsNoOther passes before and after, and fails with one digest.

--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -18,6 +18,20 @@
 	ClientAddress string
 }
 
+// digests are the digests under which the evidence against a request is kept. Crashes count for
+// both, and an answer clears both: a request that crashes the servers of one service may be
+// answered by those of another one, and a route may be split over several services or move.
+type digests struct {
+	// service is the request's digest at its service, and all that at any service.
+	service, all Digest
+}
+
+func digestsOf(request Request) digests {
+	atService := DigestOf(request)
+	request.Service = ""
+	return digests{service: atService, all: DigestOf(request)}
+}
+
 // DigestOf returns the digest of a request. It covers the length of the body, but of a long
 // body only the first maxDigestedBytes.
 func DigestOf(request Request) Digest {
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -86,13 +86,22 @@
 	if g.suspectCount.Load() == 0 {
 		return 0, false
 	}
-	digest := DigestOf(request())
+	digests := digestsOf(request())
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	verdict, left := g.table.Verdict(time.Now(), digest, func() int { return g.rank(digest) })
+	verdict, left := g.verdict(digests)
 	return left, verdict == Refuse
 }
 
+// verdict returns the stricter of the verdicts on a request at its service and at any service.
+// The caller holds the mutex.
+func (g *Guard) verdict(digests digests) (Verdict, time.Duration) {
+	now, rank := time.Now(), func() int { return g.rank(digests.all) }
+	atService, serviceLeft := g.table.Verdict(now, digests.service, rank)
+	atAll, allLeft := g.table.Verdict(now, digests.all, rank)
+	return max(atService, atAll), max(serviceLeft, allLeft)
+}
+
 // Admit decides on a request that is about to be sent to a server. A suspect waits up to
 // exclusiveWait for another suspect of its service that is running.
 func (g *Guard) Admit(ctx context.Context, request func() Request) Decision {
@@ -100,11 +109,11 @@
 		return Decision{}
 	}
 	identity := request()
-	digest := DigestOf(identity)
+	digests := digestsOf(identity)
 	waitCtx, cancel := context.WithTimeout(ctx, exclusiveWait)
 	defer cancel()
 	for {
-		decision, busy := g.tryAdmit(identity.Service, digest)
+		decision, busy := g.tryAdmit(identity.Service, digests)
 		if busy == nil {
 			return decision
 		}
@@ -118,10 +127,10 @@
 
 // tryAdmit decides on a request. If it has to wait for a running suspect, it returns a channel
 // that is closed when that one has ended.
-func (g *Guard) tryAdmit(service string, digest Digest) (Decision, <-chan struct{}) {
+func (g *Guard) tryAdmit(service string, digests digests) (Decision, <-chan struct{}) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	verdict, left := g.table.Verdict(time.Now(), digest, func() int { return g.rank(digest) })
+	verdict, left := g.verdict(digests)
 	switch verdict {
 	case Refuse:
 		return Decision{Refused: true, RetryAfter: left, Suspected: true}, nil
@@ -130,41 +139,53 @@
 			return Decision{}, ended
 		}
 		g.exclusive[service] = make(chan struct{})
-		g.logger.Info("suspected request sent exclusively", zap.String("digest", hex.EncodeToString(digest[:])), zap.String("service", service))
+		g.logger.Info("suspected request sent exclusively", zap.String("digest", hex.EncodeToString(digests.service[:])), zap.String("service", service))
 	}
-	return Decision{Suspected: g.table.crashes(digest) > 0, exclusive: verdict == SendExclusively}, nil
+	return Decision{Suspected: g.table.crashes(digests.service) > 0 || g.table.crashes(digests.all) > 0, exclusive: verdict == SendExclusively}, nil
 }
 
 // Ended records that a suspected request has ended. decision is what Admit returned for it, and
 // answered is true if the server answered.
 func (g *Guard) Ended(request Request, decision Decision, answered bool) {
-	digest := DigestOf(request)
+	digests := digestsOf(request)
 	g.mutex.Lock()
 	if decision.exclusive {
 		close(g.exclusive[request.Service])
 		delete(g.exclusive, request.Service)
 	}
-	var cleared Suspect
-	broadcast := false
+	var cleared []Suspect
 	if answered {
-		cleared, broadcast = g.table.RecordAnswer(time.Now(), digest)
+		cleared = g.clear(digests)
 	}
 	g.mutex.Unlock()
-	if broadcast {
-		g.logger.Info("suspected request cleared", zap.String("digest", hex.EncodeToString(digest[:])))
+	if len(cleared) > 0 {
+		g.logger.Info("suspected request cleared", zap.String("digest", hex.EncodeToString(digests.service[:])))
 		changesTotal.WithLabelValues("cleared").Inc()
-		g.broadcast([]Suspect{cleared})
+		g.broadcast(cleared)
+	}
+}
+
+// clear records that a server answered a request, and returns what the other nodes must learn of
+// it. The caller holds the mutex.
+func (g *Guard) clear(digests digests) []Suspect {
+	now := time.Now()
+	var cleared []Suspect
+	for _, digest := range []Digest{digests.service, digests.all} {
+		if update, broadcast := g.table.RecordAnswer(now, digest); broadcast {
+			cleared = append(cleared, update)
+		}
 	}
+	return cleared
 }
 
 // Lost records that a server crashed while it ran a request. The requests lost with one server
 // are collected for crashGroupingTime and evaluated together.
 func (g *Guard) Lost(server string, request Request) {
-	digest := DigestOf(request)
+	lost := newLostRequest(request)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	lost, scheduled := g.pendingCrashes[server]
-	g.pendingCrashes[server] = append(lost, newLostRequest(digest, request))
+	others, scheduled := g.pendingCrashes[server]
+	g.pendingCrashes[server] = append(others, lost)
 	if !scheduled {
 		time.AfterFunc(crashGroupingTime, func() { g.attributeCrash(server) })
 	}
@@ -176,13 +197,14 @@
 	g.mutex.Lock()
 	running := g.pendingCrashes[server]
 	delete(g.pendingCrashes, server)
-	digests := make([]Digest, 0, len(running))
+	atService, atAll := make([]Digest, 0, len(running)), make([]Digest, 0, len(running))
 	fields := make(map[Digest][]zap.Field, len(running))
 	for _, lost := range running {
-		digests = append(digests, lost.digest)
-		fields[lost.digest] = lost.fields
+		atService, atAll = append(atService, lost.digests.service), append(atAll, lost.digests.all)
+		fields[lost.digests.service], fields[lost.digests.all] = lost.fields, lost.fields
 	}
-	blamed := g.table.RecordCrash(now, server, digests)
+	blamed := g.table.RecordCrash(now, server, atService)
+	blamedAtAll := g.table.RecordCrash(now, server, atAll)
 	g.suspectCount.Store(int32(g.table.Len()))
 	g.mutex.Unlock()
 	crashesTotal.Inc()
@@ -190,8 +212,10 @@
 	for _, suspect := range blamed {
 		g.logSuspect(suspect, fields[suspect.Digest]...)
 	}
-	if len(blamed) > 0 {
-		g.broadcast(blamed)
+	for _, suspects := range [][]Suspect{blamed, blamedAtAll} {
+		if len(suspects) > 0 {
+			g.broadcast(suspects)
+		}
 	}
 }
 
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -165,3 +165,50 @@
 		t.Error("n2 refuses a request that was answered after each crash")
 	}
 }
+
+// crashOf reports to a node that a server of a service crashed while running request 1, and waits
+// until the crash has been attributed.
+func crashOf(node *Guard, service string, server int) {
+	lost := request(1)
+	lost.Service = service
+	node.Lost(fmt.Sprintf("s%d", server), lost)
+	time.Sleep(crashGroupingTime + 50*time.Millisecond)
+}
+
+// Guards against three more crashes in each service that a route is split over or moves to.
+func TestCrashesInSeveralServicesAddUp(t *testing.T) {
+	nodes, _ := newGuards("n1", "n2")
+	for server, service := range []string{"a", "b", "a"} {
+		crashOf(nodes["n1"], service, server)
+	}
+	for name, node := range nodes {
+		for _, service := range []string{"a", "b", "c"} {
+			sent := request(1)
+			sent.Service = service
+			if decision := node.Admit(t.Context(), func() Request { return sent }); !decision.Refused {
+				t.Errorf("%s sends to service %s a request that crashed three servers of others", name, service)
+			}
+		}
+	}
+}
+
+// Guards a route split between two versions of a service: what crashes the one and is answered by
+// the other must be refused by the one alone.
+func TestAnswerOfOneServiceClearsNoOther(t *testing.T) {
+	nodes, _ := newGuards("n1", "n2")
+	old, canary := request(1), request(1)
+	old.Service, canary.Service = "old", "canary"
+	for server := range refuseThreshold {
+		crashOf(nodes["n1"], "canary", server)
+		decision := nodes["n1"].Admit(t.Context(), func() Request { return old })
+		nodes["n1"].Ended(old, decision, true)
+	}
+	for name, node := range nodes {
+		if _, refused := node.Refused(func() Request { return old }); refused {
+			t.Errorf("%s refuses the request at the service that answers it", name)
+		}
+		if _, refused := node.Refused(func() Request { return canary }); !refused {
+			t.Errorf("%s sends the request to the service whose servers it crashes", name)
+		}
+	}
+}
--- a/internal/poison/lost.go
+++ b/internal/poison/lost.go
@@ -8,12 +8,12 @@
 // lostRequest is a request that was lost in a crash, with the log fields that let an operator
 // recognize it.
 type lostRequest struct {
-	digest Digest
-	fields []zap.Field
+	digests digests
+	fields  []zap.Field
 }
 
-func newLostRequest(digest Digest, request Request) lostRequest {
-	return lostRequest{digest: digest, fields: []zap.Field{
+func newLostRequest(request Request) lostRequest {
+	return lostRequest{digests: digestsOf(request), fields: []zap.Field{
 		zap.String("service", request.Service), zap.String("method", request.Method), zap.String("host", request.Host),
 		zap.String("uri", request.URI[:min(len(request.URI), maxLoggedURI)]), zap.String("tenant", request.Tenant),
 		zap.String("client", request.ClientAddress), zap.Int("body_bytes", len(request.Body)),
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -30,9 +30,9 @@
 	// nodes ranked before them have had no such request for so long, hardly anyone sends it.
 	maxTrialRank = 16
 	// maxRecordedCrashes bounds the crashes recorded for one suspect, and maxSuspects the
-	// number of suspects at a node.
+	// number of suspects at a node; a request counts as two of them, see digests.
 	maxRecordedCrashes = 8
-	maxSuspects        = 1024
+	maxSuspects        = 2048
 	// MaxBlamed bounds the number of requests that one crash is attributed to. If more requests
 	// qualify, the crash is hardly evidence against any of them.
 	MaxBlamed = 16
