A crash in the middle of a response is evidence against its request

Cause: evidence was a connection that ended without any response. A body that ends early is another error (damaged response), and a body that is streamed is read after the attempt counts as answered, so nobody looked at how it ended; a suspect was cleared by the head of such a response. Change: what ends the run of a request is looked at until its response is read to the end: lost before it, within a buffered body, or within a streamed one, with the same confirmation as before (the server's machine refuses the next connection). A suspect counts as answered, and lets the next suspect run, when its response was read to its end. Broken off by a living server, left by its client or ended by the node's stop: neither. The log has the point.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -208,6 +208,9 @@
 	if outcome == failed && err != nil {
 		return nil, outcome, err
 	}
+	if outcome == answered && answer.Rest != nil {
+		answer.Rest = &observedBody{body: answer.Rest, onEnd: func(err error) { d.detectCrash(ctx, request, s, err) }}
+	}
 	return answer, outcome, err
 }
 
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +23,7 @@
 	// Ended records that a suspected request has ended, and whether a server answered it.
 	Ended(request poison.Request, decided poison.Decision, answered bool)
 	// Lost records that a server instance crashed while it executed a request.
-	Lost(instance string, request poison.Request)
+	Lost(instance string, request poison.Request, point poison.LossPoint)
 }
 
 // SetGuard sets the guard. It must be called before the first request. Without it, no
@@ -40,7 +41,7 @@
 
 func (noGuard) Ended(poison.Request, poison.Decision, bool) {}
 
-func (noGuard) Lost(string, poison.Request) {}
+func (noGuard) Lost(string, poison.Request, poison.LossPoint) {}
 
 // identity describes a request for the guard.
 func (d *Dispatcher) identity(request *Request) poison.Request {
@@ -90,20 +91,76 @@
 		return d.sendHedged(ctx, request, s, deadline, trace, excluded)
 	}
 	answer, outcome, err := d.send(ctx, request, s, deadline)
-	d.guard.Ended(d.identity(request), decision, outcome == answered || (outcome == failed && answer != nil))
+	ended := func(complete bool) { d.guard.Ended(d.identity(request), decision, complete) }
+	if outcome == answered && answer.Rest != nil {
+		answer.Rest = &observedBody{body: answer.Rest, onEnd: func(err error) { ended(err == nil) }}
+		return s, answer, outcome, err
+	}
+	ended(outcome == answered || (outcome == failed && answer != nil))
 	return s, answer, outcome, err
 }
 
+// errBodyClosed is the outcome of a body that was closed before its end.
+var errBodyClosed = errors.New("closed before the end of the response")
+
+// observedBody is the rest of a response. It calls onEnd once, with the error that ended it, or
+// nil if it was read to its end.
+type observedBody struct {
+	body  io.ReadCloser
+	onEnd func(error)
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *observedBody) Read(into []byte) (int, error) {
+	count, err := b.body.Read(into)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.end(nil)
+	case err != nil:
+		b.end(err)
+	}
+	return count, err
+}
+
+// Close implements io.Closer.
+func (b *observedBody) Close() error {
+	b.end(errBodyClosed)
+	return b.body.Close()
+}
+
+func (b *observedBody) end(err error) {
+	if b.ended {
+		return
+	}
+	b.ended = true
+	b.onEnd(err)
+}
+
 // crashCheckDelay is how long after a lost request the server is checked. It gives a
 // process that is exiting the time to close its sockets.
 const crashCheckDelay = 20 * time.Millisecond
 
+// lossPoint returns how far the response had come when an attempt was lost, and false if the
+// error is no sign of a crash.
+func lossPoint(cause error) (poison.LossPoint, bool) {
+	switch {
+	case errors.Is(cause, upstream.ErrUnacknowledged):
+		return "", false
+	case errors.Is(cause, upstream.ErrNoResponse):
+		return poison.BeforeResponse, true
+	default:
+		return poison.DuringResponse, upstream.ConnectionEnded(cause)
+	}
+}
+
 // detectCrash determines whether a server crashed while it executed a request that was lost
-// with the given error. A server that is slow, cut off or has reset a connection either
+// with the given error, before its response or during it. A server that is slow, cut off or has reset a connection either
 // accepts new connections or does not answer at all, whereas the machine of a crashed one
 // refuses them. A draining server that exits did not crash.
 func (d *Dispatcher) detectCrash(ctx context.Context, request *Request, s *server, cause error) {
-	if ctx.Err() != nil || !errors.Is(cause, upstream.ErrNoResponse) || errors.Is(cause, upstream.ErrUnacknowledged) {
+	point, lost := lossPoint(cause)
+	if ctx.Err() != nil || !lost {
 		return
 	}
 	d.mutex.Lock()
@@ -116,7 +173,7 @@
 	go func() {
 		periodic.Pause(context.WithoutCancel(ctx), crashCheckDelay)
 		if s.pool.Refuses(context.WithoutCancel(ctx)) {
-			d.guard.Lost(string(s.id), identity)
+			d.guard.Lost(string(s.id), identity, point)
 		}
 	}()
 }
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -25,7 +28,7 @@
 	refuses bool
 }
 
-func (g *recordingGuard) Lost(string, poison.Request) { g.lost.Add(1) }
+func (g *recordingGuard) Lost(string, poison.Request, poison.LossPoint) { g.lost.Add(1) }
 
 func (g *recordingGuard) Refused(func() poison.Request) (time.Duration, bool) {
 	return time.Minute, g.refuses
@@ -57,8 +60,16 @@
 		panic(http.ErrAbortHandler)
 	}))
 	t.Cleanup(server.Close)
+	d, guard := newNodeOf(t, server)
+	builder = d.views
+	return d, guard
+}
+
+// newNodeOf returns a node whose view has one server.
+func newNodeOf(t *testing.T, server *httptest.Server) (*Dispatcher, *recordingGuard) {
+	t.Helper()
 	layout := view.Layout{TableKey: "table", ServerPrefix: "servers/"}
-	builder = view.NewBuilder(layout, probedDocuments{strings.TrimPrefix(server.URL, "http://"), 0}, zap.NewNop())
+	builder := view.NewBuilder(layout, probedDocuments{strings.TrimPrefix(server.URL, "http://"), 0}, zap.NewNop())
 	headers := Headers{RequestID: "Id", Deadline: "Deadline", Target: "Target", Signature: "Signed", NotExecuted: "Refused"}
 	d := New(Options{Node: "n0", Zone: "z", RetryWindow: time.Second, Headers: headers}, builder, zap.NewNop())
 	guard := &recordingGuard{}
@@ -113,3 +124,138 @@
 		t.Errorf("handed over %d times, sent %d times", handover.count, trace.Attempts)
 	}
 }
+
+// newTruncatingNode returns a node whose only server sends the head and a part of its response,
+// calls before and then closes the connection.
+func newTruncatingNode(t *testing.T, part, declared int, before func(server *httptest.Server)) (*Dispatcher, *recordingGuard) {
+	t.Helper()
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "yes")
+		w.Header().Set("Id", "r")
+		w.Header().Set("Content-Length", strconv.Itoa(declared))
+		_, _ = io.WriteString(w, strings.Repeat("x", part))
+		_ = http.NewResponseController(w).Flush()
+		before(server)
+		if part < declared {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return newNodeOf(t, server)
+}
+
+const (
+	shortResponse = 4000
+	// longResponse is more than a node buffers.
+	longResponse = 1 << 20
+)
+
+// readResponse sends a request and reads its response to the end.
+func readResponse(ctx context.Context, d *Dispatcher) error {
+	answer, _, err := d.Do(ctx, requestFor("plain", false))
+	if err != nil || answer.Rest == nil {
+		return err
+	}
+	defer answer.Rest.Close()
+	_, err = io.Copy(io.Discard, answer.Rest)
+	return err
+}
+
+// Guards against crashes in the middle of a response that count for nothing, and against
+// responses broken off by a living server that count as crashes.
+func TestCrashDuringAResponseIsEvidence(t *testing.T) {
+	crash := func(server *httptest.Server) { _ = server.Listener.Close() }
+	live := func(*httptest.Server) {}
+	for _, c := range []struct {
+		name           string
+		part, declared int
+		before         func(*httptest.Server)
+		lost           int32
+	}{
+		{"crash after the head", 0, shortResponse, crash, 1},
+		{"crash in a buffered body", shortResponse / 2, shortResponse, crash, 1},
+		{"crash in a streamed body", longResponse / 2, longResponse, crash, 1},
+		{"buffered body broken off", shortResponse / 2, shortResponse, live, 0},
+		{"streamed body broken off", longResponse / 2, longResponse, live, 0},
+		{"process ends after a buffered body", shortResponse, shortResponse, crash, 0},
+		{"process ends after a streamed body", longResponse, longResponse, crash, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, guard := newTruncatingNode(t, c.part, c.declared, c.before)
+			if err := readResponse(t.Context(), d); (err != nil) != (c.part < c.declared) {
+				t.Fatalf("error %v", err)
+			}
+			time.Sleep(crashCheckDelay + 100*time.Millisecond)
+			if got := guard.lost.Load(); got != c.lost {
+				t.Errorf("%d requests reported as lost in a crash, want %d", got, c.lost)
+			}
+		})
+	}
+}
+
+// A client that leaves while its response is streamed says nothing about the server, even if the
+// server ends at the same time.
+func TestClientThatLeavesDuringAResponseIsNoEvidence(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	d, guard := newTruncatingNode(t, longResponse/2, longResponse, func(server *httptest.Server) {
+		leave()
+		_ = server.Listener.Close()
+	})
+	if err := readResponse(ctx, d); err == nil {
+		t.Fatal("the response is complete although the client left")
+	}
+	time.Sleep(crashCheckDelay + 100*time.Millisecond)
+	if got := guard.lost.Load(); got != 0 {
+		t.Errorf("%d requests reported as lost in a crash, want none", got)
+	}
+}
+
+// suspectingGuard suspects every request and records how each one ended.
+type suspectingGuard struct {
+	recordingGuard
+	outcomes []bool
+}
+
+func (g *suspectingGuard) Admit(context.Context, func() poison.Request) poison.Decision {
+	return poison.Decision{Suspected: true}
+}
+
+func (g *suspectingGuard) Ended(_ poison.Request, _ poison.Decision, complete bool) {
+	g.outcomes = append(g.outcomes, complete)
+}
+
+// Only a response that was read to its end may clear a suspect.
+func TestSuspectIsClearedByAWholeResponse(t *testing.T) {
+	live := func(*httptest.Server) {}
+	for _, c := range []struct {
+		name           string
+		part, declared int
+		closeEarly     bool
+		want           bool
+	}{
+		{"buffered", shortResponse, shortResponse, false, true},
+		{"buffered, broken off", shortResponse / 2, shortResponse, false, false},
+		{"streamed", longResponse, longResponse, false, true},
+		{"streamed, broken off", longResponse / 2, longResponse, false, false},
+		{"streamed, not read to its end", longResponse, longResponse, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, _ := newTruncatingNode(t, c.part, c.declared, live)
+			guard := &suspectingGuard{}
+			d.SetGuard(guard)
+			if c.closeEarly {
+				answer, _, err := d.Do(t.Context(), requestFor("plain", false))
+				if err != nil || len(guard.outcomes) != 0 {
+					t.Fatalf("error %v, ended %v before the rest was read", err, guard.outcomes)
+				}
+				_ = answer.Rest.Close()
+			} else if err := readResponse(t.Context(), d); (err != nil) != (c.part < c.declared) {
+				t.Fatalf("error %v", err)
+			}
+			if len(guard.outcomes) != 1 || guard.outcomes[0] != c.want {
+				t.Errorf("ended with %v, want once with %v", guard.outcomes, c.want)
+			}
+		})
+	}
+}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -180,8 +180,8 @@
 
 // Lost records that a server crashed while it ran a request. The requests lost with one server
 // are collected for crashGroupingTime and evaluated together.
-func (g *Guard) Lost(server string, request Request) {
-	lost := newLostRequest(request)
+func (g *Guard) Lost(server string, request Request, point LossPoint) {
+	lost := newLostRequest(request, point)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	others, scheduled := g.pendingCrashes[server]
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -40,7 +40,7 @@
 // requests, and waits until the crash has been attributed.
 func loseRequests(node *Guard, server int, numbers ...int) {
 	for _, number := range numbers {
-		node.Lost(fmt.Sprintf("s%d", server), request(number))
+		node.Lost(fmt.Sprintf("s%d", server), request(number), BeforeResponse)
 	}
 	time.Sleep(crashGroupingTime + 50*time.Millisecond)
 }
@@ -171,7 +171,7 @@
 func crashOf(node *Guard, service string, server int) {
 	lost := request(1)
 	lost.Service = service
-	node.Lost(fmt.Sprintf("s%d", server), lost)
+	node.Lost(fmt.Sprintf("s%d", server), lost, BeforeResponse)
 	time.Sleep(crashGroupingTime + 50*time.Millisecond)
 }
 
--- a/internal/poison/lost.go
+++ b/internal/poison/lost.go
@@ -12,9 +12,18 @@
 	fields  []zap.Field
 }
 
-func newLostRequest(request Request) lostRequest {
+// LossPoint is how far a response had come when its server crashed.
+type LossPoint string
+
+// Points at which a server may crash.
+const (
+	BeforeResponse LossPoint = "before the response"
+	DuringResponse LossPoint = "during the response"
+)
+
+func newLostRequest(request Request, point LossPoint) lostRequest {
 	return lostRequest{digests: digestsOf(request), fields: []zap.Field{
-		zap.String("service", request.Service), zap.String("method", request.Method), zap.String("host", request.Host),
+		zap.String("point", string(point)), zap.String("service", request.Service), zap.String("method", request.Method), zap.String("host", request.Host),
 		zap.String("uri", request.URI[:min(len(request.URI), maxLoggedURI)]), zap.String("tenant", request.Tenant),
 		zap.String("client", request.ClientAddress), zap.Int("body_bytes", len(request.Body)),
 	}}
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -266,3 +266,68 @@
 		seen[DigestOf(other)] = name
 	}
 }
+
+// Simulates days on which servers crash for unrelated reasons while each of them runs a response
+// that takes seconds and is requested again at once if it is lost. It counts both kinds of errors:
+// long responses that are refused, and servers that a guilty request crashes after the third.
+func TestLongResponsesInFlightAtCrashesAreNotRefused(t *testing.T) {
+	const (
+		servers          = 20
+		step             = 100 * time.Millisecond
+		responseSteps    = 20
+		stepsPerCrash    = 600
+		day              = 100 * time.Second
+		days             = 200
+		guiltyStepsApart = 20
+	)
+	for _, withGuilty := range []bool{false, true} {
+		t.Run(fmt.Sprintf("guilty request %v", withGuilty), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(11, 0))
+			sent, refused := 0, 0
+			for range days {
+				table, guilty, lastDigest, lives, crashes := NewTable(), digest(0), 0, 0, 0
+				running, left := make([]Digest, servers), make([]int, servers)
+				for now, number := start, 0; now.Before(start.Add(day)); now, number = now.Add(step), number+1 {
+					target := -1
+					if withGuilty && number%guiltyStepsApart == 0 && verdictAt(table, now, guilty) != Refuse {
+						target = random.IntN(servers)
+						crashes++
+					}
+					for index := range servers {
+						switch {
+						case index == target:
+							lives++
+							crash(table, now, lives, running[index], guilty)
+							left[index] = responseSteps
+						case running[index] == Digest{}, left[index] == 0:
+							table.RecordAnswer(now, running[index])
+							lastDigest++
+							running[index], left[index] = digest(lastDigest), responseSteps
+							sent++
+						case random.IntN(stepsPerCrash) == 0:
+							lives++
+							crash(table, now, lives, running[index])
+							left[index] = responseSteps
+							sent++
+						}
+						left[index]--
+						if running[index] == (Digest{}) {
+							continue
+						}
+						if verdictAt(table, now, running[index]) == Refuse {
+							refused++
+							running[index] = Digest{}
+						}
+					}
+				}
+				if withGuilty && crashes > refuseThreshold+2 {
+					t.Errorf("the guilty request crashed %d servers in a day, want %d, or up to two more", crashes, refuseThreshold)
+				}
+			}
+			if fraction := float64(refused) / float64(sent); fraction > 1e-4 {
+				t.Errorf("%d of %d long responses refused, allowed one in 10,000", refused, sent)
+			}
+			t.Logf("%d of %d long responses refused", refused, sent)
+		})
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -44,6 +44,12 @@
 	ErrBadResponse = errors.New("answer is damaged")
 )
 
+// ConnectionEnded reports whether the error of reading a response means that the connection
+// ended before the response did, at the server's side or on the way.
+func ConnectionEnded(err error) bool {
+	return errors.IsAny(err, io.ErrUnexpectedEOF, syscall.ECONNRESET)
+}
+
 const (
 	dialTimeout = 400 * time.Millisecond
 	// ackTimeout is the time without acknowledgement from the server's machine after which
