Failing tests: a stopping node reads requests behind one in progress until its end

A node takes no new clients from 2.7 s after SIGTERM on and closes idle connections, because a request sent later than 3 s after the signal has to be answered however long its server takes. A connection with a request in progress was not stopped: what its client sent behind that request 3 s after the signal reached a server.

--- a/internal/ingress/pipeline/server_test.go
+++ b/internal/ingress/pipeline/server_test.go
@@ -471,6 +471,46 @@
 	}
 }
 
+// A stopping server reads no further request, but what it has begun to read it reads to its end.
+func TestStoppingServerReadsNothingBehindARequestInProgress(t *testing.T) {
+	s := startServer(t, newBudget())
+	unblock := s.blockPath("/safe/slow")
+	whole, part, body := s.dial(t), s.dial(t), s.dial(t)
+	whole.get("/safe/slow")
+	part.get("/safe/slow")
+	part.send("GET /safe/part HTTP/1.1\r\nHo")
+	body.get("/safe/slow")
+	for range 3 {
+		receive(t, s.started)
+	}
+	body.send("POST /safe/body HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+	// Time for the server to read what was sent.
+	expectNone(t, s.started)
+	shutdownErr := make(chan error, 1)
+	go func() { shutdownErr <- s.Shutdown(context.Background()) }()
+	expectNone(t, s.started)
+	whole.get("/safe/behind")
+	expectNone(t, s.started)
+	part.send("st: h\r\n\r\n")
+	body.send("text")
+	for range 2 {
+		receive(t, s.started)
+	}
+	part.get("/safe/behind")
+	body.get("/safe/behind")
+	expectNone(t, s.started)
+	unblock()
+	whole.expectResponses("/safe/slow")
+	whole.expectClosed()
+	part.expectResponses("/safe/slow", "/safe/part")
+	part.expectClosed()
+	body.expectResponses("/safe/slow", "/safe/body text")
+	body.expectClosed()
+	if err := <-shutdownErr; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestStoppingServerGivesUpAtItsLimit(t *testing.T) {
 	s := startServer(t, newBudget())
 	t.Cleanup(s.blockPath("/safe/slow"))
