A stopping node reads nothing more behind a request in progress

Callers saw: a request sent on a connection whose earlier request was still running, more than 3 s after SIGTERM, was passed to a server and ended with the node's 504 at 0.9 of the grace while the server was at work on it (LOST, which excuses that only for requests sent up to 3 s after SIGTERM). Cause: from 2.7 s on the listener and idle connections are closed, but a connection stopped reading only when one of its responses asked to close it, so with a request of some seconds at its head it went on reading. Fix: CloseIdle of the server marks all connections as closing, as a response that asks to close does: nothing more is read unless part of a request has been, and the last response says that the connection closes. What is left unread tells its client that it has not run.

--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -56,8 +56,8 @@
 	writing *exchange
 	// buffered is the number of response bytes waiting for their turn to be written.
 	buffered int
-	// closing is true once a response has asked to close the connection. Requests read before
-	// that are still answered.
+	// closing is true once a response has asked to close the connection, or the server is shutting
+	// down. Requests read before that are still answered.
 	closing bool
 	// inputClosed is true once no further requests are accepted.
 	inputClosed bool
--- a/internal/ingress/pipeline/queue.go
+++ b/internal/ingress/pipeline/queue.go
@@ -42,6 +42,14 @@
 	c.inputClosed = c.server.Connections.StopReading(c.socket)
 }
 
+// stopReading makes the connection close after the requests that have been read so far.
+func (c *connection) stopReading() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closing = true
+	c.stopReadingIfClosingLocked()
+}
+
 // schedule marks a request as fully read, and starts it if it may run.
 func (c *connection) schedule(e *exchange) {
 	c.mutex.Lock()
--- a/internal/ingress/pipeline/server.go
+++ b/internal/ingress/pipeline/server.go
@@ -144,11 +144,22 @@
 	delete(s.open, c)
 }
 
+// CloseIdle closes the connections that are idle, reads no further request on the others, and
+// returns the number of connections that remain open. A request of which part has been read is
+// still read and answered.
+func (s *Server) CloseIdle() int {
+	open := s.openConnections()
+	for _, c := range open {
+		c.stopReading()
+	}
+	return max(s.Connections.CloseIdle(), len(open))
+}
+
 // Shutdown stops accepting connections, closes those that are idle, and returns when all are
 // closed or the context is done. The handler must set "Connection: close" on its responses.
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.closeListeners()
-	for s.Connections.CloseIdle() > 0 || s.openCount() > 0 {
+	for s.CloseIdle() > 0 {
 		select {
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "wait for requests")
@@ -162,13 +173,7 @@
 func (s *Server) Close() error {
 	err := s.closeListeners()
 	s.workerPool.close()
-	s.mutex.Lock()
-	open := make([]*connection, 0, len(s.open))
-	for c := range s.open {
-		open = append(open, c)
-	}
-	s.mutex.Unlock()
-	for _, c := range open {
+	for _, c := range s.openConnections() {
 		// The connection's reader fails and cancels its requests.
 		_ = c.socket.Close()
 		c.handleDisconnect()
@@ -190,8 +195,13 @@
 	return closeErr
 }
 
-func (s *Server) openCount() int {
+// openConnections returns a snapshot of the open connections.
+func (s *Server) openConnections() []*connection {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return len(s.open)
+	open := make([]*connection, 0, len(s.open))
+	for c := range s.open {
+		open = append(open, c)
+	}
+	return open
 }
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -129,14 +129,15 @@
 	periodic.Pause(ctx, idleCloseInterval)
 }
 
-// closeIdleClients accepts no more connections and closes those that are idle. Unlike
-// http.Server.Shutdown it closes none that has a request which was not read yet.
+// closeIdleClients accepts no more connections, closes those that are idle and reads no further
+// request on the others. Unlike http.Server.Shutdown it closes no idle connection that has a request
+// which was not read yet.
 func (n *Node) closeIdleClients(ctx context.Context) {
 	if listener := n.listener.Load(); listener != nil {
 		// Shutdown closes it again; an error means that it was already closed.
 		_ = (*listener).Close()
 	}
-	for n.connections.CloseIdle() > 0 && ctx.Err() == nil {
+	for n.clients.CloseIdle() > 0 && ctx.Err() == nil {
 		periodic.Pause(ctx, idleCloseInterval)
 	}
 }
