A node that fails while it drains answers what it has read

Callers saw: a connection closed without an answer, at once, at any time of the grace. Cause: closeClients answered what had been read only if the node was not stopping; otherwise it took the drain for finished. When a component fails during the drain (the listener for nodes or for readiness questions), the context of the drain ends, Shutdown returns at once and all connections are closed. Fix: a drain that is interrupted leaves the clients to closeClients, which now asks whether the drain came to its end. It brings the deadline of requests forward, so Ending.Set may be called again and keeps the earliest deadline.

--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -33,10 +33,13 @@
 	return &Ending{expired: expired, expire: expire}
 }
 
-// Set sets the time by which requests must have ended. It must be called at most once.
+// Set sets the time by which requests must have ended. A later call can only bring it forward.
 func (e *Ending) Set(deadline time.Time) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if !e.deadline.IsZero() && !deadline.Before(e.deadline) {
+		return
+	}
 	e.deadline = deadline
 	time.AfterFunc(time.Until(deadline), e.expire)
 }
--- a/internal/ending/ending_test.go
+++ b/internal/ending/ending_test.go
@@ -73,3 +73,17 @@
 		t.Errorf("shutting down %v at %v", stops, at)
 	}
 }
+
+func TestDeadlineIsOnlyBroughtForward(t *testing.T) {
+	end := ending.New()
+	ctx, bounds := end.Bound(context.Background(), time.Now().Add(later))
+	defer bounds.Release()
+	end.Set(time.Now().Add(later))
+	sooner := time.Now().Add(soon)
+	end.Set(sooner)
+	end.Set(time.Now().Add(later))
+	if deadline, _ := end.Deadline(); !deadline.Equal(sooner) {
+		t.Errorf("deadline %v, want the earliest one, %v", deadline, sooner)
+	}
+	<-ctx.Done()
+}
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/periodic"
@@ -102,12 +100,21 @@
 	bounded, cancel := context.WithDeadline(ctx, closeAt)
 	defer cancel()
 	n.closeIdleClients(bounded)
-	// The remaining connections have requests in progress; Shutdown waits for them.
-	if err := n.clients.Shutdown(bounded); err != nil && !errors.Is(err, net.ErrClosed) {
+	if ctx.Err() != nil {
+		// A component has failed; closeClients answers the requests that remain.
+		return
+	}
+	n.clientsDrained.Store(true)
+	n.shutDownClients(bounded)
+	n.waitForHome(bounded)
+}
+
+// shutDownClients waits until the requests that have been read are answered, or the context ends.
+func (n *Node) shutDownClients(ctx context.Context) {
+	if err := n.clients.Shutdown(ctx); err != nil {
 		n.handler.MarkForcedClose()
 		n.logger.Warn("connections closed with requests in progress", zap.Int("active", n.handler.Active()), zap.Error(err))
 	}
-	n.waitForHome(bounded)
 }
 
 // stopHome returns queued requests of other nodes to their senders and accepts no more.
@@ -142,18 +149,15 @@
 	}
 }
 
-// closeClients closes the clients' connections. A node that did not drain, because one of its
-// actors failed, first answers the requests that it has read.
+// closeClients closes the clients' connections. A node that did not drain to the end, because one
+// of its actors failed, first answers the requests that it has read.
 func (n *Node) closeClients() {
-	if !n.stopping.Load() {
+	if !n.clientsDrained.Load() {
 		n.handler.Drain()
 		n.dispatcher.ShutDownBy(time.Now())
 		ctx, cancel := context.WithTimeout(context.Background(), finalResponseTimeout)
 		defer cancel()
-		if err := n.clients.Shutdown(ctx); err != nil {
-			n.handler.MarkForcedClose()
-			n.logger.Warn("connections closed with requests in progress", zap.Int("active", n.handler.Active()), zap.Error(err))
-		}
+		n.shutDownClients(ctx)
 	}
 	// Only connections that Shutdown did not wait for are left.
 	_ = n.clients.Close()
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -86,6 +86,8 @@
 	// listener accepts clients' connections; nil until the node listens.
 	listener atomic.Pointer[net.Listener]
 	stopping atomic.Bool
+	// clientsDrained is set once all requests of clients had their time to be answered.
+	clientsDrained atomic.Bool
 	// drained is closed when the node has finished draining its requests at shutdown.
 	drained chan struct{}
 }
