Requests do not wait for the first configuration of a node that drains

Callers saw: a connection closed without an answer by a node that fails before it has a configuration. Cause: a request waits up to 0.4 s for the first configuration, and a node that fails gives its requests 0.25 s. Fix: draining ends the waits; the request is refused with 503, and the response closes the connection. The test of pacing builds its handler with what Drain closes; what it checks is unchanged.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -99,8 +99,12 @@
 	return h
 }
 
-// Drain sets "Connection: close" on all further responses.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// Drain sets "Connection: close" on all further responses. Requests no longer wait for the first
+// configuration.
+func (h *Handler) Drain() {
+	h.draining.Store(true)
+	h.initial.drain()
+}
 
 // closeIfDraining sets "Connection: close" on a response if the node is draining.
 func (h *Handler) closeIfDraining(writer http.ResponseWriter) {
@@ -140,6 +144,7 @@
 	h.closeIfDraining(writer)
 	table := h.initial.await(incoming.Context(), h.maxConfigWait(incoming.Header))
 	if table == nil {
+		h.closeIfDraining(writer)
 		startRefusalsTotal.Inc()
 		writeRefusal(writer, http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetryAfter)
 		return
--- a/internal/ingress/initial_table.go
+++ b/internal/ingress/initial_table.go
@@ -33,10 +33,13 @@
 	views *view.Builder
 	ready chan struct{}
 	once  sync.Once
+	// draining is closed when the node drains: a configuration would come too late then.
+	draining  chan struct{}
+	drainOnce sync.Once
 }
 
 func newInitialTable(views *view.Builder) *initialTable {
-	t := &initialTable{views: views, ready: make(chan struct{})}
+	t := &initialTable{views: views, ready: make(chan struct{}), draining: make(chan struct{})}
 	// The dispatcher subscribed earlier, so it has the servers by the time this callback
 	// runs.
 	views.Subscribe(t.onViewChange)
@@ -49,8 +52,11 @@
 	}
 }
 
+// drain ends all waits.
+func (t *initialTable) drain() { t.drainOnce.Do(func() { close(t.draining) }) }
+
 // await returns the current configuration. If there is none yet, it waits up to limit, and
-// returns nil if none arrives in that time or before the client leaves.
+// returns nil if none arrives in that time or before the client leaves or the node drains.
 func (t *initialTable) await(ctx context.Context, limit time.Duration) *routing.Table {
 	if table := t.views.Current().Table; table != nil {
 		return table
@@ -60,6 +66,7 @@
 	select {
 	case <-t.ready:
 	case <-timer.C:
+	case <-t.draining:
 	case <-ctx.Done():
 	}
 	return t.views.Current().Table
--- a/internal/ingress/paced_test.go
+++ b/internal/ingress/paced_test.go
@@ -28,7 +28,7 @@
 const testLinkRate = 10e6
 
 func pacedHandler() *Handler {
-	h := &Handler{}
+	h := &Handler{initial: &initialTable{draining: make(chan struct{})}}
 	h.PaceResponses(testLinkRate)
 	return h
 }
