--- /dev/null
+++ b/internal/router/crashes_test.go
@@ -0,0 +1,69 @@
+package router
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/poison"
+	"github.com/micahaven/micahaven/internal/topo"
+	"github.com/micahaven/micahaven/internal/transport"
+	"github.com/micahaven/micahaven/internal/view"
+	"github.com/micahaven/micahaven/internal/wire"
+)
+
+// startPeers starts the message exchange of one node for each zone, all of which are heads. The
+// nodes send nothing of their own accord, so no connections exist.
+func startPeers(t *testing.T, zones ...string) []*peers {
+	t.Helper()
+	var started []*peers
+	var items []topo.Item
+	for index, zone := range zones {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		self := view.Node{Name: "n-" + zone, Zone: zone, Address: listener.Addr().String(), Share: 1}
+		hello := &wire.Hello{Node: self.Name, Zone: zone, Address: self.Address, ProtocolVersion: wire.ProtocolVersion}
+		client := transport.NewClient(hello, nil)
+		views := view.NewBuilder(view.Layout{TableKey: "table", ServerPrefix: "servers/"}, jsonDocuments{}, zap.NewNop())
+		p := &peers{self: self, client: client, views: views, feed: newChangeFeed(self, client, zap.NewNop()), logger: zap.NewNop()}
+		p.guard = poison.NewGuard(self.Name, p.announceCrashes, zap.NewNop())
+		views.Subscribe(p.feed.updateMembers)
+		views.Subscribe(p.updateGuardNodes)
+		server := transport.NewServer(hello, listener, nil, p, zap.NewNop())
+		go func() { _ = server.Serve() }()
+		t.Cleanup(server.Close)
+		t.Cleanup(client.Close)
+		started = append(started, p)
+		items = append(items, topo.Item{Key: view.NodeKey(self.Name), Value: mustEncode(t, self), Revision: int64(index + 1)})
+	}
+	for _, p := range started {
+		p.views.Replace(items, int64(len(items)))
+	}
+	return started
+}
+
+// Guards against crash reports that are dropped because the node has no connection yet to a head
+// of another zone. Reports of one or two crashes are not repeated.
+func TestFirstCrashReportReachesAllZones(t *testing.T) {
+	nodes := startPeers(t, "z1", "z2", "z3")
+	crashing := func() poison.Request { return poison.Request{Service: "s", Method: "GET", URI: "/crash"} }
+	suspect := poison.Suspect{Digest: poison.DigestOf(crashing()), Lives: []string{"s1", "s2", "s3"}}
+	nodes[0].announceCrashes([]poison.Suspect{suspect})
+	for _, node := range nodes[1:] {
+		deadline := time.Now().Add(2 * time.Second)
+		for {
+			if _, refused := node.guard.Refused(crashing); refused {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Errorf("%s does not know of the crashes that %s reported", node.self.Name, nodes[0].self.Name)
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
