The first report of a crash reaches all zones

Seen by callers: a request that crashes servers is sent on until each node has reported a crash once; each of these crashes counts at its own zone alone. Found by reading; no record was traced to it. Cause: a one-way message to a node without a connection is dropped and only starts a dial. In normal operation a node that is no head keeps a connection to its upstream alone, so its first report to the heads of other zones is lost, in large fleets to nearly all nodes. Only confirmed requests are reported again.

--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -8,10 +8,22 @@
 	"github.com/micahaven/micahaven/internal/wire"
 )
 
-// announceCrashes notifies the other nodes of requests that crashed servers.
+// announceCrashes notifies the other nodes of requests that crashed servers. Reports of the first
+// crashes are not repeated, and a node that is no head has no lasting connection to the heads of
+// other zones, so they wait for one.
 func (p *peers) announceCrashes(suspects []poison.Suspect) {
-	p.sendToHeads(crashEnvelope(suspects, true))
-	p.sendToFollowers(crashEnvelope(suspects, false))
+	for _, address := range p.feed.heads() {
+		if address != p.self.Address {
+			p.client.SendOnceConnected(address, crashEnvelope(suspects, true))
+		}
+	}
+	p.sendCrashesToFollowers(suspects)
+}
+
+func (p *peers) sendCrashesToFollowers(suspects []poison.Suspect) {
+	for _, address := range p.feed.followers() {
+		p.client.SendOnceConnected(address, crashEnvelope(suspects, false))
+	}
 }
 
 func crashEnvelope(suspects []poison.Suspect, forward bool) *wire.Envelope {
@@ -39,7 +51,7 @@
 	}
 	p.guard.Receive(suspects)
 	if report.GetForward() {
-		p.sendToFollowers(crashEnvelope(suspects, false))
+		p.sendCrashesToFollowers(suspects)
 	}
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -54,6 +54,13 @@
 	c.peer(address).send(envelope)
 }
 
+// SendOnceConnected queues a one-way message like Send, but if there is no connection, the message
+// waits in the background for the dial. It is for rare messages that are not repeated and that
+// may be late by a dial.
+func (c *Client) SendOnceConnected(address string, envelope *wire.Envelope) {
+	c.peer(address).sendOnceConnected(envelope)
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mutex.Lock()
@@ -139,6 +146,23 @@
 	}
 }
 
+func (p *peer) sendOnceConnected(envelope *wire.Envelope) {
+	p.mutex.Lock()
+	conn := p.current
+	p.mutex.Unlock()
+	if conn != nil {
+		conn.enqueue(envelope)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		if conn, err := p.connect(ctx); err == nil {
+			conn.enqueue(envelope)
+		}
+	}()
+}
+
 // connect returns the current connection. If there is none, it starts a dial or joins the
 // one in progress, and waits for it.
 func (p *peer) connect(ctx context.Context) (*connection, error) {
