--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -212,3 +212,20 @@
 		}
 	}
 }
+
+// Guards against a suspect that is sent again, by a retry or for the next client, before the crash
+// that it has just caused is counted.
+func TestSuspectIsNotSentBeforeItsLastCrashIsCounted(t *testing.T) {
+	nodes, _ := newGuards("n1")
+	node := nodes["n1"]
+	for server := range exclusiveThreshold {
+		loseRequests(node, server, 1)
+	}
+	first := node.Admit(t.Context(), asked(1))
+	node.Ended(request(1), first, false)
+	// The server is checked before the request is reported as lost.
+	time.AfterFunc(30*time.Millisecond, func() { node.Lost("s9", request(1), BeforeResponse) })
+	if second := node.Admit(t.Context(), asked(1)); !second.Refused {
+		t.Errorf("sent again after its third crash: %+v", second)
+	}
+}
