A suspect is sent again only once its last crash is counted

Seen by callers: a request that has crashed two servers, or that is tried again after its refusal, crashes one more server with its own retry (routes that may be repeated) or with the next client that waits, because a crash is counted about 120 ms after the request is lost. A trial after the refusal costs as many servers as the route has attempts, and all of them come later than 3 s after the third crash. Cause: the turn of a suspect that runs alone ended with its loss, not with the verdict on it. Fix: after a loss the next suspect of the service is let in 0.2 s later; it then meets the new verdict. A run that was answered, was not executed or was left by its client makes way at once, as before. Tests: Ended takes an outcome instead of a bool, so TestSuspectIsClearedByAWholeResponse now asks which of three outcomes it is (it asked for complete or not).

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -20,8 +20,8 @@
 	Refused(request func() poison.Request) (after time.Duration, refused bool)
 	// Admit decides about a request that is about to be sent.
 	Admit(ctx context.Context, request func() poison.Request) poison.Decision
-	// Ended records that a suspected request has ended, and whether a server answered it.
-	Ended(request poison.Request, decided poison.Decision, answered bool)
+	// Ended records how a suspected request has ended.
+	Ended(request poison.Request, decided poison.Decision, outcome poison.Outcome)
 	// Lost records that a server instance crashed while it executed a request.
 	Lost(instance string, request poison.Request, point poison.LossPoint)
 }
@@ -39,7 +39,7 @@
 	return poison.Decision{}
 }
 
-func (noGuard) Ended(poison.Request, poison.Decision, bool) {}
+func (noGuard) Ended(poison.Request, poison.Decision, poison.Outcome) {}
 
 func (noGuard) Lost(string, poison.Request, poison.LossPoint) {}
 
@@ -91,15 +91,27 @@
 		return d.sendHedged(ctx, request, s, deadline, trace, excluded)
 	}
 	answer, outcome, err := d.send(ctx, request, s, deadline)
-	ended := func(complete bool) { d.guard.Ended(d.identity(request), decision, complete) }
+	ended := func(complete bool, err error) { d.guard.Ended(d.identity(request), decision, outcomeOf(complete, err)) }
 	if outcome == answered && answer.Rest != nil {
-		answer.Rest = &observedBody{body: answer.Rest, onEnd: func(err error) { ended(err == nil) }}
+		answer.Rest = &observedBody{body: answer.Rest, onEnd: func(err error) { ended(err == nil, err) }}
 		return s, answer, outcome, err
 	}
-	ended(outcome == answered || (outcome == failed && answer != nil))
+	ended(outcome == answered || (outcome == failed && answer != nil), err)
 	return s, answer, outcome, err
 }
 
+// outcomeOf returns how the run of a request ended, given whether its response is complete and the
+// error that ended it.
+func outcomeOf(complete bool, err error) poison.Outcome {
+	if complete {
+		return poison.Answered
+	}
+	if _, lost := lossPoint(err); lost {
+		return poison.Lost
+	}
+	return poison.Inconclusive
+}
+
 // errBodyClosed is the outcome of a body that was closed before its end.
 var errBodyClosed = errors.New("closed before the end of the response")
 
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -214,15 +214,15 @@
 // suspectingGuard suspects every request and records how each one ended.
 type suspectingGuard struct {
 	recordingGuard
-	outcomes []bool
+	outcomes []poison.Outcome
 }
 
 func (g *suspectingGuard) Admit(context.Context, func() poison.Request) poison.Decision {
 	return poison.Decision{Suspected: true}
 }
 
-func (g *suspectingGuard) Ended(_ poison.Request, _ poison.Decision, complete bool) {
-	g.outcomes = append(g.outcomes, complete)
+func (g *suspectingGuard) Ended(_ poison.Request, _ poison.Decision, outcome poison.Outcome) {
+	g.outcomes = append(g.outcomes, outcome)
 }
 
 // Only a response that was read to its end may clear a suspect.
@@ -232,13 +232,13 @@
 		name           string
 		part, declared int
 		closeEarly     bool
-		want           bool
+		want           poison.Outcome
 	}{
-		{"buffered", shortResponse, shortResponse, false, true},
-		{"buffered, broken off", shortResponse / 2, shortResponse, false, false},
-		{"streamed", longResponse, longResponse, false, true},
-		{"streamed, broken off", longResponse / 2, longResponse, false, false},
-		{"streamed, not read to its end", longResponse, longResponse, true, false},
+		{"buffered", shortResponse, shortResponse, false, poison.Answered},
+		{"buffered, broken off", shortResponse / 2, shortResponse, false, poison.Lost},
+		{"streamed", longResponse, longResponse, false, poison.Answered},
+		{"streamed, broken off", longResponse / 2, longResponse, false, poison.Lost},
+		{"streamed, not read to its end", longResponse, longResponse, true, poison.Inconclusive},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d, _ := newTruncatingNode(t, c.part, c.declared, live)
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -16,6 +16,10 @@
 	// crashGroupingTime is how long the requests lost with one server are collected before the
 	// crash is attributed. Their connections end within a short time of each other.
 	crashGroupingTime = 100 * time.Millisecond
+	// lossSettleTime is how long after a suspect was lost the next one may be sent: by then the
+	// crash, if it was one, has been confirmed and attributed. It is below exclusiveWait, so that
+	// an innocent one still gets its turn.
+	lossSettleTime = 200 * time.Millisecond
 	// exclusiveWait is how long a suspect waits for another one that is running; most requests
 	// are answered by then. exclusiveRetryAfter is the delay after which the client should
 	// retry otherwise.
@@ -80,6 +84,18 @@
 	exclusive bool
 }
 
+// Outcome is how the run of a suspected request ended.
+type Outcome int
+
+const (
+	// Inconclusive means that the request was not run, or that nobody waited for its end.
+	Inconclusive Outcome = iota
+	// Answered means that a response was read to its end.
+	Answered
+	// Lost means that the connection ended before the response did.
+	Lost
+)
+
 // Refused reports whether a request must not be sent to any server, and the delay after which
 // the client should retry.
 func (g *Guard) Refused(request func() Request) (retryAfter time.Duration, refused bool) {
@@ -144,17 +160,22 @@
 	return Decision{Suspected: g.table.crashes(digests.service) > 0 || g.table.crashes(digests.all) > 0, exclusive: verdict == SendExclusively}, nil
 }
 
-// Ended records that a suspected request has ended. decision is what Admit returned for it, and
-// answered is true if the server answered.
-func (g *Guard) Ended(request Request, decision Decision, answered bool) {
+// Ended records how a suspected request has ended. decision is what Admit returned for it.
+func (g *Guard) Ended(request Request, decision Decision, outcome Outcome) {
 	digests := digestsOf(request)
 	g.mutex.Lock()
-	if decision.exclusive {
-		close(g.exclusive[request.Service])
-		delete(g.exclusive, request.Service)
+	switch {
+	case decision.exclusive && outcome == Lost:
+		time.AfterFunc(lossSettleTime, func() {
+			g.mutex.Lock()
+			defer g.mutex.Unlock()
+			g.releaseExclusive(request.Service)
+		})
+	case decision.exclusive:
+		g.releaseExclusive(request.Service)
 	}
 	var cleared []Suspect
-	if answered {
+	if outcome == Answered {
 		cleared = g.clear(digests)
 	}
 	g.mutex.Unlock()
@@ -165,6 +186,12 @@
 	}
 }
 
+// releaseExclusive lets the next suspect of a service be sent. The caller holds the mutex.
+func (g *Guard) releaseExclusive(service string) {
+	close(g.exclusive[service])
+	delete(g.exclusive, service)
+}
+
 // clear records that a server answered a request, and returns what the other nodes must learn of
 // it. The caller holds the mutex.
 func (g *Guard) clear(digests digests) []Suspect {
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -111,12 +111,12 @@
 	if innocent := node.Admit(t.Context(), asked(3)); innocent.Refused {
 		t.Error("a request without any crash is refused")
 	}
-	time.AfterFunc(50*time.Millisecond, func() { node.Ended(request(1), first, true) })
+	time.AfterFunc(50*time.Millisecond, func() { node.Ended(request(1), first, Answered) })
 	second := node.Admit(t.Context(), asked(2))
 	if second.Refused {
 		t.Error("the other suspect is refused although the first has ended")
 	}
-	node.Ended(request(2), second, true)
+	node.Ended(request(2), second, Answered)
 	if decision := node.Admit(t.Context(), asked(1)); decision.Suspected {
 		t.Error("the request is still suspected after it was answered")
 	}
@@ -159,7 +159,7 @@
 	for server := range refuseThreshold {
 		loseRequests(nodes["n1"], server, 1)
 		decision := nodes["n1"].Admit(t.Context(), asked(1))
-		nodes["n1"].Ended(request(1), decision, true)
+		nodes["n1"].Ended(request(1), decision, Answered)
 	}
 	if _, refused := nodes["n2"].Refused(asked(1)); refused {
 		t.Error("n2 refuses a request that was answered after each crash")
@@ -201,7 +201,7 @@
 	for server := range refuseThreshold {
 		crashOf(nodes["n1"], "canary", server)
 		decision := nodes["n1"].Admit(t.Context(), func() Request { return old })
-		nodes["n1"].Ended(old, decision, true)
+		nodes["n1"].Ended(old, decision, Answered)
 	}
 	for name, node := range nodes {
 		if _, refused := node.Refused(func() Request { return old }); refused {
@@ -222,7 +222,7 @@
 		loseRequests(node, server, 1)
 	}
 	first := node.Admit(t.Context(), asked(1))
-	node.Ended(request(1), first, false)
+	node.Ended(request(1), first, Lost)
 	// The server is checked before the request is reported as lost.
 	time.AfterFunc(30*time.Millisecond, func() { node.Lost("s9", request(1), BeforeResponse) })
 	if second := node.Admit(t.Context(), asked(1)); !second.Refused {
