Failing test: a request that was not sent counts as lost

A connection that is reset while it is opened, as servers at their connection limit do, counts as lost during the response.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -259,3 +260,11 @@
 		})
 	}
 }
+
+// Guards against blaming a request for a crash although no part of it reached the server.
+func TestRequestThatWasNotSentIsNotLost(t *testing.T) {
+	reset := errors.Mark(errors.Wrap(syscall.ECONNRESET, "connect"), upstream.ErrNotSent)
+	if point, lost := lossPoint(reset); lost {
+		t.Errorf("a connection that was reset before the request was sent counts as lost %s", point)
+	}
+}
