A request that was not sent is no evidence, and no reason to probe its server

Seen by callers: none traced. Each connection that a server at its connection limit resets while it is opened costs another connection to that server 20 ms later; if the server has ended by then, a request that never reached it is blamed. Cause: takes every reset connection without "no answer" for a response cut short; a reset dial is one. Fix: errors marked as not sent are no loss.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -157,7 +157,7 @@
 // error is no sign of a crash.
 func lossPoint(cause error) (poison.LossPoint, bool) {
 	switch {
-	case errors.Is(cause, upstream.ErrUnacknowledged):
+	case errors.IsAny(cause, upstream.ErrUnacknowledged, upstream.ErrNotSent):
 		return "", false
 	case errors.Is(cause, upstream.ErrNoResponse):
 		return poison.BeforeResponse, true
