Requests for different keys are different requests, also if they crash servers

Cause: the key comes in a header, and the digest covers none. Class: an identity that leaves out a part of the thing. Fix: the key, if there is one, is in both digests and in the log of suspects.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,9 +46,13 @@
 
 // identity describes a request for the guard.
 func (d *Dispatcher) identity(request *Request) poison.Request {
+	key := ""
+	if request.HasKey {
+		key = strconv.FormatUint(uint64(request.Key), 10)
+	}
 	return poison.Request{
 		Service: request.Service, Method: request.Method, Host: request.Host, URI: request.URI,
-		Tenant: request.field(d.headers.Tenant), Body: request.Body, ClientAddress: request.Caller,
+		Tenant: request.field(d.headers.Tenant), Key: key, Body: request.Body, ClientAddress: request.Caller,
 	}
 }
 
--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -12,8 +12,8 @@
 // the same request: a client that retries may come from any address.
 type Request struct {
 	Service, Method, Host, URI string
-	// Tenant is empty if the request belongs to none.
-	Tenant        string
+	// Tenant is empty if the request belongs to none, and Key if it has none.
+	Tenant, Key   string
 	Body          []byte
 	ClientAddress string
 }
@@ -43,7 +43,7 @@
 		_, _ = sum.Write(length[:])
 		_, _ = sum.Write(text[:min(len(text), maxDigestedBytes)])
 	}
-	for _, field := range []string{request.Service, request.Method, request.Host, request.URI, request.Tenant} {
+	for _, field := range []string{request.Service, request.Method, request.Host, request.URI, request.Tenant, request.Key} {
 		add([]byte(field))
 	}
 	add(request.Body)
--- a/internal/poison/lost.go
+++ b/internal/poison/lost.go
@@ -24,7 +24,7 @@
 func newLostRequest(request Request, point LossPoint) lostRequest {
 	return lostRequest{digests: digestsOf(request), fields: []zap.Field{
 		zap.String("point", string(point)), zap.String("service", request.Service), zap.String("method", request.Method), zap.String("host", request.Host),
-		zap.String("uri", request.URI[:min(len(request.URI), maxLoggedURI)]), zap.String("tenant", request.Tenant),
+		zap.String("uri", request.URI[:min(len(request.URI), maxLoggedURI)]), zap.String("tenant", request.Tenant), zap.String("key", request.Key),
 		zap.String("client", request.ClientAddress), zap.Int("body_bytes", len(request.Body)),
 	}}
 }
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -253,7 +253,7 @@
 	for name, change := range map[string]func(*Request){
 		"service": func(r *Request) { r.Service = "t" }, "method": func(r *Request) { r.Method = "PUT" },
 		"host": func(r *Request) { r.Host = "i" }, "path": func(r *Request) { r.URI = "/b" },
-		"tenant": func(r *Request) { r.Tenant = "d" }, "body": func(r *Request) { r.Body = []byte("c") },
+		"tenant": func(r *Request) { r.Tenant = "d" }, "key": func(r *Request) { r.Key = "7" }, "body": func(r *Request) { r.Body = []byte("c") },
 		"fields moved": func(r *Request) { r.Host, r.URI = "h/", "a" },
 		"long body":    func(r *Request) { r.Body = make([]byte, maxDigestedBytes) },
 		"longer body":  func(r *Request) { r.Body = make([]byte, maxDigestedBytes+1) },
