--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -331,3 +331,33 @@
 		})
 	}
 }
+
+// Guards servers that run many requests at once against a guilty request that is never among the
+// blamed ones.
+func TestGuiltyRequestIsBlamedAmongManyOthers(t *testing.T) {
+	const days, others = 200, 47
+	random, lastDigest, most, total := rand.New(rand.NewPCG(13, 0)), 0, 0, 0
+	for range days {
+		table, guilty, crashes := NewTable(), digest(0), 0
+		for now := start; verdictAt(table, now, guilty) != Refuse && crashes < 100; now = now.Add(2 * time.Second) {
+			running := []Digest{guilty}
+			for range others {
+				lastDigest++
+				running = append(running, digest(lastDigest))
+			}
+			random.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+			crashes++
+			crash(table, now, crashes, running...)
+			for _, d := range running {
+				if d != guilty {
+					table.RecordAnswer(now.Add(time.Second), d)
+				}
+			}
+		}
+		most, total = max(most, crashes), total+crashes
+	}
+	t.Logf("%.1f servers a day, at most %d", float64(total)/days, most)
+	if most > refuseThreshold+2 {
+		t.Errorf("the guilty request crashed %d servers, want %d, or up to two more", most, refuseThreshold)
+	}
+}
