A crash is attributed to up to 64 requests instead of 16

Seen by callers: at servers that run more than 16 requests of one node at once, a request that crashes them is blamed by chance only, so it crashes many before it is refused. Cause: of the equally suspected requests the first 16 to be reported are blamed, and the guilty one is somewhere among them. Once blamed it is the most suspected, so the bound costs crashes only before that. Fix: 64, above what a node sends to one server at a time. Reports grow with what was in flight, to some KB.

--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -33,9 +33,10 @@
 	// number of suspects at a node; a request counts as two of them, see digests.
 	maxRecordedCrashes = 8
 	maxSuspects        = 2048
-	// MaxBlamed bounds the number of requests that one crash is attributed to. If more requests
-	// qualify, the crash is hardly evidence against any of them.
-	MaxBlamed = 16
+	// MaxBlamed bounds the number of requests that one crash is attributed to, and with it the
+	// size of a report. If more requests qualify, the guilty one may be left out. It is well above
+	// the number that a node sends to one server at a time.
+	MaxBlamed = 64
 )
 
 // Digest identifies a request across all its attempts.
