Failing test: a crash is no evidence while the entries of servers have lapsed with the store

After an outage of the store the entries of all its servers are missing for some time, and crashes of servers without an entry are not counted.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -98,6 +98,11 @@
 			builder.Apply([]topo.Event{{Item: topo.Item{Key: "servers/s0", Revision: 2}, Deleted: true}}, 2)
 			closeAll(server, builder)
 		}, 0},
+		{"a process ends whose entry lapsed while the store was away", func(server *httptest.Server, builder *view.Builder) {
+			builder.SetLapse(func() (time.Time, bool) { return time.Now().Add(time.Minute), true })
+			builder.Apply([]topo.Event{{Item: topo.Item{Key: "servers/s0", Revision: 2}, Deleted: true}}, 2)
+			closeAll(server, builder)
+		}, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d, guard := newAbortingNode(t, c.before)
