A client that leaves as it is admitted uses no token of its tenant

A tenant whose clients hang up loses a request of its limit for each; a server with an announced limit, too. Cause: Limiter.Admit waits in a select for the decision and for the end of the context. If both are ready, Go picks either, so half of these requests are reported as admitted although nobody is there any more. abandon gives tokens back only in the other half. Change: Admit looks at the context once more after the decision, and gives the token back.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -185,11 +185,25 @@
 }
 
 // Admit decides whether a request that counts against a limit may be sent. Without prefetched
-// tokens it waits for the limit's home node.
+// tokens it waits for the limit's home node. A request whose client has disconnected is not
+// admitted and uses no token.
 func (l *Limiter) Admit(ctx context.Context, name string, limit tenants.Limit) Decision {
 	if limit.Unlimited() {
 		return Decision{Admitted: true}
 	}
+	decision := l.decide(ctx, name, limit)
+	// A select between a decision and the end of ctx picks either if both are ready.
+	if decision.Admitted && ctx.Err() != nil {
+		l.GiveBack(name)
+		return clientLeft
+	}
+	return decision
+}
+
+// clientLeft is the decision on a request whose client has disconnected.
+var clientLeft = Decision{Detail: "the caller left", RetryAfter: MaxRetryAfter}
+
+func (l *Limiter) decide(ctx context.Context, name string, limit tenants.Limit) Decision {
 	l.mutex.Lock()
 	now := l.now()
 	localQuota := l.localQuota(now, name, limit)
@@ -231,7 +245,7 @@
 		}
 	default:
 	}
-	return Decision{Detail: "the caller left", RetryAfter: MaxRetryAfter}
+	return clientLeft
 }
 
 // GiveBack returns the token of an admitted request that did not run.
