A token that a leaving client gives back is reported to its home node

A client that leaves while its request waits for the home node gives its token back, but only the node that it left takes note. The home node hears of it with this node's next request for the same limit; until then requests at all other nodes are refused for want of that token. Cause: abandon and distribute give back without scheduling a report; Limiter.GiveBack schedules one. Change: all three give back by the same function, which does.

--- a/internal/quota/departed_test.go
+++ b/internal/quota/departed_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"github.com/micahaven/micahaven/internal/tenants"
 )
 
 // departedContext is the context of a client that leaves once decided returns true.
@@ -51,3 +53,85 @@
 		t.Errorf("%d of %d admitted after requests of clients that left", admitted, burstOfTen)
 	}
 }
+
+// heldTransport delivers reports only after release is closed.
+type heldTransport struct {
+	Transport
+	started, release chan struct{}
+}
+
+// Report implements Transport.
+func (h heldTransport) Report(ctx context.Context, address string, uses []NamedReport) ([]Answer, error) {
+	h.started <- struct{}{}
+	<-h.release
+	return h.Transport.Report(ctx, address, uses)
+}
+
+// leaveDuringReport sends a request at a node that is not the home node. Its client leaves while
+// the report is in flight; beforeAnswer runs before the report reaches the home node.
+func leaveDuringReport(limiter *Limiter, limit tenants.Limit, beforeAnswer func()) {
+	held := heldTransport{limiter.transport, make(chan struct{}, burstOfTen), make(chan struct{})}
+	limiter.transport = held
+	ctx, cancel := context.WithCancel(context.Background())
+	left := make(chan Decision)
+	go func() { left <- limiter.Admit(ctx, "a", limit) }()
+	<-held.started
+	cancel()
+	<-left
+	beforeAnswer()
+	close(held.release)
+}
+
+// eventually waits until a condition on a limiter's state holds.
+func eventually(limiter *Limiter, condition func() bool) bool {
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		limiter.mutex.Lock()
+		holds := condition()
+		limiter.mutex.Unlock()
+		if holds {
+			return true
+		}
+	}
+	return false
+}
+
+// Other nodes must be able to use a token that was given back, also if the node that gave it back
+// gets no further requests.
+func TestTokensOfClientsThatLeaveReturnToTheHome(t *testing.T) {
+	t.Run("granted afterwards", func(t *testing.T) {
+		n, directory := newNetwork(t, "n1", "n2")
+		home := n.refillAccount("a")
+		limiter := n.nodes[map[string]string{"n1": "n2", "n2": "n1"}[home]]
+		leaveDuringReport(limiter, directory.ByName("a").Limit, func() {})
+		if !eventually(limiter, func() bool {
+			quota := limiter.localQuotas["a"]
+			return quota.meanRate > 0 && quota.FullyReported()
+		}) {
+			t.Error("the token was not reported to the home node")
+		}
+	})
+	t.Run("granted before", func(t *testing.T) {
+		n, directory := newNetwork(t, "n1", "n2")
+		home := n.refillAccount("a")
+		limiter := n.nodes[map[string]string{"n1": "n2", "n2": "n1"}[home]]
+		canceled, cancel := context.WithCancel(context.Background())
+		cancel()
+		limit := directory.ByName("a").Limit
+		ctx := departedContext{canceled, func() bool { return idle(limiter, home) }}
+		for range burstOfTen {
+			limiter.Admit(ctx, "a", limit)
+			if !eventually(limiter, func() bool { return limiter.localQuotas["a"].FullyReported() }) {
+				t.Fatal("the token was not reported to the home node")
+			}
+		}
+		admitted := 0
+		for range burstOfTen {
+			if n.nodes[home].Admit(context.Background(), "a", limit).Admitted {
+				admitted++
+			}
+		}
+		if admitted < burstOfTen {
+			t.Errorf("%d of %d admitted at the home node after requests of clients that left another node", admitted, burstOfTen)
+		}
+	})
+}
--- a/internal/quota/homeclient.go
+++ b/internal/quota/homeclient.go
@@ -209,7 +209,7 @@
 	granted := min(grant.Granted, len(waiters))
 	resolve(waiters[:granted], func(w *waiter) Decision {
 		if w.abandoned {
-			quota.GiveBack()
+			c.limiter.giveBack(w.name)
 		}
 		return Decision{Admitted: true}
 	})
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -240,8 +240,8 @@
 	w.abandoned = true
 	select {
 	case decision := <-w.result:
-		if quota := l.localQuotas[w.name]; decision.Admitted && quota != nil {
-			quota.GiveBack()
+		if decision.Admitted {
+			l.giveBack(w.name)
 		}
 	default:
 	}
@@ -252,6 +252,12 @@
 func (l *Limiter) GiveBack(name string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.giveBack(name)
+}
+
+// giveBack returns a token and schedules a report, without which the home node would keep the
+// token from other nodes. The caller holds the mutex.
+func (l *Limiter) giveBack(name string) {
 	quota, home := l.localQuotas[name], l.homeByName[name]
 	if quota == nil {
 		return
