A client that leaves while the home node is lost uses nothing

If the home node does not answer, a request whose client left in the meantime is admitted all the same and stays counted, and uses the one token that the node has to admit without the home node. Cause: resolve decides for waiting requests whoever waits; a decision without the home node takes a token, and the result is read by nobody. GiveBack returns such a token to the account only, not to what the node may admit alone. Change: resolve passes over requests whose clients left, and GiveBack returns the token in both places, one at most in the second. Evidence: TestClientThatLeavesUsesNothingWithoutTheHome fails before (1 counted, the next client refused), in each of eight runs, and passes with the change.

--- a/internal/quota/departed_test.go
+++ b/internal/quota/departed_test.go
@@ -135,3 +135,34 @@
 		}
 	})
 }
+
+// A client that leaves while the home node is lost must not use what its node may admit alone.
+func TestClientThatLeavesUsesNothingWithoutTheHome(t *testing.T) {
+	n, directory := newNetwork(t, "n1", "n2")
+	home := n.refillAccount("a")
+	limiter := n.nodes[map[string]string{"n1": "n2", "n2": "n1"}[home]]
+	limit := directory.ByName("a").Limit
+	leaveDuringReport(limiter, limit, func() {
+		n.setPartitioned(true)
+		limiter.mutex.Lock()
+		limiter.localQuotas["a"].fallbackTokens = 1
+		limiter.mutex.Unlock()
+	})
+	if !eventually(limiter, func() bool { return limiter.homeClients[home].unreachableUntil != 0 }) {
+		t.Fatal("the home node counts as reachable")
+	}
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	if decision := limiter.Admit(canceled, "a", limit); decision.Admitted {
+		t.Errorf("decision on a request whose client left: %+v", decision)
+	}
+	limiter.mutex.Lock()
+	unreported := limiter.localQuotas["a"].unreported
+	limiter.mutex.Unlock()
+	if unreported != 0 {
+		t.Errorf("%d requests of clients that left are counted, want none", unreported)
+	}
+	if decision := limiter.Admit(context.Background(), "a", limit); !decision.Admitted {
+		t.Errorf("refused after clients left that used nothing: %+v", decision)
+	}
+}
--- a/internal/quota/homeclient.go
+++ b/internal/quota/homeclient.go
@@ -207,12 +207,13 @@
 		c.unreachableUntil = 0
 	}
 	granted := min(grant.Granted, len(waiters))
-	resolve(waiters[:granted], func(w *waiter) Decision {
+	for _, w := range waiters[:granted] {
 		if w.abandoned {
 			c.limiter.giveBack(w.name)
+			continue
 		}
-		return Decision{Admitted: true}
-	})
+		w.result <- Decision{Admitted: true}
+	}
 	c.limiter.countDecisions("granted", granted)
 	interval := time.Duration(float64(time.Second) / quota.limit.Rate)
 	for index, w := range waiters[granted:] {
@@ -230,9 +231,12 @@
 	}
 }
 
-// resolve delivers a decision to each waiting request. The caller holds the mutex.
+// resolve delivers a decision to each waiting request whose client is still connected. For the
+// others decide is not called, so that they use nothing. The caller holds the mutex.
 func resolve(waiters []*waiter, decide func(*waiter) Decision) {
 	for _, w := range waiters {
-		w.result <- decide(w)
+		if !w.abandoned {
+			w.result <- decide(w)
+		}
 	}
 }
--- a/internal/quota/localquota.go
+++ b/internal/quota/localquota.go
@@ -105,8 +105,12 @@
 // of the old one ended, so it does not cover what was used before.
 func (q *LocalQuota) HomeChanged() { q.unreported = 0 }
 
-// GiveBack returns the token of a request that did not run.
-func (q *LocalQuota) GiveBack() { q.unreported-- }
+// GiveBack returns the token of a request that did not run. While the home node is unreachable,
+// another request may be admitted instead.
+func (q *LocalQuota) GiveBack() {
+	q.unreported--
+	q.fallbackTokens = min(1, q.fallbackTokens+1)
+}
 
 // FullyReported reports whether there is no use left to report.
 func (q *LocalQuota) FullyReported() bool { return q.unreported == 0 }
