The grant of a client that left goes to the next one

Seen: by reading. If the home node grants one of two requests, and the client of the older one has left while the report was on its way, the token goes to that one and is given back. The client that is still there is refused, and told to return 0.5 s later in the test. Cause: distribute handed out the grant in the order of arrival, whoever was still there. Change: requests whose clients left are passed over, and what is left of the grant is given back.

--- a/internal/quota/departed_test.go
+++ b/internal/quota/departed_test.go
@@ -166,3 +166,43 @@
 		t.Errorf("refused after clients left that used nothing: %+v", decision)
 	}
 }
+
+// A token that is granted to a report must not be withheld from a connected client because an
+// earlier one has left.
+func TestGrantOfAClientThatLeftGoesToTheNext(t *testing.T) {
+	n, directory := newNetwork(t, "n1", "n2")
+	home := n.refillAccount("a")
+	limiter := n.nodes[map[string]string{"n1": "n2", "n2": "n1"}[home]]
+	limit := directory.ByName("a").Limit
+	held := heldTransport{limiter.transport, make(chan struct{}), make(chan struct{})}
+	limiter.transport = held
+	ctx, cancel := context.WithCancel(context.Background())
+	decisions := make(chan Decision, 2)
+	admit := func(ctx context.Context) { decisions <- limiter.Admit(ctx, "a", limit) }
+	waiting := func(count int) func() bool {
+		return func() bool { return len(limiter.homeClients[home].waiting) == count }
+	}
+	// While the first report is in flight, two requests gather for the second one.
+	go limiter.Admit(context.Background(), "a", limit)
+	<-held.started
+	go admit(ctx)
+	if !eventually(limiter, waiting(1)) {
+		t.Fatal("the first request does not wait")
+	}
+	go admit(context.Background())
+	if !eventually(limiter, waiting(2)) {
+		t.Fatal("the second request does not wait")
+	}
+	held.release <- struct{}{}
+	<-held.started
+	cancel()
+	<-decisions
+	store := n.nodes[home].accountStore
+	store.mutex.Lock()
+	store.accounts["a"].tokens = 1
+	store.mutex.Unlock()
+	held.release <- struct{}{}
+	if decision := <-decisions; !decision.Admitted {
+		t.Errorf("refused although a token was granted: %+v", decision)
+	}
+}
--- a/internal/quota/homeclient.go
+++ b/internal/quota/homeclient.go
@@ -173,7 +173,7 @@
 				l.observe(sentAt, report.Name, *observed)
 			}
 			quota.ApplyGrant(sentAt, now, report.Report, answers[index].Grant)
-			c.distribute(now, quota, waiters[report.Name], answers[index].Grant)
+			c.distribute(now, report.Name, quota, waiters[report.Name], answers[index].Grant)
 		}
 	}
 }
@@ -198,22 +198,22 @@
 	c.waiting = nil
 }
 
-// distribute admits as many requests as were granted, the oldest first. A request that would
-// not exceed maxWait goes on waiting if tokens are expected in time; the others are refused.
-// The caller holds the mutex.
-func (c *homeClient) distribute(now time.Duration, quota *LocalQuota, waiters []*waiter, grant Grant) {
+// distribute admits as many requests as were granted, the oldest first. Requests whose clients
+// left in the meantime are passed over, and tokens that no other request needs are given back. A
+// request that would not exceed maxWait goes on waiting if tokens are expected in time; the others
+// are refused. The caller holds the mutex.
+func (c *homeClient) distribute(now time.Duration, name string, quota *LocalQuota, waiters []*waiter, grant Grant) {
 	if c.unreachableUntil != 0 {
 		c.limiter.logger.Info("quota home node reachable again", zap.String("of", c.limiter.kind), zap.String("home", c.home.Name))
 		c.unreachableUntil = 0
 	}
 	granted := min(grant.Granted, len(waiters))
-	for _, w := range waiters[:granted] {
-		if w.abandoned {
-			c.limiter.giveBack(w.name)
-			continue
-		}
-		w.result <- Decision{Admitted: true}
+	waiters = slices.DeleteFunc(waiters, func(w *waiter) bool { return w.abandoned })
+	for range granted - len(waiters) {
+		c.limiter.giveBack(name)
 	}
+	granted = min(granted, len(waiters))
+	resolve(waiters[:granted], admitGranted)
 	c.limiter.countDecisions("granted", granted)
 	interval := time.Duration(float64(time.Second) / quota.limit.Rate)
 	for index, w := range waiters[granted:] {
@@ -231,6 +231,9 @@
 	}
 }
 
+// admitGranted admits a request that the home node granted.
+func admitGranted(*waiter) Decision { return Decision{Admitted: true} }
+
 // resolve delivers a decision to each waiting request whose client is still connected. For the
 // others decide is not called, so that they use nothing. The caller holds the mutex.
 func resolve(waiters []*waiter, decide func(*waiter) Decision) {
