--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -185,11 +185,25 @@
 }
 
 // Admit decides whether a request that counts against a limit may be sent. Without prefetched
-// tokens it waits for the limit's home node.
+// tokens it waits for the limit's home node. A request whose client has disconnected is not
+// admitted and uses no token.
 func (l *Limiter) Admit(ctx context.Context, name string, limit tenants.Limit) Decision {
 	if limit.Unlimited() {
 		return Decision{Admitted: true}
 	}
+	decision := l.decide(ctx, name, limit)
+	// A select between a decision and the end of ctx picks either if both are ready.
+	if decision.Admitted && ctx.Err() != nil {
+		l.GiveBack(name)
+		return clientLeft
+	}
+	return decision
+}
+
+// clientLeft is the decision on a request whose client has disconnected.
+var clientLeft = Decision{Detail: "the caller left", RetryAfter: MaxRetryAfter}
+
+func (l *Limiter) decide(ctx context.Context, name string, limit tenants.Limit) Decision {
 	l.mutex.Lock()
 	now := l.now()
 	localQuota := l.localQuota(now, name, limit)
@@ -226,18 +240,24 @@
 	w.abandoned = true
 	select {
 	case decision := <-w.result:
-		if quota := l.localQuotas[w.name]; decision.Admitted && quota != nil {
-			quota.GiveBack()
+		if decision.Admitted {
+			l.giveBack(w.name)
 		}
 	default:
 	}
-	return Decision{Detail: "the caller left", RetryAfter: MaxRetryAfter}
+	return clientLeft
 }
 
 // GiveBack returns the token of an admitted request that did not run.
 func (l *Limiter) GiveBack(name string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.giveBack(name)
+}
+
+// giveBack returns a token and schedules a report, without which the home node would keep the
+// token from other nodes. The caller holds the mutex.
+func (l *Limiter) giveBack(name string) {
 	quota, home := l.localQuotas[name], l.homeByName[name]
 	if quota == nil {
 		return
