Soak: a server that a request crashes refuses new connections

Cause: servers of the soak listen behind a proxy link, which stayed open after a crash, accepted each new connection and reset it. A node takes a lost connection for a crash only if the next one is refused, so no crash of the soak was ever evidence; the request lasted too short for the check to notice. Change: the link closes its listener before the server crashes; open connections end as they did. Evidence: TestServerCrashedByARequestRefusesConnections fails before (the new connection is accepted), passes after, 5 times with the race detector.

--- a/internal/soak/backpressure.go
+++ b/internal/soak/backpressure.go
@@ -303,6 +303,7 @@
 	}
 	w.mutex.Unlock()
 	go func() {
+		s.link.Refuse()
 		s.Crash()
 		const downFor = time.Second
 		time.Sleep(downFor)
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -75,13 +75,19 @@
 	}
 }
 
+// Refuse makes the link's address refuse new connections, like that of a server that has
+// crashed. Open connections stay.
+func (l *Link) Refuse() {
+	// The listener is closed either way, so the error is of no use.
+	_ = l.listener.Close()
+}
+
 // Close stops the link and resets all its connections.
 func (l *Link) Close() {
 	l.mutex.Lock()
 	l.closed = true
 	l.mutex.Unlock()
-	// The listener is closed either way, so the error is of no use.
-	_ = l.listener.Close()
+	l.Refuse()
 	l.resetAll()
 }
 
