Soak: servers crash at each point of a response, and the request outlasts the disturbances

Change: the seed draws the service, the point (before the response, after its head, in a buffered or a streamed body, with length or chunked) and a delay of up to 90 ms. The request goes on until all nodes have been undisturbed for 12 s. Its key varies, which the digest does not cover. A crashed server comes back after 0.5 s as a new incarnation of the same ID; one that is draining is replaced as before. The client reads the whole response. The results name each such request, its point and its crashes. The check: crashes count from the moment from which all nodes are undisturbed. It was wrong to count earlier ones: a node that is killed loses its evidence, so a request may crash servers anew after each kill, as designed. It is as strict in return: at least 12 s without a disturbance are watched, and before there was no such time. Crashes of draining servers and of those behind a disrupted link are not counted, since a node can't recognize them.

--- a/cmd/micahaven-soak/main.go
+++ b/cmd/micahaven-soak/main.go
@@ -80,6 +80,9 @@
 	fmt.Printf("seed %d: %d processes (%d started), %d faults in %v, %d requests, %.3f served, %.3f after the faults, %d guarantees violated\n",
 		result.Seed, result.Processes, result.Started, result.Faults, options.Length, result.Requests,
 		float64(result.Served)/float64(max(1, result.Requests)), result.ServedAfter, len(result.Breaches))
+	for _, crashing := range result.Crashing {
+		fmt.Println("  " + crashing)
+	}
 	if !options.Planned {
 		return
 	}
--- a/internal/soak/backpressure.go
+++ b/internal/soak/backpressure.go
@@ -1,11 +1,7 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
-	"strings"
 	"time"
 
 	"github.com/micahaven/micahaven/platform/standin"
@@ -24,10 +20,6 @@
 	// signalTail is how long backpressure faults last beyond the drawn fault duration, since
 	// the checks only start some seconds after the fault begins.
 	signalTail = 7 * time.Second
-	// maxLateCrashes is the number of servers that a request may crash later than settleTime
-	// after the third crash.
-	maxLateCrashes = 3
-	poisonInterval = 300 * time.Millisecond
 )
 
 // backpressure is the backpressure that a server signals, and since when.
@@ -58,20 +50,7 @@
 			leaving.Stop()
 		}
 	}},
-	{"request crashes servers", func(s *soak, random *rand.Rand) func() {
-		poisoned := &poisoned{soak: s, path: fmt.Sprintf("/keys/%s%08x", crashPathPrefix, random.Uint32()), key: random.IntN(keyCount) * keySpread}
-		stop := make(chan struct{})
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			poisoned.run(random, stop)
-		}()
-		return func() {
-			time.Sleep(signalTail)
-			close(stop)
-			<-ended
-		}
-	}},
+	{"request crashes servers", (*soak).sendPoisoned},
 }
 
 // setBackpressure makes a random server signal backpressure until the returned function is
@@ -211,106 +190,3 @@
 		s.recordViolation("server %s received %d requests during a requested backoff of %v, %d allowed", last.Server, in, signal.Rest, allowed)
 	}
 }
-
-// crashPathPrefix starts the last path segment of requests that crash servers.
-const crashPathPrefix = "crash-"
-
-// causesCrash reports whether a request crashes the server that executes it.
-func causesCrash(r *http.Request) bool { return strings.Contains(r.URL.Path, crashPathPrefix) }
-
-// poisoned is a request that crashes the servers which execute it and is sent repeatedly.
-type poisoned struct {
-	soak    *soak
-	path    string
-	key     int
-	crashed []time.Time
-}
-
-// clientAddressCount is the number of loopback addresses that the request comes from.
-const clientAddressCount = 20
-
-// run sends the request from random addresses to random nodes until stop is closed, and
-// checks how many servers it crashes.
-func (p *poisoned) run(random *rand.Rand, stop <-chan struct{}) {
-	for number := 0; ; number++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(poisonInterval):
-		}
-		before := p.soak.world.crashCount(p.path)
-		p.send(clientFrom(byte(2+random.IntN(clientAddressCount))), p.soak.node(random), number)
-		for range p.soak.world.crashCount(p.path) - before {
-			p.crashed = append(p.crashed, time.Now())
-		}
-		p.check()
-	}
-}
-
-// clientFrom returns a client whose connections come from a loopback address of their own.
-func clientFrom(host byte) *http.Client {
-	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, host)}}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}, Timeout: requestDeadline}
-}
-
-func (p *poisoned) send(client *http.Client, n *Node, number int) {
-	request, err := http.NewRequest(http.MethodGet, "http://"+n.Clients+p.path, http.NoBody)
-	if err != nil {
-		return
-	}
-	standin.Prepare(request, fmt.Sprintf("%s-crash-%d-%d", n.Name, p.key, number), requestDeadline, p.key)
-	response, err := client.Do(request)
-	if err != nil {
-		return
-	}
-	_ = response.Body.Close()
-}
-
-// check looks for servers that crash although all nodes must have classified the request as
-// crashing.
-func (p *poisoned) check() {
-	const certain = 3
-	if len(p.crashed) < certain || !p.soak.allUndisturbed() {
-		return
-	}
-	late := 0
-	for _, at := range p.crashed {
-		if at.After(p.crashed[certain-1].Add(settleTime)) {
-			late++
-		}
-	}
-	if late > maxLateCrashes {
-		p.soak.recordViolation("request %s crashed %d servers later than %v after the third crash, %d allowed", p.path, late, settleTime, maxLateCrashes)
-	}
-}
-
-// crashCount returns the number of servers crashed by requests for a path.
-func (w *world) crashCount(path string) int {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.crashed[path]
-}
-
-// crashServer crashes a server on a request and starts a replacement. The request's handler
-// blocks until its connection is closed, so that the request gets no response.
-func (w *world) crashServer(s *server, r *http.Request) {
-	w.mutex.Lock()
-	if w.crashed == nil {
-		w.crashed = make(map[string]int)
-	}
-	if !s.Dead() {
-		w.crashed[r.URL.Path]++
-	}
-	w.mutex.Unlock()
-	go func() {
-		s.link.Refuse()
-		s.Crash()
-		const downFor = time.Second
-		time.Sleep(downFor)
-		s.Forget()
-		// If this fails there are fewer servers, which the checks tolerate.
-		_ = w.startServer(s.Service)
-	}()
-	<-r.Context().Done()
-	panic(http.ErrAbortHandler)
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,6 +58,8 @@
 	Excused []string
 	// ServedAfter is the fraction of requests served at the end of the run, without faults.
 	ServedAfter float64
+	// Crashing describes the requests that crashed servers.
+	Crashing []string
 	// Breaches lists the violated guarantees.
 	Breaches []string
 }
@@ -101,6 +103,7 @@
 
 	mutex      sync.Mutex
 	violations []string
+	crashing   []string
 }
 
 // Run executes one soak run. A non-nil error means that the run itself failed; violated
@@ -205,6 +208,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	result.Crashing = append([]string(nil), s.crashing...)
 	result.Breaches = append([]string(nil), s.violations...)
 	return result
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -32,6 +32,8 @@
 	coldSpans []span
 	// backpressure is what the server signals; nil if nothing.
 	backpressure *backpressure
+	// crashed is set once a request has crashed the server.
+	crashed bool
 }
 
 // span is a half-open time interval; until is zero while it lasts.
@@ -56,8 +58,8 @@
 	configuredAt   time.Time
 	faults         memory.Faults
 	storeDisturbed time.Time
-	// crashed counts the servers crashed by requests, by request path.
-	crashed map[string]int
+	// crashes holds the requests that crash servers, by path.
+	crashes map[string]*crashRecord
 	// evacuated holds the intervals in which zones were evacuated, by zone.
 	evacuated map[string][]span
 }
@@ -81,13 +83,37 @@
 
 // startServer starts one more server behind its own link.
 func (w *world) startServer(service string) error {
-	var link *Link
-	var failed error
 	w.mutex.Lock()
 	w.started++
 	id := fmt.Sprintf("s%d", w.started)
 	zone := zoneName(w.started)
 	w.mutex.Unlock()
+	started, err := w.newServer(zone, id, service)
+	if err != nil {
+		return err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.servers = append(w.servers, started)
+	return nil
+}
+
+// restartServer starts a new incarnation of a server that has crashed, in place of that one.
+func (w *world) restartServer(gone *server) error {
+	started, err := w.newServer(gone.Zone, gone.ID, gone.Service)
+	if err != nil {
+		return err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.servers[slices.Index(w.servers, gone)] = started
+	return nil
+}
+
+// newServer starts a server behind its own link.
+func (w *world) newServer(zone, id, service string) (*server, error) {
+	var link *Link
+	var failed error
 	proxy := func(address string) string {
 		link, failed = NewLink(address)
 		if failed != nil {
@@ -97,15 +123,12 @@
 	}
 	started := &server{Server: standin.NewServerIn(w.store, w.ledger, zone, id, service, proxy)}
 	if failed != nil {
-		return failed
+		return nil, failed
 	}
 	started.link = link
-	started.CrashesOf(causesCrash, func(r *http.Request) { w.crashServer(started, r) })
+	started.CrashesOf(causesCrash, func(response http.ResponseWriter, r *http.Request) { w.crashDuring(started, response, r) })
 	started.SetFaults(standin.Faults{Work: serviceTime})
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.servers = append(w.servers, started)
-	return nil
+	return started, nil
 }
 
 // zones is the number of zones that nodes and servers are spread over.
