Crashes of a request under several keys add up

Seen: with the key in the digest the soak's crashing request, whose key varies, would be counted anew for each key. Change: the second kind of evidence, for the request at any service, is for any key too; the first one keeps the key, so answers under other keys don't clear what crashes under one.

--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -19,16 +19,18 @@
 }
 
 // digests are the digests under which the evidence against a request is kept. Crashes count for
-// both, and an answer clears both: a request that crashes the servers of one service may be
-// answered by those of another one, and a route may be split over several services or move.
+// both, and an answer clears both: what crashes the servers of one service, or under one key, may be
+// answered by another service or under another key. But a request must not begin anew with each
+// service of a split route, or with each key.
 type digests struct {
-	// service is the request's digest at its service, and all that at any service.
+	// service is the request's digest at its service and under its key, and all that at any
+	// service and under any key.
 	service, all Digest
 }
 
 func digestsOf(request Request) digests {
 	atService := DigestOf(request)
-	request.Service = ""
+	request.Service, request.Key = "", ""
 	return digests{service: atService, all: DigestOf(request)}
 }
 
