A crash counts also while the entries of servers have lapsed with the store

Seen by callers: in the 2 s after an outage of the store, or longer where its servers write their entries later, a request that crashes servers crashes them uncounted. Found by reading, not from a record. Cause: a server without an entry may end on purpose, so its end was no evidence. After an outage all entries may be missing at once, for a reason that says nothing about the servers. Fix: an entry that lapsed in an outage (LapsedUntil) does not make its server one that leaves.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -181,7 +181,8 @@
 		return
 	}
 	d.mutex.Lock()
-	leaves := !s.DrainingSince.IsZero() || !s.GoneSince.IsZero()
+	// An entry that lapsed while the store was unavailable says nothing about its server.
+	leaves := !s.DrainingSince.IsZero() || (!s.GoneSince.IsZero() && s.LapsedUntil.IsZero())
 	d.mutex.Unlock()
 	if leaves {
 		return
