Failing test: crashes from before a response count again

A node that has not heard that a suspect was answered reports all lives it knows with the next crash, and nodes that know of the response count them anew: an innocent request with one crash since its last response is refused.

--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -361,3 +361,28 @@
 		t.Errorf("the guilty request crashed %d servers, want %d, or up to two more", most, refuseThreshold)
 	}
 }
+
+// Guards an innocent request against crashes from before its last response that a node which has
+// not heard of the response reports again.
+func TestCrashesBeforeAnAnswerCountNoMore(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		clear func(*Table, time.Time)
+	}{
+		{"answered at this node", func(table *Table, at time.Time) { table.RecordAnswer(at, digest(1)) }},
+		{"answered at another node", func(table *Table, at time.Time) { table.Merge(at, Suspect{Digest: digest(1), Cleared: true}) }},
+	} {
+		table := NewTable()
+		table.Merge(start, Suspect{Digest: digest(1), Lives: []string{"s1", "s2"}})
+		c.clear(table, start.Add(time.Second))
+		at := start.Add(2 * time.Second)
+		table.Merge(at, Suspect{Digest: digest(1), Lives: []string{"s1", "s2", "s3"}})
+		if verdict := verdictAt(table, at, digest(1)); verdict != Send {
+			t.Errorf("%s: verdict %v after one crash since the response, want it sent", c.name, verdict)
+		}
+		table.Merge(at, Suspect{Digest: digest(1), Lives: []string{"s1", "s2", "s3", "s4", "s5"}})
+		if verdict := verdictAt(table, at, digest(1)); verdict != Refuse {
+			t.Errorf("%s: verdict %v after three crashes since the response, want a refusal", c.name, verdict)
+		}
+	}
+}
