Crashes from before a response count no more, whoever reports them

Seen by callers: an innocent request is refused for a minute after one crash since its last response, at nodes that know of that response, if another node missed it. Found by reading; no record was traced to it. Cause: a report names all lives that the reporting node knows. Clearing forgot which lives had been disproved, so the next report brought them back as new ones. A life crashes once, so nothing is lost for a guilty request: its later crashes are of other lives.

--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -77,8 +77,10 @@
 }
 
 type entry struct {
-	// crashes holds the IDs of the servers that crashed while running the request.
-	crashes []string
+	// crashes holds the IDs of the servers that crashed while running the request, since it was
+	// last answered, and disproved those from before. Nodes that have not heard of the response
+	// go on reporting the latter.
+	crashes, disproved []string
 	// eventAt is the time of the last crash, or of the response if cleared is set.
 	eventAt time.Time
 	cleared bool
@@ -118,7 +120,7 @@
 		if known == nil || known.cleared || eventAt.Before(known.eventAt) {
 			return false
 		}
-		*known = entry{eventAt: eventAt, cleared: true}
+		known.clear(eventAt)
 		return true
 	}
 	if known != nil && known.cleared && !eventAt.After(known.eventAt) {
@@ -138,7 +140,7 @@
 	if known == nil || known.cleared {
 		return Suspect{}, false
 	}
-	*known = entry{eventAt: now, cleared: true}
+	known.clear(now)
 	return t.suspect(now, digest), true
 }
 
@@ -200,20 +202,27 @@
 		t.evictIfFull()
 		t.entries[digest] = known
 	}
-	if slices.Contains(known.crashes, server) {
+	if slices.Contains(known.crashes, server) || slices.Contains(known.disproved, server) {
 		return false
 	}
 	known.cleared = false
 	if eventAt.After(known.eventAt) {
 		known.eventAt = eventAt
 	}
-	known.crashes = append(known.crashes, server)
-	if len(known.crashes) > maxRecordedCrashes {
-		known.crashes = known.crashes[1:]
-	}
+	known.crashes = lastCrashes(append(known.crashes, server))
 	return true
 }
 
+// lastCrashes returns the last maxRecordedCrashes of some crashes.
+func lastCrashes(crashes []string) []string {
+	return crashes[max(0, len(crashes)-maxRecordedCrashes):]
+}
+
+// clear records that a server answered the request.
+func (e *entry) clear(at time.Time) {
+	*e = entry{eventAt: at, cleared: true, disproved: lastCrashes(append(e.disproved, e.crashes...))}
+}
+
 // evictIfFull makes room for one more suspect if the table is full. It drops the one with the
 // fewest crashes, and the oldest of several.
 func (t *Table) evictIfFull() {
