Failing test: reports of a request with more than eight crashes never settle

Two nodes that record different lives replace each other's every 2 s, and log and count the request as newly confirmed each time.

--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -386,3 +386,24 @@
 		}
 	}
 }
+
+// Guards against two nodes with more crashes than are recorded that go on replacing each other's,
+// and log the request as newly confirmed each time.
+func TestReportsOfManyCrashesSettle(t *testing.T) {
+	one, two, guilty := NewTable(), NewTable(), digest(1)
+	for server := range maxRecordedCrashes {
+		crash(one, start, server, guilty)
+		crash(two, start.Add(time.Second), maxRecordedCrashes+server, guilty)
+	}
+	const rounds = 5
+	changed := false
+	for round := range rounds {
+		now := start.Add(time.Duration(round+1) * RebroadcastInterval)
+		toOne, toTwo := two.suspect(now, guilty), one.suspect(now, guilty)
+		changed = one.Merge(now, toOne)
+		changed = two.Merge(now, toTwo) || changed
+	}
+	if changed {
+		t.Errorf("the same reports still change the tables after %d rounds", rounds)
+	}
+}
