Reports of a request with more than eight crashes settle

Seen by operators: the same request is logged and counted as newly confirmed every 2 s at all nodes, and its list of servers changes each time. Callers see nothing. Found by reading. Cause: a node keeps the last 8 lives it heard of; another node's report of older ones pushes newer ones out. Fix: a full record takes only a crash that is newer than its last one.

--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -205,6 +205,10 @@
 	if slices.Contains(known.crashes, server) || slices.Contains(known.disproved, server) {
 		return false
 	}
+	if len(known.crashes) == maxRecordedCrashes && !eventAt.After(known.eventAt) {
+		// Nodes that record different crashes would go on replacing each other's.
+		return false
+	}
 	known.cleared = false
 	if eventAt.After(known.eventAt) {
 		known.eventAt = eventAt
