--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -273,3 +274,53 @@
 		t.Errorf("a connection that was reset before the request was sent counts as lost %s", point)
 	}
 }
+
+// endlessBody is a request body that never ends.
+type endlessBody struct{}
+
+func (endlessBody) Read(into []byte) (int, error) {
+	time.Sleep(100 * time.Microsecond)
+	return min(len(into), 1000), nil
+}
+
+// Guards against crashes that are not counted because the node noticed them while it was sending
+// the request's body, after the response had begun.
+func TestCrashWhileTheBodyIsSentIsEvidence(t *testing.T) {
+	const runs = 60
+	missed := 0
+	for range runs {
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Signed", "yes")
+			w.Header().Set("Id", "r")
+			w.Header().Set("Content-Length", strconv.Itoa(shortResponse))
+			controller := http.NewResponseController(w)
+			_ = controller.EnableFullDuplex()
+			_, _ = io.WriteString(w, strings.Repeat("x", shortResponse/2))
+			_ = controller.Flush()
+			time.Sleep(10 * time.Millisecond)
+			_ = server.Listener.Close()
+			connection, _, err := controller.Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_ = connection.(*net.TCPConn).SetLinger(0)
+			_ = connection.Close()
+		}))
+		d, guard := newNodeOf(t, server)
+		request := requestFor("plain", false)
+		request.Method, request.Body, request.Rest = http.MethodPost, []byte("b"), endlessBody{}
+		if _, _, err := d.Do(t.Context(), request); err == nil {
+			t.Fatal("answered although the server crashed")
+		}
+		time.Sleep(crashCheckDelay + 50*time.Millisecond)
+		if guard.lost.Load() != 1 {
+			missed++
+		}
+		server.Close()
+	}
+	if missed > 0 {
+		t.Errorf("%d of %d crashes were not counted", missed, runs)
+	}
+}
