A crash while the body of a request is streamed counts

Seen by callers: a request with a long body that crashes servers after a part of the response is out needs more crashes than three until it is refused. Cause: if the node notices the end of the connection while it sends the body, it closed the connection itself, and the response ended with "use of closed network connection" instead of the error that tells how the server ended. Fix: the connection is closed only if the body can't be read; if it can't be sent, the connection has ended.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -477,15 +477,32 @@
 	if _, err := chunks.Write(request.Body); err != nil {
 		return err
 	}
-	if _, err := io.Copy(chunks, request.Rest); err != nil {
-		// The body could not be read or sent completely. Closing the connection without the
-		// last chunk keeps the server from accepting the body as complete.
-		c.close()
+	source := &bodySource{body: request.Rest}
+	if _, err := io.Copy(chunks, source); err != nil {
+		if source.failed {
+			// Closing the connection without the last chunk keeps the server from accepting the
+			// body as complete. If the connection has failed instead, the response ends with
+			// its error, which tells how the server ended.
+			c.close()
+		}
 		return err
 	}
 	return chunks.Close()
 }
 
+// bodySource reads the body of a request and records whether that failed.
+type bodySource struct {
+	body   io.Reader
+	failed bool
+}
+
+// Read implements io.Reader.
+func (s *bodySource) Read(into []byte) (int, error) {
+	count, err := s.body.Read(into)
+	s.failed = err != nil && !errors.Is(err, io.EOF)
+	return count, err
+}
+
 func appendHead(head *bytes.Buffer, request *Request) {
 	head.WriteString(request.Method)
 	head.WriteByte(' ')
