--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -361,3 +361,49 @@
 		t.Errorf("the guilty request crashed %d servers, want %d, or up to two more", most, refuseThreshold)
 	}
 }
+
+// Guards an innocent request against crashes from before its last response that a node which has
+// not heard of the response reports again.
+func TestCrashesBeforeAnAnswerCountNoMore(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		clear func(*Table, time.Time)
+	}{
+		{"answered at this node", func(table *Table, at time.Time) { table.RecordAnswer(at, digest(1)) }},
+		{"answered at another node", func(table *Table, at time.Time) { table.Merge(at, Suspect{Digest: digest(1), Cleared: true}) }},
+	} {
+		table := NewTable()
+		table.Merge(start, Suspect{Digest: digest(1), Lives: []string{"s1", "s2"}})
+		c.clear(table, start.Add(time.Second))
+		at := start.Add(2 * time.Second)
+		table.Merge(at, Suspect{Digest: digest(1), Lives: []string{"s1", "s2", "s3"}})
+		if verdict := verdictAt(table, at, digest(1)); verdict != Send {
+			t.Errorf("%s: verdict %v after one crash since the response, want it sent", c.name, verdict)
+		}
+		table.Merge(at, Suspect{Digest: digest(1), Lives: []string{"s1", "s2", "s3", "s4", "s5"}})
+		if verdict := verdictAt(table, at, digest(1)); verdict != Refuse {
+			t.Errorf("%s: verdict %v after three crashes since the response, want a refusal", c.name, verdict)
+		}
+	}
+}
+
+// Guards against two nodes with more crashes than are recorded that go on replacing each other's,
+// and log the request as newly confirmed each time.
+func TestReportsOfManyCrashesSettle(t *testing.T) {
+	one, two, guilty := NewTable(), NewTable(), digest(1)
+	for server := range maxRecordedCrashes {
+		crash(one, start, server, guilty)
+		crash(two, start.Add(time.Second), maxRecordedCrashes+server, guilty)
+	}
+	const rounds = 5
+	changed := false
+	for round := range rounds {
+		now := start.Add(time.Duration(round+1) * RebroadcastInterval)
+		toOne, toTwo := two.suspect(now, guilty), one.suspect(now, guilty)
+		changed = one.Merge(now, toOne)
+		changed = two.Merge(now, toTwo) || changed
+	}
+	if changed {
+		t.Errorf("the same reports still change the tables after %d rounds", rounds)
+	}
+}
