A client that leaves before its request is sent gets its token back

A request that its tenant's limit admitted and that waits for a server, or for a home that may not send it yet, stays counted if its client leaves: one request of the limit for each client that gives up, most of them while servers are busy. Cause: the token is given back if the error says that the request was not executed. The error of a request whose client left says only that it left, whether or not it was sent. Change: ErrCanceled matches ErrNotExecuted besides if no server can have the request. A lost home may have sent it, so there it doesn't. The metric's label stays "client left". Evidence: TestRequestWhoseClientLeavesBeforeItIsSentWasNotExecuted fails before in the queue and before a home may send it; the two cases in which a server may have the request pass before and after. TestRequestsThatWereNotSentAreRefunded (label) fails before. Open: a repeatable request whose client leaves while it waits at another node that is its home stays counted, because the sender is not told whether the home has sent it.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -154,11 +154,17 @@
 	return false
 }
 
+// errCanceledUnsent means that the client disconnected before the request was sent.
+var errCanceledUnsent = errors.Mark(ErrCanceled, ErrNotExecuted)
+
 // finalError returns the error for a request that no server answered, or nil if a server's
 // error response is passed on. cause is why the last attempt failed.
 func (d *Dispatcher) finalError(ctx context.Context, request *Request, mayHaveRun bool, last *upstream.Response, cause error) error {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) && !ending.EndedByShutdown(ctx):
+		if !mayHaveRun {
+			return errCanceledUnsent
+		}
 		return ErrCanceled
 	case last != nil:
 		return nil
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -163,8 +163,11 @@
 	rest.Route = &route
 	answer, later, err := d.sendDirect(ctx, &rest)
 	later.Attempts += trace.Attempts
-	if errors.Is(err, ErrNotExecuted) {
-		// This node did not send it again, but the lost home may have sent it.
+	// This node did not send it again, but the lost home may have sent it.
+	switch {
+	case errors.Is(err, ErrCanceled):
+		err = ErrCanceled
+	case errors.Is(err, ErrNotExecuted):
 		err = errors.Wrapf(ErrUnknown, "%v, then %v", cause, err)
 	}
 	return answer, later, err
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -25,7 +25,8 @@
 	// ErrNodeStopping means that the node shut down before a server answered. The request may
 	// have been executed.
 	ErrNodeStopping = errors.New("the node stops")
-	// ErrCanceled means that the client disconnected.
+	// ErrCanceled means that the client disconnected. The request may have been executed unless
+	// the error also matches ErrNotExecuted.
 	ErrCanceled = errors.New("client left")
 )
 
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -92,14 +92,14 @@
 		return "served"
 	case err == nil:
 		return "failed by server"
+	case errors.Is(err, dispatch.ErrCanceled):
+		return "client left"
 	case errors.Is(err, dispatch.ErrNotExecuted):
 		return "not executed"
 	case errors.Is(err, dispatch.ErrTimeout):
 		return "timed out"
 	case errors.Is(err, dispatch.ErrNodeStopping):
 		return "node stopped"
-	case errors.Is(err, dispatch.ErrCanceled):
-		return "client left"
 	case errors.Is(err, errForcedClose):
 		return "cut off"
 	default:
