--- a/internal/dispatch/shutdown_queue_test.go
+++ b/internal/dispatch/shutdown_queue_test.go
@@ -113,3 +113,32 @@
 		t.Errorf("%d served, %d refused, %d reached the server, want one each", served, refused, arrived.Load())
 	}
 }
+
+// Requests that wait when no server can answer in time any more are refused together, before the
+// shutdown deadline, at which those at servers end and would have servers chosen for them again.
+func TestQueuedRequestsAreRefusedBeforeTheShutdownDeadline(t *testing.T) {
+	d, arrived := newSingleServerDispatcher(t, blockUntilCanceled)
+	d.server("a").outstanding = 100
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := d.Do(context.Background(), longRequest())
+		ended <- err
+	}()
+	waiting := func() int {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		return d.countWaiting()
+	}
+	for waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	d.ShutDownBy(time.Now().Add(answerMargin - time.Millisecond))
+	d.tick(false)
+	if count := waiting(); count != 0 {
+		t.Errorf("%d requests still wait", count)
+	}
+	var refusal *Refusal
+	if err := <-ended; !errors.As(err, &refusal) || refusal.Reason != ReasonNodeStops || arrived.Load() != 0 {
+		t.Errorf("%v with %d requests at the server, want a refusal because the node stops", err, arrived.Load())
+	}
+}
