Requests that still wait when a node's time is over are refused together

Callers saw: connections closed at 0.95 of the grace without an answer, if many requests waited at a stopping node. Cause: at the shutdown deadline each request at a server ends and frees its slot, for which a server is chosen for all that wait, under the dispatcher's mutex; whoever gets one finds that it is too late, gives the slot back, which chooses for all others again, and so on over all servers. That takes longer than the 0.05 of the grace in which the last responses are written. Fix: from the margin before the deadline on, when no server can answer in time, all that wait are refused at once. They have the margin, too, for their responses.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -29,6 +29,13 @@
 		return
 	}
 	now := time.Now()
+	if d.tooLateForAll(now) {
+		for _, w := range queue {
+			w.chosen <- nil
+		}
+		delete(d.waiting, service)
+		return
+	}
 	schedule.Order(now, queue, scheduledOf)
 	kept := queue[:0]
 	for _, w := range queue {
--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -52,3 +52,11 @@
 	expected := time.Duration(s.expected() * float64(time.Second))
 	return now.Add(expected).After(deadline)
 }
+
+// tooLateForAll reports whether the node shuts down so soon that no server can answer a request
+// that still waits. Refusing all of them then is cheap, and leaves the time until the shutdown
+// deadline for their responses; choosing servers for each of them again is not.
+func (d *Dispatcher) tooLateForAll(now time.Time) bool {
+	at, stopping := d.ending.Deadline()
+	return stopping && !now.Before(at.Add(-answerMargin))
+}
