--- a/internal/router/crashes_test.go
+++ b/internal/router/crashes_test.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/poison"
 	"github.com/micahaven/micahaven/internal/topo"
 	"github.com/micahaven/micahaven/internal/transport"
@@ -40,6 +42,7 @@
 		started = append(started, p)
 		items = append(items, topo.Item{Key: view.NodeKey(self.Name), Value: mustEncode(t, self), Revision: int64(index + 1)})
 	}
+	items = append(items, topo.Item{Key: serverKey(0), Value: serverEntry(t, 0, discovery.Ready), Revision: int64(len(items) + 1)})
 	for _, p := range started {
 		p.views.Replace(items, int64(len(items)))
 	}
@@ -53,17 +56,37 @@
 	crashing := func() poison.Request { return poison.Request{Service: "s", Method: "GET", URI: "/crash"} }
 	suspect := poison.Suspect{Digest: poison.DigestOf(crashing()), Lives: []string{"s1", "s2", "s3"}}
 	nodes[0].announceCrashes([]poison.Suspect{suspect})
+	checkHeard(t, nodes, "the crashes", func(node *peers) bool {
+		_, refused := node.guard.Refused(crashing)
+		return refused
+	})
+}
+
+// checkHeard checks that all nodes but the first learn something within 2 s.
+func checkHeard(t *testing.T, nodes []*peers, what string, heard func(*peers) bool) {
+	t.Helper()
+	deadline := time.Now().Add(2 * time.Second)
 	for _, node := range nodes[1:] {
-		deadline := time.Now().Add(2 * time.Second)
-		for {
-			if _, refused := node.guard.Refused(crashing); refused {
-				break
-			}
-			if time.Now().After(deadline) {
-				t.Errorf("%s does not know of the crashes that %s reported", node.self.Name, nodes[0].self.Name)
-				break
-			}
+		for !heard(node) && time.Now().Before(deadline) {
 			time.Sleep(10 * time.Millisecond)
 		}
+		if !heard(node) {
+			t.Errorf("%s does not know of %s that %s reported", node.self.Name, what, nodes[0].self.Name)
+		}
+	}
+}
+
+// Guards against nodes of other zones that go on using a server which has announced that it is
+// leaving. A node reports that once.
+func TestFirstSignalOfALeavingServerReachesAllZones(t *testing.T) {
+	nodes := startPeers(t, "z1", "z2", "z3")
+	var id discovery.ServerID
+	for known := range nodes[0].views.Current().Servers.All() {
+		id = known
 	}
+	nodes[0].announceServerSignal(id, dispatch.Signal{Leaving: true})
+	checkHeard(t, nodes, "the leaving server", func(node *peers) bool {
+		server, known := node.views.Current().Servers.Lookup(id)
+		return known && !server.DrainingSince.IsZero()
+	})
 }
