The first signal of a leaving server or of its limit reaches all zones

Seen by callers: nodes of other zones go on sending to a server that has announced that it is leaving, or over the limit that it announced, until they get the signal in a response of their own. Found by reading; no record was traced to it. Cause: that of, on another path: a message to a node without a connection is dropped. Fix: both kinds of reports wait for the connection (reportToHeads, reportToFollowers).

--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -8,22 +8,10 @@
 	"github.com/micahaven/micahaven/internal/wire"
 )
 
-// announceCrashes notifies the other nodes of requests that crashed servers. Reports of the first
-// crashes are not repeated, and a node that is no head has no lasting connection to the heads of
-// other zones, so they wait for one.
+// announceCrashes notifies the other nodes of requests that crashed servers.
 func (p *peers) announceCrashes(suspects []poison.Suspect) {
-	for _, address := range p.feed.heads() {
-		if address != p.self.Address {
-			p.client.SendOnceConnected(address, crashEnvelope(suspects, true))
-		}
-	}
-	p.sendCrashesToFollowers(suspects)
-}
-
-func (p *peers) sendCrashesToFollowers(suspects []poison.Suspect) {
-	for _, address := range p.feed.followers() {
-		p.client.SendOnceConnected(address, crashEnvelope(suspects, false))
-	}
+	p.reportToHeads(crashEnvelope(suspects, true))
+	p.reportToFollowers(crashEnvelope(suspects, false))
 }
 
 func crashEnvelope(suspects []poison.Suspect, forward bool) *wire.Envelope {
@@ -51,7 +39,7 @@
 	}
 	p.guard.Receive(suspects)
 	if report.GetForward() {
-		p.sendCrashesToFollowers(suspects)
+		p.reportToFollowers(crashEnvelope(suspects, false))
 	}
 }
 
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -166,6 +166,23 @@
 	}
 }
 
+// reportToHeads is sendToHeads for reports that are rare and not repeated. They wait for the
+// connections to be opened: a node that is no head has no lasting ones to the heads of other zones.
+func (p *peers) reportToHeads(envelope *wire.Envelope) {
+	for _, address := range p.feed.heads() {
+		if address != p.self.Address {
+			p.client.SendOnceConnected(address, envelope)
+		}
+	}
+}
+
+// reportToFollowers is sendToFollowers for such reports.
+func (p *peers) reportToFollowers(envelope *wire.Envelope) {
+	for _, address := range p.feed.followers() {
+		p.client.SendOnceConnected(address, envelope)
+	}
+}
+
 // nodes returns the number of registered nodes.
 func (p *peers) nodes() int { return p.views.Current().Nodes.Len() }
 
--- a/internal/router/serversignals.go
+++ b/internal/router/serversignals.go
@@ -18,8 +18,8 @@
 // announceServerSignal notifies the other nodes of a server's signal that concerns all of them.
 func (p *peers) announceServerSignal(server discovery.ServerID, signal dispatch.Signal) {
 	signals := &wire.ServerSignals{Server: string(server), Limit: encodeObservation(signal.Limit), Leaving: signal.Leaving}
-	p.sendToHeads(signalsEnvelope(signals, true))
-	p.sendToFollowers(signalsEnvelope(signals, false))
+	p.reportToHeads(signalsEnvelope(signals, true))
+	p.reportToFollowers(signalsEnvelope(signals, false))
 }
 
 func signalsEnvelope(signals *wire.ServerSignals, forward bool) *wire.Envelope {
@@ -38,6 +38,6 @@
 		p.views.MarkLeaving(discovery.ServerID(signals.GetServer()))
 	}
 	if signals.GetForward() {
-		p.sendToFollowers(signalsEnvelope(signals, false))
+		p.reportToFollowers(signalsEnvelope(signals, false))
 	}
 }
