A request whose client has left when a server becomes free is not sent

Such a request is sent, its connection closed at once, and it counts as one that may have run; its tenant's token stays used. Cause: acquire promises no server after the end of the context, but the wait in the queue is a select that picks either if both are ready, removeWaiter returns a server that was chosen in the meantime, and a server that is free at once is returned without a look at the context. Change: acquire looks at the context when it has a server, and releases the slot if it has ended.

--- a/internal/dispatch/departed_test.go
+++ b/internal/dispatch/departed_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/upstream"
 )
 
 // A request whose client leaves counts as not executed, and so against no quota, exactly if no
@@ -55,3 +57,36 @@
 		}
 	})
 }
+
+// A request whose client has left when a server becomes free must not be sent.
+func TestRequestOfAClientThatLeftIsNotSent(t *testing.T) {
+	d, arrived := newSingleServerDispatcher(t, func(writer http.ResponseWriter, incoming *http.Request) {
+		writer.Header().Set("Id", incoming.Header.Get("Id"))
+		sign(writer, incoming)
+	})
+	identified := func() *Request {
+		request := longRequest()
+		request.Fields = append(request.Fields, upstream.Field{Name: "Id", Value: request.ID})
+		return request
+	}
+	// The first request leaves an idle connection.
+	if _, _, err := d.Do(t.Context(), identified()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	const requests = 50
+	notExecuted := 0
+	for range requests {
+		_, _, err := d.Do(ctx, identified())
+		if errors.Is(err, ErrCanceled) && errors.Is(err, ErrNotExecuted) {
+			notExecuted++
+		}
+	}
+	if arrived.Load() != 1 || notExecuted != requests {
+		t.Errorf("%d requests of clients that left reached the server, %d of %d ended as not executed", arrived.Load()-1, notExecuted, requests)
+	}
+	if s := d.server("a"); s.outstanding != 0 {
+		t.Errorf("%d slots are still reserved", s.outstanding)
+	}
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -86,6 +86,12 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	// The context may have ended at the moment at which the server was chosen.
+	if ctx.Err() != nil {
+		chosen.outstanding--
+		d.serveWaiters(chosen.Service)
+		return nil
+	}
 	// The node may have begun to shut down while the request waited.
 	now, deadline := time.Now(), d.deadline(request)
 	for chosen != nil && d.tooLate(now, request, chosen, deadline) {
