Soak: crashes of a request count from its third one on, also if nodes were disturbed since

The check that came with wanted three crashes after the nodes were last disturbed before it counted any as late. The users' rule counts from the third crash of all: once all nodes have been undisturbed for settleTime, each further crash is late, 3 are allowed. The case of TestCrashesAreLateAfterThreeOnUndisturbedNodes that asked for 0 late crashes after an early third one asks for 4 now.

--- a/internal/soak/poisoned.go
+++ b/internal/soak/poisoned.go
@@ -177,20 +177,19 @@
 	}
 }
 
-// lateCrashes counts the crashes later than settleTime after the third one. Crashes before from
-// do not count: the evidence of a node that has restarted since is lost.
+// lateCrashes counts the crashes later than settleTime after the third one, except those before
+// from: a node that had just restarted may have sent the request.
 func lateCrashes(times []time.Time, from time.Time) int {
-	counted, late := 0, 0
-	var bound time.Time
+	if len(times) < certainCrashes {
+		return 0
+	}
+	bound := times[certainCrashes-1].Add(settleTime)
+	if from.After(bound) {
+		bound = from
+	}
+	late := 0
 	for _, at := range times {
-		if at.Before(from) {
-			continue
-		}
-		counted++
-		if counted == certainCrashes {
-			bound = at.Add(settleTime)
-		}
-		if counted > certainCrashes && at.After(bound) {
+		if at.After(bound) {
 			late++
 		}
 	}
--- a/internal/soak/poisoned_test.go
+++ b/internal/soak/poisoned_test.go
@@ -58,7 +58,8 @@
 		{"three crashes", every(time.Second, 3), 0, 0},
 		{"within settleTime after the third", every(time.Second, 6), 0, 0},
 		{"later", every(time.Second, 10), 0, 4},
-		{"a third crash before the nodes were undisturbed", every(time.Second, 10), 5 * time.Second, 0},
+		{"some before the nodes were undisturbed", every(time.Second, 10), 7 * time.Second, 2},
+		{"a third one before the nodes were undisturbed", every(time.Second, 10), 3 * time.Second, 4},
 		{"none", nil, 0, 0},
 	} {
 		if got := lateCrashes(test.times, start.Add(test.from)); got != test.want {
