--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"strconv"
 	"time"
 
@@ -117,43 +116,6 @@
 	return poison.Inconclusive
 }
 
-// errBodyClosed is the outcome of a body that was closed before its end.
-var errBodyClosed = errors.New("closed before the end of the response")
-
-// observedBody is the rest of a response. It calls onEnd once, with the error that ended it, or
-// nil if it was read to its end.
-type observedBody struct {
-	body  io.ReadCloser
-	onEnd func(error)
-	ended bool
-}
-
-// Read implements io.Reader.
-func (b *observedBody) Read(into []byte) (int, error) {
-	count, err := b.body.Read(into)
-	switch {
-	case errors.Is(err, io.EOF):
-		b.end(nil)
-	case err != nil:
-		b.end(err)
-	}
-	return count, err
-}
-
-// Close implements io.Closer.
-func (b *observedBody) Close() error {
-	b.end(errBodyClosed)
-	return b.body.Close()
-}
-
-func (b *observedBody) end(err error) {
-	if b.ended {
-		return
-	}
-	b.ended = true
-	b.onEnd(err)
-}
-
 // crashCheckDelay is how long after a lost request the server is checked. It gives a
 // process that is exiting the time to close its sockets.
 const crashCheckDelay = 20 * time.Millisecond
@@ -172,9 +134,9 @@
 }
 
 // detectCrash determines whether a server crashed while it executed a request that was lost
-// with the given error, before its response or during it. A server that is slow, cut off or has reset a connection either
-// accepts new connections or does not answer at all, whereas the machine of a crashed one
-// refuses them. A draining server that exits did not crash.
+// with the given error, before its response or during it. A server that is slow, cut off or has
+// reset a connection either accepts new connections or does not answer at all, whereas the machine
+// of a crashed one refuses them. A draining server that exits did not crash.
 func (d *Dispatcher) detectCrash(ctx context.Context, request *Request, s *server, cause error) {
 	point, lost := lossPoint(cause)
 	if ctx.Err() != nil || !lost {
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -36,8 +36,7 @@
 	return time.Minute, g.refuses
 }
 
-// Guards against counting the crashes of two tenants' requests together, also at a home, which
-// has the tenant from the header alone.
+// A home has the tenant from the header alone.
 func TestRequestsOfTwoTenantsAreToldApart(t *testing.T) {
 	d, _ := newAbortingNode(t, nil)
 	d.headers.Tenant = "Tenant"
@@ -169,8 +168,7 @@
 	return err
 }
 
-// Guards against crashes in the middle of a response that count for nothing, and against
-// responses broken off by a living server that count as crashes.
+// Guards against uncounted crashes, and against blame for responses that a living server broke off.
 func TestCrashDuringAResponseIsEvidence(t *testing.T) {
 	crash := func(server *httptest.Server) { _ = server.Listener.Close() }
 	live := func(*httptest.Server) {}
@@ -201,8 +199,7 @@
 	}
 }
 
-// A client that leaves while its response is streamed says nothing about the server, even if the
-// server ends at the same time.
+// Guards against blame for a server that ends at the moment at which the client leaves.
 func TestClientThatLeavesDuringAResponseIsNoEvidence(t *testing.T) {
 	ctx, leave := context.WithCancel(t.Context())
 	d, guard := newTruncatingNode(t, longResponse/2, longResponse, func(server *httptest.Server) {
@@ -283,8 +280,7 @@
 	return min(len(into), 1000), nil
 }
 
-// Guards against crashes that are not counted because the node noticed them while it was sending
-// the request's body, after the response had begun.
+// Guards against crashes that the node notices while it sends the body and does not count.
 func TestCrashWhileTheBodyIsSentIsEvidence(t *testing.T) {
 	const runs = 60
 	missed := 0
--- a/internal/dispatch/departed_test.go
+++ b/internal/dispatch/departed_test.go
@@ -11,8 +11,7 @@
 	"github.com/micahaven/micahaven/internal/upstream"
 )
 
-// A request whose client leaves counts as not executed, and so against no quota, exactly if no
-// server can have it.
+// Such a request counts against no quota, exactly if no server can have it.
 func TestRequestWhoseClientLeavesBeforeItIsSentWasNotExecuted(t *testing.T) {
 	t.Run("in the queue", func(t *testing.T) {
 		d, arrived := newSingleServerDispatcher(t, blockUntilCanceled)
--- a/internal/dispatch/shutdown_queue_test.go
+++ b/internal/dispatch/shutdown_queue_test.go
@@ -114,8 +114,7 @@
 	}
 }
 
-// Requests that wait when no server can answer in time any more are refused together, before the
-// shutdown deadline, at which those at servers end and would have servers chosen for them again.
+// Guards against choosing servers for all of them again as each request at a server ends.
 func TestQueuedRequestsAreRefusedBeforeTheShutdownDeadline(t *testing.T) {
 	d, arrived := newSingleServerDispatcher(t, blockUntilCanceled)
 	d.server("a").outstanding = 100
--- a/internal/ingress/tenancy_test.go
+++ b/internal/ingress/tenancy_test.go
@@ -22,8 +22,7 @@
 // GiveBack implements Quotas.
 func (q *refundedQuotas) GiveBack(string) { q.refunds++ }
 
-// A client that leaves before its request is sent gets its token back, and is told apart in
-// metrics from one that is refused.
+// Guards against tokens kept for clients that left, and against counting those as refused.
 func TestRequestsThatWereNotSentAreRefunded(t *testing.T) {
 	for name, c := range map[string]struct {
 		err     error
--- a/internal/poison/digest_test.go
+++ b/internal/poison/digest_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// Guards against three more crashes for each key under which a request is sent whose content
-// crashes servers.
+// Guards against three more crashes for each key under which the same content is sent.
 func TestCrashesUnderSeveralKeysAddUp(t *testing.T) {
 	nodes, _ := newGuards("n1", "n2")
 	underKey := func(key int) Request {
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -152,8 +152,7 @@
 	}
 }
 
-// Guards an innocent request against being refused by nodes that see its crashes but not its
-// responses.
+// Guards an innocent request against nodes that see its crashes but not its responses.
 func TestAnswerAfterOneCrashClearsAtAllNodes(t *testing.T) {
 	nodes, _ := newGuards("n1", "n2")
 	for server := range refuseThreshold {
@@ -192,8 +191,7 @@
 	}
 }
 
-// Guards a route split between two versions of a service: what crashes the one and is answered by
-// the other must be refused by the one alone.
+// Guards a canary against a request that the other version of its service answers.
 func TestAnswerOfOneServiceClearsNoOther(t *testing.T) {
 	nodes, _ := newGuards("n1", "n2")
 	old, canary := request(1), request(1)
@@ -213,8 +211,7 @@
 	}
 }
 
-// Guards against a suspect that is sent again, by a retry or for the next client, before the crash
-// that it has just caused is counted.
+// Guards against a retry, or the next client, that crashes one more server meanwhile.
 func TestSuspectIsNotSentBeforeItsLastCrashIsCounted(t *testing.T) {
 	nodes, _ := newGuards("n1")
 	node := nodes["n1"]
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -267,9 +267,7 @@
 	}
 }
 
-// Simulates days on which servers crash for unrelated reasons while each of them runs a response
-// that takes seconds and is requested again at once if it is lost. It counts both kinds of errors:
-// long responses that are refused, and servers that a guilty request crashes after the third.
+// Counts long responses refused after unrelated crashes, and servers that a guilty request crashes.
 func TestLongResponsesInFlightAtCrashesAreNotRefused(t *testing.T) {
 	const (
 		servers          = 20
@@ -332,8 +330,7 @@
 	}
 }
 
-// Guards servers that run many requests at once against a guilty request that is never among the
-// blamed ones.
+// Guards servers that run many requests at once.
 func TestGuiltyRequestIsBlamedAmongManyOthers(t *testing.T) {
 	const days, others = 200, 47
 	random, lastDigest, most, total := rand.New(rand.NewPCG(13, 0)), 0, 0, 0
@@ -362,8 +359,7 @@
 	}
 }
 
-// Guards an innocent request against crashes from before its last response that a node which has
-// not heard of the response reports again.
+// Guards against reports of nodes that have not learned of the response.
 func TestCrashesBeforeAnAnswerCountNoMore(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -387,8 +383,7 @@
 	}
 }
 
-// Guards against two nodes with more crashes than are recorded that go on replacing each other's,
-// and log the request as newly confirmed each time.
+// Guards against two nodes that replace each other's crashes and log a confirmation each time.
 func TestReportsOfManyCrashesSettle(t *testing.T) {
 	one, two, guilty := NewTable(), NewTable(), digest(1)
 	for server := range maxRecordedCrashes {
--- a/internal/quota/departed_test.go
+++ b/internal/quota/departed_test.go
@@ -95,8 +95,7 @@
 	return false
 }
 
-// Other nodes must be able to use a token that was given back, also if the node that gave it back
-// gets no further requests.
+// Guards against tokens that other nodes lack until the node gets another request.
 func TestTokensOfClientsThatLeaveReturnToTheHome(t *testing.T) {
 	t.Run("granted afterwards", func(t *testing.T) {
 		n, directory := newNetwork(t, "n1", "n2")
@@ -167,8 +166,7 @@
 	}
 }
 
-// A token that is granted to a report must not be withheld from a connected client because an
-// earlier one has left.
+// Guards a connected client against a refusal because an earlier one has left.
 func TestGrantOfAClientThatLeftGoesToTheNext(t *testing.T) {
 	n, directory := newNetwork(t, "n1", "n2")
 	home := n.refillAccount("a")
--- a/internal/router/crashes_test.go
+++ b/internal/router/crashes_test.go
@@ -49,8 +49,7 @@
 	return started
 }
 
-// Guards against crash reports that are dropped because the node has no connection yet to a head
-// of another zone. Reports of one or two crashes are not repeated.
+// Guards against reports that are dropped, and never repeated, for want of a connection.
 func TestFirstCrashReportReachesAllZones(t *testing.T) {
 	nodes := startPeers(t, "z1", "z2", "z3")
 	crashing := func() poison.Request { return poison.Request{Service: "s", Method: "GET", URI: "/crash"} }
@@ -76,8 +75,7 @@
 	}
 }
 
-// Guards against nodes of other zones that go on using a server which has announced that it is
-// leaving. A node reports that once.
+// Guards against nodes of other zones that go on using the server.
 func TestFirstSignalOfALeavingServerReachesAllZones(t *testing.T) {
 	nodes := startPeers(t, "z1", "z2", "z3")
 	var id discovery.ServerID
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -151,10 +151,8 @@
 
 // sendToHeads sends a message to the other heads, without a guarantee of delivery.
 func (p *peers) sendToHeads(envelope *wire.Envelope) {
-	for _, address := range p.feed.heads() {
-		if address != p.self.Address {
-			p.client.Send(address, envelope)
-		}
+	for _, address := range p.otherHeads() {
+		p.client.Send(address, envelope)
 	}
 }
 
@@ -169,10 +167,8 @@
 // reportToHeads is sendToHeads for reports that are rare and not repeated. They wait for the
 // connections to be opened: a node that is no head has no lasting ones to the heads of other zones.
 func (p *peers) reportToHeads(envelope *wire.Envelope) {
-	for _, address := range p.feed.heads() {
-		if address != p.self.Address {
-			p.client.SendOnceConnected(address, envelope)
-		}
+	for _, address := range p.otherHeads() {
+		p.client.SendOnceConnected(address, envelope)
 	}
 }
 
@@ -183,6 +179,11 @@
 	}
 }
 
+// otherHeads returns the addresses of the heads without this node.
+func (p *peers) otherHeads() []string {
+	return slices.DeleteFunc(slices.Clone(p.feed.heads()), func(address string) bool { return address == p.self.Address })
+}
+
 // nodes returns the number of registered nodes.
 func (p *peers) nodes() int { return p.views.Current().Nodes.Len() }
 
--- a/internal/soak/poisoned_test.go
+++ b/internal/soak/poisoned_test.go
@@ -15,8 +15,7 @@
 	"github.com/micahaven/micahaven/platform/standin"
 )
 
-// Guards against crashes in the soak that no node can recognize, because the link of the crashed
-// server accepts new connections.
+// Guards against crashes in the soak that no node can recognize.
 func TestServerCrashedByARequestRefusesConnections(t *testing.T) {
 	w, err := newWorld(1)
 	if err != nil {
