A stopping node logs when it refuses what waits, and where requests are that it cuts off

The log had no line between the shutdown deadline and the closed connections. It now tells what waits at a server (at_servers), what waits for a server (queued) and what is being decided on and waits for the dispatcher's mutex (dispatching without both); and how late the queue is refused. The counts are read without the mutex.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -34,6 +34,7 @@
 
 // Do sends a request to servers until one answers or the request has to be given up.
 func (d *Dispatcher) Do(ctx context.Context, request *Request) (*upstream.Response, Trace, error) {
+	defer count(&d.progress.active)()
 	ctx, bounds := d.ending.Bound(ctx, request.deadline())
 	answer, trace, err := d.sendUnlessPoisoned(ctx, request)
 	var refusal *Refusal
@@ -184,7 +185,9 @@
 	startedAt := time.Now()
 	cold := d.targetsColdRange(startedAt, request)
 	outgoing := d.outgoing(request, s, deadline)
+	exchanged := count(&d.progress.atServers)
 	answer, err := s.pool.Exchange(ctx, outgoing)
+	exchanged()
 	elapsed := time.Since(startedAt)
 	if err != nil {
 		d.detectCrash(ctx, request, s, err)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -117,6 +117,8 @@
 	// handover.
 	cold   map[string]*coldRanges
 	ending *ending.Ending
+	// progress needs no mutex.
+	progress progress
 	// handoffSender hands requests off to the home nodes of their servers; nil if this node
 	// sends all requests itself.
 	handoffSender HandoffSender
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -34,6 +34,7 @@
 			w.chosen <- nil
 		}
 		delete(d.waiting, service)
+		d.logQueueRefused(now, service, len(queue))
 		return
 	}
 	schedule.Order(now, queue, scheduledOf)
@@ -140,6 +141,7 @@
 // or allowed to wait longer: a late request may use capacity that requests in time leave
 // over.
 func (d *Dispatcher) waitInQueue(ctx context.Context, w *waiter, until time.Time) *server {
+	defer count(&d.progress.queued)()
 	for {
 		timer := time.NewTimer(time.Until(until))
 		select {
--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -23,6 +23,14 @@
 	d.logger.Info("shutdown deadline set for requests", zap.Duration("within", time.Until(at)), zap.Int("waiting", d.countWaiting()))
 }
 
+// logQueueRefused logs that the requests which waited for a service were refused because of the
+// shutdown, and how long after the time at which that was due.
+func (d *Dispatcher) logQueueRefused(now time.Time, service string, refused int) {
+	at, _ := d.ending.Deadline()
+	d.logger.Info("queued requests refused, node stops", zap.String("service", service), zap.Int("refused", refused),
+		zap.Duration("late", now.Sub(at.Add(-answerMargin))), zap.Int("at_servers", d.Progress().AtServers))
+}
+
 // countWaiting returns the number of requests that wait for a server. The caller holds the
 // mutex.
 func (d *Dispatcher) countWaiting() int {
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -113,7 +113,9 @@
 func (n *Node) shutDownClients(ctx context.Context) {
 	if err := n.clients.Shutdown(ctx); err != nil {
 		n.handler.MarkForcedClose()
-		n.logger.Warn("connections closed with requests in progress", zap.Int("active", n.handler.Active()), zap.Error(err))
+		progress := n.dispatcher.Progress()
+		n.logger.Warn("connections closed with requests in progress", zap.Int("active", n.handler.Active()),
+			zap.Int("dispatching", progress.Active), zap.Int("queued", progress.Queued), zap.Int("at_servers", progress.AtServers), zap.Error(err))
 	}
 }
 
