A stopping node refuses all that waits in one step, and its servers are examined once for that

Cause: at the moment from which no server can answer in time, 0.12 s before the shutdown deadline, each request that waits is refused on its own, under the dispatcher's mutex. The requests at servers, which end 0.12 s later, need the mutex too and come last. Class: work per request that grows with servers and queue, under one lock, for all requests at the same moment. Fix: a timer, or whoever has the mutex first from that moment on, refuses all queues in one step. The state of a service's servers, which no longer matters for anything else, is determined once for all its refusals; the requests get their refusals with the result of their wait and do not need the mutex again. Requests that come later look for no server.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -70,9 +70,13 @@
 	excluded := make(map[discovery.ServerID]bool)
 	for {
 		queuedAt := time.Now()
-		s := d.acquire(ctx, request, excluded)
+		assigned := d.acquire(ctx, request, excluded)
 		trace.Queued += time.Since(queuedAt)
 		queueSeconds.WithLabelValues(request.Service).Observe(time.Since(queuedAt).Seconds())
+		if assigned.refusal != nil && !mayHaveRun {
+			return nil, trace, assigned.refusal
+		}
+		s := assigned.server
 		if s == nil {
 			return lastAnswer, trace, d.finalError(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
@@ -170,7 +174,7 @@
 	case last != nil:
 		return nil
 	case !mayHaveRun:
-		return d.refusal(request)
+		return d.refuse(request)
 	case ending.EndedByShutdown(ctx):
 		return errors.Wrapf(ErrNodeStopping, "%v", cause)
 	case ctx.Err() != nil:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -117,6 +117,8 @@
 	// handover.
 	cold   map[string]*coldRanges
 	ending *ending.Ending
+	// finalStates holds, by service, what refusals state once this node sends nothing more.
+	finalStates map[string]*finalState
 	// progress needs no mutex.
 	progress progress
 	// handoffSender hands requests off to the home nodes of their servers; nil if this node
@@ -158,6 +160,7 @@
 		samples:          make(map[string]*samples),
 		cold:             make(map[string]*coldRanges),
 		sizes:            make(map[string]float64),
+		finalStates:      make(map[string]*finalState),
 		nodes:            1,
 		permits:          warmup.NewPermits(options.Node),
 		copyAge:          func() (time.Duration, bool) { return 0, true },
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -14,9 +14,16 @@
 	// scheduled holds the attributes that determine the request's position in the queue.
 	scheduled *schedule.Request
 	excluded  map[discovery.ServerID]bool
-	// chosen receives the selected server, on which a slot is already reserved, or nil if
-	// waiting any longer is pointless.
-	chosen chan *server
+	// chosen receives the result of the wait.
+	chosen chan assignment
+}
+
+// assignment is the result of waiting for a server: a server on which a slot is reserved, or no
+// server if waiting any longer is pointless.
+type assignment struct {
+	server *server
+	// refusal is the request's refusal if it has been determined with that of other requests.
+	refusal *Refusal
 }
 
 func scheduledOf(w *waiter) *schedule.Request { return w.scheduled }
@@ -30,18 +37,14 @@
 	}
 	now := time.Now()
 	if d.tooLateForAll(now) {
-		for _, w := range queue {
-			w.chosen <- nil
-		}
-		delete(d.waiting, service)
-		d.logQueueRefused(now, service, len(queue))
+		d.refuseQueued(now)
 		return
 	}
 	schedule.Order(now, queue, scheduledOf)
 	kept := queue[:0]
 	for _, w := range queue {
 		if _, tooSlow := d.coldKeyTooSlow(now, w.request); tooSlow {
-			w.chosen <- nil
+			w.chosen <- assignment{}
 			continue
 		}
 		chosen := d.choose(now, w.request, w.excluded)
@@ -50,7 +53,7 @@
 			continue
 		}
 		d.reserve(now, chosen)
-		w.chosen <- chosen
+		w.chosen <- assignment{server: chosen}
 	}
 	if len(kept) == 0 {
 		delete(d.waiting, service)
@@ -64,33 +67,34 @@
 	d.waiting[w.request.Service] = append(d.waiting[w.request.Service], w)
 }
 
-// removeWaiter removes a waiter from the queue. It returns the server that was assigned to
-// the waiter in the meantime, if any.
-func (d *Dispatcher) removeWaiter(w *waiter) *server {
+// removeWaiter removes a waiter from the queue. It returns what was assigned to the waiter in the
+// meantime, if anything.
+func (d *Dispatcher) removeWaiter(w *waiter) assignment {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	queue := d.waiting[w.request.Service]
 	for index, other := range queue {
 		if other == w {
 			d.waiting[w.request.Service] = append(queue[:index], queue[index+1:]...)
-			return nil
+			return assignment{}
 		}
 	}
 	select {
 	case given := <-w.chosen:
 		return given
 	default:
-		return nil
+		return assignment{}
 	}
 }
 
 // acquire returns a server for the request with a slot reserved on it, waiting until the
-// request's deadline. It returns nil if none becomes available by then, if the context
+// request's deadline. It returns no server if none becomes available by then, if the context
 // ends, or if this node is shutting down and the response would come too late.
-func (d *Dispatcher) acquire(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool) *server {
-	chosen := d.waitForServer(ctx, request, excluded, d.deadline(request))
+func (d *Dispatcher) acquire(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool) assignment {
+	assigned := d.waitForServer(ctx, request, excluded, d.deadline(request))
+	chosen := assigned.server
 	if chosen == nil {
-		return nil
+		return assigned
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -98,39 +102,43 @@
 	if ctx.Err() != nil {
 		chosen.outstanding--
 		d.serveWaiters(chosen.Service)
-		return nil
+		return assignment{}
 	}
 	// The node may have begun to shut down while the request waited.
 	now, deadline := time.Now(), d.deadline(request)
 	for chosen != nil && d.tooLate(now, request, chosen, deadline) {
 		chosen.outstanding--
 		d.serveWaiters(chosen.Service)
-		if excluded[chosen.id] {
-			// No other server can serve the request's key.
-			return nil
+		if excluded[chosen.id] || d.tooLateForAll(now) {
+			// No other server can serve the request.
+			return assignment{}
 		}
 		excluded[chosen.id] = true
 		if chosen = d.choose(now, request, excluded); chosen != nil {
 			d.reserve(now, chosen)
 		}
 	}
-	return chosen
+	return assignment{server: chosen}
 }
 
 // waitForServer waits for a server until the deadline or the end of the context.
-func (d *Dispatcher) waitForServer(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool, deadline time.Time) *server {
+func (d *Dispatcher) waitForServer(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool, deadline time.Time) assignment {
 	d.mutex.Lock()
 	now := time.Now()
+	if d.tooLateForAll(now) {
+		d.mutex.Unlock()
+		return assignment{}
+	}
 	if chosen := d.choose(now, request, excluded); chosen != nil {
 		d.reserve(now, chosen)
 		d.mutex.Unlock()
-		return chosen
+		return assignment{server: chosen}
 	}
-	w := &waiter{request: request, scheduled: d.scheduled(request, deadline), excluded: excluded, chosen: make(chan *server, 1)}
+	w := &waiter{request: request, scheduled: d.scheduled(request, deadline), excluded: excluded, chosen: make(chan assignment, 1)}
 	decision := d.decideWait(w)
 	if decision.Verdict == schedule.Refuse {
 		d.mutex.Unlock()
-		return nil
+		return assignment{}
 	}
 	d.enqueue(w)
 	d.mutex.Unlock()
@@ -140,7 +148,7 @@
 // waitInQueue waits for a server until the given time. Then the request is either removed
 // or allowed to wait longer: a late request may use capacity that requests in time leave
 // over.
-func (d *Dispatcher) waitInQueue(ctx context.Context, w *waiter, until time.Time) *server {
+func (d *Dispatcher) waitInQueue(ctx context.Context, w *waiter, until time.Time) assignment {
 	defer count(&d.progress.queued)()
 	for {
 		timer := time.NewTimer(time.Until(until))
@@ -161,9 +169,13 @@
 	}
 }
 
-// redecideWait is decideWait for callers that do not hold the mutex.
+// redecideWait is decideWait for a queued request and callers that do not hold the mutex.
 func (d *Dispatcher) redecideWait(w *waiter) schedule.Decision {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if now := time.Now(); d.tooLateForAll(now) {
+		d.refuseQueued(now)
+		return schedule.Decision{Verdict: schedule.Refuse}
+	}
 	return d.decideWait(w)
 }
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -14,7 +14,7 @@
 func enqueueWaiter(d *Dispatcher, request *Request) *waiter {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	w := &waiter{request: request, scheduled: d.scheduled(request, request.deadline()), chosen: make(chan *server, 1)}
+	w := &waiter{request: request, scheduled: d.scheduled(request, request.deadline()), chosen: make(chan assignment, 1)}
 	d.enqueue(w)
 	return w
 }
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -53,10 +53,15 @@
 	return names[r]
 }
 
-// refusal returns the refusal of a request for which no server is available.
-func (d *Dispatcher) refusal(request *Request) *Refusal {
+// refuse returns the refusal of a request for which no server is available.
+func (d *Dispatcher) refuse(request *Request) *Refusal {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	return d.refusal(request)
+}
+
+// refusal is refuse for callers that hold the mutex.
+func (d *Dispatcher) refusal(request *Request) *Refusal {
 	reason, detail := d.whyNoServer(request)
 	if _, stopping := d.ending.Deadline(); stopping {
 		reason, detail = ReasonNodeStops, "the node stops; "+detail
@@ -83,7 +88,10 @@
 	current := d.views.Current()
 	owners, divided := d.owners(current, request)
 	if !divided {
-		return ReasonNoServer, d.whyNoneOf(now, request)
+		if d.tooLateForAll(now) {
+			return ReasonNoServer, d.finalState(now, request.Service).whyNone
+		}
+		return ReasonNoServer, d.whyNoneOf(now, request.Service)
 	}
 	owner, owned := d.ownerOf(request, owners)
 	if !owned {
@@ -122,10 +130,10 @@
 
 // whyNoneOf explains why none of the servers of an unsharded service is available. The
 // caller holds the mutex.
-func (d *Dispatcher) whyNoneOf(now time.Time, request *Request) string {
+func (d *Dispatcher) whyNoneOf(now time.Time, service string) string {
 	known, leaving, resting, blocked, limited, warmingUp, busy := 0, 0, 0, 0, 0, 0, 0
 	current := d.views.Current()
-	svc := d.services[request.Service]
+	svc := d.services[service]
 	if svc == nil {
 		return "no servers are known"
 	}
--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/micahaven/micahaven/internal/schedule"
 )
 
 // answerMargin is how long before the node's end a server is asked to answer. It leaves
@@ -18,19 +20,12 @@
 // shortened remaining time.
 func (d *Dispatcher) ShutDownBy(at time.Time) {
 	d.ending.Set(at)
+	time.AfterFunc(time.Until(at.Add(-answerMargin)), d.refuseQueuedIfDue)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.logger.Info("shutdown deadline set for requests", zap.Duration("within", time.Until(at)), zap.Int("waiting", d.countWaiting()))
 }
 
-// logQueueRefused logs that the requests which waited for a service were refused because of the
-// shutdown, and how long after the time at which that was due.
-func (d *Dispatcher) logQueueRefused(now time.Time, service string, refused int) {
-	at, _ := d.ending.Deadline()
-	d.logger.Info("queued requests refused, node stops", zap.String("service", service), zap.Int("refused", refused),
-		zap.Duration("late", now.Sub(at.Add(-answerMargin))), zap.Int("at_servers", d.Progress().AtServers))
-}
-
 // countWaiting returns the number of requests that wait for a server. The caller holds the
 // mutex.
 func (d *Dispatcher) countWaiting() int {
@@ -62,9 +57,61 @@
 }
 
 // tooLateForAll reports whether the node shuts down so soon that no server can answer a request
-// that still waits. Refusing all of them then is cheap, and leaves the time until the shutdown
-// deadline for their responses; choosing servers for each of them again is not.
+// that still waits. Nothing is sent from then on, and the requests that wait have the time until the
+// shutdown deadline for their responses.
 func (d *Dispatcher) tooLateForAll(now time.Time) bool {
 	at, stopping := d.ending.Deadline()
 	return stopping && !now.Before(at.Add(-answerMargin))
 }
+
+// refuseQueuedIfDue refuses all requests that wait for a server if none can answer them in time.
+func (d *Dispatcher) refuseQueuedIfDue() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if now := time.Now(); d.tooLateForAll(now) {
+		d.refuseQueued(now)
+	}
+}
+
+// refuseQueued refuses all requests that wait for a server, because the node shuts down. Hundreds
+// of them may wait, and the attempts that end at the same time need the mutex as well, so the
+// servers are examined once and not for each request, and the requests get their refusals without
+// acquiring the mutex again. The caller holds the mutex.
+func (d *Dispatcher) refuseQueued(now time.Time) {
+	for service, queue := range d.waiting {
+		delete(d.waiting, service)
+		schedule.Order(now, queue, scheduledOf)
+		for _, w := range queue {
+			w.chosen <- assignment{refusal: d.refusal(w.request)}
+		}
+		d.logQueueRefused(now, service, len(queue))
+	}
+}
+
+// logQueueRefused logs that the requests which waited for a service were refused, and how long
+// after the time at which that was due.
+func (d *Dispatcher) logQueueRefused(now time.Time, service string, refused int) {
+	at, _ := d.ending.Deadline()
+	d.logger.Info("queued requests refused, node stops", zap.String("service", service), zap.Int("refused", refused),
+		zap.Duration("late", now.Sub(at.Add(-answerMargin))), zap.Int("at_servers", d.Progress().AtServers))
+}
+
+// finalState is the state of the servers of an unsharded service at the time from which this node,
+// which shuts down, sends them nothing more. All refusals from then on are based on it.
+type finalState struct {
+	capacity float64
+	work     time.Duration
+	whyNone  string
+}
+
+// finalState returns the final state of a service's servers. The caller holds the mutex and has
+// checked tooLateForAll.
+func (d *Dispatcher) finalState(now time.Time, service string) *finalState {
+	known := d.finalStates[service]
+	if known == nil {
+		known = &finalState{whyNone: d.whyNoneOf(now, service)}
+		known.capacity, known.work = d.serviceCapacity(now, service, nil)
+		d.finalStates[service] = known
+	}
+	return known
+}
--- a/internal/dispatch/shutdown_queue_test.go
+++ b/internal/dispatch/shutdown_queue_test.go
@@ -2,13 +2,29 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// waitQueued waits until the given number of requests wait for a server.
+func waitQueued(t *testing.T, d *Dispatcher, want int) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		d.mutex.Lock()
+		count := d.countWaiting()
+		d.mutex.Unlock()
+		if count == want {
+			return
+		}
+	}
+	t.Fatalf("timed out waiting for %d queued requests", want)
+}
+
 // freeSlots releases all slots of a server and serves the waiting requests.
 func freeSlots(d *Dispatcher, id string) {
 	d.mutex.Lock()
@@ -79,15 +95,7 @@
 			_, _, err := d.Do(context.Background(), request)
 			results <- err
 		}()
-		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-			d.mutex.Lock()
-			count := d.countWaiting()
-			d.mutex.Unlock()
-			if count == waiting {
-				return
-			}
-		}
-		t.Fatalf("timed out waiting for %d queued requests", waiting)
+		waitQueued(t, d, waiting)
 	}
 	queue(longRequest(), 1)
 	// The second request's own deadline is earlier than the node's end, so it may still be
@@ -141,3 +149,70 @@
 		t.Errorf("%v with %d requests at the server, want a refusal because the node stops", err, arrived.Load())
 	}
 }
+
+// countingLimits announces a limit for each server and counts how often one is examined.
+type countingLimits struct {
+	noLimits
+	examined atomic.Int64
+}
+
+func (l *countingLimits) Observed(string) (float64, bool) {
+	l.examined.Add(1)
+	return 100, true
+}
+
+// serversExaminedToRefuse returns how often servers are examined to refuse requests, of which some
+// wait when a node with 20 servers stops and the others arrive afterwards.
+func serversExaminedToRefuse(t *testing.T, queued, arriving int) int64 {
+	t.Helper()
+	addresses := make(map[string]string)
+	for number := range 20 {
+		addresses[fmt.Sprint(number)] = "127.0.0.1:1"
+	}
+	d := dispatcherOf(addresses)
+	limits := &countingLimits{}
+	d.SetServerLimits(limits)
+	for _, s := range d.servers {
+		s.limitedUntil = time.Now().Add(time.Hour)
+	}
+	results := make(chan error, queued+arriving)
+	send := func(count int) {
+		for range count {
+			go func() {
+				_, _, err := d.Do(context.Background(), longRequest())
+				results <- err
+			}()
+		}
+	}
+	send(queued)
+	waitQueued(t, d, queued)
+	limits.examined.Store(0)
+	d.ShutDownBy(time.Now().Add(answerMargin))
+	time.Sleep(answerMargin)
+	send(arriving)
+	for range queued + arriving {
+		var refusal *Refusal
+		if err := <-results; !errors.As(err, &refusal) || refusal.Reason != ReasonNodeStops {
+			t.Errorf("%v, want a refusal because the node stops", err)
+		}
+	}
+	return limits.examined.Load()
+}
+
+// Guards against refusals at the shutdown deadline that take longer the more requests wait.
+func TestStoppingNodeDoesNotExamineServersForEachRequestThatItRefuses(t *testing.T) {
+	const few, many = 10, 200
+	for _, c := range []struct {
+		name    string
+		examine func(count int) int64
+	}{
+		{"queued", func(count int) int64 { return serversExaminedToRefuse(t, count, 0) }},
+		{"arriving after the queue was refused", func(count int) int64 { return serversExaminedToRefuse(t, few, count) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if first, second := c.examine(few), c.examine(many); second > first {
+				t.Errorf("servers examined %d times to refuse %d requests, %d times for %d", first, few, second, many)
+			}
+		})
+	}
+}
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -122,9 +122,18 @@
 		}
 		return d.throughput(now, s), seconds(s.expected())
 	}
+	if d.tooLateForAll(now) {
+		final := d.finalState(now, request.Service)
+		return final.capacity, final.work
+	}
+	return d.serviceCapacity(now, request.Service, excluded)
+}
+
+// serviceCapacity is capacity for all requests of an unsharded service. The caller holds the mutex.
+func (d *Dispatcher) serviceCapacity(now time.Time, service string, excluded map[discovery.ServerID]bool) (capacity float64, work time.Duration) {
 	current := d.views.Current()
 	sum, count := 0.0, 0
-	for _, s := range d.candidates(now, current, request.Service) {
+	for _, s := range d.candidates(now, current, service) {
 		if excluded[s.id] || !s.reachable(now, 0) || s.inBackoff(now) {
 			continue
 		}
