Clean-up: counters without closures, names and comments of the final state

No change of behaviour. Dispatcher.finalStateOf has another name than its type, the counters of Progress are changed in place, and comments say when a method may be called.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -34,7 +34,8 @@
 
 // Do sends a request to servers until one answers or the request has to be given up.
 func (d *Dispatcher) Do(ctx context.Context, request *Request) (*upstream.Response, Trace, error) {
-	defer count(&d.progress.active)()
+	d.progress.active.Add(1)
+	defer d.progress.active.Add(-1)
 	ctx, bounds := d.ending.Bound(ctx, request.deadline())
 	answer, trace, err := d.sendUnlessPoisoned(ctx, request)
 	var refusal *Refusal
@@ -189,9 +190,9 @@
 	startedAt := time.Now()
 	cold := d.targetsColdRange(startedAt, request)
 	outgoing := d.outgoing(request, s, deadline)
-	exchanged := count(&d.progress.atServers)
+	d.progress.atServers.Add(1)
 	answer, err := s.pool.Exchange(ctx, outgoing)
-	exchanged()
+	d.progress.atServers.Add(-1)
 	elapsed := time.Since(startedAt)
 	if err != nil {
 		d.detectCrash(ctx, request, s, err)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -117,7 +117,8 @@
 	// handover.
 	cold   map[string]*coldRanges
 	ending *ending.Ending
-	// finalStates holds, by service, what refusals state once this node sends nothing more.
+	// finalStates holds, by service, the state that refusals are based on once this node sends
+	// nothing more.
 	finalStates map[string]*finalState
 	// progress needs no mutex.
 	progress progress
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -18,15 +18,11 @@
 // many requests wait for it.
 type progress struct{ active, queued, atServers atomic.Int64 }
 
-// count adds a request to a counter and returns the function that removes it.
-func count(counter *atomic.Int64) (done func()) {
-	counter.Add(1)
-	return func() { counter.Add(-1) }
-}
-
 // Progress returns the current counts. It never blocks.
 func (d *Dispatcher) Progress() Progress {
 	return Progress{
-		Active: int(d.progress.active.Load()), Queued: int(d.progress.queued.Load()), AtServers: int(d.progress.atServers.Load()),
+		Active:    int(d.progress.active.Load()),
+		Queued:    int(d.progress.queued.Load()),
+		AtServers: int(d.progress.atServers.Load()),
 	}
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -149,7 +149,8 @@
 // or allowed to wait longer: a late request may use capacity that requests in time leave
 // over.
 func (d *Dispatcher) waitInQueue(ctx context.Context, w *waiter, until time.Time) assignment {
-	defer count(&d.progress.queued)()
+	d.progress.queued.Add(1)
+	defer d.progress.queued.Add(-1)
 	for {
 		timer := time.NewTimer(time.Until(until))
 		select {
@@ -169,7 +170,7 @@
 	}
 }
 
-// redecideWait is decideWait for a queued request and callers that do not hold the mutex.
+// redecideWait decides again about a queued request. It acquires the mutex.
 func (d *Dispatcher) redecideWait(w *waiter) schedule.Decision {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -89,7 +89,7 @@
 	owners, divided := d.owners(current, request)
 	if !divided {
 		if d.tooLateForAll(now) {
-			return ReasonNoServer, d.finalState(now, request.Service).whyNone
+			return ReasonNoServer, d.finalStateOf(now, request.Service).whyNone
 		}
 		return ReasonNoServer, d.whyNoneOf(now, request.Service)
 	}
--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -73,10 +73,10 @@
 	}
 }
 
-// refuseQueued refuses all requests that wait for a server, because the node shuts down. Hundreds
-// of them may wait, and the attempts that end at the same time need the mutex as well, so the
-// servers are examined once and not for each request, and the requests get their refusals without
-// acquiring the mutex again. The caller holds the mutex.
+// refuseQueued refuses all requests that wait for a server, because the node shuts down. There may
+// be hundreds, and the requests at servers need the mutex soon afterwards. Therefore the servers
+// are examined once instead of for each request, and each request receives its refusal without
+// acquiring the mutex. The caller holds the mutex.
 func (d *Dispatcher) refuseQueued(now time.Time) {
 	for service, queue := range d.waiting {
 		delete(d.waiting, service)
@@ -96,17 +96,18 @@
 		zap.Duration("late", now.Sub(at.Add(-answerMargin))), zap.Int("at_servers", d.Progress().AtServers))
 }
 
-// finalState is the state of the servers of an unsharded service at the time from which this node,
-// which shuts down, sends them nothing more. All refusals from then on are based on it.
+// finalState is the state of an unsharded service's servers when this node, which shuts down, stops
+// sending to them. All refusals from then on are based on it.
 type finalState struct {
+	// capacity and work are as serviceCapacity returns them, whyNone as whyNoneOf does.
 	capacity float64
 	work     time.Duration
 	whyNone  string
 }
 
-// finalState returns the final state of a service's servers. The caller holds the mutex and has
-// checked tooLateForAll.
-func (d *Dispatcher) finalState(now time.Time, service string) *finalState {
+// finalStateOf returns the final state of a service's servers. It must be called only once
+// tooLateForAll reports true. The caller holds the mutex.
+func (d *Dispatcher) finalStateOf(now time.Time, service string) *finalState {
 	known := d.finalStates[service]
 	if known == nil {
 		known = &finalState{whyNone: d.whyNoneOf(now, service)}
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -123,7 +123,7 @@
 		return d.throughput(now, s), seconds(s.expected())
 	}
 	if d.tooLateForAll(now) {
-		final := d.finalState(now, request.Service)
+		final := d.finalStateOf(now, request.Service)
 		return final.capacity, final.work
 	}
 	return d.serviceCapacity(now, request.Service, excluded)
