Requests that are refused with the queue do not need the dispatcher's mutex

Cause: a request that comes after the signal waits until the moment at which the queue is refused, by a timer of its own. So some 270 timers expire at that moment and their requests wait for the mutex, once to be decided on again and once to leave the queue, first come, first served: each acquisition waits for a goroutine to be scheduled. The requests at servers get the mutex after them. Fix: a wait that lasts until the queue is refused has no timer of its own, and a request that finds its result leaves with it before it asks for the mutex.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -70,6 +70,9 @@
 // removeWaiter removes a waiter from the queue. It returns what was assigned to the waiter in the
 // meantime, if anything.
 func (d *Dispatcher) removeWaiter(w *waiter) assignment {
+	if given, assigned := w.assigned(); assigned {
+		return given
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	queue := d.waiting[w.request.Service]
@@ -79,11 +82,17 @@
 			return assignment{}
 		}
 	}
+	given, _ := w.assigned()
+	return given
+}
+
+// assigned returns the result of the wait if there is one already.
+func (w *waiter) assigned() (given assignment, assigned bool) {
 	select {
-	case given := <-w.chosen:
-		return given
+	case given = <-w.chosen:
+		return given, true
 	default:
-		return assignment{}
+		return assignment{}, false
 	}
 }
 
@@ -152,15 +161,15 @@
 	d.progress.queued.Add(1)
 	defer d.progress.queued.Add(-1)
 	for {
-		timer := time.NewTimer(time.Until(until))
+		expired, stop := d.waitTimer(until)
 		select {
 		case chosen := <-w.chosen:
-			timer.Stop()
+			stop()
 			return chosen
 		case <-ctx.Done():
-			timer.Stop()
+			stop()
 			return d.removeWaiter(w)
-		case <-timer.C:
+		case <-expired:
 		}
 		decision := d.redecideWait(w)
 		if decision.Verdict == schedule.Refuse {
@@ -170,6 +179,17 @@
 	}
 }
 
+// waitTimer returns a channel that receives at the end of a wait, and the function that stops it. A
+// wait that lasts until the queue is refused because of the shutdown gets no timer: all such timers
+// would expire at the same moment, and each of their requests would need the mutex.
+func (d *Dispatcher) waitTimer(until time.Time) (expired <-chan time.Time, stop func()) {
+	if d.tooLateForAll(until) {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(time.Until(until))
+	return timer.C, func() { timer.Stop() }
+}
+
 // redecideWait decides again about a queued request. It acquires the mutex.
 func (d *Dispatcher) redecideWait(w *waiter) schedule.Decision {
 	d.mutex.Lock()
--- a/internal/dispatch/shutdown_queue_test.go
+++ b/internal/dispatch/shutdown_queue_test.go
@@ -216,3 +216,30 @@
 		})
 	}
 }
+
+// Guards against a convoy at the mutex at the moment at which the queue is refused.
+func TestQueueRefusedByAStoppingNodeDoesNotNeedTheMutex(t *testing.T) {
+	d, _ := newSingleServerDispatcher(t, blockUntilCanceled)
+	const requests, untilRefused = 50, 50 * time.Millisecond
+	refusedAt := time.Now().Add(untilRefused)
+	d.ShutDownBy(refusedAt.Add(answerMargin))
+	results := make(chan assignment, requests)
+	for range requests {
+		w := enqueueWaiter(d, longRequest())
+		go func() { results <- d.waitInQueue(context.Background(), w, refusedAt) }()
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	time.Sleep(2 * untilRefused)
+	d.refuseQueued(time.Now())
+	for number := range requests {
+		select {
+		case result := <-results:
+			if result.refusal == nil || result.refusal.Reason != ReasonNodeStops {
+				t.Errorf("%+v, want a refusal because the node stops", result)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%d of %d requests have ended without the mutex", number, requests)
+		}
+	}
+}
