Servers are chosen for waiting requests only while one is free

Cause: each tick, 20 a second, and each request that ends at a server sorts all that wait and examines all servers for each of them, under the dispatcher's mutex, also when no server is free. The step that refuses the queue has to wait for that. Fix: requests of an unsharded service are sorted and served only if a server is free, and only as long as one is. Which request gets which server is as before.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -38,11 +38,11 @@
 	bestCost := math.Inf(1)
 	atHome := len(d.homeGroup(current, request.Service)) > 0
 	for _, s := range d.candidates(now, current, request.Service) {
-		if excluded[s.id] || !s.usable(now, 0) || d.limitLeft(now, s) > 0 {
+		if excluded[s.id] {
 			continue
 		}
-		may, bounded := d.maySend(now, current, s)
-		if !may {
+		free, bounded := d.isFree(now, current, s)
+		if !free {
 			continue
 		}
 		spill, may := d.maySpill(now, request, s, atHome && !bounded)
@@ -60,6 +60,33 @@
 	return best
 }
 
+// isFree reports whether a server of an unsharded service may get another request now, and whether
+// it is warming up at a bounded rate. The caller holds the mutex.
+func (d *Dispatcher) isFree(now time.Time, current *view.View, s *server) (free, bounded bool) {
+	if !s.usable(now, 0) || d.limitLeft(now, s) > 0 {
+		return false, false
+	}
+	return d.maySend(now, current, s)
+}
+
+// hasFreeServer reports whether a request of a service may find a free server. If not, choosing one
+// for each request that waits is pointless. It is always true for sharded services, whose requests
+// wait for different servers. The caller holds the mutex.
+func (d *Dispatcher) hasFreeServer(now time.Time, service string) bool {
+	current := d.views.Current()
+	if current.Table != nil {
+		if configured, _ := current.Table.Service(service); configured.ShardedByKey {
+			return true
+		}
+	}
+	for _, s := range d.candidates(now, current, service) {
+		if free, _ := d.isFree(now, current, s); free {
+			return true
+		}
+	}
+	return false
+}
+
 // owners returns the owner map of the request's service, and whether the service is
 // sharded, that is, whether each key is served by one owner.
 func (d *Dispatcher) owners(current *view.View, request *Request) (view.Owners, bool) {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -40,9 +40,17 @@
 		d.refuseQueued(now)
 		return
 	}
+	free := d.hasFreeServer(now, service)
+	if !free {
+		return
+	}
 	schedule.Order(now, queue, scheduledOf)
 	kept := queue[:0]
-	for _, w := range queue {
+	for index, w := range queue {
+		if !free {
+			kept = append(kept, queue[index:]...)
+			break
+		}
 		if _, tooSlow := d.coldKeyTooSlow(now, w.request); tooSlow {
 			w.chosen <- assignment{}
 			continue
@@ -54,6 +62,7 @@
 		}
 		d.reserve(now, chosen)
 		w.chosen <- assignment{server: chosen}
+		free = d.hasFreeServer(now, service)
 	}
 	if len(kept) == 0 {
 		delete(d.waiting, service)
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -112,3 +112,20 @@
 		t.Error("a failing owner counts as available")
 	}
 }
+
+// Guards against ticks that hold the mutex longer the more requests wait for busy servers.
+func TestServersAreNotExaminedForEachRequestThatWaitsForThem(t *testing.T) {
+	examined := func(waiting int) int64 {
+		d, limits := limitedDispatcher(20)
+		for range waiting {
+			enqueueWaiter(d, longRequest())
+		}
+		limits.examined.Store(0)
+		d.tick(false)
+		return limits.examined.Load()
+	}
+	const few, many = 10, 200
+	if first, second := examined(few), examined(many); second > first {
+		t.Errorf("servers examined %d times in a tick with %d waiting requests, %d times with %d", first, few, second, many)
+	}
+}
--- a/internal/dispatch/shutdown_queue_test.go
+++ b/internal/dispatch/shutdown_queue_test.go
@@ -161,20 +161,25 @@
 	return 100, true
 }
 
-// serversExaminedToRefuse returns how often servers are examined to refuse requests, of which some
-// wait when a node with 20 servers stops and the others arrive afterwards.
-func serversExaminedToRefuse(t *testing.T, queued, arriving int) int64 {
-	t.Helper()
+// limitedDispatcher returns a dispatcher with some servers, whose announced limits are used up.
+func limitedDispatcher(servers int) (*Dispatcher, *countingLimits) {
 	addresses := make(map[string]string)
-	for number := range 20 {
+	for number := range servers {
 		addresses[fmt.Sprint(number)] = "127.0.0.1:1"
 	}
-	d := dispatcherOf(addresses)
-	limits := &countingLimits{}
+	d, limits := dispatcherOf(addresses), &countingLimits{}
 	d.SetServerLimits(limits)
 	for _, s := range d.servers {
 		s.limitedUntil = time.Now().Add(time.Hour)
 	}
+	return d, limits
+}
+
+// serversExaminedToRefuse returns how often servers are examined to refuse requests, of which some
+// wait when a node with 20 servers stops and the others arrive afterwards.
+func serversExaminedToRefuse(t *testing.T, queued, arriving int) int64 {
+	t.Helper()
+	d, limits := limitedDispatcher(20)
 	results := make(chan error, queued+arriving)
 	send := func(count int) {
 		for range count {
