--- a/internal/sentinel/sentinel.go
+++ b/internal/sentinel/sentinel.go
@@ -1,8 +1,9 @@
 // Package sentinel provides errors that callers compare with errors.Is.
 package sentinel
 
-// Error is an error without a stack trace. errors.Is compares the messages of errors of the same
-// type, and formatting the message of an error from errors.New costs tens of microseconds.
+// Error is an error without a stack trace, whose message is its text. errors.Is compares the
+// messages of errors of the same type, and an error from cockroachdb/errors formats its message with
+// regular expressions each time.
 type Error string
 
 // Error implements error.
