Failing tests of a large change that is sent again while it is in transit

The simulation of the feed gets links of limited bandwidth. 295 nodes and a change of 400 KB: 418 MB are sent, 118 MB are one copy for each node; 112 nodes turn to the store because heartbeats wait behind the repetitions; a follower that missed the change cannot get it from its head, whose log has dropped it.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -26,6 +26,8 @@
 	calls int
 	// delay returns how long a message takes to arrive.
 	delay func() time.Duration
+	// values holds the values of changes that have one, by revision.
+	values map[int64][]byte
 }
 
 type node struct {
@@ -36,6 +38,8 @@
 	// store; silent ones have a watch that reports no changes.
 	stopped, isolated, cutOff, silent bool
 	inbox                             []delivery
+	// link bounds the bandwidth of the node; nil means no bound.
+	link *link
 }
 
 type delivery struct {
@@ -45,7 +49,7 @@
 }
 
 func newCluster(t *testing.T, count, zones int) *cluster {
-	c := &cluster{t: t, revision: 1, connected: make(map[string]bool), random: rand.New(rand.NewPCG(1, 2))}
+	c := &cluster{t: t, revision: 1, connected: make(map[string]bool), values: make(map[int64][]byte), random: rand.New(rand.NewPCG(1, 2))}
 	c.delay = func() time.Duration { return 2 * time.Millisecond }
 	for index := range count {
 		name := fmt.Sprintf("n%03d", index)
@@ -83,7 +87,7 @@
 				c.connected[pair] = true
 				continue
 			}
-			to.inbox = append(to.inbox, delivery{at: c.now + c.delay(), from: from.Address, message: message})
+			to.inbox = append(to.inbox, delivery{at: c.arrival(from, to, message), from: from.Address, message: message})
 		}
 	}
 }
@@ -92,7 +96,7 @@
 func (c *cluster) change() { c.revision++ }
 
 func (c *cluster) event(revision int64) topo.Event {
-	return topo.Event{Item: topo.Item{Key: fmt.Sprintf("key %d", revision), Revision: revision}}
+	return topo.Event{Item: topo.Item{Key: fmt.Sprintf("key %d", revision), Value: c.values[revision], Revision: revision}}
 }
 
 // applyBatch applies a batch to a node's copy.
