Changes stay in the log until all followers have confirmed them

Cause, one of two: the log of changes for followers that missed some holds 256 KB, and a configuration with 1,760 routes is larger. The next change, of any size, drops it from the log. A follower that lacks it then gets nothing more from any head: what follows does not fit its copy, and it has to turn to the store. The record does not show this part: no node of the logs' last seconds is at the store, and calls to the store do not rise.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -76,10 +76,12 @@
 	reregistrationGrace = 2 * time.Second
 	// defaultMaxCopyAge is the default of the age set by SetMaxCopyAge.
 	defaultMaxCopyAge = 2 * time.Second
-	// maxLogBytes limits the log of changes that is kept for followers that missed some;
-	// changeOverheadBytes is what each change counts in addition to its value or delta.
-	maxLogBytes         = 256 << 10
-	changeOverheadBytes = 64
+	// maxLogBytes limits the log of changes that all followers have; maxUnconfirmedLogBytes limits
+	// it while a follower has not confirmed some of them. changeOverheadBytes is what each change
+	// counts in addition to its value or delta.
+	maxLogBytes            = 256 << 10
+	maxUnconfirmedLogBytes = 8 << 20
+	changeOverheadBytes    = 64
 )
 
 // Message is a message from one node to another. Exactly one field besides To is set.
@@ -104,8 +106,9 @@
 // follower is the state of a node that has asked this one for changes.
 type follower struct {
 	lastRequestAt time.Duration
-	// sentRevision is the revision up to which changes have been sent.
-	sentRevision int64
+	// confirmedRevision is the revision that the follower is known to have reached, and sentRevision
+	// the one up to which changes have been sent.
+	confirmedRevision, sentRevision int64
 	// nextHeartbeatAt is when the next heartbeat is due.
 	nextHeartbeatAt time.Duration
 }
@@ -328,10 +331,7 @@
 	f.revision = batch.Revision
 	f.log = append(f.log, withoutValues(batch))
 	f.logBytes += batchSize(batch)
-	for len(f.log) > 1 && f.logBytes > maxLogBytes {
-		f.logBytes -= batchSize(f.log[0])
-		f.log = f.log[1:]
-	}
+	f.trimLog()
 	f.updateLag(now)
 	var messages []Message
 	for address := range f.followers {
--- a/internal/feed/followers.go
+++ b/internal/feed/followers.go
@@ -94,11 +94,30 @@
 		f.followers[from] = known
 	}
 	known.lastRequestAt = now
-	known.sentRevision = request.Revision
+	known.confirmedRevision, known.sentRevision = request.Revision, request.Revision
+	f.trimLog()
 	messages := f.appendUnsent(nil, from)
 	return f.appendDueHeartbeat(messages, now, from)
 }
 
+// trimLog drops the oldest changes that need not be kept for followers that missed some.
+func (f *Feed) trimLog() {
+	for len(f.log) > 1 && f.logBytes > maxLogBytes && (f.logBytes > maxUnconfirmedLogBytes || f.confirmedByFollowers(f.log[0])) {
+		f.logBytes -= batchSize(f.log[0])
+		f.log = f.log[1:]
+	}
+}
+
+// confirmedByFollowers reports whether all followers are known to have a batch.
+func (f *Feed) confirmedByFollowers(batch topo.Batch) bool {
+	for _, known := range f.followers {
+		if known.confirmedRevision < batch.Revision {
+			return false
+		}
+	}
+	return true
+}
+
 // appendDueHeartbeat appends a heartbeat to a follower if one is due.
 func (f *Feed) appendDueHeartbeat(messages []Message, now time.Duration, address string) []Message {
 	known := f.followers[address]
