A change in transit to a follower is not sent again

Callers saw: 404 for routes that were acknowledged over 3 s before (CONFIG), and requests ran at servers that had announced over 3 s before that they leave (DRAIN), at 295 nodes after a configuration with 1,760 routes more. Cause: a follower repeats its follow request every 0.4 s, with the revision of its copy, and the upstream took each as a request for all changes after it. A change of 400 KB to the followers of a head takes longer than that, so it was sent to each once more for each request; the repetitions filled the heads' links, and small changes and heartbeats waited behind them. A second way to the same: a node whose heartbeats are late turns to another head, which sends the change as well. Fix: messages between two nodes arrive in order unless they are lost. Requests for lost changes are numbered, a heartbeat names the request that has been answered, and only a heartbeat that follows the changes and reports a revision the node lacks shows that they were lost. A follow request with a known number keeps the subscription alive and causes nothing to be sent. Messages of the feed are queued under its mutex, since a heartbeat that overtakes changes would have them sent again. Changes count as a sign of life of the upstream. Nodes of older versions do not number requests; they are answered as before. Each such request is logged and counted (micahaven_feed_missed_changes_total). Heartbeats leave before a large change, since the next ones wait behind it.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -37,7 +37,8 @@
 	// followerTimeout is how long changes are sent to a follower that has stopped sending follow
 	// requests.
 	followerTimeout = 1500 * time.Millisecond
-	// heartbeatTimeout is the time without a heartbeat after which an upstream counts as lost.
+	// heartbeatTimeout is the time without a heartbeat or changes after which an upstream counts as
+	// lost.
 	heartbeatTimeout = 650 * time.Millisecond
 	// maxConfirmationAge is the maximum age of the last confirmation of this node's copy.
 	maxConfirmationAge = 1600 * time.Millisecond
@@ -82,6 +83,8 @@
 	maxLogBytes            = 256 << 10
 	maxUnconfirmedLogBytes = 8 << 20
 	changeOverheadBytes    = 64
+	// largeBatchBytes is the size of a batch from which it delays the heartbeats behind it.
+	largeBatchBytes = 32 << 10
 )
 
 // Message is a message from one node to another. Exactly one field besides To is set.
@@ -93,19 +96,31 @@
 	Batch     *topo.Batch
 }
 
-// Follow asks a node to send all changes after a revision.
-type Follow struct{ Revision int64 }
+// Follow asks a node to send changes as they occur. Messages between two nodes arrive in order
+// unless they are lost, so changes that were sent are sent again only if the follower asks for them.
+type Follow struct {
+	// Revision is the revision of the follower's copy.
+	Revision int64
+	// Request numbers the follower's requests for lost changes. A new number asks for all changes
+	// after Revision; 0, from nodes that do not number their requests, always does.
+	Request uint32
+}
 
 // Heartbeat reports how current the sender's copy is.
 type Heartbeat struct {
 	Revision int64
 	// ConfirmedAge is the time since the store was last known to have nothing newer.
 	ConfirmedAge time.Duration
+	// Request is the number of the receiver's last request that the sender has answered. All changes
+	// up to Revision that the request asks for were sent before this heartbeat.
+	Request uint32
 }
 
 // follower is the state of a node that has asked this one for changes.
 type follower struct {
 	lastRequestAt time.Duration
+	// request is the number of the last request for lost changes.
+	request uint32
 	// confirmedRevision is the revision that the follower is known to have reached, and sentRevision
 	// the one up to which changes have been sent.
 	confirmedRevision, sentRevision int64
@@ -168,10 +183,10 @@
 	// registered nodes are known.
 	bootstrapPeer *Member
 
-	// upstreamSince is when this node selected its upstream. The next three fields describe the
-	// last heartbeat from it.
+	// upstreamSince is when this node selected its upstream, and lastMessageAt when a heartbeat or
+	// changes arrived from it. The next fields describe the last heartbeat from it.
 	upstreamSince     time.Duration
-	lastHeartbeatAt   time.Duration
+	lastMessageAt     time.Duration
 	heartbeatReceived bool
 	upstreamRevision  int64
 	// upstreamConfirmedAt is when the store was last known to have nothing newer than the
@@ -179,6 +194,9 @@
 	upstreamConfirmedAt time.Duration
 	behindSince         time.Duration
 	behind              bool
+	// request is the number of the last request for lost changes, and answeredRequest the one that
+	// the upstream has answered. While they differ, the changes asked for are in transit.
+	request, answeredRequest uint32
 
 	// nextFollowAt is when the next follow request is sent, and nextResyncAt the earliest time of
 	// the next request for missed changes.
@@ -328,12 +346,12 @@
 		// The changes in between are not known to this node.
 		f.log, f.logBytes = nil, 0
 	}
+	messages := f.heartbeatsBefore(now, batch)
 	f.revision = batch.Revision
 	f.log = append(f.log, withoutValues(batch))
 	f.logBytes += batchSize(batch)
 	f.trimLog()
 	f.updateLag(now)
-	var messages []Message
 	for address := range f.followers {
 		messages = f.appendUnsent(messages, address)
 	}
@@ -347,7 +365,7 @@
 	case message.Follow != nil:
 		return f.handleFollow(now, from, message.Follow), nil
 	case message.Heartbeat != nil:
-		f.handleHeartbeat(now, from, message.Heartbeat)
+		return f.handleHeartbeat(now, from, message.Heartbeat), nil
 	case message.Batch != nil:
 		return f.handleBatch(now, from, message.Batch)
 	}
@@ -367,7 +385,7 @@
 	}
 	if f.following && f.hasCopy && now >= f.nextFollowAt {
 		f.nextFollowAt = now + f.followDelay()
-		messages = append(messages, Message{To: f.upstream.Address, Follow: &Follow{Revision: f.revision}})
+		messages = append(messages, f.followMessage())
 	}
 	servesFollowers := f.servesFollowers(now)
 	for address, known := range f.followers {
--- a/internal/feed/followers.go
+++ b/internal/feed/followers.go
@@ -44,9 +44,11 @@
 	return bytes
 }
 
-// appendUnsent appends the changes that a follower has not been sent yet.
+// appendUnsent appends the changes that a follower has not been sent yet, in one message unless they
+// cross eras.
 func (f *Feed) appendUnsent(messages []Message, address string) []Message {
 	known := f.followers[address]
+	var unsent *topo.Batch
 	for _, batch := range f.log {
 		if batch.Revision <= known.sentRevision {
 			continue
@@ -57,8 +59,14 @@
 			return messages
 		}
 		missing := changesAfter(batch, known.sentRevision)
-		messages = append(messages, Message{To: address, Batch: &missing})
 		known.sentRevision = batch.Revision
+		if unsent != nil && !unsent.CrossesEras() && !missing.CrossesEras() {
+			unsent.Revision = missing.Revision
+			unsent.Events = append(unsent.Events, missing.Events...)
+			continue
+		}
+		unsent = &topo.Batch{After: missing.After, Revision: missing.Revision, Events: slices.Clip(missing.Events)}
+		messages = append(messages, Message{To: address, Batch: unsent})
 	}
 	return messages
 }
@@ -94,7 +102,13 @@
 		f.followers[from] = known
 	}
 	known.lastRequestAt = now
-	known.confirmedRevision, known.sentRevision = request.Revision, request.Revision
+	known.confirmedRevision = request.Revision
+	if request.Request == 0 || request.Request != known.request {
+		known.request = request.Request
+		known.sentRevision = request.Revision
+		// The heartbeat after the changes shows the follower that it has been sent all of them.
+		known.nextHeartbeatAt = now
+	}
 	f.trimLog()
 	messages := f.appendUnsent(nil, from)
 	return f.appendDueHeartbeat(messages, now, from)
@@ -126,7 +140,21 @@
 		return messages
 	}
 	known.nextHeartbeatAt = now + heartbeatInterval
-	return append(messages, Message{To: address, Heartbeat: &Heartbeat{Revision: f.revision, ConfirmedAge: age}})
+	return append(messages, Message{To: address, Heartbeat: &Heartbeat{Revision: f.revision, ConfirmedAge: age, Request: known.request}})
+}
+
+// heartbeatsBefore returns heartbeats to all followers if a batch that is about to be sent to them
+// delays the next ones.
+func (f *Feed) heartbeatsBefore(now time.Duration, batch topo.Batch) []Message {
+	if batchSize(batch) < largeBatchBytes {
+		return nil
+	}
+	var messages []Message
+	for address, known := range f.followers {
+		known.nextHeartbeatAt = now
+		messages = f.appendDueHeartbeat(messages, now, address)
+	}
+	return messages
 }
 
 // advertisedAge returns the confirmation age to send to a follower, and false if there is none.
--- a/internal/feed/upstream.go
+++ b/internal/feed/upstream.go
@@ -30,6 +30,7 @@
 	}
 	f.upstream, f.following, f.upstreamSince = chosen, true, now
 	f.heartbeatReceived, f.behind = false, false
+	f.request++
 	f.nextFollowAt = now
 }
 
@@ -43,7 +44,7 @@
 	if !f.heartbeatReceived {
 		return now-f.upstreamSince > timeout
 	}
-	if now-f.lastHeartbeatAt > heartbeatTimeout {
+	if now-f.lastMessageAt > heartbeatTimeout {
 		return true
 	}
 	return now-f.upstreamConfirmedAt > f.switchAge() && now-f.upstreamSince > timeout
@@ -112,17 +113,22 @@
 	}
 }
 
-func (f *Feed) handleHeartbeat(now time.Duration, from string, heartbeat *Heartbeat) {
+func (f *Feed) handleHeartbeat(now time.Duration, from string, heartbeat *Heartbeat) []Message {
 	if !f.following || from != f.upstream.Address {
-		return
+		return nil
 	}
-	f.heartbeatReceived, f.lastHeartbeatAt = true, now
+	f.heartbeatReceived, f.lastMessageAt = true, now
 	f.upstreamRevision = heartbeat.Revision
 	f.upstreamConfirmedAt = now - heartbeat.ConfirmedAge
+	f.answeredRequest = heartbeat.Request
 	if heartbeat.ConfirmedAge <= f.switchAge() {
 		f.failures = 0
 	}
 	f.updateLag(now)
+	if f.behind {
+		return f.requestMissed(now)
+	}
+	return nil
 }
 
 // updateLag recomputes whether the upstream has changes that this node lacks. If it has none, the
@@ -134,8 +140,6 @@
 	behind := f.following && f.heartbeatReceived && f.revision < f.upstreamRevision
 	if behind && !f.behind {
 		f.behindSince = now
-		// Request the missing changes at once.
-		f.nextFollowAt = now
 	}
 	f.behind = behind
 }
@@ -144,20 +148,33 @@
 	if !f.following || from != f.upstream.Address || batch.Revision <= f.revision {
 		return nil, nil
 	}
+	// Heartbeats wait behind a large batch.
+	f.lastMessageAt = now
 	if batch.After > f.revision {
 		return f.requestMissed(now), nil
 	}
 	return nil, batch
 }
 
-// requestMissed requests from the upstream all changes after this node's revision, at most once per
-// resyncInterval: each request causes all of them to be sent again, so one request per incoming
-// change would multiply the traffic.
+// requestMissed requests from the upstream all changes after this node's revision, which were lost.
+// While the answer to such a request is in transit it makes no other one, because the upstream would
+// send all of them again; it repeats the request, which may have been lost, once per resyncInterval.
 func (f *Feed) requestMissed(now time.Duration) []Message {
 	if now < f.nextResyncAt {
 		return nil
 	}
+	if f.answeredRequest == f.request {
+		f.request++
+	}
 	f.nextResyncAt = now + resyncInterval
 	f.nextFollowAt = now + followInterval
-	return []Message{{To: f.upstream.Address, Follow: &Follow{Revision: f.revision}}}
+	return []Message{f.followMessage()}
+}
+
+// Requests returns the number of the last request for lost changes. It also increases when this node
+// selects an upstream.
+func (f *Feed) Requests() uint32 { return f.request }
+
+func (f *Feed) followMessage() Message {
+	return Message{To: f.upstream.Address, Follow: &Follow{Revision: f.revision, Request: f.request}}
 }
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -23,7 +23,8 @@
 
 // changeFeed drives the state machine of package feed with this node's messages and clock. It
 // implements mirror.Observer. Its mutex is acquired while the mirror's is held, so the mirror
-// must not be called with it held.
+// must not be called with it held. Messages are queued under the mutex: a heartbeat that overtakes
+// the changes it reports makes followers request them again.
 type changeFeed struct {
 	client *transport.Client
 	logger *zap.Logger
@@ -65,9 +66,8 @@
 // Changed implements mirror.Observer.
 func (c *changeFeed) Changed(batch topo.Batch) {
 	c.mutex.Lock()
-	messages := c.core.Changed(c.now(), batch)
-	c.mutex.Unlock()
-	c.send(messages)
+	defer c.mutex.Unlock()
+	c.send(c.core.Changed(c.now(), batch))
 }
 
 // Restored implements mirror.Observer.
@@ -120,9 +120,14 @@
 // step handles another node's message and returns the changes to apply, if any.
 func (c *changeFeed) step(from string, message feed.Message) *topo.Batch {
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	before := c.core.Requests()
 	messages, batch := c.core.Step(c.now(), from, message)
-	c.mutex.Unlock()
 	c.send(messages)
+	if requests := c.core.Requests(); requests != before {
+		missedChangesTotal.Inc()
+		c.logger.Info("changes lost in transit, requested again", zap.String("upstream", from), zap.Uint32("request", requests))
+	}
 	return batch
 }
 
@@ -130,7 +135,7 @@
 func (c *changeFeed) tick() {
 	c.mutex.Lock()
 	now := c.now()
-	messages := c.core.Tick(now)
+	c.send(c.core.Tick(now))
 	reason := c.core.WatchReason(now)
 	watching := reason != feed.ReasonNone
 	changed := watching != c.watching
@@ -139,7 +144,6 @@
 	compares := c.core.ComparesRevision(now)
 	age, _ := c.core.ConfirmedAge(now)
 	c.mutex.Unlock()
-	c.send(messages)
 	if !changed {
 		return
 	}
@@ -208,6 +212,7 @@
 	return c.core.Followers()
 }
 
+// send queues messages in order. It does not block. The caller holds the mutex.
 func (c *changeFeed) send(messages []feed.Message) {
 	for _, message := range messages {
 		c.client.Send(message.To, encodeMessage(message))
@@ -218,12 +223,13 @@
 	switch {
 	case message.Follow != nil:
 		return &wire.Envelope{Body: &wire.Envelope_FollowRequest{FollowRequest: &wire.FollowRequest{
-			Revision: message.Follow.Revision,
+			Revision: message.Follow.Revision, Request: message.Follow.Request,
 		}}}
 	case message.Heartbeat != nil:
 		return &wire.Envelope{Body: &wire.Envelope_FeedHeartbeat{FeedHeartbeat: &wire.FeedHeartbeat{
 			Revision:           message.Heartbeat.Revision,
 			ConfirmedAgeMillis: uint32(message.Heartbeat.ConfirmedAge.Milliseconds()),
+			Request:            message.Heartbeat.Request,
 		}}}
 	default:
 		encoded := &wire.ChangeBatch{After: message.Batch.After, Revision: message.Batch.Revision}
@@ -234,10 +240,15 @@
 	}
 }
 
+func decodeFollow(received *wire.FollowRequest) *feed.Follow {
+	return &feed.Follow{Revision: received.GetRevision(), Request: received.GetRequest()}
+}
+
 func decodeHeartbeat(received *wire.FeedHeartbeat) *feed.Heartbeat {
 	return &feed.Heartbeat{
 		Revision:     received.GetRevision(),
 		ConfirmedAge: time.Duration(received.GetConfirmedAgeMillis()) * time.Millisecond,
+		Request:      received.GetRequest(),
 	}
 }
 
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -201,7 +201,7 @@
 	case *wire.Envelope_StateNotice:
 		p.applyRevision(body.StateNotice.GetRevision())
 	case *wire.Envelope_FollowRequest:
-		p.feed.step(from.GetAddress(), feed.Message{Follow: &feed.Follow{Revision: body.FollowRequest.GetRevision()}})
+		p.feed.step(from.GetAddress(), feed.Message{Follow: decodeFollow(body.FollowRequest)})
 	case *wire.Envelope_FeedHeartbeat:
 		p.feed.step(from.GetAddress(), feed.Message{Heartbeat: decodeHeartbeat(body.FeedHeartbeat)})
 	case *wire.Envelope_ChangeBatch:
