--- a/internal/handoff/sender_test.go
+++ b/internal/handoff/sender_test.go
@@ -372,3 +372,16 @@
 		t.Errorf("error %v, want a refusal", err)
 	}
 }
+
+// Guards against refusals by a home node that has no path to a server which other nodes reach.
+func TestHomeWithoutAPathToTheServerIsNotTheLast(t *testing.T) {
+	for _, reason := range []dispatch.Reason{dispatch.ReasonOwnerFailing, dispatch.ReasonUnreachable} {
+		cut := newScriptedHome(t, "cut", func(_ *transport.Server, stream *transport.Stream) {
+			stream.Send(encodeRefusal(&dispatch.Refusal{Reason: reason, Detail: "no path"}, dispatch.Trace{}))
+		})
+		good := newScriptedHome(t, "good", respondAfterGoAhead)
+		if response, err := handOff(t.Context(), newSender(t), newRequest(false), cut, good); err != nil || string(response.Body) != "r" {
+			t.Errorf("%v: response %v, error %v", reason, response, err)
+		}
+	}
+}
--- a/internal/shardmanager/campaign_test.go
+++ b/internal/shardmanager/campaign_test.go
@@ -32,19 +32,30 @@
 	return discovery.Server{ID: discovery.ServerID(id), Service: service, Address: string(text), Slots: 2}, nil
 }
 
-// orders accepts all orders and counts the grants.
+// orders accepts all orders and counts the grants, unless it has no path to the servers.
 type orders struct {
 	mutex  sync.Mutex
 	grants int
+	cut    bool
 }
 
 func (o *orders) Grant(context.Context, shards.Grant) shards.Outcome {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	if o.cut {
+		return shards.NotSent
+	}
 	o.grants++
 	return shards.Accepted
 }
 
+// cutOff ends the path to the servers.
+func (o *orders) cutOff() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.cut = true
+}
+
 func (o *orders) Release(context.Context, shards.Release) (shards.Outcome, string) {
 	return shards.Accepted, ""
 }
