A manager that reaches no server steps down

Cause: the manager holds its lock as long as it reaches the store. Its grants reach no server, leases run out, and servers answer 421 to all nodes, also those that reach them. Releases have a relay through another node, grants have none. Fix: once no server has answered a manager for 1.5 s and two or more did not, it resigns as at a shutdown, so that its successor may renew at once. It leaves the lock to others for 3 s, and nodes whose own requests reach no server of the service campaign a second later. Weighed: a relay for grants, as for releases. A relay that is frozen with an order in its buffer would send it after a newer term has begun, so each order would need a token of the relay's clock; and a manager that reaches some servers is not the case seen. A manager that has lost the path to a part of the servers still moves their keys, as before.

--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -95,6 +95,9 @@
 	// RateLimit returns the rate limit of a server in requests per second, if it has announced one.
 	// It is nil if servers announce no limits. It must not call back into the manager.
 	RateLimit func(server string) (rate float64, limited bool)
+	// ReachesNoServer reports whether this node's requests to a service's servers fail. It is nil if
+	// that is not known. It must not call back into the manager.
+	ReachesNoServer func(service string) bool
 	// Clock measures the durations that other processes rely on: how long the lock is valid and how
 	// long a manager may continue without the store. It must keep running while the machine is
 	// suspended.
@@ -117,6 +120,10 @@
 	// was first seen.
 	era       int64
 	eraSeenAt time.Duration
+	// steppedDownAt is the clock reading when this node last stepped down because it reached no
+	// server; it is valid if steppedDown is set.
+	steppedDown   bool
+	steppedDownAt time.Duration
 	// term is the current term; nil while this node does not hold the lock.
 	term *term
 }
@@ -136,7 +143,7 @@
 			periodic.Pause(ctx, retryPause)
 			continue
 		}
-		periodic.Pause(ctx, m.campaignDelay())
+		periodic.Pause(ctx, m.campaignDelay()+m.contactDelay())
 		if ctx.Err() != nil || m.lockTaken() {
 			continue
 		}
@@ -208,22 +215,37 @@
 	var reclaiming sync.WaitGroup
 	watching, cancel := context.WithCancel(ctx)
 	reclaiming.Go(func() { next = m.reclaim(watching, t) })
-	t.run(ctx)
+	leading, stepDown := context.WithCancel(ctx)
+	defer stepDown()
+	t.stepDown = stepDown
+	t.run(leading)
 	cancel()
 	reclaiming.Wait()
 	if next != nil {
 		return next
 	}
-	if ctx.Err() == nil {
-		m.retire(ctx, t)
+	if leading.Err() != nil {
+		m.releaseLock(t)
+	}
+	if ctx.Err() != nil {
 		return nil
 	}
-	releaseCtx, cancelRelease := context.WithTimeout(context.Background(), lockRenewInterval)
-	defer cancelRelease()
-	_ = m.config.Store.EndLease(releaseCtx, t.lock.lease)
+	if leading.Err() != nil {
+		m.noteStepDown()
+	}
+	if !t.resigned {
+		m.retire(ctx, t)
+	}
 	return nil
 }
 
+// releaseLock ends the lock of a term that is over. If that fails, the lock expires on its own.
+func (m *Manager) releaseLock(t *term) {
+	ctx, cancel := context.WithTimeout(context.Background(), lockRenewInterval)
+	defer cancel()
+	_ = m.config.Store.EndLease(ctx, t.lock.lease)
+}
+
 // retire announces to the next manager that a term which lost its lock sends no more orders, so
 // that the next manager need not wait for them to expire.
 func (m *Manager) retire(ctx context.Context, t *term) {
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -28,8 +28,12 @@
 	// ordersCtx is the parent context of orders to servers; cancelOrders cancels it.
 	ordersCtx    context.Context
 	cancelOrders context.CancelFunc
+	// stepDown ends the term like a shutdown of this node.
+	stepDown context.CancelFunc
 
-	mutex       sync.Mutex
+	mutex sync.Mutex
+	// contact records whether servers answer this manager.
+	contact     contact
 	core        *shards.Manager
 	mapRevision int64
 	// written is the map that the store holds; nil before the first commit.
@@ -46,8 +50,8 @@
 	lastServersAt time.Time
 	// inFlight tracks orders and commits that have not completed.
 	inFlight sync.WaitGroup
-	// resigning is true once no more orders may be sent.
-	resigning bool
+	// resigning is true once no more orders may be sent, and resigned once the store says so.
+	resigning, resigned bool
 }
 
 func newTerm(m *Manager, won *candidacy) *term {
@@ -326,6 +330,9 @@
 		t.manager.logger.Warn("manager stopped without resigning", zap.Uint64("epoch", t.epoch))
 		return
 	}
+	t.mutex.Lock()
+	t.resigned = true
+	t.mutex.Unlock()
 	t.manager.logger.Info("manager resigned", zap.Uint64("epoch", t.epoch))
 }
 
@@ -377,7 +384,13 @@
 	// The fences of a term are greater than those of all earlier terms. While the store is
 	// unavailable, a refusal by a server is how a manager learns of a newer term.
 	isSuperseded := outcome == shards.Superseded && t.storeFailed && shards.EpochOf(grant.Fence) == t.epoch
+	t.contact.observe(t.now(), grant.Owner, outcome == shards.Accepted || outcome == shards.Superseded)
+	lost := t.contact.lost(t.now()) && !t.resigning
 	t.mutex.Unlock()
+	if lost && t.manager.othersRegistered() {
+		t.manager.logger.Warn("manager reaches no server, stepping down", zap.Uint64("epoch", t.epoch))
+		t.stepDown()
+	}
 	if isSuperseded {
 		t.manager.logger.Warn("manager superseded, reported by a server", zap.Uint64("epoch", t.epoch), zap.String("server", string(grant.Owner)))
 		t.endTerm()
