Requests go through another node if this one and the homes do not reach the server

Cause: what one node does not reach counted as what no node reaches. A home that has no path refused what others handed to it, and its refusal was final; a node that is no home, or whose homes do not answer, sent directly and refused when that failed. Waiting and further tries spent the time that another node would have needed: a request that fell to a probe tried up to three servers for 0.4 s each. Fix: refusals for want of a path are told apart (owner failing, servers failing, unreachable). They are not final: the next home is asked, then the node itself tries, then up to three nodes that need not be homes. Who refused so is skipped for half a second for that server or service; the substitute that answered last comes first. A node that lost contact does not try further servers. If all servers of an undivided service fail repeatedly, requests are refused at once instead of waiting. The same rules of at most one run hold: only what has certainly not run goes on, and a lost substitute's request is reported as unknown.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -66,7 +66,7 @@
 func (d *Dispatcher) sendWithRetries(ctx context.Context, request *Request) (*upstream.Response, Trace, error) {
 	var trace Trace
 	var lastAnswer *upstream.Response
-	mayHaveRun := false
+	mayHaveRun, notSentLast := false, false
 	var cause error
 	excluded := make(map[discovery.ServerID]bool)
 	for {
@@ -78,6 +78,9 @@
 			return nil, trace, assigned.refusal
 		}
 		s := assigned.server
+		if s == nil && notSentLast && ctx.Err() == nil {
+			return nil, trace, d.refusalBy(request, notSent, cause)
+		}
 		if s == nil {
 			return lastAnswer, trace, d.finalError(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
@@ -111,6 +114,7 @@
 			return answer, trace, nil
 		}
 		mayHaveRun = mayHaveRun || outcome == failed
+		notSentLast = outcome == notSent && !mayHaveRun
 		cause = err
 		if outcome == failed {
 			lastAnswer = answer
@@ -149,7 +153,8 @@
 		return false
 	}
 	if outcome == notSent {
-		return trace.NotSent <= maxNotSent
+		// A node without a path leaves the remaining time to another one.
+		return trace.NotSent <= maxNotSent && (d.handoffSender == nil || !d.lacksPath(request))
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -33,6 +33,8 @@
 	Homes        []homes.Node
 	MapRevision  int64
 	TableVersion int64
+	// Substitute is true if the request goes to a node that need not be a home.
+	Substitute bool
 }
 
 // HandoffSender hands requests off to the home nodes of their servers. A home keeps one queue
@@ -43,6 +45,9 @@
 	// Do returns the home's response. Its error is one of this package's errors, or matches
 	// one of the errors above. limit is when the request must be answered.
 	Do(ctx context.Context, request *Request, limit time.Time, to Destination) (*upstream.Response, Trace, error)
+	// DoElsewhere hands a request off to nodes of any zone, because neither this node nor the
+	// homes reach the server. Its error matches ErrNoHome if none of them took the request.
+	DoElsewhere(ctx context.Context, request *Request, limit time.Time, to Destination) (*upstream.Response, Trace, error)
 }
 
 // IncomingHandoff describes a request that another node handed off to this one, its home. The
@@ -101,20 +106,39 @@
 	case errors.Is(err, ErrHomeLost):
 		d.noteHomeElsewhere(to.Server)
 		return d.retryAfterHomeLoss(ctx, request, trace, err)
-	case errors.Is(err, ErrAtHome), errors.Is(err, ErrNoHome):
+	case errors.Is(err, ErrAtHome), errors.Is(err, ErrNoHome), pathFailed(err):
 		if to.Server != "" {
 			d.setHome(to.Server, errors.Is(err, ErrAtHome))
 		}
 		if ctx.Err() != nil {
 			return nil, trace, d.finalError(ctx, request, false, nil, err)
 		}
-		return d.sendDirect(ctx, request)
+		return d.sendDirectOrElsewhere(ctx, request, to)
 	default:
 		d.noteHomeElsewhere(to.Server)
 		return answer, trace, err
 	}
 }
 
+// sendDirectOrElsewhere sends a request from this node, or through another one if this node does not
+// reach the server.
+func (d *Dispatcher) sendDirectOrElsewhere(ctx context.Context, request *Request, to Destination) (*upstream.Response, Trace, error) {
+	answer, trace, err := d.sendDirect(ctx, request)
+	if !pathFailed(err) || ctx.Err() != nil || time.Until(d.deadline(request)) < minAttemptTime {
+		return answer, trace, err
+	}
+	elsewhere, elsewhereTrace, elsewhereErr := d.handoffSender.DoElsewhere(ctx, request, d.deadline(request), to)
+	switch {
+	case errors.Is(elsewhereErr, ErrNoHome):
+		return answer, trace, err
+	case errors.Is(elsewhereErr, ErrHomeLost):
+		return d.retryAfterHomeLoss(ctx, request, elsewhereTrace, elsewhereErr)
+	default:
+		elsewhereTrace.NotSent += trace.NotSent
+		return elsewhere, elsewhereTrace, elsewhereErr
+	}
+}
+
 // sendDirect sends a request from this node.
 func (d *Dispatcher) sendDirect(ctx context.Context, request *Request) (*upstream.Response, Trace, error) {
 	d.sample(request)
@@ -215,7 +239,7 @@
 	now, current := time.Now(), d.views.Current()
 	owners, divided := d.owners(current, request)
 	if !divided {
-		return len(d.homeGroup(current, request.Service)) > 0
+		return to.Substitute || len(d.homeGroup(current, request.Service)) > 0
 	}
 	if owners.Revision < to.MapRevision {
 		return false
--- a/internal/dispatch/handoff_test.go
+++ b/internal/dispatch/handoff_test.go
@@ -22,6 +22,11 @@
 	trace  Trace
 	answer *upstream.Response
 	count  int
+	// elsewhere counts the requests for which other nodes than the homes were asked, and
+	// elsewhereAnswer and elsewhereErr are their result; without either, none takes the request.
+	elsewhere       int
+	elsewhereAnswer *upstream.Response
+	elsewhereErr    error
 }
 
 func (f *fakeHandoff) Do(context.Context, *Request, time.Time, Destination) (*upstream.Response, Trace, error) {
@@ -29,6 +34,14 @@
 	return f.answer, f.trace, f.err
 }
 
+func (f *fakeHandoff) DoElsewhere(context.Context, *Request, time.Time, Destination) (*upstream.Response, Trace, error) {
+	f.elsewhere++
+	if f.elsewhereAnswer == nil && f.elsewhereErr == nil {
+		return nil, Trace{}, ErrNoHome
+	}
+	return f.elsewhereAnswer, Trace{}, f.elsewhereErr
+}
+
 // newTestNodeWithHomes returns a node in a cluster of four nodes in zone z, with the given
 // servers. Its handoffs end with err.
 func newTestNodeWithHomes(t *testing.T, err error, servers ...string) (*testNode, *fakeHandoff) {
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -38,6 +38,8 @@
 	ReasonOwnerResting
 	// ReasonCrashesServers: servers crashed each time they executed the request.
 	ReasonCrashesServers
+	// ReasonServersFailing: requests to all servers of the service failed recently.
+	ReasonServersFailing
 	reasonCount
 )
 
@@ -45,7 +47,7 @@
 func (r Reason) String() string {
 	names := [reasonCount]string{
 		"no owner", "owner gone", "owner failing", "moving", "owner busy",
-		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming", "owner limited", "owner resting", "crashes servers",
+		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming", "owner limited", "owner resting", "crashes servers", "servers failing",
 	}
 	if r < 0 || r >= reasonCount {
 		return "unknown"
@@ -91,6 +93,9 @@
 		if d.tooLateForAll(now) {
 			return ReasonNoServer, d.finalStateOf(now, request.Service).whyNone
 		}
+		if d.allFailing(now, current, request.Service, nil) {
+			return ReasonServersFailing, d.whyNoneOf(now, request.Service)
+		}
 		return ReasonNoServer, d.whyNoneOf(now, request.Service)
 	}
 	owner, owned := d.ownerOf(request, owners)
@@ -105,7 +110,7 @@
 		return ReasonOwnerGone, fmt.Sprintf("owner %s leaves or is gone", owner.Owner)
 	case now.Before(s.requestedBackoffUntil):
 		return ReasonOwnerResting, fmt.Sprintf("owner %s asked for %v more without requests", owner.Owner, s.requestedBackoffUntil.Sub(now).Round(time.Millisecond))
-	case now.Before(s.blockedUntil):
+	case now.Before(s.blockedUntil), s.failing(now):
 		return ReasonOwnerFailing, fmt.Sprintf("owner %s failed %d times in a row", owner.Owner, s.failures)
 	}
 	if left, isWarmingUp := d.ownerWarmingUp(now, request); isWarmingUp {
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -64,7 +64,7 @@
 		Method: []byte(request.Method), Uri: []byte(request.URI), Host: []byte(request.Host), Body: request.Body,
 		RequestId: []byte(request.ID), Key: request.Key, HasKey: request.HasKey,
 		AgeMicros: time.Since(request.ArrivedAt).Microseconds(), LeftMicros: (time.Until(respondBy) - hopMargin).Microseconds(),
-		NeedsGo:  !request.Route.Repeatable,
+		NeedsGo: !request.Route.Repeatable, Substitute: to.Substitute,
 		Priority: int32(request.Priority),
 		Caller:   []byte(request.Caller), CallerMicros: time.Until(request.Deadline).Microseconds(),
 	}
--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -118,6 +118,7 @@
 func destination(handoff *wire.Handoff) dispatch.Destination {
 	return dispatch.Destination{
 		Server: discovery.ServerID(handoff.GetServer()), MapRevision: handoff.GetMapRevision(), TableVersion: handoff.GetTableVersion(),
+		Substitute: handoff.GetSubstitute(),
 	}
 }
 
--- a/internal/handoff/metrics.go
+++ b/internal/handoff/metrics.go
@@ -16,6 +16,11 @@
 		Help: "Requests that this node, as a home, got from others, by how that ended.",
 	}, []string{"service", "result"})
 
+	substitutedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_handoff_substituted_total",
+		Help: "Requests handed over to any node, because neither this node nor the homes reach the server, by how that ended.",
+	}, []string{"service", "result"})
+
 	refusedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_handoff_refused_total",
 		Help: "Requests that homes refused, by reason.",
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,8 +27,10 @@
 
 	mutex     sync.Mutex
 	ranks     *homes.Ranks
+	nodes     []homes.Node
 	processes map[string]string
 	reachable reachability
+	paths     paths
 }
 
 // NewSender returns the sender of the node named self.
@@ -34,6 +38,7 @@
 	return &Sender{
 		self: self, client: client, ranks: homes.NewRanks(nil),
 		reachable: reachability{backoffs: make(map[string]*backoff), logger: logger},
+		paths:     newPaths(logger),
 	}
 }
 
@@ -51,35 +56,61 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	before := s.processes
-	s.ranks, s.processes = homes.NewRanks(nodes), processes
+	s.ranks, s.nodes, s.processes = homes.NewRanks(nodes), nodes, processes
 	s.reachable.prune(processes, func(home string) bool { return before[home] != processes[home] })
 }
 
-// candidates returns the nodes that can currently act as home for a destination, in order of
-// preference.
-func (s *Sender) candidates(to dispatch.Destination) []homes.Node {
+// candidates returns the nodes that can currently act as home for the destination of a request, in
+// order of preference.
+func (s *Sender) candidates(request *dispatch.Request, to dispatch.Destination) []homes.Node {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := time.Now()
+	now, target := time.Now(), targetOf(request, to)
 	ranked := to.Homes
 	if to.Server != "" {
 		ranked = s.ranks.Of(homes.Server{ID: to.Server, Zone: to.Zone})
 	}
 	available := make([]homes.Node, 0, len(ranked))
 	for _, home := range ranked {
-		if home.Name == s.self || !s.reachable.inBackoff(now, home.Name) {
+		if home.Name == s.self || s.available(now, home.Name, target) {
 			available = append(available, home)
 		}
 	}
 	return available
 }
 
+// available reports whether a node is expected to take requests for a target. The caller holds the
+// mutex.
+func (s *Sender) available(now time.Time, node, target string) bool {
+	return !s.reachable.inBackoff(now, node) && !s.paths.failed(now, node, target)
+}
+
+// substitutes returns some nodes of any zone that may reach a target: the one that did last first,
+// the others in random order.
+func (s *Sender) substitutes(target string) []homes.Node {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now, last := time.Now(), s.paths.substitute[target]
+	var chosen []homes.Node
+	for _, index := range rand.Perm(len(s.nodes)) {
+		node := s.nodes[index]
+		switch {
+		case node.Name == s.self || !s.available(now, node.Name, target):
+		case node.Name == last:
+			chosen = slices.Insert(chosen, 0, node)
+		default:
+			chosen = append(chosen, node)
+		}
+	}
+	return chosen[:min(len(chosen), maxSubstitutes)]
+}
+
 // Do implements dispatch.HandoffSender. It tries the candidates in order until one takes the
 // request. If a home node of an unsharded service has no free server, one more is tried.
 func (s *Sender) Do(ctx context.Context, request *dispatch.Request, respondBy time.Time, to dispatch.Destination) (*upstream.Response, dispatch.Trace, error) {
 	var noServer *dispatch.Refusal
 	notTaken := dispatch.ErrNoHome
-	for _, home := range s.candidates(to) {
+	for _, home := range s.candidates(request, to) {
 		if home.Name == s.self {
 			return nil, dispatch.Trace{}, dispatch.ErrAtHome
 		}
@@ -89,10 +120,11 @@
 			// Another home node may have a free server.
 			continue
 		}
-		if !errors.Is(err, dispatch.ErrNoHome) || ctx.Err() != nil {
-			return response, trace, err
+		if s.triesNext(ctx, request, to, home.Name, err) {
+			notTaken = err
+			continue
 		}
-		notTaken = err
+		return response, trace, err
 	}
 	if noServer != nil {
 		return nil, dispatch.Trace{}, noServer
@@ -100,6 +132,42 @@
 	return nil, dispatch.Trace{}, notTaken
 }
 
+// triesNext reports whether a request that a node did not execute is offered to the next one, and
+// records that the node has no path to the server if that is why.
+func (s *Sender) triesNext(ctx context.Context, request *dispatch.Request, to dispatch.Destination, node string, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	var refusal *dispatch.Refusal
+	if errors.As(err, &refusal) && refusal.PathFailed() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.paths.markFailed(time.Now(), node, targetOf(request, to))
+		return true
+	}
+	return errors.Is(err, dispatch.ErrNoHome)
+}
+
+// DoElsewhere implements dispatch.HandoffSender.
+func (s *Sender) DoElsewhere(ctx context.Context, request *dispatch.Request, respondBy time.Time, to dispatch.Destination) (*upstream.Response, dispatch.Trace, error) {
+	to.Substitute = true
+	target := targetOf(request, to)
+	for _, node := range s.substitutes(target) {
+		response, trace, err := s.handOffTo(ctx, node, request, encodeRequest(request, respondBy, to))
+		substitutedTotal.WithLabelValues(request.Service, resultLabel(err)).Inc()
+		if s.triesNext(ctx, request, to, node.Name, err) {
+			continue
+		}
+		if err == nil {
+			s.mutex.Lock()
+			s.paths.markSubstitute(target, node.Name)
+			s.mutex.Unlock()
+		}
+		return response, trace, err
+	}
+	return nil, dispatch.Trace{}, errors.Wrap(dispatch.ErrNoHome, "no other node reaches the server")
+}
+
 // handOffTo hands a request off to one home node. The error matches dispatch.ErrNoHome if
 // that node has certainly not sent the request and never will.
 func (s *Sender) handOffTo(ctx context.Context, home homes.Node, request *dispatch.Request, first *wire.Envelope) (*upstream.Response, dispatch.Trace, error) {
--- a/internal/handoff/sender_test.go
+++ b/internal/handoff/sender_test.go
@@ -385,3 +385,29 @@
 		}
 	}
 }
+
+// Guards against requests at nodes without a path to a server, which other nodes could send.
+func TestRequestIsOfferedToNodesThatAreNoHomes(t *testing.T) {
+	asked := make(map[string]int)
+	cut := func(name string) func(*transport.Server, *transport.Stream) {
+		return func(_ *transport.Server, stream *transport.Stream) {
+			asked[name]++
+			stream.Send(encodeRefusal(&dispatch.Refusal{Reason: dispatch.ReasonServersFailing, Detail: "no path"}, dispatch.Trace{}))
+		}
+	}
+	sender := newSender(t)
+	sender.nodes = []homes.Node{
+		newScriptedHome(t, "one", cut("one")), newScriptedHome(t, "two", cut("two")), newScriptedHome(t, "good", respondAfterGoAhead),
+		{Name: "sender", Address: "127.0.0.1:1"},
+	}
+	for range 5 {
+		request := newRequest(false)
+		response, _, err := sender.DoElsewhere(t.Context(), request, request.Deadline, dispatch.Destination{TableVersion: tableVersion})
+		if err != nil || string(response.Body) != "r" {
+			t.Fatalf("response %v, error %v", response, err)
+		}
+	}
+	if asked["one"] > 1 || asked["two"] > 1 {
+		t.Errorf("nodes without a path were asked %v times, want once at most", asked)
+	}
+}
