Loss of contact with all servers is told apart from servers that fail

Fix: a node has lost contact once two servers of a service (or of all services together) failed since the last answer and the last answer is 1 s old. Only then are requests refused with a reason of their own, 'no path', offered to others and not sent here; a connection each 0.25 s to one of the servers shows when the path is back. While any server answers, a server that fails counts as failed, as before. Tests: TestHomeWithoutAPathToTheServerIsNotTheLast named the reasons 'owner failing' and 'unreachable', which a server that is lost to all nodes causes too; it now names 'no path' and checks the same: the next home is asked. New: TestRequestIsRefusedAtOnceWithoutContact (replaces the one on servers that all fail), TestFailingServerIsNoLossOfContactWhileOthersAnswer, TestContactIsRestoredByAConnection.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -66,7 +66,7 @@
 func (d *Dispatcher) sendWithRetries(ctx context.Context, request *Request) (*upstream.Response, Trace, error) {
 	var trace Trace
 	var lastAnswer *upstream.Response
-	mayHaveRun, notSentLast := false, false
+	mayHaveRun := false
 	var cause error
 	excluded := make(map[discovery.ServerID]bool)
 	for {
@@ -78,9 +78,6 @@
 			return nil, trace, assigned.refusal
 		}
 		s := assigned.server
-		if s == nil && notSentLast && ctx.Err() == nil {
-			return nil, trace, d.refusalBy(request, notSent, cause)
-		}
 		if s == nil {
 			return lastAnswer, trace, d.finalError(ctx, request, mayHaveRun, lastAnswer, cause)
 		}
@@ -114,7 +111,6 @@
 			return answer, trace, nil
 		}
 		mayHaveRun = mayHaveRun || outcome == failed
-		notSentLast = outcome == notSent && !mayHaveRun
 		cause = err
 		if outcome == failed {
 			lastAnswer = answer
@@ -153,8 +149,7 @@
 		return false
 	}
 	if outcome == notSent {
-		// A node without a path leaves the remaining time to another one.
-		return trace.NotSent <= maxNotSent && (d.handoffSender == nil || !d.lacksPath(request))
+		return trace.NotSent <= maxNotSent && !d.ReachesNoServer(request.Service)
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -214,7 +209,7 @@
 	}
 	d.observeSignals(s, answer)
 	outcome, err := d.classify(request, answer)
-	d.finish(time.Now(), request, s, sentAttempt{elapsed: elapsed, cold: cold, load: d.loadIn(answer)}, resultOf(outcome, answer))
+	d.finish(time.Now(), request, s, sentAttempt{elapsed: elapsed, cold: cold, load: d.loadIn(answer), responded: true}, resultOf(outcome, answer))
 	if outcome == rejected {
 		d.rejected(request, s, answer)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -120,6 +120,10 @@
 	// finalStates holds, by service, the state that refusals are based on once this node sends
 	// nothing more.
 	finalStates map[string]*finalState
+	// contact concerns all servers. nextContactProbe is when the next connections of probeContact
+	// are due.
+	contact          contact
+	nextContactProbe time.Time
 	// progress needs no mutex.
 	progress progress
 	// handoffSender hands requests off to the home nodes of their servers; nil if this node
@@ -254,6 +258,7 @@
 		}
 		ticks++
 		d.probeColdServers(ctx)
+		d.probeContact(ctx)
 		d.tick(ticks%ticksPerSecond == 0)
 	}
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -143,7 +143,7 @@
 func (d *Dispatcher) waitForServer(ctx context.Context, request *Request, excluded map[discovery.ServerID]bool, deadline time.Time) assignment {
 	d.mutex.Lock()
 	now := time.Now()
-	if d.tooLateForAll(now) {
+	if d.tooLateForAll(now) || d.lostContact(now, request.Service) {
 		d.mutex.Unlock()
 		return assignment{}
 	}
--- a/internal/dispatch/reason.go
+++ b/internal/dispatch/reason.go
@@ -38,8 +38,8 @@
 	ReasonOwnerResting
 	// ReasonCrashesServers: servers crashed each time they executed the request.
 	ReasonCrashesServers
-	// ReasonServersFailing: requests to all servers of the service failed recently.
-	ReasonServersFailing
+	// ReasonNoPath: this node reaches no server of the service, and no other node took the request.
+	ReasonNoPath
 	reasonCount
 )
 
@@ -47,7 +47,7 @@
 func (r Reason) String() string {
 	names := [reasonCount]string{
 		"no owner", "owner gone", "owner failing", "moving", "owner busy",
-		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming", "owner limited", "owner resting", "crashes servers", "servers failing",
+		"no server", "server refused", "unreachable", "node stops", "owner warming", "key warming", "owner limited", "owner resting", "crashes servers", "no path",
 	}
 	if r < 0 || r >= reasonCount {
 		return "unknown"
@@ -80,6 +80,9 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if outcome == notSent && d.lostContact(time.Now(), request.Service) {
+		reason = ReasonNoPath
+	}
 	return &Refusal{Reason: reason, Detail: cause.Error(), RetryAfter: d.retryAfter(reason, request)}
 }
 
@@ -89,13 +92,13 @@
 	now := time.Now()
 	current := d.views.Current()
 	owners, divided := d.owners(current, request)
+	if d.lostContact(now, request.Service) {
+		return ReasonNoPath, "no server of the service answers this node"
+	}
 	if !divided {
 		if d.tooLateForAll(now) {
 			return ReasonNoServer, d.finalStateOf(now, request.Service).whyNone
 		}
-		if d.allFailing(now, current, request.Service, nil) {
-			return ReasonServersFailing, d.whyNoneOf(now, request.Service)
-		}
 		return ReasonNoServer, d.whyNoneOf(now, request.Service)
 	}
 	owner, owned := d.ownerOf(request, owners)
@@ -110,7 +113,7 @@
 		return ReasonOwnerGone, fmt.Sprintf("owner %s leaves or is gone", owner.Owner)
 	case now.Before(s.requestedBackoffUntil):
 		return ReasonOwnerResting, fmt.Sprintf("owner %s asked for %v more without requests", owner.Owner, s.requestedBackoffUntil.Sub(now).Round(time.Millisecond))
-	case now.Before(s.blockedUntil), s.failing(now):
+	case now.Before(s.blockedUntil):
 		return ReasonOwnerFailing, fmt.Sprintf("owner %s failed %d times in a row", owner.Owner, s.failures)
 	}
 	if left, isWarmingUp := d.ownerWarmingUp(now, request); isWarmingUp {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -46,21 +46,10 @@
 // Is makes every refusal match ErrNotExecuted.
 func (r *Refusal) Is(target error) bool { return target == ErrNotExecuted }
 
-// PathFailed reports whether the request was refused because this node did not reach the server.
-// Another node may have a path to it.
-func (r *Refusal) PathFailed() bool {
-	switch r.Reason {
-	case ReasonOwnerFailing, ReasonServersFailing, ReasonUnreachable:
-		return true
-	default:
-		return false
-	}
-}
-
-// pathFailed reports whether an error is a refusal for want of a path to the server.
+// pathFailed reports whether an error is a refusal for want of a path to the servers.
 func pathFailed(err error) bool {
 	var refusal *Refusal
-	return errors.As(err, &refusal) && refusal.PathFailed()
+	return errors.As(err, &refusal) && refusal.Reason == ReasonNoPath
 }
 
 // Request is one attempt of a client. A client that retries sends a new Request.
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -30,6 +30,8 @@
 	// abandoned is true if the response was no longer needed: the client disconnected, or
 	// another server answered.
 	abandoned bool
+	// responded is true if the server sent a response of any kind.
+	responded bool
 }
 
 // finish records the result of an attempt and releases its slot to the next request.
@@ -42,6 +44,9 @@
 	if result != noResult {
 		s.answeredAt = now
 	}
+	if sent.responded {
+		d.recordAnswer(now, s)
+	}
 	if alive {
 		d.coldRangesOf(request.Service).observe(sent.elapsed, sent.cold, result == serverAnswered)
 	}
@@ -82,6 +87,7 @@
 		return
 	}
 	s.recordFailure(time.Now())
+	d.recordNoContact(time.Now(), s)
 }
 
 // loadIn returns the load that a server reported in a response, or nil.
--- a/internal/dispatch/services.go
+++ b/internal/dispatch/services.go
@@ -34,6 +34,7 @@
 	// cold holds the servers that may be warming up.
 	cold           map[discovery.ServerID]*server
 	homeAssignment homeAssignment
+	contact        contact
 }
 
 func newService(name string) *service {
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -40,9 +40,6 @@
 	if _, tooSlow := d.coldKeyTooSlow(now, w.request); tooSlow {
 		return schedule.Decision{Verdict: schedule.Refuse}
 	}
-	if !d.divided(w.request) && d.allFailing(now, d.views.Current(), w.request.Service, w.excluded) {
-		return schedule.Decision{Verdict: schedule.Refuse}
-	}
 	return schedule.Decide(now, w.scheduled, d.queueState(now, w.request, w.scheduled, w.excluded))
 }
 
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -139,7 +139,7 @@
 		return false
 	}
 	var refusal *dispatch.Refusal
-	if errors.As(err, &refusal) && refusal.PathFailed() {
+	if errors.As(err, &refusal) && refusal.Reason == dispatch.ReasonNoPath {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		s.paths.markFailed(time.Now(), node, targetOf(request, to))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -156,6 +156,19 @@
 	return sockets.Dialer(dialTimeout, ackTimeout).DialContext(ctx, "tcp", address)
 }
 
+// Reaches reports whether the server accepts a new connection within the timeout.
+func (p *Pool) Reaches(ctx context.Context, timeout time.Duration) bool {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	socket, err := p.dial(bounded, p.address)
+	if err != nil {
+		return false
+	}
+	// The connection was only a probe; an error of closing it has no consequence.
+	_ = socket.Close()
+	return true
+}
+
 // refusalTimeout bounds the wait for a server's machine to refuse a connection.
 const refusalTimeout = 200 * time.Millisecond
 
