The search for a substitute does not grow with the number of nodes

It permuted all nodes under the sender's mutex for each request of a node without contact; now it draws at most 24.

--- a/internal/handoff/paths.go
+++ b/internal/handoff/paths.go
@@ -6,14 +6,17 @@
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/homes"
 )
 
 const (
 	// pathBackoff is how long a node gets no requests for a target after it refused one for want of
 	// a path to it.
 	pathBackoff = 500 * time.Millisecond
-	// maxSubstitutes is how many nodes that are no homes a request is offered to.
-	maxSubstitutes = 3
+	// maxSubstitutes is how many nodes that are no homes a request is offered to, and
+	// maxSubstituteDraws how often one is drawn for that.
+	maxSubstitutes     = 3
+	maxSubstituteDraws = 24
 	// maxFailedPaths is the number of recorded failures from which expired ones are dropped.
 	maxFailedPaths = 1024
 )
@@ -35,12 +38,12 @@
 type paths struct {
 	failedUntil map[nodePath]time.Time
 	// substitute holds the node that is no home and last reached a target.
-	substitute map[string]string
+	substitute map[string]homes.Node
 	logger     *zap.Logger
 }
 
 func newPaths(logger *zap.Logger) paths {
-	return paths{failedUntil: make(map[nodePath]time.Time), substitute: make(map[string]string), logger: logger}
+	return paths{failedUntil: make(map[nodePath]time.Time), substitute: make(map[string]homes.Node), logger: logger}
 }
 
 // failed reports whether a node is to be skipped for a target.
@@ -57,14 +60,14 @@
 		p.prune(now)
 	}
 	p.failedUntil[nodePath{node, target}] = now.Add(pathBackoff)
-	if p.substitute[target] == node {
+	if p.substitute[target].Name == node {
 		delete(p.substitute, target)
 	}
 	p.logger.Info("node has no path to the target, skipping it temporarily", zap.String("home", node), zap.String("target", target), zap.Duration("for", pathBackoff))
 }
 
 // markSubstitute records that a node which is no home has a path to a target.
-func (p *paths) markSubstitute(target, node string) {
+func (p *paths) markSubstitute(target string, node homes.Node) {
 	if len(p.substitute) >= maxFailedPaths {
 		clear(p.substitute)
 	}
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -57,6 +57,7 @@
 	defer s.mutex.Unlock()
 	before := s.processes
 	s.ranks, s.nodes, s.processes = homes.NewRanks(nodes), nodes, processes
+	clear(s.paths.substitute)
 	s.reachable.prune(processes, func(home string) bool { return before[home] != processes[home] })
 }
 
@@ -85,24 +86,25 @@
 	return !s.reachable.inBackoff(now, node) && !s.paths.failed(now, node, target)
 }
 
-// substitutes returns some nodes of any zone that may reach a target: the one that did last first,
-// the others in random order.
+// substitutes returns some nodes of any zone that may reach a target: the one that did last, and then
+// random ones. The work does not grow with the number of nodes.
 func (s *Sender) substitutes(target string) []homes.Node {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now, last := time.Now(), s.paths.substitute[target]
+	now := time.Now()
 	var chosen []homes.Node
-	for _, index := range rand.Perm(len(s.nodes)) {
-		node := s.nodes[index]
-		switch {
-		case node.Name == s.self || !s.available(now, node.Name, target):
-		case node.Name == last:
-			chosen = slices.Insert(chosen, 0, node)
-		default:
+	add := func(node homes.Node) {
+		if node.Name != s.self && !slices.Contains(chosen, node) && s.available(now, node.Name, target) {
 			chosen = append(chosen, node)
 		}
 	}
-	return chosen[:min(len(chosen), maxSubstitutes)]
+	if last, known := s.paths.substitute[target]; known {
+		add(last)
+	}
+	for draw := 0; draw < maxSubstituteDraws && len(chosen) < maxSubstitutes && len(s.nodes) > 0; draw++ {
+		add(s.nodes[rand.IntN(len(s.nodes))])
+	}
+	return chosen
 }
 
 // Do implements dispatch.HandoffSender. It tries the candidates in order until one takes the
@@ -160,7 +162,7 @@
 		}
 		if err == nil {
 			s.mutex.Lock()
-			s.paths.markSubstitute(target, node.Name)
+			s.paths.markSubstitute(target, node)
 			s.mutex.Unlock()
 		}
 		return response, trace, err
