Long deltas are compressed

Cause: a delta saves what is equal to the base and nothing of what is new. Evidence: TestManyNewRoutesAreSentInAFractionOfTheirSize, before: 351,888 bytes for a value of 346,826. Fix: steps of 4 KB or more are compressed, behind a step that Make never wrote before. Test: the same, now at most a quarter of the value.

--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -38,7 +38,7 @@
 
 // Make returns a delta that turns base into next. A delta is the checksum of next followed by
 // steps. Each step has the offset and the length of a part to copy from base, and then the
-// length of a literal and the literal.
+// length of a literal and the literal. Long steps are compressed and follow packedMarker.
 func Make(base, next []byte) []byte {
 	chunkOffsets := make(map[string]int, len(base)/64)
 	for _, chunk := range splitChunks(base) {
@@ -71,7 +71,7 @@
 		}
 	}
 	flush()
-	return encoded
+	return packSteps(encoded)
 }
 
 func appendStep(encoded []byte, copied span, literal []byte) []byte {
@@ -103,7 +103,10 @@
 		return nil, errors.Wrapf(ErrMalformed, "length: %d, allowed: at least %d", len(encoded), checksumBytes)
 	}
 	checksum := binary.BigEndian.Uint32(encoded)
-	rest := encoded[checksumBytes:]
+	rest, err := unpackSteps(encoded[checksumBytes:])
+	if err != nil {
+		return nil, err
+	}
 	next := make([]byte, 0, len(base))
 	for len(rest) > 0 {
 		var numbers [3]uint64
--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -73,3 +74,30 @@
 		}
 	}
 }
+
+// Guards against a configuration with many new routes that is sent whole to every node.
+func TestManyNewRoutesAreSentInAFractionOfTheirSize(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	route := func() string {
+		return fmt.Sprintf(`{"EntryKind":"Routes","Metadata":{"Name":"r-%07x"},"Spec":{"Host":"h.example","PathPrefix":"/%08x/","Type":"safe","Service":"s","TimeoutMs":1500,"TargetMs":1000,"Prio":2,"MaxAttempts":2}},`,
+			random.Uint32(), random.Uint32())
+	}
+	base := `{"Version":1,"Resources":[` + strings.Repeat(route(), 10)
+	next := base
+	for range 1760 {
+		next += route()
+	}
+	made := delta.Make([]byte(base), []byte(next))
+	if most := len(next) / 4; len(made) > most {
+		t.Errorf("delta of %d bytes for a value of %d bytes, want at most %d", len(made), len(next), most)
+	}
+	got, err := delta.Apply([]byte(base), made)
+	if err != nil || string(got) != next {
+		t.Errorf("applied: equal %v, error %v", string(got) == next, err)
+	}
+	for length := 0; length < len(made); length += 97 {
+		if _, err := delta.Apply([]byte(base), made[:length]); err == nil {
+			t.Fatalf("truncated to %d of %d bytes: no error", length, len(made))
+		}
+	}
+}
