--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -79,7 +79,7 @@
 func TestManyNewRoutesAreSentInAFractionOfTheirSize(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	route := func() string {
-		return fmt.Sprintf(`{"EntryKind":"Routes","Metadata":{"Name":"r-%07x"},"Spec":{"Host":"h.example","PathPrefix":"/%08x/","Type":"safe","Service":"s","TimeoutMs":1500,"TargetMs":1000,"Prio":2,"MaxAttempts":2}},`,
+		return fmt.Sprintf(`{"kind":"routes","name":"r-%07x","settings":{"host":"h.example","path":"/%08x/","repeatable":true,"service":"s","timeout_millis":1500,"objective_millis":1000,"priority":2,"attempts":2}},`,
 			random.Uint32(), random.Uint32())
 	}
 	base := `{"Version":1,"Resources":[` + strings.Repeat(route(), 10)
