One package compresses what nodes send to each other

Copies of the store and long deltas compressed with the same lines (router/copies.go, delta/pack.go); both call internal/deflate now. Bytes on the wire and sizes from which deltas are compressed stay as they are. One difference: a copy longer than 64 MB is refused as too long instead of being cut there and failing to decode. Run: tests of delta and deflate; those of router's copies with the race detector.

--- a/internal/delta/pack.go
+++ b/internal/delta/pack.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"compress/flate"
-	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/deflate"
 )
 
 const (
@@ -21,19 +21,15 @@
 
 // packSteps returns a delta with its steps compressed, or the delta itself if that is not shorter.
 func packSteps(encoded []byte) []byte {
-	steps := encoded[checksumBytes:]
+	checksum, steps := encoded[:checksumBytes], encoded[checksumBytes:]
 	if len(steps) < minPackedBytes {
 		return encoded
 	}
-	packed := bytes.NewBuffer(append(bytes.Clone(encoded[:checksumBytes]), packedMarker...))
-	// Neither the level nor writing to a buffer can cause an error.
-	writer, _ := flate.NewWriter(packed, flate.BestSpeed)
-	_, _ = writer.Write(steps)
-	_ = writer.Close()
-	if packed.Len() >= len(encoded) {
+	packed, err := deflate.Pack(steps)
+	if err != nil || len(packedMarker)+len(packed) >= len(steps) {
 		return encoded
 	}
-	return packed.Bytes()
+	return bytes.Join([][]byte{checksum, packedMarker, packed}, nil)
 }
 
 // unpackSteps returns the steps of a delta without its checksum.
@@ -42,12 +38,9 @@
 	if !isPacked {
 		return steps, nil
 	}
-	unpacked, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
+	unpacked, err := deflate.Unpack(packed, maxUnpackedBytes)
 	if err != nil {
 		return nil, errors.Wrapf(ErrMalformed, "compressed steps: %v", err)
 	}
-	if len(unpacked) > maxUnpackedBytes {
-		return nil, errors.Wrapf(ErrMalformed, "compressed steps: more than %d bytes", maxUnpackedBytes)
-	}
 	return unpacked, nil
 }
--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -1,10 +1,7 @@
 package router
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -14,6 +11,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/micahaven/micahaven/internal/deflate"
 	"github.com/micahaven/micahaven/internal/feed"
 	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
@@ -157,23 +155,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode copy")
 	}
-	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "pack copy")
-	}
-	if _, err := writer.Write(encoded); err != nil {
-		return nil, errors.Wrap(err, "pack copy")
-	}
-	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "pack copy")
-	}
-	return packed.Bytes(), nil
+	packed, err := deflate.Pack(encoded)
+	return packed, errors.Wrap(err, "pack copy")
 }
 
 // unpackItems reverses packItems.
 func unpackItems(packed []byte) ([]topo.Item, error) {
-	encoded, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes))
+	encoded, err := deflate.Unpack(packed, maxUnpackedBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack copy")
 	}
