--- a/internal/dispatch/contact.go
+++ b/internal/dispatch/contact.go
@@ -15,7 +15,7 @@
 	// minUnreachedServers is how many servers have to fail before this node has lost contact. One
 	// server that fails alone is most likely lost itself.
 	minUnreachedServers = 2
-	// failureWindow is how long failures show that there is none.
+	// failureWindow is how long a failure shows that there may be no path.
 	failureWindow = 2 * time.Second
 	// contactProbeInterval is the pause between two connections that a node without contact opens to
 	// find out whether it reaches servers again.
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -106,7 +106,7 @@
 	case errors.Is(err, ErrHomeLost):
 		d.noteHomeElsewhere(to.Server)
 		return d.retryAfterHomeLoss(ctx, request, trace, err)
-	case errors.Is(err, ErrAtHome), errors.Is(err, ErrNoHome), pathFailed(err):
+	case errors.Is(err, ErrAtHome), errors.Is(err, ErrNoHome), PathFailed(err):
 		if to.Server != "" {
 			d.setHome(to.Server, errors.Is(err, ErrAtHome))
 		}
@@ -124,7 +124,7 @@
 // reach the server.
 func (d *Dispatcher) sendDirectOrElsewhere(ctx context.Context, request *Request, to Destination) (*upstream.Response, Trace, error) {
 	answer, trace, err := d.sendDirect(ctx, request)
-	if !pathFailed(err) || ctx.Err() != nil || time.Until(d.deadline(request)) < minAttemptTime {
+	if !PathFailed(err) || ctx.Err() != nil || time.Until(d.deadline(request)) < minAttemptTime {
 		return answer, trace, err
 	}
 	elsewhere, elsewhereTrace, elsewhereErr := d.handoffSender.DoElsewhere(ctx, request, d.deadline(request), to)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -46,8 +46,8 @@
 // Is makes every refusal match ErrNotExecuted.
 func (r *Refusal) Is(target error) bool { return target == ErrNotExecuted }
 
-// pathFailed reports whether an error is a refusal for want of a path to the servers.
-func pathFailed(err error) bool {
+// PathFailed reports whether an error is a refusal for want of a path to the servers.
+func PathFailed(err error) bool {
 	var refusal *Refusal
 	return errors.As(err, &refusal) && refusal.Reason == ReasonNoPath
 }
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -86,8 +86,9 @@
 		// The connection was lost, not the server.
 		return
 	}
-	s.recordFailure(time.Now())
-	d.recordNoContact(time.Now(), s)
+	now := time.Now()
+	s.recordFailure(now)
+	d.recordNoContact(now, s)
 }
 
 // loadIn returns the load that a server reported in a response, or nil.
--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -140,8 +140,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	var refusal *dispatch.Refusal
-	if errors.As(err, &refusal) && refusal.Reason == dispatch.ReasonNoPath {
+	if dispatch.PathFailed(err) {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		s.paths.markFailed(time.Now(), node, targetOf(request, to))
--- a/internal/shardmanager/contact.go
+++ b/internal/shardmanager/contact.go
@@ -39,7 +39,7 @@
 	c.unanswered[server] = struct{}{}
 }
 
-// lost reports whether no server answers any more.
+// lost reports whether several servers failed to answer and none has answered for contactTimeout.
 func (c *contact) lost(now time.Duration) bool {
 	return len(c.unanswered) >= minUnreachedServers && now-c.answeredAt > contactTimeout
 }
