What a request needs a path to is a value, not a text

Each request that is handed off built a string to look up whether its home had refused one for want of a path; a struct of server and service serves as the key without that. Log lines keep their text. Run: tests of handoff with the race detector.

--- a/internal/handoff/sender.go
+++ b/internal/handoff/sender.go
@@ -66,14 +66,14 @@
 func (s *Sender) candidates(request *dispatch.Request, to dispatch.Destination) []homes.Node {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now, target := time.Now(), targetOf(request, to)
+	now, needed := time.Now(), targetOf(request, to)
 	ranked := to.Homes
 	if to.Server != "" {
 		ranked = s.ranks.Of(homes.Server{ID: to.Server, Zone: to.Zone})
 	}
 	available := make([]homes.Node, 0, len(ranked))
 	for _, home := range ranked {
-		if home.Name == s.self || s.available(now, home.Name, target) {
+		if home.Name == s.self || s.available(now, home.Name, needed) {
 			available = append(available, home)
 		}
 	}
@@ -82,23 +82,23 @@
 
 // available reports whether a node is expected to take requests for a target. The caller holds the
 // mutex.
-func (s *Sender) available(now time.Time, node, target string) bool {
-	return !s.reachable.inBackoff(now, node) && !s.paths.failed(now, node, target)
+func (s *Sender) available(now time.Time, node string, to target) bool {
+	return !s.reachable.inBackoff(now, node) && !s.paths.failed(now, node, to)
 }
 
 // substitutes returns some nodes of any zone that may reach a target: the one that did last, and then
 // random ones. The work does not grow with the number of nodes.
-func (s *Sender) substitutes(target string) []homes.Node {
+func (s *Sender) substitutes(to target) []homes.Node {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := time.Now()
 	var chosen []homes.Node
 	add := func(node homes.Node) {
-		if node.Name != s.self && !slices.Contains(chosen, node) && s.available(now, node.Name, target) {
+		if node.Name != s.self && !slices.Contains(chosen, node) && s.available(now, node.Name, to) {
 			chosen = append(chosen, node)
 		}
 	}
-	if last, known := s.paths.substitute[target]; known {
+	if last, known := s.paths.substitute[to]; known {
 		add(last)
 	}
 	for draw := 0; draw < maxSubstituteDraws && len(chosen) < maxSubstitutes && len(s.nodes) > 0; draw++ {
@@ -152,8 +152,8 @@
 // DoElsewhere implements dispatch.HandoffSender.
 func (s *Sender) DoElsewhere(ctx context.Context, request *dispatch.Request, respondBy time.Time, to dispatch.Destination) (*upstream.Response, dispatch.Trace, error) {
 	to.Substitute = true
-	target := targetOf(request, to)
-	for _, node := range s.substitutes(target) {
+	needed := targetOf(request, to)
+	for _, node := range s.substitutes(needed) {
 		response, trace, err := s.handOffTo(ctx, node, request, encodeRequest(request, respondBy, to))
 		substitutedTotal.WithLabelValues(request.Service, resultLabel(err)).Inc()
 		if s.triesNext(ctx, request, to, node.Name, err) {
@@ -161,7 +161,7 @@
 		}
 		if err == nil {
 			s.mutex.Lock()
-			s.paths.markSubstitute(target, node)
+			s.paths.markSubstitute(needed, node)
 			s.mutex.Unlock()
 		}
 		return response, trace, err
