A starting node gets a copy as soon as its provider's is confirmed

Traced by a line for each request for a copy and each list (trial): a head that has listed the store for a second holds a copy that was confirmed before the list, more than maxCopyAge ago. It packs that copy and sends it for packedCopyTTL, although the watch has confirmed a newer one after some milliseconds; each node that asks transfers it and drops it. A head that asks once in that time and not again before its wait is over lists the store as well.

Copies for nodes that lost the store stay as they are: they may be of any age.

TestCopyIsSentOnceItIsConfirmed failed before (copy confirmed 1.1 s ago sent, and sent again after the confirmation).

--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -110,17 +110,18 @@
 	p.remember(&wire.NodeAddress{Address: from.GetAddress(), Zone: from.GetZone()})
 	return &wire.StateReply{
 		Revision: p.packed.revision, Complete: true, Packed: p.packed.content, Confirmed: p.packed.confirmed,
-		ConfirmedAgeMillis: uint32((p.packed.age + now.Sub(p.packed.madeAt)).Milliseconds()),
+		ConfirmedAgeMillis: uint32(p.packed.ageAt(now).Milliseconds()),
 	}, nil
 }
 
-// pack renews the packed copy if it is older than packedCopyTTL. It reports whether there is one.
-// The caller holds the mutex.
+// pack renews the packed copy if it is older than packedCopyTTL, or too old for a starting node while
+// the store's copy is not. It reports whether there is one. The caller holds the mutex.
 func (p *copyProvider) pack(now time.Time) (bool, error) {
-	if p.packed.content != nil && now.Sub(p.packed.madeAt) < packedCopyTTL {
+	age, confirmed := p.feed.confirmedAge()
+	newerUsable := isUsable(confirmed, age) && !isUsable(p.packed.confirmed, p.packed.ageAt(now))
+	if p.packed.content != nil && now.Sub(p.packed.madeAt) < packedCopyTTL && !newerUsable {
 		return true, nil
 	}
-	age, confirmed := p.feed.confirmedAge()
 	items, revision, listed := p.mirror.Snapshot()
 	if !listed {
 		return false, nil
@@ -133,6 +134,12 @@
 	return true, nil
 }
 
+// ageAt returns how long ago the copy was confirmed.
+func (c *packedCopy) ageAt(now time.Time) time.Duration { return c.age + now.Sub(c.madeAt) }
+
+// isUsable reports whether a starting node may use a copy that was confirmed that long ago.
+func isUsable(confirmed bool, age time.Duration) bool { return confirmed && age <= maxCopyAge }
+
 func (p *copyProvider) remember(receiver *wire.NodeAddress) {
 	p.receivers = slices.DeleteFunc(p.receivers, func(known *wire.NodeAddress) bool {
 		return known.GetAddress() == receiver.GetAddress()
@@ -312,8 +319,8 @@
 // usable returns the copy in a response to a request sent at askedAt, if it is complete, confirmed
 // and new enough.
 func (f copyFetcher) usable(provider *wire.NodeAddress, answer *wire.StateReply, askedAt time.Time, atLeast int64) (mirror.Copy, bool) {
-	age := time.Duration(answer.GetConfirmedAgeMillis()) * time.Millisecond
-	if !answer.GetComplete() || answer.GetRevision() < atLeast || !answer.GetConfirmed() || age > maxCopyAge {
+	age := confirmedAge(answer)
+	if !answer.GetComplete() || answer.GetRevision() < atLeast || !isUsable(answer.GetConfirmed(), age) {
 		return mirror.Copy{}, false
 	}
 	items, err := unpackItems(answer.GetPacked())
--- a/internal/router/copywait.go
+++ b/internal/router/copywait.go
@@ -114,14 +114,20 @@
 	return listers
 }
 
-// requestCopy asks another node for its copy, if that has reached a revision. The transfer has its
-// own timeout, because it may take longer than a node that is gone should be waited for. It returns
+// confirmedAge returns how long ago the copy of the sender was confirmed.
+func confirmedAge(answer *wire.StateReply) time.Duration {
+	return time.Duration(answer.GetConfirmedAgeMillis()) * time.Millisecond
+}
+
+// requestCopy asks another node for its copy, if that has reached a revision and was confirmed
+// recently. Nodes of older versions do not report when. The transfer has its own timeout, because it may take longer than a node that is gone should be waited for. It returns
 // when the copy was requested, and a nil answer if the node does not answer. If the transfer fails,
 // the answer has no copy.
 func (p *peers) requestCopy(ctx context.Context, address string, atLeast int64) (answer *wire.StateReply, askedAt time.Time) {
 	state := p.requestState(ctx, address)
 	askedAt = time.Now()
-	if revision := state.GetRevision(); revision == 0 || revision < atLeast {
+	outdated := state.GetConfirmed() && !isUsable(true, confirmedAge(state))
+	if revision := state.GetRevision(); revision == 0 || revision < atLeast || outdated {
 		return state, askedAt
 	}
 	if copied := p.callState(ctx, address, true, copyTimeout); copied != nil {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -289,7 +289,8 @@
 		go p.sendCopy(from, reply)
 		return
 	}
-	answer := &wire.StateReply{Revision: p.mirror.Revision()}
+	age, confirmed := p.feed.confirmedAge()
+	answer := &wire.StateReply{Revision: p.mirror.Revision(), Confirmed: confirmed, ConfirmedAgeMillis: uint32(age.Milliseconds())}
 	reply(&wire.Envelope{Body: &wire.Envelope_StateReply{StateReply: answer}})
 }
 
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -93,3 +93,24 @@
 		t.Errorf("%d of %d nodes listed the store, want %d at most", lists, len(nodes), startListersPerZone)
 	}
 }
+
+// A copy that is too old to be used must not be transferred, nor be sent once there is a newer one.
+func TestCopyIsSentOnceItIsConfirmed(t *testing.T) {
+	const keys = 500
+	store := &slowListStore{Store: storeWith(keys), listDuration: maxCopyAge + 100*time.Millisecond}
+	head, started := newCopyNode(t, store, "head"), newCopyNode(t, store, "started")
+	head.run(t)
+	if answer, _ := started.requestCopy(t.Context(), head.self.Address, 0); answer.GetComplete() {
+		t.Errorf("a copy that was confirmed %v ago was sent", confirmedAge(answer))
+	}
+	if _, err := head.copies.reply(&wire.Hello{}); err != nil {
+		t.Fatal(err)
+	}
+	store.Write("other/0", []byte("new value"))
+	for age, confirmed := head.feed.confirmedAge(); !isUsable(confirmed, age); age, confirmed = head.feed.confirmedAge() {
+		time.Sleep(time.Millisecond)
+	}
+	if answer, _ := started.requestCopy(t.Context(), head.self.Address, 0); !answer.GetComplete() || !isUsable(answer.GetConfirmed(), confirmedAge(answer)) {
+		t.Errorf("complete: %v, confirmed %v ago, want a copy that was confirmed %v ago at most", answer.GetComplete(), confirmedAge(answer), maxCopyAge)
+	}
+}
