The wait for a copy ends when its time is over

Traced by a line for each round of requests (trial): a starting head looks at its limit only before a round, and pauses 125 to 375 ms between rounds, so that it lists the store up to 0.37 s after its time is over, and all others wait for it. The machine's load has little part in it: the rounds themselves take 1 to 5 ms in the traced runs.

The pause ends with the limit. TestWaitForACopyEndsInTime failed before (132 to 369 ms instead of 50).

--- a/internal/router/copywait.go
+++ b/internal/router/copywait.go
@@ -58,7 +58,8 @@
 		if answered {
 			lastReplyAt = time.Now()
 		}
-		periodic.Pause(ctx, time.Duration((0.5+rand.Float64())*float64(min(awaitRetryInterval, limits.noReply/4))))
+		pause := time.Duration((0.5 + rand.Float64()) * float64(min(awaitRetryInterval, limits.noReply/4)))
+		periodic.Pause(ctx, min(pause, time.Until(giveUpAt), limits.noReply-time.Since(lastReplyAt)))
 	}
 	return mirror.Copy{}, false
 }
--- a/internal/router/listers_test.go
+++ b/internal/router/listers_test.go
@@ -65,3 +65,15 @@
 		})
 	}
 }
+
+// A node must not wait for its next round of requests once its time to wait for a copy is over.
+func TestWaitForACopyEndsInTime(t *testing.T) {
+	const total, bound = 50 * time.Millisecond, 120 * time.Millisecond
+	empty, started := newCopyNode(t, storeWith(0), "empty"), newCopyNode(t, storeWith(0), "started")
+	providers := []*wire.NodeAddress{{Address: empty.self.Address, Zone: empty.self.Zone}}
+	startedAt := time.Now()
+	_, found := copyFetcher{peers: started.peers}.awaitCopy(t.Context(), providers, 0, waitLimits{noReply: firstStartNoReplyTimeout, total: total})
+	if took := time.Since(startedAt); found || took < total || took > bound {
+		t.Errorf("found: %v, after %v, want none after %v to %v", found, took, total, bound)
+	}
+}
