--- a/internal/router/copywait.go
+++ b/internal/router/copywait.go
@@ -121,9 +121,10 @@
 }
 
 // requestCopy asks another node for its copy, if that has reached a revision and was confirmed
-// recently. Nodes of older versions do not report when. The transfer has its own timeout, because it may take longer than a node that is gone should be waited for. It returns
-// when the copy was requested, and a nil answer if the node does not answer. If the transfer fails,
-// the answer has no copy.
+// recently. Nodes of older versions do not report when. The transfer has its own timeout, because it
+// may take longer than a node that is gone should be waited for. It returns when the copy was
+// requested, and a nil answer if the node does not answer. If the transfer fails, the answer has no
+// copy.
 func (p *peers) requestCopy(ctx context.Context, address string, atLeast int64) (answer *wire.StateReply, askedAt time.Time) {
 	state := p.requestState(ctx, address)
 	askedAt = time.Now()
