--- a/review/standins/bed.go
+++ b/review/standins/bed.go
@@ -57,6 +57,7 @@
 	"restarted-server": restartedServer,
 	"surplus-refusal":  surplusRefusal,
 	"slow-pipeline":    slowPipeline,
+	"foreign-entry":    foreignEntry,
 }
 
 func main() {
