--- a/review/standins/bed.go
+++ b/review/standins/bed.go
@@ -58,6 +58,8 @@
 	"surplus-refusal":  surplusRefusal,
 	"slow-pipeline":    slowPipeline,
 	"foreign-entry":    foreignEntry,
+	"killed-manager":   killedManager,
+	"late-orders":      lateOrders,
 }
 
 func main() {
--- a/review/standins/ledger.go
+++ b/review/standins/ledger.go
@@ -30,8 +30,14 @@
 	mutex sync.Mutex
 	// healedAt is when a cut ended last. Grants that come within thawTime of it are not counted.
 	healedAt time.Time
-	spans    []span
-	runs     []run
+	// staleFences are grants that a server took under a fence that was not above all those under which
+	// other servers had held the keys.
+	staleFences []string
+	// counting is true while orders are counted.
+	counting              bool
+	unanswered, allOrders int
+	spans                 []span
+	runs                  []run
 }
 
 // granted notes a grant that a server took. A renewal lengthens what the server holds.
@@ -42,10 +48,43 @@
 	if now.Sub(l.healedAt) < thawTime {
 		return
 	}
+	for _, held := range l.spans {
+		if held.server != server && held.from <= order.TargetVersion && order.From <= held.to && held.fence >= order.Fence {
+			l.staleFences = append(l.staleFences, fmt.Sprintf("%s took keys %d-%d under fence %d, although %s held keys %d-%d under fence %d",
+				server, order.From, order.TargetVersion, order.Fence, held.server, held.from, held.to, held.fence))
+		}
+	}
 	l.cut(server, order.From, order.TargetVersion, now)
 	l.spans = append(l.spans, span{server: server, from: order.From, to: order.TargetVersion, fence: order.Fence, begin: now, end: until})
 }
 
+// countOrders starts or ends the counting of orders.
+func (l *ledger) countOrders(counting bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.counting = counting
+}
+
+// order notes an order that reached a server.
+func (l *ledger) order(unanswered bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.counting {
+		return
+	}
+	l.allOrders++
+	if unanswered {
+		l.unanswered++
+	}
+}
+
+// orderCounts returns how many of the counted orders were left unanswered, and how many there were.
+func (l *ledger) orderCounts() (unanswered, all int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.unanswered, l.allOrders
+}
+
 // healed notes that a cut has ended.
 func (l *ledger) healed() {
 	l.mutex.Lock()
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -57,6 +57,9 @@
 	http         *http.Server
 	stopBeats    chan struct{}
 	connections  map[net.Conn]struct{}
+	// lateOrders, if not zero, is how late the server carries out orders. It leaves them unanswered, and
+	// closes their connections after closeOrders if that is not zero.
+	lateOrders, closeOrders time.Duration
 	// body is the body of its answers; empty for a short one.
 	body string
 	// intercept, if set, may answer a request in place of run.
@@ -125,6 +128,36 @@
 	s.bed.ledger.ended(s.id)
 }
 
+// cutOff resets the server's connections and refuses new ones, while its process goes on.
+func (s *server) cutOff() {
+	s.mutex.Lock()
+	open := s.connections
+	s.connections = make(map[net.Conn]struct{})
+	listener := s.listener
+	s.mutex.Unlock()
+	_ = listener.Close()
+	for connection := range open {
+		if socket, ok := connection.(*net.TCPConn); ok {
+			_ = socket.SetLinger(0)
+		}
+		_ = connection.Close()
+	}
+}
+
+// reconnect ends what cutOff began.
+func (s *server) reconnect() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	s.listener = listener
+	served := s.http
+	s.mutex.Unlock()
+	go func() { _ = served.Serve(listener) }()
+	return nil
+}
+
 func (s *server) beats(stop <-chan struct{}) {
 	for {
 		s.announce()
@@ -188,6 +221,9 @@
 	if s.misdirected(w, r) {
 		return
 	}
+	if s.leaves(r, "grant", order, func() { s.take(order) }) {
+		panic(http.ErrAbortHandler)
+	}
 	if !s.take(order) {
 		s.bed.record("grant refused by %s: keys %d-%d fence %d", s.id, order.From, order.TargetVersion, order.Fence)
 		w.WriteHeader(http.StatusConflict)
@@ -225,6 +261,15 @@
 	if s.misdirected(w, r) {
 		return
 	}
+	if s.leaves(r, "release", order, func() { s.giveUp(order) }) {
+		panic(http.ErrAbortHandler)
+	}
+	s.giveUp(order)
+	w.Header().Set("X-Handover", "h-"+s.id)
+}
+
+// giveUp stops new work on the keys of a release, and returns when what ran on them has ended.
+func (s *server) giveUp(order grant) {
 	s.mutex.Lock()
 	now := time.Now()
 	for key := order.From; key <= order.TargetVersion; key++ {
@@ -238,7 +283,28 @@
 		s.mutex.Lock()
 	}
 	s.mutex.Unlock()
-	w.Header().Set("X-Handover", "h-"+s.id)
+}
+
+// leaves reports whether an order was left unanswered, to be carried out late.
+func (s *server) leaves(r *http.Request, kind string, order grant, carryOut func()) bool {
+	s.mutex.Lock()
+	late, closeAfter := s.lateOrders, s.closeOrders
+	s.mutex.Unlock()
+	s.bed.ledger.order(late > 0)
+	if late == 0 {
+		return false
+	}
+	s.bed.record("%s left unanswered by %s, carried out in %s: keys %d-%d fence %d", kind, s.id, late, order.From, order.TargetVersion, order.Fence)
+	time.AfterFunc(late, carryOut)
+	if closeAfter == 0 {
+		<-r.Context().Done()
+		return true
+	}
+	select {
+	case <-time.After(closeAfter):
+	case <-r.Context().Done():
+	}
+	return true
 }
 
 // runsWithin reports whether a request for one of the keys of an order runs. The caller holds the mutex.
