--- a/review/standins/bed.go
+++ b/review/standins/bed.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -163,8 +164,25 @@
 homes: true
 `
 
+// firstPort and lastPort bound the ports of all listeners. They lie below the ports that the system gives
+// to outgoing connections, so that a process that starts again finds its port free.
+const firstPort, lastPort = 12000, 31999
+
+// listenLow listens on a free port of the loopback address.
+func listenLow() (net.Listener, error) {
+	var err error
+	for range 100 {
+		var listener net.Listener
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort+1))
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return listener, nil
+		}
+	}
+	return nil, err
+}
+
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenLow()
 	if err != nil {
 		return "", err
 	}
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -68,11 +68,7 @@
 
 // start starts the server's process: it listens first, and then writes its entry.
 func (s *server) start() error {
-	address := s.address
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := s.listen()
 	if err != nil {
 		return err
 	}
@@ -97,6 +93,14 @@
 	return nil
 }
 
+// listen listens on the server's address, or on a free one at its first start.
+func (s *server) listen() (net.Listener, error) {
+	if s.address == "" {
+		return listenLow()
+	}
+	return net.Listen("tcp", s.address)
+}
+
 func (s *server) track(connection net.Conn, state http.ConnState) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -146,7 +150,7 @@
 
 // reconnect ends what cutOff began.
 func (s *server) reconnect() error {
-	listener, err := net.Listen("tcp", s.address)
+	listener, err := s.listen()
 	if err != nil {
 		return err
 	}
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -55,7 +54,7 @@
 		items: make(map[string]item), leases: make(map[int64]*lease), nextID: 100,
 		changed: make(chan struct{}), beats: make(map[string]time.Time),
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenLow()
 	if err != nil {
 		return nil, err
 	}
