--- a/review/standins/killed.go
+++ b/review/standins/killed.go
@@ -10,7 +10,7 @@
 // killedManager kills the manager within a second of its first grant that gets no answer, while the
 // server that carries out that grant late is cut off and leaves.
 func killedManager(b *bed) (verdict, error) {
-	const servers, lateBy = 6, 11500 * time.Millisecond
+	const servers, lateBy = 8, 11500 * time.Millisecond
 	b.store.write("op/config", []byte(fmt.Sprintf(keyedConfig, "")))
 	divided, err := b.addServers(servers, "recetario", true, 20*time.Millisecond, "heredia", "alajuela", "cartago")
 	if err != nil {
