The manager logs why a range has lost its owner

Neither logs nor metrics told whether a range lost its owner by a release, because its server was taken to have ended, or because its lease had expired, nor when the owner had last accepted a grant. Both are needed to tell the hypotheses on two holders of a key apart.

Line `range vacated` with the evidence and the time since the last accepted grant, and a counter by evidence. No decision changes.

--- a/internal/shardmanager/metrics.go
+++ b/internal/shardmanager/metrics.go
@@ -16,6 +16,11 @@
 		Help: "Ranges that their owners have released, by why they were taken.",
 	}, []string{"service", "reason"})
 
+	vacanciesTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_shardmanager_vacancies_total",
+		Help: "Ranges that lost their owners, by the evidence that no server holds them.",
+	}, []string{"service", "evidence"})
+
 	commitsTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_shardmanager_commits_total",
 		Help: "Owner maps written to the store.",
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -294,6 +294,7 @@
 		t.manager.logger.Info("range restored to its owner", zap.String("server", string(r.Owner)), zap.Uint32("first", r.First),
 			zap.Uint32("last", r.Last), zap.Uint64("fence", r.Fence), zap.Duration("store_unseen", t.sinceRenewal()))
 	}
+	t.logVacancies(commands.Vacated)
 	for _, release := range commands.Releases {
 		t.inFlight.Go(func() { t.release(ctx, release) })
 	}
@@ -305,6 +306,22 @@
 	}
 }
 
+// logVacancies logs the evidence on which ranges have lost their owners.
+func (t *term) logVacancies(vacated []shards.Vacancy) {
+	for _, vacancy := range vacated {
+		vacanciesTotal.WithLabelValues(t.manager.service, vacancy.Evidence.String()).Inc()
+		fields := []zap.Field{
+			zap.String("server", string(vacancy.Owner)), zap.Uint32("first", vacancy.First), zap.Uint32("last", vacancy.Last),
+			zap.Uint64("fence", vacancy.Fence), zap.Stringer("evidence", vacancy.Evidence), zap.Bool("late", vacancy.Late),
+			zap.Bool("inherited", vacancy.Inherited),
+		}
+		if vacancy.LastAccepted > 0 {
+			fields = append(fields, zap.Duration("since_accepted", t.now()-vacancy.LastAccepted))
+		}
+		t.manager.logger.Info("range vacated", fields...)
+	}
+}
+
 // delayedGrantsWait returns how long grants that got no response may still be carried out by
 // servers.
 func (t *term) delayedGrantsWait() time.Duration {
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -39,6 +39,43 @@
 	Moving []Range
 	// Restored are ranges that are granted again to the owners that released them.
 	Restored []Range
+	// Vacated are ranges that have lost their owner since the last tick.
+	Vacated []Vacancy
+}
+
+// Vacancy is a range that no server holds any longer, with the evidence for this.
+type Vacancy struct {
+	Range
+	Evidence Evidence
+	// LastAccepted is when the owner last accepted a grant of this manager; 0 if it never did.
+	LastAccepted time.Duration
+}
+
+// Evidence is why no server can hold a range.
+type Evidence int
+
+// The kinds of evidence.
+const (
+	// OwnerReleased means that the owner acknowledged a release.
+	OwnerReleased Evidence = iota
+	// OwnerEnded means that the owner's process is taken to have ended.
+	OwnerEnded
+	// LeaseExpired means that every lease that the owner may have has expired.
+	LeaseExpired
+)
+
+// String returns the name of the evidence for logs and metrics.
+func (e Evidence) String() string {
+	switch e {
+	case OwnerReleased:
+		return "released"
+	case OwnerEnded:
+		return "owner ended"
+	case LeaseExpired:
+		return "lease expired"
+	default:
+		return "unknown"
+	}
 }
 
 // Outcome is the result of a command to a server.
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -94,6 +94,8 @@
 	mediumWindow *LoadWindow
 	shortWindow  *LoadWindow
 	balancing    balancingState
+	// vacated are the ranges vacated since the last tick.
+	vacated []Vacancy
 }
 
 // NewManager returns a manager that continues from the map of an earlier one, or starts without
@@ -271,35 +273,40 @@
 // Tick advances the manager to the given time and returns the commands to execute.
 func (m *Manager) Tick(now time.Duration) Commands {
 	var commands Commands
+	m.advance(now, &commands)
+	commands.Vacated, m.vacated = m.vacated, nil
+	return commands
+}
+
+func (m *Manager) advance(now time.Duration, commands *Commands) {
 	if m.frozen {
-		m.renew(now, &commands)
-		return commands
+		m.renew(now, commands)
+		return
 	}
 	m.expirePendingAuthors(now)
 	if !m.installed || m.resigned {
-		m.commit(now, &commands)
-		return commands
+		m.commit(now, commands)
+		return
 	}
 	if m.fencing != nil {
-		m.advanceFencing(now, &commands)
+		m.advanceFencing(now, commands)
 	}
 	if m.fencing != nil {
-		m.commit(now, &commands)
-		m.renew(now, &commands)
-		return commands
+		m.commit(now, commands)
+		m.renew(now, commands)
+		return
 	}
 	m.evacuate(now)
 	if m.storeHealthy {
 		m.balance(now)
 	}
-	m.release(now, &commands)
+	m.release(now, commands)
 	if !m.storeHealthy {
-		m.restore(now, &commands)
+		m.restore(now, commands)
 	}
 	m.assign(now)
-	m.commit(now, &commands)
-	m.renew(now, &commands)
-	return commands
+	m.commit(now, commands)
+	m.renew(now, commands)
 }
 
 // evacuate starts to release ranges whose owners are draining or gone.
@@ -337,8 +344,12 @@
 		if s.phase != releasing {
 			continue
 		}
-		if m.dead[s.Owner] || m.leaseEnded(s, now) {
-			m.vacate(s, "")
+		if m.dead[s.Owner] {
+			m.vacate(s, OwnerEnded, "")
+			continue
+		}
+		if m.leaseEnded(s, now) {
+			m.vacate(s, LeaseExpired, "")
 			continue
 		}
 		if now < s.releaseAt {
@@ -371,12 +382,14 @@
 
 // vacate records that no server can hold the range. handover is the value that its owner
 // returned on release, if any.
-func (m *Manager) vacate(s *shard, handover string) {
+func (m *Manager) vacate(s *shard, evidence Evidence, handover string) {
+	m.vacated = append(m.vacated, Vacancy{Range: s.Range, Evidence: evidence, LastAccepted: s.acceptedAt})
 	s.phase = vacant
 	s.Owner = ""
 	s.Address = ""
 	s.Handover = handover
 	s.leaseUntil = 0
+	s.acceptedAt = 0
 	s.grantsInFlight = 0
 	s.previousFence = 0
 	s.Inherited = false
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -30,6 +30,7 @@
 	switch result.Outcome {
 	case Accepted:
 		m.markFenceAccepted(now, s)
+		s.acceptedAt = now
 		s.leaseUntil = max(s.leaseUntil, now+m.maxLease())
 		return
 	case Unanswered:
@@ -93,7 +94,7 @@
 	}
 	for _, s := range m.shardsWithin(result.Release.First, result.Release.Last) {
 		if s.phase == releasing && s.Owner == result.Release.Owner && s.releaseFence == result.Release.Fence {
-			m.vacate(s, result.Handover)
+			m.vacate(s, OwnerReleased, result.Handover)
 		}
 	}
 }
--- a/internal/shards/shard.go
+++ b/internal/shards/shard.go
@@ -27,6 +27,8 @@
 	// leaseUntil is the latest time at which the owner's lease can end, not counting grants
 	// that are in flight.
 	leaseUntil time.Duration
+	// acceptedAt is when the owner last accepted a grant; 0 if it never did.
+	acceptedAt time.Duration
 	// grantsInFlight counts grants that have neither been answered nor timed out.
 	grantsInFlight int
 	renewAt        time.Duration
