A range changes owners only with evidence that nobody holds it (OWNER)

What callers saw: two servers held the same keys for up to 4.9 s and both ran requests for them, after a server had restarted under its id, or while an entry of another writer named the address of a server whose own entry had expired.

Cause: the manager took a server for ended because a later incarnation, or another server, had registered, and granted its ranges to others without a release. Orders are addressed by address and instance id, which incarnations share: a restarted server accepts renewals of its earlier incarnation's grants until its entry reaches the manager.

Change: no list of ended servers any more. A range is vacated after an acknowledged release, a release that another server answers with 421 (outcome misdirected, new), or the end of all leases. Entries only decide when the release is sent. A release waits for grants in flight, which could reach the next incarnation. Restored stores fence off the incarnations at one address together; they were skipped in the same way.

Tests: SetServers has lost its parameter; the test of a server declared dead in error keeps its checks. The simulation's knownDead, which fed that parameter, is replaced by servers that restart and by addresses in use by another server. A manager that has lost the store now ends in the simulation once a server refuses it, as terms do.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -190,7 +190,6 @@
 	}
 	t.lastServers, t.lastServersAt = current.Servers, now
 	var servers []shards.Server
-	var dead []discovery.ServerID
 	addresses := serversByAddress(current)
 	warmUpLimited := hasWarmUpLimit(current, t.manager.service)
 	for _, s := range current.Services[t.manager.service].All() {
@@ -201,19 +200,15 @@
 				t.firstSeen = now
 			}
 		}
-		ended := hasEnded(s, addresses)
-		if ended {
-			dead = append(dead, s.ID)
-		}
 		capacity := t.speeds.capacity(s.ID, s.Slots)
 		servers = append(servers, shards.Server{
-			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !ended && acceptsKeys(now, current, s),
+			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !hasEnded(s, addresses) && acceptsKeys(now, current, s),
 			Capacity: capacity, ReducedCapacity: isReduced(capacity, s.Slots),
 			Warming: warmUpLimited && now.Before(current.WarmUntil(s)),
 		})
 	}
 	t.applyRateLimits(current, servers)
-	t.core.SetServers(servers, dead)
+	t.core.SetServers(servers)
 }
 
 // applyRateLimits bounds the capacities of servers that have a rate limit. The caller holds the
@@ -241,10 +236,14 @@
 }
 
 // serversByAddress indexes the servers whose entries are present by their address. If several share
-// an address, the one with the newest entry is used.
+// an address, the one with the newest entry is used. Entries of services that are not configured
+// come from other writers and name no server.
 func serversByAddress(current *view.View) map[string]*view.Server {
 	addresses := make(map[string]*view.Server, current.Servers.Len())
 	for _, s := range current.Servers.All() {
+		if !isConfigured(current, s.Service) {
+			continue
+		}
 		if other := addresses[s.Address]; s.GoneSince.IsZero() && (other == nil || s.Revision > other.Revision) {
 			addresses[s.Address] = s
 		}
@@ -252,10 +251,18 @@
 	return addresses
 }
 
-// hasEnded reports whether a server whose entry is missing has certainly ended: it has registered
+func isConfigured(current *view.View, service string) bool {
+	if current.Table == nil {
+		return true
+	}
+	_, configured := current.Table.Service(service)
+	return configured
+}
+
+// hasEnded reports whether a server whose entry is missing seems to have ended: it has registered
 // again as a newer incarnation, or another server has registered at its address since. Its keys
-// then move at once instead of waiting for its entry to return (goneGrace). An older entry at the
-// address proves nothing, because it may belong to an earlier incarnation.
+// are then released at once instead of waiting for its entry to return (goneGrace). An older entry
+// at the address may belong to an earlier incarnation.
 func hasEnded(s *view.Server, addresses map[string]*view.Server) bool {
 	if s.Ended {
 		return true
--- a/internal/shards/balance_test.go
+++ b/internal/shards/balance_test.go
@@ -33,7 +33,7 @@
 		if load != nil {
 			load()
 		}
-		b.core.SetServers(b.servers, nil)
+		b.core.SetServers(b.servers)
 		b.core.Start()
 		commands := b.core.Tick(b.now)
 		b.grants += len(commands.Grants)
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -58,7 +58,7 @@
 const (
 	// OwnerReleased means that the owner acknowledged a release.
 	OwnerReleased Evidence = iota
-	// OwnerEnded means that the owner's process is taken to have ended.
+	// OwnerEnded means that another server answered a release at the owner's address.
 	OwnerEnded
 	// LeaseExpired means that every lease that the owner may have has expired.
 	LeaseExpired
@@ -87,6 +87,9 @@
 	Accepted Outcome = iota
 	// Superseded means that the server has seen a higher fence.
 	Superseded
+	// Misdirected means that another server answered at the address, so the owner's process has
+	// ended.
+	Misdirected
 	// NotSent means that the command certainly did not reach the server.
 	NotSent
 	// Unanswered means that the server may still execute the command, possibly after a long
@@ -104,6 +107,8 @@
 		return "accepted"
 	case Superseded:
 		return "superseded"
+	case Misdirected:
+		return "misdirected"
 	case NotSent:
 		return "not sent"
 	case Unanswered:
--- a/internal/shards/dead_test.go
+++ b/internal/shards/dead_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/micahaven/micahaven/internal/discovery"
 )
 
 // Guards against two owners of a key: a server that was declared dead in error still holds its
@@ -14,8 +12,8 @@
 	back, other := Server{ID: "back", Address: "a", Capacity: 1, Accepting: true}, Server{ID: "other", Address: "b", Capacity: 1, Accepting: true}
 	gone := back
 	gone.Accepting = false
-	m.SetServers([]Server{gone, other}, []discovery.ServerID{"back"})
-	m.SetServers([]Server{back, other}, nil)
+	m.SetServers([]Server{gone, other})
+	m.SetServers([]Server{back, other})
 	m.Start()
 	m.Tick(0)
 	m.CommitDone(0)
@@ -24,7 +22,7 @@
 		m.GrantDone(now, GrantResult{Grant: grant, SentAt: now, Outcome: Accepted})
 	}
 	now += time.Second
-	m.SetServers([]Server{gone, other}, nil)
+	m.SetServers([]Server{gone, other})
 	commands := m.Tick(now)
 	if len(commands.Releases) == 0 {
 		t.Error("no release is sent")
--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -22,12 +22,20 @@
 	fence uint64
 	// completeAt is when all live servers are known.
 	completeAt time.Duration
-	servers    map[discovery.ServerID]*fencedServer
+	servers    map[endpoint]*fencedServer
+}
+
+// endpoint is what a command addresses: the incarnations of a server that restarts at its address
+// share one.
+type endpoint struct{ instance, address string }
+
+func endpointOf(id discovery.ServerID, address string) endpoint {
+	return endpoint{instance: id.Instance(), address: address}
 }
 
 // fencedServer is a server with the key intervals whose release it has not acknowledged yet.
 type fencedServer struct {
-	address    string
+	id         discovery.ServerID
 	unreleased []keyInterval
 	releaseAt  time.Duration
 }
@@ -36,12 +44,12 @@
 type keyInterval struct{ first, last uint32 }
 
 func newFencing(fence uint64, now time.Duration) *fencing {
-	return &fencing{fence: fence, completeAt: now + registrationGrace, servers: make(map[discovery.ServerID]*fencedServer)}
+	return &fencing{fence: fence, completeAt: now + registrationGrace, servers: make(map[endpoint]*fencedServer)}
 }
 
 // recordRelease records that a server has released an interval of keys.
 func (f *fencing) recordRelease(release Release) {
-	server := f.servers[release.Owner]
+	server := f.servers[endpointOf(release.Owner, release.Address)]
 	if server == nil {
 		return
 	}
@@ -60,10 +68,7 @@
 func (m *Manager) advanceFencing(now time.Duration, commands *Commands) {
 	m.addServersToFence()
 	left := 0
-	for id, server := range m.fencing.servers {
-		if m.dead[id] {
-			continue
-		}
+	for at, server := range m.fencing.servers {
 		left += len(server.unreleased)
 		if now < server.releaseAt || len(commands.Releases) >= maxFencingReleases {
 			continue
@@ -71,7 +76,7 @@
 		server.releaseAt = now + m.options.ReleaseRetryInterval
 		for _, interval := range server.unreleased {
 			commands.Releases = append(commands.Releases, Release{
-				First: interval.first, Last: interval.last, Owner: id, Address: server.address, Fence: m.fencing.fence, Move: Move{Reason: Fencing},
+				First: interval.first, Last: interval.last, Owner: server.id, Address: at.address, Fence: m.fencing.fence, Move: Move{Reason: Fencing},
 			})
 		}
 	}
@@ -83,26 +88,30 @@
 // addServersToFence adds the registered servers and the owners of ranges that are not part of
 // the fencing yet.
 func (m *Manager) addServersToFence() {
-	added := make(map[discovery.ServerID]string)
-	for id, server := range m.servers {
-		if m.fencing.servers[id] == nil {
-			added[id] = server.Address
+	added := make(map[endpoint]discovery.ServerID)
+	add := func(id discovery.ServerID, address string) {
+		if at := endpointOf(id, address); m.fencing.servers[at] == nil {
+			added[at] = id
 		}
 	}
+	for id, server := range m.servers {
+		add(id, server.Address)
+	}
 	for _, s := range m.shards {
-		if s.Owner != "" && m.fencing.servers[s.Owner] == nil {
-			added[s.Owner] = s.Address
+		if s.Owner != "" {
+			add(s.Owner, s.Address)
 		}
 	}
 	if len(added) == 0 {
 		return
 	}
-	owned := make(map[discovery.ServerID][]*shard, len(added))
+	owned := make(map[endpoint][]*shard, len(added))
 	for _, s := range m.shards {
-		owned[s.Owner] = append(owned[s.Owner], s)
+		at := endpointOf(s.Owner, s.Address)
+		owned[at] = append(owned[at], s)
 	}
-	for id, address := range added {
-		m.fencing.servers[id] = &fencedServer{address: address, unreleased: keysOutside(owned[id])}
+	for at, id := range added {
+		m.fencing.servers[at] = &fencedServer{id: id, unreleased: keysOutside(owned[at])}
 	}
 }
 
--- a/internal/shards/fencing_test.go
+++ b/internal/shards/fencing_test.go
@@ -53,7 +53,7 @@
 	for _, id := range ids {
 		servers = append(servers, shards.Server{ID: id, Address: string(id), Capacity: 1, Accepting: true})
 	}
-	core.SetServers(servers, nil)
+	core.SetServers(servers)
 }
 
 func TestNothingIsGrantedBeforeAllServersAreFencedOff(t *testing.T) {
@@ -151,7 +151,7 @@
 func TestFrozenManagerOnlyRenews(t *testing.T) {
 	core := newSuccessor(&shards.Map{Service: "s", Epoch: 1, Author: author("p1", 1), Ranges: restoredMap().Ranges})
 	runFencing(core, 0, 2*time.Second)
-	core.SetServers([]shards.Server{{ID: "c", Address: "c", Capacity: 1, Accepting: true}}, nil)
+	core.SetServers([]shards.Server{{ID: "c", Address: "c", Capacity: 1, Accepting: true}})
 	commands := core.Tick(2 * time.Second)
 	if len(commands.Releases) == 0 {
 		t.Fatal("no range is taken from servers that are gone")
@@ -189,7 +189,7 @@
 
 func TestServerThatIsGoneIsNotGrantedItsKeysOnceTheMapIsVerified(t *testing.T) {
 	core := newSuccessor(restoredMap())
-	core.SetServers([]shards.Server{{ID: "b", Address: "b", Capacity: 1, Accepting: true}}, nil)
+	core.SetServers([]shards.Server{{ID: "b", Address: "b", Capacity: 1, Accepting: true}})
 	grants, _ := runFencing(core, 0, 10*time.Second)
 	if !core.Verified() {
 		t.Fatal("the map is not verified although all servers acknowledged")
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -26,9 +26,14 @@
 // names the same owner. The fence is that of the map, or a later one of the same manager if the
 // range was released and then restored to its owner. A manager commits a different owner only
 // after the previous one has acknowledged a release under a higher fence (from then on it
-// rejects delayed grants), is known to be dead, or can no longer hold the range by any grant
-// that was ever sent. Commits are conditional on the manager's lock and on the map that it last
-// read, so of two managers only one can change owners.
+// rejects delayed grants), another server has answered a release at its address, or it can no
+// longer hold the range by any grant that was ever sent. Commits are conditional on the manager's
+// lock and on the map that it last read, so of two managers only one can change owners.
+//
+// Commands address a server by its address and instance id, which a restarted server keeps. The
+// restarted server knows no fences and accepts renewals of grants made to its earlier incarnation.
+// The registration of a later incarnation is therefore no evidence that nobody holds the range,
+// and a release is sent only while no grant of the range is in flight.
 //
 // A manager sends no command before it has committed a map of its own epoch. The author of the
 // map that a manager finds is therefore the last manager that sent commands, and all earlier
@@ -80,7 +85,6 @@
 	acceptingServers []Server
 	// ownerNumbers are the numbers of the owners in the last map.
 	ownerNumbers map[discovery.ServerID]uint32
-	dead         map[discovery.ServerID]bool
 
 	// uncommitted is true while the map differs from the one in the store, and commitInFlight
 	// while a map is being written.
@@ -108,7 +112,6 @@
 		sequence:     1,
 		options:      options,
 		servers:      make(map[discovery.ServerID]Server),
-		dead:         make(map[discovery.ServerID]bool),
 		storeHealthy: true,
 		load:         NewLoadWindow(longWindowLength),
 		mediumWindow: NewLoadWindow(mediumWindowLength),
@@ -175,20 +178,11 @@
 	return current
 }
 
-// SetServers replaces the known servers. dead lists server incarnations that have certainly ended;
-// they remain dead even if later calls do not list them. A server that accepts keys again was
-// declared dead in error, and must release the keys granted to it before they are granted to
-// another server.
-func (m *Manager) SetServers(servers []Server, dead []discovery.ServerID) {
+// SetServers replaces the known servers.
+func (m *Manager) SetServers(servers []Server) {
 	m.servers, m.acceptingServers = make(map[discovery.ServerID]Server, len(servers)), nil
 	for _, server := range servers {
 		m.servers[server.ID] = server
-		if server.Accepting {
-			delete(m.dead, server.ID)
-		}
-	}
-	for _, id := range dead {
-		m.dead[id] = true
 	}
 }
 
@@ -311,14 +305,11 @@
 
 // evacuate starts to release ranges whose owners are draining or gone.
 func (m *Manager) evacuate(now time.Duration) {
-	if len(m.accepting()) == 0 {
+	if !m.storeHealthy || len(m.accepting()) == 0 {
 		return
 	}
 	for _, s := range m.shards {
-		if s.phase != owned || m.servers[s.Owner].Accepting {
-			continue
-		}
-		if m.storeHealthy || m.dead[s.Owner] {
+		if s.phase == owned && !m.servers[s.Owner].Accepting {
 			m.startRelease(s, now, "", Move{Reason: OwnerLeaves})
 		}
 	}
@@ -337,22 +328,17 @@
 	return m.epoch<<fenceEpochShift | m.fenceSequence
 }
 
-// release sends the releases that are due, and vacates ranges whose owners are dead or can no
-// longer hold them.
+// release sends the releases that are due, and vacates ranges whose owners can no longer hold them.
 func (m *Manager) release(now time.Duration, commands *Commands) {
 	for _, s := range m.shards {
 		if s.phase != releasing {
 			continue
 		}
-		if m.dead[s.Owner] {
-			m.vacate(s, OwnerEnded, "")
-			continue
-		}
 		if m.leaseEnded(s, now) {
 			m.vacate(s, LeaseExpired, "")
 			continue
 		}
-		if now < s.releaseAt {
+		if now < s.releaseAt || s.grantsInFlight > 0 {
 			continue
 		}
 		s.releaseAt = now + m.options.ReleaseRetryInterval
--- a/internal/shards/predecessor_test.go
+++ b/internal/shards/predecessor_test.go
@@ -18,7 +18,7 @@
 	core.SetServers([]shards.Server{
 		{ID: "a", Address: "a", Capacity: 1},
 		{ID: "b", Address: "b", Capacity: 1, Accepting: true},
-	}, nil)
+	})
 	return core
 }
 
@@ -116,7 +116,7 @@
 			core.GrantDone(now, shards.GrantResult{Grant: grant, SentAt: now, Outcome: shards.Accepted})
 		}
 	}
-	second.SetServers([]shards.Server{owner, other}, nil)
+	second.SetServers([]shards.Server{owner, other})
 	accept(second, step)
 	const oneLease = 6 * time.Second
 	later := time.Duration(0)
@@ -131,7 +131,7 @@
 		t.Fatal("the stored map does not record that the owner accepted the fence")
 	}
 	owner.Accepting = false
-	second.SetServers([]shards.Server{owner, other}, nil)
+	second.SetServers([]shards.Server{owner, other})
 	if !movedWithin(second, later+step, oneLease) {
 		t.Error("the second manager waits for the first one")
 	}
@@ -159,7 +159,7 @@
 // If the store is unavailable, a rejected grant means that a later manager owns the range.
 func TestSupersededManagerWithoutTheStoreReleasesNothing(t *testing.T) {
 	core := takeOver(firstMap(), author("p2", 2), 0)
-	core.SetServers([]shards.Server{{ID: "a", Address: "a", Capacity: 1, Accepting: true}}, nil)
+	core.SetServers([]shards.Server{{ID: "a", Address: "a", Capacity: 1, Accepting: true}})
 	stored := commitFirstMap(t, core, 0)
 	core.SetStoreHealthy(false)
 	core.GrantDone(0, shards.GrantResult{Grant: shards.Grant{Range: stored.Ranges[0]}, Outcome: shards.Superseded})
--- a/internal/shards/restore_test.go
+++ b/internal/shards/restore_test.go
@@ -22,7 +22,7 @@
 // no response if storeLost is true.
 func (o *outage) tick(storeLost bool) []shards.Release {
 	o.now += step
-	o.core.SetServers(o.servers, nil)
+	o.core.SetServers(o.servers)
 	commands := o.core.Tick(o.now)
 	for _, grant := range commands.Grants {
 		for index := range sampledKeys {
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -44,7 +44,7 @@
 		}
 	case ConnectionLost:
 		s.leaseUntil = max(s.leaseUntil, now+m.maxLease())
-	case NotSent:
+	case NotSent, Misdirected:
 	}
 	if s.phase == owned {
 		s.renewAt = now + grantRetryInterval
@@ -85,7 +85,12 @@
 
 // ReleaseDone processes the result of a release.
 func (m *Manager) ReleaseDone(result ReleaseResult) {
-	if result.Outcome != Accepted {
+	evidence := OwnerReleased
+	switch result.Outcome {
+	case Accepted:
+	case Misdirected:
+		evidence = OwnerEnded
+	default:
 		return
 	}
 	if m.fencing != nil && result.Release.Fence == m.fencing.fence {
@@ -94,7 +99,7 @@
 	}
 	for _, s := range m.shardsWithin(result.Release.First, result.Release.Last) {
 		if s.phase == releasing && s.Owner == result.Release.Owner && s.releaseFence == result.Release.Fence {
-			m.vacate(s, OwnerReleased, result.Handover)
+			m.vacate(s, evidence, result.Handover)
 		}
 	}
 }
--- a/internal/shards/simulation_restore_test.go
+++ b/internal/shards/simulation_restore_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/shards"
 )
 
@@ -128,18 +127,6 @@
 	w.installFirst()
 }
 
-// knownDead returns the servers that are known to have ended; none in quick runs or if the
-// store is never restored.
-func (w *simulation) knownDead() []discovery.ServerID {
-	var dead []discovery.ServerID
-	for _, s := range w.servers {
-		if w.restoreFaults.perMille > 0 && !w.restoreFaults.quick && !s.up {
-			dead = append(dead, s.id)
-		}
-	}
-	return dead
-}
-
 func TestNoKeyHasTwoHoldersWhenTheStoreIsRestored(t *testing.T) {
 	if violation := firstViolationWith(*simulationRuns/6, shards.DefaultOptions(), restoreFaults{perMille: 10}); violation != "" {
 		t.Fatal(violation)
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,8 +34,16 @@
 
 // simServer implements the server side of the protocol.
 type simServer struct {
-	id     discovery.ServerID
-	up     bool
+	// id is the incarnation that managers know, instance what their commands address.
+	id       discovery.ServerID
+	instance string
+	up       bool
+	// registersAs is the incarnation that a restarted server registers as at registersAt; empty if
+	// managers know the current incarnation.
+	registersAs discovery.ServerID
+	registersAt time.Duration
+	// reused is true if another server has the address of a server that is not up.
+	reused bool
 	leases [sampledKeys]lease
 	// seenFences has the highest fence that the server has seen for each key.
 	seenFences [sampledKeys]uint64
@@ -61,7 +70,10 @@
 	started time.Duration
 	// storeLostAt is when the manager lost the store; 0 means that it has the store.
 	storeLostAt time.Duration
-	results     []func()
+	// superseded is true if a server has refused a grant of a manager without the store, which
+	// then sends no more commands.
+	superseded bool
+	results    []func()
 	// lastWritten is the last map that the manager wrote.
 	lastWritten *shards.Map
 }
@@ -81,12 +93,19 @@
 	epoch         uint64
 	lockAt        time.Duration
 	delayed       []delayedGrant
-	highestFences [sampledKeys]map[discovery.ServerID]uint64
+	highestFences [sampledKeys]map[string]uint64
 	options       shards.Options
 	ended         map[string]bool
 	// retiring are managers that send no more commands but have not announced yet that they
 	// have stopped.
 	retiring []*simManager
+	// restarts makes servers restart under their instance id and at their address.
+	restarts bool
+	// restartsAnytime makes them restart also while a manager renews grants without the store.
+	restartsAnytime bool
+	// trustsRegistrations makes managers take the registration of the next incarnation for the
+	// release of all keys, which is incorrect.
+	trustsRegistrations bool
 	// restoreFaults configures restoreFaults of the store from older copies.
 	restoreFaults restoreFaults
 	// authority is how long a manager renews without the store, and minDelay and maxDelay bound
@@ -101,14 +120,36 @@
 		w.addServer()
 	}
 	for index := range w.highestFences {
-		w.highestFences[index] = make(map[discovery.ServerID]uint64)
+		w.highestFences[index] = make(map[string]uint64)
 	}
 	return w
 }
 
 func (w *simulation) addServer() {
 	w.nextID++
-	w.servers = append(w.servers, &simServer{id: discovery.ServerID(fmt.Sprintf("s%d", w.nextID)), up: true, reachable: true})
+	instance := fmt.Sprintf("s%d", w.nextID)
+	w.servers = append(w.servers, &simServer{id: discovery.NewServerID(instance, 1), instance: instance, up: true, reachable: true})
+}
+
+// maxRegistrationDelay bounds the time after which managers know that a server has restarted.
+const maxRegistrationDelay = 4 * time.Second
+
+// restart ends a server's process and starts its next incarnation, which holds nothing and knows no
+// fences. Commands that the process had not executed are lost.
+func (w *simulation) restart(server *simServer) {
+	server.leases, server.seenFences = [sampledKeys]lease{}, [sampledKeys]uint64{}
+	w.delayed = slices.DeleteFunc(w.delayed, func(d delayedGrant) bool { return d.server == server })
+	server.registersAs = discovery.NewServerID(server.instance, 1+w.now.Milliseconds())
+	server.registersAt = w.now + time.Duration(w.random.Int64N(int64(maxRegistrationDelay)))
+}
+
+// register makes the incarnations of restarted servers known to managers.
+func (w *simulation) register() {
+	for _, s := range w.servers {
+		if s.registersAs != "" && w.now >= s.registersAt {
+			s.id, s.registersAs = s.registersAs, ""
+		}
+	}
 }
 
 func (w *simulation) chance(percent int) bool {
@@ -160,19 +201,30 @@
 		victim.delaysGrants = !victim.delaysGrants
 	case 2:
 		victim.up = false
+		victim.reused = w.restarts && w.chance(50)
 		w.addServer()
+	case 3, 4:
+		if w.restarts && victim.up && (w.restartsAnytime || w.allHaveStore()) {
+			w.restart(victim)
+		}
 	}
 }
 
+// allHaveStore reports whether no manager renews grants without the store.
+func (w *simulation) allHaveStore() bool {
+	return !slices.ContainsFunc(w.active, func(m *simManager) bool { return m.storeLostAt != 0 })
+}
+
 func (w *simulation) tick() {
 	w.now += step
 	w.deliverDelayedGrants()
 	w.injectFaults()
+	w.register()
 	w.restoreStore()
 	w.elect()
 	var kept []*simManager
 	for _, manager := range w.active {
-		if manager.storeLostAt != 0 && w.now > manager.storeLostAt+w.authority {
+		if manager.superseded || manager.storeLostAt != 0 && w.now > manager.storeLostAt+w.authority {
 			w.retiring = append(w.retiring, manager)
 			continue
 		}
@@ -207,9 +259,9 @@
 	var servers []shards.Server
 	for _, s := range w.servers {
 		// Unreachable and dead servers are no longer registered.
-		servers = append(servers, shards.Server{ID: s.id, Address: string(s.id), Capacity: 2, Accepting: s.up && s.reachable && !s.leaving})
+		servers = append(servers, shards.Server{ID: s.id, Address: s.instance, Capacity: 2, Accepting: s.up && s.reachable && !s.leaving})
 	}
-	manager.core.SetServers(servers, w.knownDead())
+	manager.core.SetServers(servers)
 	if manager == w.lockHolder() {
 		manager.core.RemoveStoppedAuthors(w.now, func(author shards.Author) bool {
 			return w.ended[author.Process] || author.Process == manager.process
@@ -244,7 +296,7 @@
 
 func (w *simulation) server(id discovery.ServerID) *simServer {
 	for _, s := range w.servers {
-		if s.id == id {
+		if s.instance == id.Instance() {
 			return s
 		}
 	}
@@ -273,6 +325,7 @@
 		}
 	}
 	manager.results = append(manager.results, func() {
+		manager.superseded = manager.superseded || outcome == shards.Superseded && manager.storeLostAt != 0
 		manager.core.GrantDone(w.now, shards.GrantResult{Grant: grant, SentAt: sentAt, Outcome: outcome})
 	})
 }
@@ -304,11 +357,11 @@
 			continue
 		}
 		for other, fence := range w.highestFences[index] {
-			if other != server.id && fence >= grant.Fence {
+			if other != server.instance && fence >= grant.Fence {
 				w.recordViolation("at %v: %s accepts key %d under fence %d, but %s held it under %d", w.now, server.id, sampledKey(index), grant.Fence, other, fence)
 			}
 		}
-		w.highestFences[index][server.id] = grant.Fence
+		w.highestFences[index][server.instance] = grant.Fence
 		server.seenFences[index] = grant.Fence
 		const slowClock = 1.02
 		server.leases[index] = lease{fence: grant.Fence, expires: w.now + time.Duration(float64(grant.Lease)*slowClock)}
@@ -318,6 +371,12 @@
 
 func (w *simulation) release(manager *simManager, release shards.Release) {
 	target := w.server(release.Owner)
+	if w.trustsRegistrations && target.id != release.Owner || !target.up && target.reused && target.reachable {
+		manager.results = append(manager.results, func() {
+			manager.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: shards.Misdirected})
+		})
+		return
+	}
 	if !target.up || !target.reachable || (target.delaysGrants && w.chance(50)) {
 		return
 	}
@@ -363,9 +422,17 @@
 }
 
 func firstViolationWith(runs uint64, options shards.Options, faults restoreFaults) string {
-	for seed := range runs {
+	return firstViolationIn(runs, func(seed uint64) *simulation {
 		w := newSimulation(seed, options)
 		w.restoreFaults = faults
+		return w
+	})
+}
+
+func firstViolationIn(runs uint64, create func(seed uint64) *simulation) string {
+	for seed := range runs {
+		w := create(seed)
+		faults := w.restoreFaults
 		if faults.quick {
 			w.authority, w.minDelay, w.maxDelay = quickAuthority, quickMaxDelay/4, quickMaxDelay
 		}
@@ -385,6 +452,47 @@
 	}
 }
 
+// Guards against owners that change because an incarnation of a server has ended, although the next
+// one has accepted a renewal.
+func TestNoKeyHasTwoHoldersWhenServersRestart(t *testing.T) {
+	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
+		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
+			w := newSimulation(seed, shards.DefaultOptions())
+			w.restarts, w.restoreFaults = true, faults
+			return w
+		})
+		if violation != "" {
+			t.Errorf("restores %v: %s", faults.perMille > 0, violation)
+		}
+	}
+}
+
+// Guards against a manager without the store that renews a grant at a server which has restarted and
+// forgotten the fence of the next manager.
+func TestNoKeyHasTwoHoldersWhenServersRestartBesideALostManager(t *testing.T) {
+	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
+		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
+			w := newSimulation(seed, shards.DefaultOptions())
+			w.restarts, w.restartsAnytime, w.restoreFaults = true, true, faults
+			return w
+		})
+		if violation != "" {
+			t.Errorf("restores %v: %s", faults.perMille > 0, violation)
+		}
+	}
+}
+
+func TestTrustInRegistrationsIsCaught(t *testing.T) {
+	violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
+		w := newSimulation(seed, shards.DefaultOptions())
+		w.restarts, w.trustsRegistrations = true, true
+		return w
+	})
+	if violation == "" {
+		t.Fatalf("no violation in %d runs", *simulationRuns)
+	}
+}
+
 // Each weakened variant of the protocol must violate the invariant in some run; otherwise the
 // simulation proves nothing.
 func TestWeakenedProtocolsAreCaught(t *testing.T) {
--- a/internal/view/entries.go
+++ b/internal/view/entries.go
@@ -59,7 +59,7 @@
 }
 
 // isNewestIncarnation reports whether an entry belongs to the newest incarnation of its instance.
-// An earlier incarnation that it replaces has ended; it owns nothing and has lost its state.
+// An earlier incarnation that it replaces has ended.
 func (b *Builder) isNewestIncarnation(instance string, entry discovery.Server, revision int64) bool {
 	known, present := b.incarnations[instance]
 	if !present || known == entry.ID {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -107,7 +107,7 @@
 	// GoneSince is when the entry was first seen missing; zero if it is present.
 	GoneSince time.Time
 	// Ended is true if a later incarnation has registered under the same instance id. This one does
-	// not return and owns nothing.
+	// not return, but the later one may have accepted renewals of its grants.
 	Ended bool
 	// LapsedUntil is set if the entry may be missing only because its lease expired while the store
 	// was unavailable: until then it may be written again.
