Unanswered grants of a manager that was killed are waited for (OWNER)

What callers saw: a server leaves a grant unanswered, its manager is killed within a second, the server is cut off and leaves. Its keys move 5.2 s after the next manager knows that the process has ended, and the server executes the grant afterwards: two servers hold the keys.

Cause: a manager notes unanswered grants in the map only after their timeout of 1 s and a write. Its successor took the absence of a note for evidence that nothing was unanswered.

Change: an earlier manager may send commands, has ended, or has retired (after its unanswered grants were over). After an end, ranges whose owner has not accepted a fence of the new manager are waited for as if a grant were unanswered, and a resigning manager passes that on. Notes are no longer written while a manager is in office.

Test of ranges without an owner in the map: the write that it needs was caused by such a note; now the end of an earlier manager causes it. Its checks are as they were. RemoveStoppedAuthors takes a state instead of a bool; tests that said stopped say retired.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -88,10 +88,12 @@
 // holds the mutex.
 func (t *term) updatePredecessors(current *view.View) {
 	self := t.manager.config.Self
-	t.core.RemoveStoppedAuthors(t.now(), func(author shards.Author) bool {
-		// An earlier term of this process has already waited for its own orders.
-		own := author.Node == self.Name && author.Process == self.Process
-		return own || !current.MaySendOrders(t.manager.service, author.Node, author.Process, int64(author.Epoch))
+	t.core.RemoveStoppedAuthors(t.now(), func(author shards.Author) shards.AuthorState {
+		if author.Node == self.Name && author.Process == self.Process {
+			// An earlier term of this process has already waited for its own orders.
+			return shards.Retired
+		}
+		return current.ManagerState(t.manager.service, author.Node, author.Process, int64(author.Epoch))
 	})
 }
 
--- a/internal/shards/fencing_test.go
+++ b/internal/shards/fencing_test.go
@@ -102,7 +102,7 @@
 
 func TestSilentServerIsWaitedForLateGrantsOfManagersThatAreOver(t *testing.T) {
 	core := newSuccessor(restoredMap())
-	core.RemoveStoppedAuthors(0, func(shards.Author) bool { return true })
+	core.RemoveStoppedAuthors(0, retired(func(shards.Author) bool { return true }))
 	options := shards.DefaultOptions()
 	longest := options.MaxCommandDelay + options.Lease
 	if grants, _ := runFencing(core, 0, longest, "c"); len(grants) > 0 {
@@ -205,7 +205,7 @@
 	first := newSuccessor(&shards.Map{Service: "s", Epoch: 1, Author: author("p1", 1), Ranges: restoredMap().Ranges})
 	runFencing(first, 0, 2*time.Second)
 	core := shards.NewManager("s", 3, author("p2", 3), first.Freeze(2*time.Second), shards.DefaultOptions(), 0)
-	core.RemoveStoppedAuthors(0, func(shards.Author) bool { return true })
+	core.RemoveStoppedAuthors(0, retired(func(shards.Author) bool { return true }))
 	setAccepting(core, "a", "b", "c")
 	options := shards.DefaultOptions()
 	// Server a leaves shortly before the map is verified, and acknowledges no release after
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -131,9 +131,6 @@
 	m.lastAuthor = previous.Author
 	m.inheritedUntil = now + options.PredecessorRenewal + options.MaxCommandDelay + m.maxLease()
 	m.lastAuthorUntil = m.inheritedUntil
-	// If one command got no response, others may be in flight that the author could not record
-	// before it stopped.
-	late := previous.hasUnansweredGrant()
 	for _, r := range previous.Ranges {
 		s := &shard{Range: r, phase: owned, renewAt: now, anyEarlierGrant: r.Inherited || previous.Unverified}
 		if r.Owner == "" {
@@ -142,7 +139,7 @@
 			s.Fence = m.nextFence()
 			s.Inherited = true
 		}
-		if late && !previous.Resigned || r.Late {
+		if r.Late {
 			s.leaseUntil = now + options.MaxCommandDelay + m.maxLease()
 		}
 		m.shards = append(m.shards, s)
--- a/internal/shards/map.go
+++ b/internal/shards/map.go
@@ -34,8 +34,8 @@
 	Fence uint64
 	// Handover is the value that the previous owner returned when it released the keys.
 	Handover string
-	// Late is true if a grant to the owner got no response, so that the owner may execute it long
-	// after it was sent.
+	// Late is true if a grant to the owner got no response, or if a manager that may have sent one
+	// has ended, so that the owner may execute it long after it was sent.
 	Late bool
 	// Inherited is true while the owner may hold the keys by a grant of an earlier manager
 	// under a lower fence, because it has not accepted a grant under Fence yet.
@@ -86,16 +86,6 @@
 	return &m.Ranges[index]
 }
 
-// hasUnansweredGrant reports whether a grant of any range got no response.
-func (m *Map) hasUnansweredGrant() bool {
-	for _, r := range m.Ranges {
-		if r.Late {
-			return true
-		}
-	}
-	return false
-}
-
 // Encode returns the stored form of the map.
 func (m *Map) Encode() ([]byte, error) {
 	stored := &wire.ShardMap{
--- a/internal/shards/predecessor.go
+++ b/internal/shards/predecessor.go
@@ -16,24 +16,56 @@
 	return pending
 }
 
+// AuthorState is what is known of an earlier manager.
+type AuthorState int
+
+// The states of an earlier manager.
+const (
+	// MaySendCommands means that the manager may still send commands.
+	MaySendCommands AuthorState = iota
+	// Ended means that the manager's process has ended. Servers may still execute its unanswered
+	// grants.
+	Ended
+	// Retired means that the manager sends no more commands, and that servers can no longer
+	// execute its unanswered grants.
+	Retired
+)
+
 // RemoveStoppedAuthors removes the pending managers that send no more commands, as reported by
-// hasStopped: they have resigned, their process has ended, or they have announced it. Their
-// last grants expire within one lease.
-func (m *Manager) RemoveStoppedAuthors(now time.Duration, hasStopped func(Author) bool) {
+// stateOf. Their last grants expire within one lease, which begins late for those that an ended
+// manager left unanswered.
+func (m *Manager) RemoveStoppedAuthors(now time.Duration, stateOf func(Author) AuthorState) {
 	var kept []Author
+	hasEnded := false
 	for _, author := range m.pendingAuthors {
-		if !hasStopped(author) {
+		state := stateOf(author)
+		if state == MaySendCommands {
 			kept = append(kept, author)
 		}
+		hasEnded = hasEnded || state == Ended
 	}
 	if len(kept) == len(m.pendingAuthors) {
 		return
 	}
 	m.pendingAuthors = kept
 	m.uncommitted = m.Started()
+	if hasEnded {
+		m.recordUnknownGrants(now)
+	}
 	m.tightenInheritedBounds(now)
 }
 
+// recordUnknownGrants records that servers may still execute grants that an earlier manager left
+// unanswered. They reject them once they have accepted a fence of this manager.
+func (m *Manager) recordUnknownGrants(now time.Duration) {
+	for _, s := range m.shards {
+		if s.Inherited {
+			s.Late = true
+			s.leaseUntil = max(s.leaseUntil, now+m.options.MaxCommandDelay+m.maxLease())
+		}
+	}
+}
+
 // tightenInheritedBounds shortens the wait for the grants of earlier managers once none of
 // these can still send commands.
 func (m *Manager) tightenInheritedBounds(now time.Duration) {
--- a/internal/shards/predecessor_test.go
+++ b/internal/shards/predecessor_test.go
@@ -11,6 +11,16 @@
 	return shards.Author{Node: "node of " + process, Process: process, Epoch: epoch}
 }
 
+// retired returns a state function by which the managers selected by hasRetired have retired.
+func retired(hasRetired func(shards.Author) bool) func(shards.Author) shards.AuthorState {
+	return func(a shards.Author) shards.AuthorState {
+		if hasRetired(a) {
+			return shards.Retired
+		}
+		return shards.MaySendCommands
+	}
+}
+
 // takeOver returns a manager that continues from a map with servers a and b, of which a does
 // not respond.
 func takeOver(previous *shards.Map, by shards.Author, now time.Duration) *shards.Manager {
@@ -67,14 +77,14 @@
 	}
 	third := takeOver(stored, author("p3", 3), 0)
 	over := map[string]bool{"p2": true}
-	third.RemoveStoppedAuthors(0, func(a shards.Author) bool { return over[a.Process] })
+	third.RemoveStoppedAuthors(0, retired(func(a shards.Author) bool { return over[a.Process] }))
 	commitFirstMap(t, third, 0)
 	if movedWithin(third, step, 20*time.Second) {
 		t.Fatal("a range moved although the first manager may still send commands")
 	}
 	over["p1"] = true
 	const known = 20 * time.Second
-	third.RemoveStoppedAuthors(known, func(a shards.Author) bool { return over[a.Process] })
+	third.RemoveStoppedAuthors(known, retired(func(a shards.Author) bool { return over[a.Process] }))
 	const oneLease = 6 * time.Second
 	if !movedWithin(third, known, oneLease) {
 		t.Fatal("no range moved within a lease after all earlier managers had stopped")
@@ -86,7 +96,7 @@
 func TestLateOrdersDelayRetirement(t *testing.T) {
 	core := takeOver(firstMap(), author("p2", 2), 0)
 	grant := shards.Grant{Range: commitFirstMap(t, core, 0).Ranges[0]}
-	core.RemoveStoppedAuthors(0, func(shards.Author) bool { return true })
+	core.RemoveStoppedAuthors(0, retired(func(shards.Author) bool { return true }))
 	if until := core.DelayedGrantsUntil(); until != 0 {
 		t.Fatalf("late grants possible until %v although there are none", until)
 	}
@@ -102,7 +112,7 @@
 // have renewed them, although they had accepted a higher fence since. This also happened under
 // the manager after that, and 600 requests in two seconds were refused for 20 s.
 func TestRangesThatTookANewFenceDoNotWaitForLostManagers(t *testing.T) {
-	never := func(shards.Author) bool { return false }
+	never := retired(func(shards.Author) bool { return false })
 	owner := shards.Server{ID: "a", Address: "a", Capacity: 1, Accepting: true}
 	other := shards.Server{ID: "b", Address: "b", Capacity: 1, Accepting: true}
 	second := takeOver(firstMap(), author("p2", 2), 0)
@@ -136,7 +146,7 @@
 		t.Error("the second manager waits for the first one")
 	}
 	third := takeOver(stored, author("p3", 3), 0)
-	third.RemoveStoppedAuthors(0, func(a shards.Author) bool { return a.Process == "p2" })
+	third.RemoveStoppedAuthors(0, retired(func(a shards.Author) bool { return a.Process == "p2" }))
 	commitFirstMap(t, third, 0)
 	if !movedWithin(third, step, oneLease) {
 		t.Error("the third manager waits for the first one")
@@ -149,7 +159,7 @@
 	second := takeOver(firstMap(), author("p2", 2), 0)
 	stored := commitFirstMap(t, second, 0)
 	third := takeOver(stored, author("p3", 3), 0)
-	third.RemoveStoppedAuthors(0, func(a shards.Author) bool { return a.Process == "p2" })
+	third.RemoveStoppedAuthors(0, retired(func(a shards.Author) bool { return a.Process == "p2" }))
 	commitFirstMap(t, third, 0)
 	if movedWithin(third, step, 20*time.Second) {
 		t.Error("a range moved although the first manager may still renew it")
@@ -169,3 +179,34 @@
 		}
 	}
 }
+
+// Guards against a manager whose process ends before it can record that a grant is unanswered.
+func TestUnansweredGrantsOfAnEndedManagerAreWaitedFor(t *testing.T) {
+	core := takeOver(firstMap(), author("p2", 2), 0)
+	commitFirstMap(t, core, 0)
+	core.RemoveStoppedAuthors(0, func(shards.Author) shards.AuthorState { return shards.Ended })
+	options := shards.DefaultOptions()
+	if movedWithin(core, step, options.MaxCommandDelay+options.Lease-step) {
+		t.Fatal("a range moved although a grant of the ended manager could still be executed")
+	}
+	if !movedWithin(core, options.MaxCommandDelay+options.Lease, time.Second) {
+		t.Error("the range did not move after the last lease had ended")
+	}
+}
+
+// Guards against a successor of a resigned manager that does not wait for grants of the ended one before.
+func TestResignedManagerRecordsUnansweredGrantsOfAnEndedOne(t *testing.T) {
+	second := takeOver(firstMap(), author("p2", 2), 0)
+	commitFirstMap(t, second, 0)
+	second.RemoveStoppedAuthors(0, func(shards.Author) shards.AuthorState { return shards.Ended })
+	second.Resign()
+	commands := second.Tick(step)
+	if commands.Commit == nil || !commands.Commit.Map.Ranges[0].Late {
+		t.Fatal("the last map of the resigned manager does not record the late grants")
+	}
+	third := takeOver(commands.Commit.Map, author("p3", 3), step)
+	commitFirstMap(t, third, step)
+	if movedWithin(third, 2*step, shards.DefaultOptions().MaxCommandDelay) {
+		t.Error("a range moved although a grant of the ended manager could still be executed")
+	}
+}
--- a/internal/shards/restore_test.go
+++ b/internal/shards/restore_test.go
@@ -121,6 +121,8 @@
 func TestRangeWithoutAnOwnerInTheMapIsNotRestored(t *testing.T) {
 	o := &outage{harness: newHarness(2, 2, 2)}
 	o.run(2*time.Second, nil)
+	o.core = shards.NewManager("s", 2, author("p2", 2), o.stored, shards.DefaultOptions(), o.now)
+	o.run(2*time.Second, nil)
 	o.servers[0].Accepting = false
 	releases := o.tick(false)
 	if len(releases) == 0 {
@@ -132,9 +134,8 @@
 	}
 	o.tick(false)
 	o.core.ReleaseDone(shards.ReleaseResult{Release: lost, Outcome: shards.Accepted, Handover: "h"})
-	// An unanswered grant is recorded in the map, which causes a write.
-	noted := o.stored.Ranges[len(o.stored.Ranges)-1]
-	o.core.GrantDone(o.now, shards.GrantResult{Grant: shards.Grant{Range: noted}, SentAt: o.now, Outcome: shards.Unanswered})
+	// The map names the earlier managers, so the end of one causes a write.
+	o.core.RemoveStoppedAuthors(o.now, retired(func(shards.Author) bool { return true }))
 	o.tick(true)
 	if o.pendingWrite == nil || o.pendingWrite.Find(lost.First).Owner != "" {
 		t.Fatal("no map without an owner of the range is written")
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -53,11 +53,9 @@
 	s.leaseUntil = max(s.leaseUntil, result.SentAt+m.options.MaxCommandDelay+m.maxLease())
 	s.delayedGrantUntil = s.leaseUntil
 	s.lateFence = max(s.lateFence, result.Grant.Fence)
-	if !s.Late {
-		// The next manager needs a record of the unanswered grant.
-		s.Late = true
-		m.uncommitted = true
-	}
+	// The map that is written when the manager resigns records this. If it ends without resigning,
+	// its successor expects unanswered grants of every range.
+	s.Late = true
 }
 
 // raiseGrantFence makes the next grants of a range use a fence above that of an unanswered one, so
--- a/internal/shards/simulation_restore_test.go
+++ b/internal/shards/simulation_restore_test.go
@@ -101,7 +101,7 @@
 	}
 	switch w.random.IntN(3) {
 	case 0:
-		w.ended[lockHolder.process] = true
+		w.states[lockHolder.process] = shards.Ended
 		w.active = w.active[:len(w.active)-1]
 	case 1:
 		lockHolder.storeLostAt = w.now
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -63,6 +63,12 @@
 	grant  shards.Grant
 }
 
+// timedResult is a result that a manager gets at the given time.
+type timedResult struct {
+	at     time.Duration
+	result func()
+}
+
 // simManager is a manager process.
 type simManager struct {
 	core    *shards.Manager
@@ -74,6 +80,8 @@
 	// then sends no more commands.
 	superseded bool
 	results    []func()
+	// unanswered are the results of unanswered grants, which the manager gets after its call timeout.
+	unanswered []timedResult
 	// lastWritten is the last map that the manager wrote.
 	lastWritten *shards.Map
 }
@@ -95,10 +103,13 @@
 	delayed       []delayedGrant
 	highestFences [sampledKeys]map[string]uint64
 	options       shards.Options
-	ended         map[string]bool
+	// states are the states of the managers that have stopped, by process.
+	states map[string]shards.AuthorState
 	// retiring are managers that send no more commands but have not announced yet that they
 	// have stopped.
 	retiring []*simManager
+	// callTimeout is the time after which a manager knows that a grant is unanswered.
+	callTimeout time.Duration
 	// closesConnections makes servers that execute grants late close the connections of some.
 	closesConnections bool
 	// restarts makes servers restart under their instance id and at their address.
@@ -116,7 +127,7 @@
 }
 
 func newSimulation(seed uint64, options shards.Options) *simulation {
-	w := &simulation{random: rand.New(rand.NewPCG(seed, 0)), options: options, ended: make(map[string]bool)}
+	w := &simulation{random: rand.New(rand.NewPCG(seed, 0)), options: options, states: make(map[string]shards.AuthorState)}
 	w.authority, w.minDelay, w.maxDelay = authority, 2*time.Second, 12*time.Second
 	for range 4 {
 		w.addServer()
@@ -188,7 +199,7 @@
 	if lockHolder := w.lockHolder(); lockHolder != nil && w.chance(2) {
 		w.lockAt = w.now + lockLapse
 		if w.chance(50) {
-			w.ended[lockHolder.process] = true
+			w.states[lockHolder.process] = shards.Ended
 			w.active = w.active[:len(w.active)-1]
 		} else {
 			lockHolder.storeLostAt = w.now
@@ -247,7 +258,7 @@
 			kept = append(kept, manager)
 			continue
 		}
-		w.ended[manager.process] = true
+		w.states[manager.process] = shards.Retired
 	}
 	w.retiring = kept
 }
@@ -255,6 +266,10 @@
 func (w *simulation) drive(manager *simManager) {
 	results := manager.results
 	manager.results = nil
+	for len(manager.unanswered) > 0 && w.now >= manager.unanswered[0].at {
+		results = append(results, manager.unanswered[0].result)
+		manager.unanswered = manager.unanswered[1:]
+	}
 	for _, result := range results {
 		result()
 	}
@@ -265,8 +280,11 @@
 	}
 	manager.core.SetServers(servers)
 	if manager == w.lockHolder() {
-		manager.core.RemoveStoppedAuthors(w.now, func(author shards.Author) bool {
-			return w.ended[author.Process] || author.Process == manager.process
+		manager.core.RemoveStoppedAuthors(w.now, func(author shards.Author) shards.AuthorState {
+			if author.Process == manager.process {
+				return shards.Retired
+			}
+			return w.states[author.Process]
 		})
 	}
 	manager.core.Start()
@@ -329,10 +347,15 @@
 			outcome = shards.Superseded
 		}
 	}
-	manager.results = append(manager.results, func() {
+	result := func() {
 		manager.superseded = manager.superseded || outcome == shards.Superseded && manager.storeLostAt != 0
 		manager.core.GrantDone(w.now, shards.GrantResult{Grant: grant, SentAt: sentAt, Outcome: outcome})
-	})
+	}
+	if outcome == shards.Unanswered && w.callTimeout > 0 {
+		manager.unanswered = append(manager.unanswered, timedResult{at: w.now + w.callTimeout, result: result})
+		return
+	}
+	manager.results = append(manager.results, result)
 }
 
 func (w *simulation) deliverDelayedGrants() {
@@ -471,6 +494,20 @@
 	}
 }
 
+// Guards against a manager that ends before it knows that a grant of it is unanswered.
+func TestNoKeyHasTwoHoldersWhenManagersEndBehindUnansweredGrants(t *testing.T) {
+	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
+		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
+			w := newSimulation(seed, shards.DefaultOptions())
+			w.callTimeout, w.restoreFaults = shards.DefaultOptions().CallTimeout, faults
+			return w
+		})
+		if violation != "" {
+			t.Errorf("restores %v: %s", faults.perMille > 0, violation)
+		}
+	}
+}
+
 // Guards against owners that change because an incarnation of a server has ended, although the next
 // one has accepted a renewal.
 func TestNoKeyHasTwoHoldersWhenServersRestart(t *testing.T) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -208,13 +208,20 @@
 	return s.WarmAt
 }
 
-// MaySendOrders reports whether a node may still send orders of a term as the manager of a service:
-// no later process of the node has registered, and it has not retired from the term.
+// MaySendOrders reports whether a node may still send orders of a term as the manager of a service.
 func (v *View) MaySendOrders(service, node, process string, epoch int64) bool {
+	return v.ManagerState(service, node, process, epoch) == shards.MaySendCommands
+}
+
+// ManagerState returns the state of a node as the manager of a service in a term: it has retired from
+// the term, or has ended if a later process of the node has registered.
+func (v *View) ManagerState(service, node, process string, epoch int64) shards.AuthorState {
+	if retired := v.Retired[RetirementKey(service, node)]; retired.Process == process && retired.Epoch >= epoch {
+		return shards.Retired
+	}
 	// In a restored store, an earlier process than the given one may be registered.
 	if registered, known := v.Nodes.Lookup(node); known && registered.Process > process {
-		return false
+		return shards.Ended
 	}
-	retired := v.Retired[RetirementKey(service, node)]
-	return retired.Process != process || retired.Epoch < epoch
+	return shards.MaySendCommands
 }
