Model of owners when servers restart and grants get no answer

model/restart.pml: one range, two servers whose incarnations share an address and instance id, a manager and its successor after an end without resignation. Grants are answered, lost, executed without an answer, or executed late by the process that received them; a restart forgets holds and fences and loses late grants. At most one server holds the range, under a fence above that of the other one.

--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -45,6 +45,8 @@
 for variant in NOPENDING NOLATE NOSTOP NOFLOOR EARLYGRANT STANDSTILL RESTOREWRITTEN; do check managers fails $variant; done
 check restore holds
 for variant in TRUSTMAP SAMEEPOCH SAMEKEY NOWAIT NOFLOOR; do check restore fails $variant; done
+check restart holds
+for variant in TRUSTREGISTRATION TRUSTCLOSED NONOTE SAMEFENCE INFLIGHT; do check restart fails $variant; done
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
