--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -119,6 +119,10 @@
 	// trustsRegistrations makes managers take the registration of the next incarnation for the
 	// release of all keys, which is incorrect.
 	trustsRegistrations bool
+	// refusesConnections makes unreachable servers refuse half of the grants before they are sent.
+	refusesConnections bool
+	// resigns makes managers resign.
+	resigns bool
 	// restoreFaults configures restoreFaults of the store from older copies.
 	restoreFaults restoreFaults
 	// authority is how long a manager renews without the store, and minDelay and maxDelay bound
@@ -206,6 +210,9 @@
 			lockHolder.core.SetStoreHealthy(false)
 		}
 	}
+	if lockHolder := w.lockHolder(); w.resigns && lockHolder != nil && w.chance(2) {
+		w.resign(lockHolder)
+	}
 	victim := w.servers[w.random.IntN(len(w.servers))]
 	switch w.random.IntN(60) {
 	case 0:
@@ -223,6 +230,26 @@
 	}
 }
 
+// resign lets the manager with the lock resign once all its orders have been answered.
+func (w *simulation) resign(holder *simManager) {
+	for _, unanswered := range holder.unanswered {
+		unanswered.result()
+	}
+	for _, result := range holder.results {
+		result()
+	}
+	holder.results, holder.unanswered = nil, nil
+	holder.core.Resign()
+	commands := holder.core.Tick(w.now)
+	if commands.Commit == nil {
+		return
+	}
+	w.store(holder, commands.Commit.Map)
+	w.states[holder.process] = shards.Retired
+	w.active = w.active[:len(w.active)-1]
+	w.lockAt = w.now
+}
+
 // allHaveStore reports whether no manager renews grants without the store.
 func (w *simulation) allHaveStore() bool {
 	return !slices.ContainsFunc(w.active, func(m *simManager) bool { return m.storeLostAt != 0 })
@@ -332,7 +359,9 @@
 		outcome = shards.ConnectionLost
 		// The server is unreachable in one direction only: it gets the command, but its response
 		// is lost.
-		if target.up && w.chance(20) {
+		if w.refusesConnections && w.chance(90) {
+			outcome = shards.NotSent
+		} else if target.up && w.chance(20) {
 			w.acceptGrant(target, grant)
 		}
 	case target.delaysGrants && w.chance(50):
@@ -538,6 +567,21 @@
 	}
 }
 
+// Guards against resignations that pass on less than the next manager must wait for.
+func TestNoKeyHasTwoHoldersWhenManagersResign(t *testing.T) {
+	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
+		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
+			w := newSimulation(seed, shards.DefaultOptions())
+			w.callTimeout, w.closesConnections = shards.DefaultOptions().CallTimeout, true
+			w.refusesConnections, w.resigns, w.restoreFaults = true, true, faults
+			return w
+		})
+		if violation != "" {
+			t.Errorf("restores %v: %s", faults.perMille > 0, violation)
+		}
+	}
+}
+
 func TestTrustInRegistrationsIsCaught(t *testing.T) {
 	violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
 		w := newSimulation(seed, shards.DefaultOptions())
