Raised fences are renewed after a second restore

A term that continues after a restore, and raises the fence of a range after an unanswered grant, wrote the fence of the map into its frozen map if the store was restored again: the next term renewed below the fence that the owner had accepted, was refused, and the keys were unserved until fencing ended.

Freeze took previousFence for in use, which is set only while the manager continues.

--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -154,7 +154,7 @@
 		if s.phase == committing {
 			r.Owner, r.Address, r.Handover = "", "", ""
 		}
-		if s.previousFence == 0 {
+		if !m.continued || s.previousFence == 0 {
 			r.Fence = s.currentFence()
 		}
 	}
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -119,7 +119,7 @@
 	// trustsRegistrations makes managers take the registration of the next incarnation for the
 	// release of all keys, which is incorrect.
 	trustsRegistrations bool
-	// refusesConnections makes unreachable servers refuse half of the grants before they are sent.
+	// refusesConnections makes unreachable servers refuse most grants before they are sent.
 	refusesConnections bool
 	// resigns makes managers resign.
 	resigns bool
