Grants from before a restore are waited for by every later manager (OWNER)

What callers would see: after a restore, a manager verifies its map, resigns or loses its lock while a server is cut off, and the next one moves the server's keys a lease later, although the server may still execute a grant whose record was lost with the store, or that a frozen term left unanswered.

Cause: the manager that continues from an unverified map knew in memory only that records may be missing.

Change: it marks all inherited ranges as late, in its first map, until their owners accept a fence of it. TestSuccessorOfAVerifiedMapWaitsForGrantsFromBeforeTheRestore failed before (both cases) and passes.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -90,7 +90,8 @@
 	self := t.manager.config.Self
 	t.core.RemoveStoppedAuthors(t.now(), func(author shards.Author) shards.AuthorState {
 		if author.Node == self.Name && author.Process == self.Process {
-			// An earlier term of this process has already waited for its own orders.
+			// An earlier term of this process has already waited for its own orders, except for one
+			// that was frozen: the map that continues it records them.
 			return shards.Retired
 		}
 		return current.ManagerState(t.manager.service, author.Node, author.Process, int64(author.Epoch))
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -146,6 +146,7 @@
 	}
 	if previous.Unverified {
 		m.fromUnverified = true
+		m.recordUnknownGrants(now)
 		m.fencing = newFencing(m.nextFence(), now)
 	}
 	if previous.Unverified && previous.Continued {
--- a/internal/shards/predecessor.go
+++ b/internal/shards/predecessor.go
@@ -56,7 +56,8 @@
 }
 
 // recordUnknownGrants records that servers may still execute grants that an earlier manager left
-// unanswered. They reject them once they have accepted a fence of this manager.
+// unanswered without a record in the map. They reject them once they have accepted a fence of this
+// manager.
 func (m *Manager) recordUnknownGrants(now time.Duration) {
 	for _, s := range m.shards {
 		if s.Inherited {
