The wait for a late grant begins after it was sent (OWNER)

What callers would see: a machine is suspended before its manager sends a grant, which is then unanswered and executed late; the manager retires at once, and the keys move meanwhile.

Cause: the wait began at a reading of the clock from before the grant was sent; the timeout of the call does not count suspension. Change: it begins when the call has returned. TestGrantSentAfterASuspensionIsWaitedForSinceThen failed before (-7.0 s instead of 13 s).

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -341,7 +341,6 @@
 }
 
 func (t *term) grant(grant shards.Grant) {
-	sentAt := t.now()
 	bounded, cancel := context.WithTimeout(t.ordersCtx, t.manager.config.Options.CallTimeout)
 	defer cancel()
 	outcome := t.manager.config.Orders.Grant(bounded, grant)
@@ -351,7 +350,9 @@
 			zap.Uint32("last", grant.Last), zap.Uint64("fence", grant.Fence), zap.Stringer("outcome", outcome))
 	}
 	t.mutex.Lock()
-	t.core.GrantDone(t.now(), shards.GrantResult{Grant: grant, SentAt: sentAt, Outcome: outcome})
+	// The machine may have been suspended before the grant was sent, so the time of the result is the
+	// latest at which that can have happened.
+	t.core.GrantDone(t.now(), shards.GrantResult{Grant: grant, SentAt: t.now(), Outcome: outcome})
 	// The fences of a term are greater than those of all earlier terms. While the store is
 	// unavailable, a refusal by a server is how a manager learns of a newer term.
 	isSuperseded := outcome == shards.Superseded && t.storeFailed && shards.EpochOf(grant.Fence) == t.epoch
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -122,7 +122,8 @@
 
 // GrantResult is the result of a grant.
 type GrantResult struct {
-	Grant   Grant
+	Grant Grant
+	// SentAt is the latest time at which the grant can have been sent.
 	SentAt  time.Duration
 	Outcome Outcome
 }
