A surplus answer does not end the wait for late grants (OWNER)

What callers would see: a server that is late and sends one answer twice; the surplus answer is taken for that to a grant that is not executed yet, the manager stops waiting for late grants, and the keys move too early. Shown at the interface only.

Cause: grants share connections and carry no id.

TestSurplusAnswerAcceptsNoGrant failed before.

--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -10,6 +10,9 @@
 type Grant struct {
 	Range
 	Lease time.Duration
+	// EndsWait is true if its acceptance ends the wait for earlier grants, so that a surplus response
+	// to one of these must not be taken for it.
+	EndsWait bool
 }
 
 // Release asks a server to give up keys. Its fence is above those of all earlier grants of the
--- a/internal/shards/lategrant_test.go
+++ b/internal/shards/lategrant_test.go
@@ -15,8 +15,8 @@
 	core.SetServers([]shards.Server{{ID: "a", Address: "a", Capacity: 1, Accepting: true}})
 	commitFirstMap(t, core, 0)
 	grants := core.Tick(step).Grants
-	if len(grants) != 1 {
-		t.Fatalf("%d grants, want 1", len(grants))
+	if len(grants) != 1 || !grants[0].EndsWait {
+		t.Fatalf("grants %v, want one that ends the wait for those of earlier managers", grants)
 	}
 	core.GrantDone(step, shards.GrantResult{Grant: grants[0], SentAt: step, Outcome: shards.Accepted})
 	return core, grants[0]
@@ -54,8 +54,8 @@
 				core.CommitDone(sentAt + time.Second)
 			}
 			grants := commands.Grants
-			if len(grants) != 1 || grants[0].Fence <= lost.Fence {
-				t.Fatalf("grants %v, want one under a fence above %d", grants, lost.Fence)
+			if len(grants) != 1 || grants[0].Fence <= lost.Fence || !grants[0].EndsWait {
+				t.Fatalf("grants %v, want one under a fence above %d that ends the wait", grants, lost.Fence)
 			}
 			accepted := sentAt + time.Second
 			core.GrantDone(accepted, shards.GrantResult{Grant: grants[0], SentAt: accepted, Outcome: shards.Accepted})
--- a/internal/shards/renew.go
+++ b/internal/shards/renew.go
@@ -36,6 +36,6 @@
 		s.renewAt = now + interval
 		granted := s.Range
 		granted.Fence = s.currentFence()
-		commands.Grants = append(commands.Grants, Grant{Range: granted, Lease: m.options.Lease})
+		commands.Grants = append(commands.Grants, Grant{Range: granted, Lease: m.options.Lease, EndsWait: s.Inherited || s.Late})
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -94,6 +94,9 @@
 	// connection. After it, the connection is reset as soon as data sent later is known to
 	// have arrived. 0 disables this check.
 	AckTimeout time.Duration
+	// NewConnection makes the request use a new connection, on which no surplus response to an earlier
+	// request can arrive.
+	NewConnection bool
 	// IDHeader and ID are the name and value of the header field that identifies the response
 	// to this request. An empty ID accepts any response.
 	IDHeader, ID string
@@ -173,7 +176,7 @@
 // Exchange sends a request and returns the response. When the context ends, the connection
 // is closed, which signals the server to stop processing the request.
 func (p *Pool) Exchange(ctx context.Context, request *Request) (*Response, error) {
-	c, err := p.open(ctx)
+	c, err := p.open(ctx, request.NewConnection)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -116,8 +116,11 @@
 	})
 }
 
-// open returns an idle connection or, if there is none, a new one.
-func (p *Pool) open(ctx context.Context) (*connection, error) {
+// open returns an idle connection or, if there is none or a new one is asked for, a new one.
+func (p *Pool) open(ctx context.Context, newConnection bool) (*connection, error) {
+	if newConnection {
+		return p.openNew(ctx)
+	}
 	if c := p.getIdle(); c != nil {
 		return c, nil
 	}
