--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -27,11 +27,12 @@
 // The invariant holds because a manager grants a range only to the owner that the committed map
 // names, and only if every map whose commit may have succeeded without the manager's knowledge
 // names the same owner. The fence is that of the map, or a later one of the same manager if the
-// range was released and then restored to its owner, or if a grant got no answer. A manager commits a different owner only
-// after the previous one has acknowledged a release under a higher fence (from then on it
-// rejects delayed grants), another server has answered a release at its address, or it can no
-// longer hold the range by any grant that was ever sent. Commits are conditional on the manager's
-// lock and on the map that it last read, so of two managers only one can change owners.
+// range was released and then restored to its owner, or if a grant got no answer. A manager commits
+// a different owner only after the previous one has acknowledged a release under a higher fence
+// (from then on it rejects delayed grants), another server has answered a release at its address,
+// or it can no longer hold the range by any grant that was ever sent. Commits are conditional on
+// the manager's lock and on the map that it last read, so of two managers only one can change
+// owners.
 //
 // Commands address a server by its address and instance id, which a restarted server keeps. The
 // restarted server knows no fences and accepts renewals of grants made to its earlier incarnation.
