--- a/internal/soak/restarts.go
+++ b/internal/soak/restarts.go
@@ -147,12 +147,9 @@
 		return func() {}
 	}
 	service := services[random.IntN(len(services))]
-	key := fmt.Sprintf("servers/agent-%08x", random.Uint32())
-	entry := fmt.Sprintf(`{"Addr":%q,"Info":{"Service":%q,"Version":"7","Zone":%q,"Slots":1},"Status":{"State":"ready","Seq":1,"WarmupLeftMs":0}}`,
-		at.AnnouncedAddress, service, at.Zone)
-	s.logf("entry %s of service %s names the address of server %s", key, service, at.ID)
-	s.world.store.Write(key, []byte(entry))
-	return func() { s.world.store.Write(key, nil) }
+	id := fmt.Sprintf("agent-%08x", random.Uint32())
+	s.logf("entry %s of service %s names the address of server %s", id, service, at.ID)
+	return at.AnnounceForeign(id, service)
 }
 
 // startLateGrants makes a random server of the divided service close the connections of grants
