Releases reach a restarted server at its new address

A release goes to the addresses of the owner's other incarnations as well. An instance id names one process at a time, so an acceptance there is evidence that the process at the earlier address has ended; a refusal by another server there is none.

--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -87,6 +87,9 @@
 	// acceptingServers caches the servers that may be given keys, sorted by ID; nil if it has to be
 	// recomputed.
 	acceptingServers []Server
+	// addresses caches the addresses of the known incarnations by instance id; nil if it has to be
+	// recomputed.
+	addresses map[string][]string
 	// ownerNumbers are the numbers of the owners in the last map.
 	ownerNumbers map[discovery.ServerID]uint32
 
@@ -182,7 +185,7 @@
 
 // SetServers replaces the known servers.
 func (m *Manager) SetServers(servers []Server) {
-	m.servers, m.acceptingServers = make(map[discovery.ServerID]Server, len(servers)), nil
+	m.servers, m.acceptingServers, m.addresses = make(map[discovery.ServerID]Server, len(servers)), nil, nil
 	for _, server := range servers {
 		m.servers[server.ID] = server
 	}
@@ -345,10 +348,32 @@
 		}
 		s.releaseAt = now + m.options.ReleaseRetryInterval
 		commands.Moving = append(commands.Moving, s.Range)
-		commands.Releases = append(commands.Releases, Release{
-			First: s.First, Last: s.Last, Owner: s.Owner, Address: s.Address, Fence: s.releaseFence, Move: s.move,
-		})
+		for _, address := range m.releaseAddresses(s) {
+			commands.Releases = append(commands.Releases, Release{
+				First: s.First, Last: s.Last, Owner: s.Owner, Address: address, Fence: s.releaseFence, Move: s.move,
+			})
+		}
+	}
+}
+
+// releaseAddresses returns the addresses at which a release of a range is evidence that no server
+// holds it: the address that its grants were sent to, and those at which other incarnations of its
+// owner have registered. An instance id names one process at a time, so if it answers at another
+// address, the process that the grants were sent to has ended.
+func (m *Manager) releaseAddresses(s *shard) []string {
+	if m.addresses == nil {
+		m.addresses = make(map[string][]string, len(m.servers))
+		for id, server := range m.servers {
+			m.addresses[id.Instance()] = append(m.addresses[id.Instance()], server.Address)
+		}
+	}
+	addresses := []string{s.Address}
+	for _, address := range m.addresses[s.Owner.Instance()] {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
 	}
+	return addresses
 }
 
 // leaseEnded reports whether the owner can no longer hold the range by any grant.
--- a/internal/shards/restart_test.go
+++ b/internal/shards/restart_test.go
@@ -92,3 +92,26 @@
 		t.Error("the map is not verified although all servers have released their keys")
 	}
 }
+
+// Guards against keys that wait for a lease although their owner has restarted at another address.
+func TestRangeMovesAtOnceIfItsOwnerAnswersAtAnotherAddress(t *testing.T) {
+	core := shards.NewManager("s", 2, author("p2", 2), mapOwnedBy(earlierIncarnation), shards.DefaultOptions(), 0)
+	core.SetServers([]shards.Server{
+		{ID: earlierIncarnation, Address: "a", Capacity: 1},
+		{ID: laterIncarnation, Address: "a2", Capacity: 1, Accepting: true},
+	})
+	commitFirstMap(t, core, 0)
+	releases := core.Tick(step).Releases
+	if len(releases) != 2 || releases[0].Address != "a" || releases[1].Address != "a2" {
+		t.Fatalf("releases %v, want one to each address", releases)
+	}
+	core.ReleaseDone(shards.ReleaseResult{Release: releases[1], Outcome: shards.Misdirected})
+	if vacated := core.Tick(2 * step).Vacated; len(vacated) > 0 {
+		t.Fatalf("vacated %v because another server uses the later address", vacated)
+	}
+	core.ReleaseDone(shards.ReleaseResult{Release: releases[1], Outcome: shards.Accepted})
+	commands := core.Tick(3 * step)
+	if commands.Commit == nil || commands.Commit.Map.Find(0).Owner != laterIncarnation {
+		t.Error("the restarted server gets no keys")
+	}
+}
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -114,9 +114,14 @@
 		return
 	}
 	for _, s := range m.shardsWithin(result.Release.First, result.Release.Last) {
-		if s.phase == releasing && s.Owner == result.Release.Owner && s.releaseFence == result.Release.Fence {
-			m.vacate(s, evidence, result.Handover)
+		if s.phase != releasing || s.Owner != result.Release.Owner || s.releaseFence != result.Release.Fence {
+			continue
+		}
+		// Who uses another address of the owner says nothing about the address of its grants.
+		if result.Outcome == Misdirected && result.Release.Address != s.Address {
+			continue
 		}
+		m.vacate(s, evidence, result.Handover)
 	}
 }
 
