--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,8 +21,11 @@
 ./scripts/model.sh
 go build -o bin/ ./cmd/...
 
+# The tests of one package run one after the other and take more than nine minutes.
+timeout=20m
+
 # Packages whose tests start whole systems, with leases of fractions of a second,
 # run one at a time and not beside the others, so that they get their processor time.
 systems='internal/(ctl|node|soak|lab/.*)$|/platform$'
-go test -race -count=1 ${skip:+-skip "$skip"} $(go list ./... | grep -vE "$systems")
-go test -race -count=1 -p 1 ${skip:+-skip "$skip"} $(go list ./... | grep -E "$systems")
+go test -race -count=1 -timeout "$timeout" ${skip:+-skip "$skip"} $(go list ./... | grep -vE "$systems")
+go test -race -count=1 -timeout "$timeout" -p 1 ${skip:+-skip "$skip"} $(go list ./... | grep -E "$systems")
