--- a/internal/shards/afterrestore_test.go
+++ b/internal/shards/afterrestore_test.go
@@ -40,8 +40,7 @@
 	return commands.Commit.Map
 }
 
-// Guards against keys that move one lease after a verified map was read, although the record of a late
-// grant was lost with the store's last seconds or made by a frozen term.
+// Guards against the loss of the record of a late grant with the store's last seconds or a frozen term.
 func TestSuccessorOfAVerifiedMapWaitsForGrantsFromBeforeTheRestore(t *testing.T) {
 	options := shards.DefaultOptions()
 	for _, continued := range []bool{false, true} {
--- a/internal/shards/restart_test.go
+++ b/internal/shards/restart_test.go
@@ -67,8 +67,7 @@
 	}
 }
 
-// Guards against a restored store's map that counts as verified although a restarted server, which
-// may have accepted renewals, has not released its keys.
+// Guards against a map that counts as verified before a restarted server has released its keys.
 func TestRestartedServerIsFencedOff(t *testing.T) {
 	previous := mapOwnedBy("b")
 	previous.Unverified = true
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -537,8 +537,7 @@
 	}
 }
 
-// Guards against owners that change because an incarnation of a server has ended, although the next
-// one has accepted a renewal.
+// Guards against owners that change without a release because a server has restarted.
 func TestNoKeyHasTwoHoldersWhenServersRestart(t *testing.T) {
 	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
 		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
@@ -552,8 +551,7 @@
 	}
 }
 
-// Guards against a manager without the store that renews a grant at a server which has restarted and
-// forgotten the fence of the next manager.
+// Guards against a manager without the store that renews a grant at a restarted server.
 func TestNoKeyHasTwoHoldersWhenServersRestartBesideALostManager(t *testing.T) {
 	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
 		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,8 +62,7 @@
 	runSoak(t, soak.Options{Seed: 1, Nodes: 4, Length: 20 * time.Second, Restores: true})
 }
 
-// Servers that restart under their IDs ahead of their entries, in addition to random faults.
-// Before a restarted server released its keys, two servers held them 4.4 s into this run.
+// Guards against owners that change without a release because a server has restarted.
 func TestNoKeyHasTwoHoldersWhenServersRestart(t *testing.T) {
 	runSoak(t, soak.Options{Seed: 102, Nodes: 4, Length: 3500 * time.Millisecond, Restarts: true})
 }
