--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -509,12 +509,15 @@
 	}
 }
 
-// Guards against grants that count as executed or lost because their connection was closed.
-func TestNoKeyHasTwoHoldersWhenLateServersCloseConnections(t *testing.T) {
+// requireOneHolder runs the simulation with the faults that configure adds, with and without restores
+// of the store.
+func requireOneHolder(t *testing.T, configure func(*simulation)) {
+	t.Helper()
 	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
 		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
 			w := newSimulation(seed, shards.DefaultOptions())
-			w.closesConnections, w.restoreFaults = true, faults
+			w.restoreFaults = faults
+			configure(w)
 			return w
 		})
 		if violation != "" {
@@ -523,61 +526,40 @@
 	}
 }
 
+// Guards against grants that count as executed or lost because their connection was closed.
+func TestNoKeyHasTwoHoldersWhenLateServersCloseConnections(t *testing.T) {
+	requireOneHolder(t, func(w *simulation) {
+		w.closesConnections = true
+	})
+}
+
 // Guards against a manager that ends before it knows that a grant of it is unanswered.
 func TestNoKeyHasTwoHoldersWhenManagersEndBehindUnansweredGrants(t *testing.T) {
-	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
-		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
-			w := newSimulation(seed, shards.DefaultOptions())
-			w.callTimeout, w.restoreFaults = shards.DefaultOptions().CallTimeout, faults
-			return w
-		})
-		if violation != "" {
-			t.Errorf("restores %v: %s", faults.perMille > 0, violation)
-		}
-	}
+	requireOneHolder(t, func(w *simulation) {
+		w.callTimeout = shards.DefaultOptions().CallTimeout
+	})
 }
 
 // Guards against owners that change without a release because a server has restarted.
 func TestNoKeyHasTwoHoldersWhenServersRestart(t *testing.T) {
-	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
-		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
-			w := newSimulation(seed, shards.DefaultOptions())
-			w.restarts, w.restoreFaults = true, faults
-			return w
-		})
-		if violation != "" {
-			t.Errorf("restores %v: %s", faults.perMille > 0, violation)
-		}
-	}
+	requireOneHolder(t, func(w *simulation) {
+		w.restarts = true
+	})
 }
 
 // Guards against a manager without the store that renews a grant at a restarted server.
 func TestNoKeyHasTwoHoldersWhenServersRestartBesideALostManager(t *testing.T) {
-	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
-		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
-			w := newSimulation(seed, shards.DefaultOptions())
-			w.restarts, w.restartsAnytime, w.restoreFaults = true, true, faults
-			return w
-		})
-		if violation != "" {
-			t.Errorf("restores %v: %s", faults.perMille > 0, violation)
-		}
-	}
+	requireOneHolder(t, func(w *simulation) {
+		w.restarts, w.restartsAnytime = true, true
+	})
 }
 
 // Guards against resignations that pass on less than the next manager must wait for.
 func TestNoKeyHasTwoHoldersWhenManagersResign(t *testing.T) {
-	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
-		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
-			w := newSimulation(seed, shards.DefaultOptions())
-			w.callTimeout, w.closesConnections = shards.DefaultOptions().CallTimeout, true
-			w.refusesConnections, w.resigns, w.restoreFaults = true, true, faults
-			return w
-		})
-		if violation != "" {
-			t.Errorf("restores %v: %s", faults.perMille > 0, violation)
-		}
-	}
+	requireOneHolder(t, func(w *simulation) {
+		w.callTimeout, w.closesConnections = shards.DefaultOptions().CallTimeout, true
+		w.refusesConnections, w.resigns = true, true
+	})
 }
 
 func TestTrustInRegistrationsIsCaught(t *testing.T) {
