Attempts of a request use different connections (REFUSED)

Cause: responses are matched by the request's id, which all attempts of a request share. The refused attempt's connection returns to the pool, the retry goes to the same owner, and the pool hands out the connection used last. A late copy of the refusal then matches the retry.

The new test failed before: "not executed: server refused with 503 after 2 attempts; the server executed 1 requests".

Change: the attempts of a request are linked (upstream.Attempts), and the pool passes over connections that one of them has used. Those stay idle for other requests. Hedges and retries after a lost home share the set.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -37,6 +37,7 @@
 	d.progress.active.Add(1)
 	defer d.progress.active.Add(-1)
 	ctx, bounds := d.ending.Bound(ctx, request.deadline())
+	request.attempts = &upstream.Attempts{}
 	answer, trace, err := d.sendUnlessPoisoned(ctx, request)
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
@@ -240,7 +241,7 @@
 	return &upstream.Request{
 		Method: request.Method, URI: request.URI, Host: request.Host, Fields: fields,
 		Body: request.Body, Rest: request.Rest, AckTimeout: ackTimeout(request),
-		IDHeader: d.headers.RequestID, ID: request.ID,
+		IDHeader: d.headers.RequestID, ID: request.ID, Attempts: request.attempts,
 	}
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -79,6 +79,9 @@
 	Deadline, CallerDeadline time.Time
 	// IncomingHandoff is set if another node handed the request off to this one.
 	IncomingHandoff *IncomingHandoff
+
+	// attempts are the attempts to send the request from this node. Do sets it.
+	attempts *upstream.Attempts
 }
 
 // callerDeadline is when the client stops waiting.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -100,6 +100,8 @@
 	// IDHeader and ID are the name and value of the header field that identifies the response
 	// to this request. An empty ID accepts any response.
 	IDHeader, ID string
+	// Attempts links the attempts to send the same request under the same ID; nil if there is only one.
+	Attempts *Attempts
 }
 
 // Response is a server's response.
@@ -176,10 +178,11 @@
 // Exchange sends a request and returns the response. When the context ends, the connection
 // is closed, which signals the server to stop processing the request.
 func (p *Pool) Exchange(ctx context.Context, request *Request) (*Response, error) {
-	c, err := p.open(ctx, request.NewConnection)
+	c, err := p.open(ctx, request)
 	if err != nil {
 		return nil, err
 	}
+	request.Attempts.record(c)
 	var undelivered atomic.Bool
 	stop := context.AfterFunc(ctx, func() {
 		undelivered.Store(c.undelivered())
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -102,3 +102,32 @@
 		}
 	}
 }
+
+// Guards against a retry on the connection of the previous attempt, and against connections that are
+// given up for it.
+func TestAttemptsOfARequestUseDifferentConnections(t *testing.T) {
+	var connections atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	pool := NewPool(strings.TrimPrefix(server.URL, "http://"), NewLink())
+	defer pool.Close()
+	request := Request{Method: http.MethodGet, URI: "/", Host: "a", Attempts: &Attempts{}}
+	other := Request{Method: http.MethodGet, URI: "/", Host: "a", Attempts: &Attempts{}}
+	for _, step := range []struct {
+		request *Request
+		want    int64
+	}{{&request, 1}, {&request, 2}, {&other, 2}, {&other, 2}, {&other, 3}} {
+		if _, err := pool.Exchange(context.Background(), step.request); err != nil {
+			t.Fatal(err)
+		}
+		if got := connections.Load(); got != step.want {
+			t.Fatalf("%d connections, want %d", got, step.want)
+		}
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,16 +69,18 @@
 	p.idle = kept
 }
 
-// getIdle returns an idle connection that is open and has no unread data, or nil. Data that
-// arrived while the connection was idle belongs to no request, so such a connection is
-// closed.
-func (p *Pool) getIdle() *connection {
+// getIdle returns an idle connection that is open, has no unread data and has not carried another
+// attempt of the request, or nil. Data that arrived while the connection was idle belongs to no
+// request, so such a connection is closed.
+func (p *Pool) getIdle(attempts *Attempts) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle = p.idle[:last]
+	for index := len(p.idle) - 1; index >= 0; index-- {
+		c := p.idle[index]
+		if attempts.used(c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, index, index+1)
 		if time.Since(c.idleSince) < c.usableFor && sockets.IsIdle(c.socket) {
 			return c
 		}
@@ -116,12 +118,13 @@
 	})
 }
 
-// open returns an idle connection or, if there is none or a new one is asked for, a new one.
-func (p *Pool) open(ctx context.Context, newConnection bool) (*connection, error) {
-	if newConnection {
+// open returns an idle connection or, if there is none for the request or it asks for a new one, a
+// new one.
+func (p *Pool) open(ctx context.Context, request *Request) (*connection, error) {
+	if request.NewConnection {
 		return p.openNew(ctx)
 	}
-	if c := p.getIdle(); c != nil {
+	if c := p.getIdle(request.Attempts); c != nil {
 		return c, nil
 	}
 	return p.openNew(ctx)
