--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -168,12 +168,18 @@
 }
 
 // closeIfExpired closes a waiting connection if expired returns true and no request has
-// arrived, and reports whether it did. Close waits for a pending Read, which may wait for the
+// arrived, and reports whether it is closed. Close waits for a pending Read, which may wait for the
 // mutex, so the mutex is not held during Close.
 func (c *trackedConnection) closeIfExpired(expired func(stateSince time.Time, partialRead bool) bool) bool {
 	if !c.markForClose(expired) {
 		return false
 	}
+	if count, err := sockets.Unacknowledged(c.Conn); err == nil && count > 0 {
+		// The failing read makes the server close the connection once the client has received its
+		// responses. It can only fail if the connection is closed already.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		return false
+	}
 	// A close error has no consequence: the connection is no longer used.
 	_ = c.Conn.Close()
 	return true
@@ -184,7 +190,7 @@
 func (c *trackedConnection) markForClose(expired func(stateSince time.Time, partialRead bool) bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.active || !expired(c.stateSince, c.partialRead) || !sockets.IsIdle(c.Conn) {
+	if c.markedForClose || c.active || !expired(c.stateSince, c.partialRead) || !sockets.IsIdle(c.Conn) {
 		return false
 	}
 	c.markedForClose = true
--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -71,8 +71,6 @@
 	// reset is true if the connection must be closed with a TCP reset: the client stopped
 	// reading its response, or it would take a truncated response for a complete one.
 	reset bool
-	// aborted is true if a response was aborted.
-	aborted bool
 }
 
 func newConnection(server *Server, socket net.Conn) *connection {
--- a/internal/ingress/pipeline/queue.go
+++ b/internal/ingress/pipeline/queue.go
@@ -146,7 +146,6 @@
 		c.releaseLocked(e)
 		if !keepOpen {
 			c.inputClosed = true
-			c.aborted = c.aborted || e.aborted
 			c.reset = c.reset || (e.aborted && e.closeDelimited())
 			c.dropLocked(0)
 			break
--- a/internal/ingress/pipeline/write.go
+++ b/internal/ingress/pipeline/write.go
@@ -18,10 +18,10 @@
 	// recover.
 	streamStallTimeout   = 5 * time.Second
 	bufferedStallTimeout = 15 * time.Second
-	// lingerTimeout is how long a connection stays open if it ends with unread data or with an
-	// unacknowledged response. If it were closed immediately, the unread data and any that
-	// still arrives would cause a TCP reset, which discards the response. The data is left
-	// unread: the client may retry requests that were not read.
+	// lingerTimeout is how long a connection that ends with unread data or with an unacknowledged
+	// response stays open once the client's host has acknowledged the response. If it were closed
+	// earlier, the unread data and any that still arrives would cause a TCP reset, which discards
+	// what is in transit. The data is left unread: the client may retry requests that were not read.
 	lingerTimeout = 500 * time.Millisecond
 )
 
@@ -61,40 +61,45 @@
 	c.reset = true
 }
 
-// close closes the socket. The last response may still be in transit; if data of the client is
-// unread or arrives before the response, closing immediately would abort it.
+// close closes the socket. The last responses may still be in transit; if data of the client is
+// unread or arrives before they do, closing immediately would discard them.
 func (c *connection) close() {
-	c.mutex.Lock()
-	reset, aborted := c.reset, c.aborted
-	c.mutex.Unlock()
-	switch {
-	case reset:
-		if socket, ok := c.socket.(interface{ SetLinger(int) error }); ok {
-			// Without this the kernel would keep trying to send and then close the connection
-			// normally.
-			_ = socket.SetLinger(0)
-		}
-	case !aborted && (!sockets.IsIdle(c.socket) || !c.fullyAcknowledged()):
+	if !c.mustReset() && (!sockets.IsIdle(c.socket) || unacknowledged(c.socket) > 0) {
 		c.linger()
 	}
+	if socket, ok := c.socket.(interface{ SetLinger(int) error }); ok && c.mustReset() {
+		// Without this the kernel would keep trying to send and then close the connection
+		// normally.
+		_ = socket.SetLinger(0)
+	}
 	// The connection is no longer used, so an error has no consequence.
 	_ = c.socket.Close()
 }
 
-// fullyAcknowledged reports whether the client's host has acknowledged all data written.
-func (c *connection) fullyAcknowledged() bool {
-	count, err := sockets.Unacknowledged(c.socket)
-	// A connection that does not support the query is not waited for.
-	return err != nil || count == 0
+func (c *connection) mustReset() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.reset
 }
 
-// linger waits until the client has closed its side, at most lingerTimeout.
+// linger closes the writing side and waits until the client has closed its side or everything written
+// has been acknowledged for lingerTimeout. It gives up if the client receives nothing for
+// bufferedStallTimeout.
 func (c *connection) linger() {
 	socket, ok := c.socket.(interface{ CloseWrite() error })
 	if !ok || socket.CloseWrite() != nil {
 		return
 	}
-	for until := time.Now().Add(lingerTimeout); time.Now().Before(until) && !sockets.PeerClosed(c.socket); {
+	progress := trackDelivery(c.socket)
+	for !sockets.PeerClosed(c.socket) {
+		complete, unchangedFor := progress.check(time.Now())
+		switch {
+		case complete && unchangedFor >= lingerTimeout:
+			return
+		case unchangedFor >= bufferedStallTimeout:
+			c.resetStalled(bufferedStallTimeout)
+			return
+		}
 		time.Sleep(disconnectPollInterval)
 	}
 }
