Heads of servers' responses are bounded

What callers would see: a server that writes without end within a head fills the memory of each node that reads from it, and with it all that the node serves is lost; a response to another request without end holds a request until its deadline.

Cause: http.ReadResponse bounds neither lines nor headers, and skipped bodies were read to their end.

Change: a head has 64 KB at most, a skipped body 1 MB. A longer head is ErrBadResponse: the request may have run, nothing reaches the client, the connection is closed, the server counts as failing, and the error is not taken for a lost connection. Ingress shares the reader.

--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -51,27 +51,6 @@
 // errNoRequest means that the connection ended between two requests.
 var errNoRequest = errors.New("connection ended between requests")
 
-// limitedReader reads from a connection. While limited is set, it returns io.EOF after the
-// remaining number of bytes.
-type limitedReader struct {
-	source    net.Conn
-	remaining int
-	limited   bool
-}
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(buffer []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(buffer)
-	}
-	if l.remaining <= 0 {
-		return 0, io.EOF
-	}
-	count, err := l.source.Read(buffer[:min(len(buffer), l.remaining)])
-	l.remaining -= count
-	return count, err
-}
-
 // readHead reads the request line and the header of the next request.
 func (c *connection) readHead(first bool) (*exchange, error) {
 	if !first {
@@ -79,14 +58,14 @@
 			return nil, errNoRequest
 		}
 	}
-	c.input.limited, c.input.remaining = true, c.server.HeaderBytes+headerSlack
+	c.input.BeginHead(c.server.HeaderBytes + headerSlack)
 	if c.afterPost {
 		c.skipLineBreaks()
 	}
 	request, err := http.ReadRequest(c.reader)
-	c.input.limited = false
+	c.input.EndHead()
 	if err != nil {
-		if c.input.remaining <= 0 {
+		if c.input.Exhausted() {
 			return nil, &requestError{status: http.StatusRequestHeaderFieldsTooLarge}
 		}
 		return nil, err
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -72,6 +72,10 @@
 	// maxResponsesRead bounds the number of responses that are read in search of the one with
 	// the request's id.
 	maxResponsesRead = 4
+	// maxHead bounds the status line and the header of a response, in bytes, and maxSkippedBody the
+	// body of a response to another request.
+	maxHead        = 64 << 10
+	maxSkippedBody = 1 << 20
 	// minConcurrentBody is the size from which a body is sent while the response is being
 	// awaited, because a server may respond before it has read the whole body.
 	minConcurrentBody = 32 << 10
@@ -119,8 +123,9 @@
 	socket net.Conn
 	// reused is true once the connection has carried a request.
 	reused bool
-	// reader is set only while a request is in progress on the connection.
+	// reader and its source, input, are set only while a request is in progress on the connection.
 	reader *bufio.Reader
+	input  *sockets.HeadReader
 	// usableFor is the idle time after which the connection is not reused.
 	usableFor time.Duration
 	idleSince time.Time
@@ -161,7 +166,8 @@
 // attachReader attaches a pooled reader to the connection.
 func (c *connection) attachReader() {
 	c.reader = readers.Get().(*bufio.Reader)
-	c.reader.Reset(c.socket)
+	c.input = sockets.NewHeadReader(c.socket)
+	c.reader.Reset(c.input)
 }
 
 // releaseReader returns the connection's reader, if any, to the pool. The reader must not
@@ -172,7 +178,7 @@
 	}
 	c.reader.Reset(nil)
 	readers.Put(c.reader)
-	c.reader = nil
+	c.reader, c.input = nil, nil
 }
 
 // Exchange sends a request and returns the response. When the context ends, the connection
@@ -283,12 +289,11 @@
 // readMatching reads responses until it finds the one with the request's id, and reports whether
 // it skipped others.
 func (c *connection) readMatching(request *Request) (*http.Response, bool, error) {
-	method := &http.Request{Method: request.Method}
 	skipped := false
 	for range maxResponsesRead {
-		response, err := http.ReadResponse(c.reader, method)
+		response, err := c.readHead(request.Method)
 		if err != nil {
-			return nil, skipped, errors.Mark(errors.Wrap(err, "read answer"), ErrNoResponse)
+			return nil, skipped, err
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
@@ -297,13 +302,37 @@
 			return response, skipped, nil
 		}
 		skipped = true
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if !skipBody(response) {
 			break
 		}
 	}
 	return nil, skipped, errors.Wrap(ErrNoResponse, "only answers to other requests came")
 }
 
+// readHead reads the head of the next response.
+func (c *connection) readHead(method string) (*http.Response, error) {
+	c.input.BeginHead(maxHead)
+	defer c.input.EndHead()
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	switch {
+	case err != nil && c.input.Exhausted():
+		// The error is not wrapped: it looks like the end of the connection.
+		return nil, errors.Wrapf(ErrBadResponse, "head of the answer exceeds %d bytes", maxHead)
+	case err != nil:
+		return nil, errors.Mark(errors.Wrap(err, "read answer"), ErrNoResponse)
+	default:
+		return response, nil
+	}
+}
+
+// skipBody reads the body of a response to another request. It reports false if the connection cannot
+// be used for a further response.
+func skipBody(response *http.Response) bool {
+	_, err := io.CopyN(io.Discard, response.Body, maxSkippedBody)
+	// A shorter body ends with io.EOF.
+	return errors.Is(err, io.EOF)
+}
+
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // write sends the request. A long or streamed body is sent by a separate goroutine, whose
