--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -47,6 +47,7 @@
 	// defaultConnections is used until Limit names a number.
 	defaultConnections = 4
 	maxReplyBytes      = 4 << 20
+	maxHeadBytes       = 64 << 10
 )
 
 // HTTP is a Server that speaks HTTP/1.1. It is safe for concurrent use.
@@ -110,6 +111,8 @@
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &client{
--- /dev/null
+++ b/internal/backend/http_test.go
@@ -0,0 +1,30 @@
+package backend_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/micahaven/micahaven/internal/backend"
+	"github.com/micahaven/micahaven/internal/wire"
+)
+
+// Guards against a head of a server's response that takes up the memory of the node.
+func TestLongHeadOfAResponseIsRejected(t *testing.T) {
+	const size = 1 << 20
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Padding", strings.Repeat("x", size))
+	}))
+	defer server.Close()
+	client := backend.NewHTTP(size)
+	defer client.Release()
+	dispatch := &backend.Dispatch{Request: &wire.Request{Method: http.MethodGet, Path: "/"}, Timeout: time.Second}
+	_, err := client.Run(t.Context(), strings.TrimPrefix(server.URL, "http://"), dispatch)
+	if !errors.Is(err, backend.ErrUncertain) || errors.Is(err, backend.ErrNotSent) {
+		t.Errorf("error %v, want %v", err, backend.ErrUncertain)
+	}
+}
