A stopping node waits until other nodes have received its responses

What callers would see: 502 for a request that ran, if the home that sent it stops while its response is on the way to the client's node.

Cause: the node paused for 20 ms after its last handed-off request and closed the connections between nodes. Whatever was queued or not yet acknowledged was lost with a reset by any message that crossed the close.

Change: transport.Server.Drain waits until the queues are written and acknowledged, within the time that is left of the grace.

--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// waitForHome returns when no request of another node is running and the outcomes of the last
-// ones have been sent.
+// waitForHome returns when no request of another node is running and the other nodes have received
+// the outcomes of the last ones.
 func (n *Node) waitForHome(ctx context.Context) {
 	if n.peers.home == nil {
 		return
@@ -135,7 +135,7 @@
 	for n.peers.home.Active() > 0 && ctx.Err() == nil {
 		periodic.Pause(ctx, idleCloseInterval)
 	}
-	periodic.Pause(ctx, idleCloseInterval)
+	n.internal.Drain(ctx)
 }
 
 // closeIdleClients accepts no more connections, closes those that are idle and reads no further
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -4,12 +4,16 @@
 
 import (
 	"bufio"
+	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/micahaven/micahaven/internal/periodic"
+	"github.com/micahaven/micahaven/internal/sockets"
 	"github.com/micahaven/micahaven/internal/wire"
 )
 
@@ -35,13 +39,17 @@
 	// connection is considered lost and the next message opens a new one. It is several
 	// times the minimum TCP retransmission timeout (0.2 s).
 	ackTimeout = time.Second
+	// deliveryPollInterval is how often the delivery of what was sent is checked.
+	deliveryPollInterval = 10 * time.Millisecond
 )
 
 // connection sends envelopes from a queue and receives envelopes in a read loop. Envelopes
 // that are queued at the same time are written as one batch through the write buffer.
 type connection struct {
-	socket    net.Conn
-	outgoing  chan *wire.Envelope
+	socket   net.Conn
+	outgoing chan *wire.Envelope
+	// flushes receives channels that writeLoop closes once it has written what was queued before.
+	flushes   chan chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
 }
@@ -50,6 +58,7 @@
 	return &connection{
 		socket:   socket,
 		outgoing: make(chan *wire.Envelope, sendQueueSize),
+		flushes:  make(chan chan struct{}),
 		closed:   make(chan struct{}),
 	}
 }
@@ -105,6 +114,11 @@
 			if err := c.writeBatch(writer, envelope); err != nil {
 				return
 			}
+		case flushed := <-c.flushes:
+			if err := c.writeQueued(writer); err != nil {
+				return
+			}
+			close(flushed)
 		}
 	}
 }
@@ -113,6 +127,11 @@
 	if err := c.writeOne(writer, first); err != nil {
 		return err
 	}
+	return c.writeQueued(writer)
+}
+
+// writeQueued writes the queued envelopes.
+func (c *connection) writeQueued(writer *bufio.Writer) error {
 	for {
 		select {
 		case next := <-c.outgoing:
@@ -134,6 +153,45 @@
 	return wire.WriteFrame(writer, envelope)
 }
 
+// flush waits until the envelopes that are queued have been written. It reports false if the context
+// or the connection ends before.
+func (c *connection) flush(ctx context.Context) bool {
+	flushed := make(chan struct{})
+	select {
+	case c.flushes <- flushed:
+	case <-c.closed:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-flushed:
+		return true
+	case <-c.closed:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// awaitDelivery waits until the peer's host has acknowledged the envelopes that are queued, or the
+// context or the connection ends.
+func (c *connection) awaitDelivery(ctx context.Context) {
+	if !c.flush(ctx) {
+		return
+	}
+	socket := c.socket
+	if encrypted, ok := socket.(*tls.Conn); ok {
+		socket = encrypted.NetConn()
+	}
+	for ctx.Err() == nil && !sockets.PeerClosed(socket) {
+		if count, err := sockets.Unacknowledged(socket); err != nil || count == 0 {
+			return
+		}
+		periodic.Pause(ctx, deliveryPollInterval)
+	}
+}
+
 // readLoop passes each received envelope to receive until reading fails or the connection
 // is closed.
 func (c *connection) readLoop(reader *bufio.Reader, receive func(*wire.Envelope)) error {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -172,3 +175,19 @@
 	defer s.mutex.Unlock()
 	delete(s.connections, conn)
 }
+
+// Drain returns once the peers' hosts have received what had been sent to them on accepted
+// connections, or when the context is done. Closing a connection earlier may discard it.
+func (s *Server) Drain(ctx context.Context) {
+	var draining sync.WaitGroup
+	for _, conn := range s.openConnections() {
+		draining.Go(func() { conn.awaitDelivery(ctx) })
+	}
+	draining.Wait()
+}
+
+func (s *Server) openConnections() []*connection {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Collect(maps.Keys(s.connections))
+}
