A request without an id takes no response to another request

What callers would see: a client that sends no id gets a surplus response to another client's request.

Cause: an empty id accepted any response, although the request's response carries none. Orders and probes name no header and are unchanged.

The new test failed before: the response with another id was returned.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -102,7 +102,8 @@
 	// request can arrive.
 	NewConnection bool
 	// IDHeader and ID are the name and value of the header field that identifies the response
-	// to this request. An empty ID accepts any response.
+	// to this request; a request without an ID takes only a response without one. An empty
+	// IDHeader accepts any response.
 	IDHeader, ID string
 	// Attempts links the attempts to send the same request under the same ID; nil if there is only one.
 	Attempts *Attempts
@@ -298,7 +299,7 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		if request.ID == "" || response.Header.Get(request.IDHeader) == request.ID {
+		if request.IDHeader == "" || response.Header.Get(request.IDHeader) == request.ID {
 			return response, skipped, nil
 		}
 		skipped = true
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -131,3 +131,27 @@
 		}
 	}
 }
+
+// Guards against a surplus response to another request that is taken for that to a request without an id.
+func TestRequestWithoutAnIDTakesNoResponseToAnother(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		socket, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = socket.Read(make([]byte, readBufferBytes))
+		_, _ = socket.Write([]byte("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"))
+		_, _ = socket.Write([]byte("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"))
+	}()
+	pool := NewPool(listener.Addr().String(), NewLink())
+	defer pool.Close()
+	response, err := pool.Exchange(t.Context(), &Request{Method: http.MethodGet, URI: "/", Host: "h", IDHeader: "Id"})
+	if err != nil || response.Status != http.StatusBadRequest {
+		t.Errorf("response %v, error %v, want the one without an id", response, err)
+	}
+}
