A stopping node waits for clients and for other nodes at the same time

Clients that read slowly may now use the grace up to its last part; the responses to other nodes were waited for after them, with no time left. The log tells connections whose clients had not received all responses from those with requests in progress.

The shutdown tests of ./platform and those of ./internal/router pass.

--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -99,6 +100,9 @@
 	periodic.Pause(ctx, time.Until(acceptUntil))
 	bounded, cancel := context.WithDeadline(ctx, closeAt)
 	defer cancel()
+	var handoffs sync.WaitGroup
+	handoffs.Go(func() { n.waitForHome(bounded) })
+	defer handoffs.Wait()
 	n.closeIdleClients(bounded)
 	if ctx.Err() != nil {
 		// A component has failed; closeClients answers the requests that remain.
@@ -106,17 +110,24 @@
 	}
 	n.clientsDrained.Store(true)
 	n.shutDownClients(bounded)
-	n.waitForHome(bounded)
 }
 
-// shutDownClients waits until the requests that have been read are answered, or the context ends.
+// shutDownClients waits until the requests that have been read are answered and the clients have
+// received the responses, or the context ends.
 func (n *Node) shutDownClients(ctx context.Context) {
-	if err := n.clients.Shutdown(ctx); err != nil {
-		n.handler.MarkForcedClose()
-		progress := n.dispatcher.Progress()
-		n.logger.Warn("connections closed with requests in progress", zap.Int("active", n.handler.Active()),
-			zap.Int("dispatching", progress.Active), zap.Int("queued", progress.Queued), zap.Int("at_servers", progress.AtServers), zap.Error(err))
+	err := n.clients.Shutdown(ctx)
+	if err == nil {
+		return
+	}
+	active := n.handler.Active()
+	if active == 0 {
+		n.logger.Warn("connections closed before clients received all responses", zap.Error(err))
+		return
 	}
+	n.handler.MarkForcedClose()
+	progress := n.dispatcher.Progress()
+	n.logger.Warn("connections closed with requests in progress", zap.Int("active", active),
+		zap.Int("dispatching", progress.Active), zap.Int("queued", progress.Queued), zap.Int("at_servers", progress.AtServers), zap.Error(err))
 }
 
 // stopHome returns queued requests of other nodes to their senders and accepts no more.
