--- a/internal/ingress/pipeline/linger_test.go
+++ b/internal/ingress/pipeline/linger_test.go
@@ -100,8 +100,7 @@
 	time.Sleep(50 * time.Millisecond)
 }
 
-// Guards against a reset that discards responses in transit when a server that stops has written its
-// last one to a client which reads slowly and sends requests ahead.
+// Guards against a reset that discards responses in transit to a client that sends requests ahead.
 func TestStoppingServerDeliversResponsesToSlowReaders(t *testing.T) {
 	handler := &slowBodyHandler{}
 	s := startServerWith(t, handler, newBudget())
--- a/internal/transport/drain_test.go
+++ b/internal/transport/drain_test.go
@@ -14,8 +14,7 @@
 	"github.com/micahaven/micahaven/internal/wire"
 )
 
-// Guards against responses to a peer that are discarded because the server closes before the peer has
-// received them.
+// Guards against a server that closes before its peers have received its responses.
 func TestDrainedServerHasDeliveredItsResponses(t *testing.T) {
 	const calls, size, timeout = 40, 64 << 10, 5 * time.Second
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/upstream/attempts.go
+++ b/internal/upstream/attempts.go
@@ -6,8 +6,8 @@
 )
 
 // Attempts are the attempts to send one request. Each of them uses another connection: they share the
-// request's id, so a surplus response to one could not be told apart from the response to a later one on
-// the same connection. A nil *Attempts stands for a request that is sent once. It is safe for concurrent
+// request's id, so on one connection a surplus response to the first could be taken for the response
+// to the second. A nil *Attempts stands for a request that is sent once. It is safe for concurrent
 // use. Its mutex may be acquired while a Pool's is held.
 type Attempts struct {
 	mutex       sync.Mutex
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -103,8 +103,7 @@
 	}
 }
 
-// Guards against a retry on the connection of the previous attempt, and against connections that are
-// given up for it.
+// Guards against a retry on the connection of an earlier attempt, and against giving that one up.
 func TestAttemptsOfARequestUseDifferentConnections(t *testing.T) {
 	var connections atomic.Int64
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -64,8 +64,7 @@
 	}
 }
 
-// Guards against a server whose response never ends and takes up the memory of the node, or holds a
-// request until its deadline although it cannot be answered.
+// Guards against an endless response that takes up memory or holds its request until the deadline.
 func TestResponseWithoutEndIsGivenUp(t *testing.T) {
 	const (
 		deadline  = 5 * time.Second
