Soak: a configuration is checked once the store has acknowledged it

The check was wrong: while a configuration was being written, the soak paired its version with the time at which the one before had been acknowledged, and found nodes late that had not been given it yet.

Change: a version has no time of acknowledgement until the store has given it. The bound and what is checked are unchanged, for every version that was acknowledged.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -145,8 +145,8 @@
 // checkConfiguration sends requests to every undisturbed node on the newest route and on
 // the route that it replaced.
 func (s *soak) checkConfiguration(client *http.Client) {
-	version, acknowledged := s.world.configuration()
-	if time.Since(acknowledged) < configBound+observationSlack || !s.world.storeStable() {
+	version, acknowledgedAt, acknowledged := s.world.configuration()
+	if !acknowledged || time.Since(acknowledgedAt) < configBound+observationSlack || !s.world.storeStable() {
 		return
 	}
 	for _, n := range s.nodes {
@@ -154,14 +154,14 @@
 			continue
 		}
 		added, removed := s.status(client, n, version), s.status(client, n, version-1)
-		if current, _ := s.world.configuration(); current != version || !n.Undisturbed() || !s.world.storeStable() {
+		if current, _, _ := s.world.configuration(); current != version || !n.Undisturbed() || !s.world.storeStable() {
 			return
 		}
 		if added == http.StatusNotFound {
-			s.recordViolation("%s answers 404 on the route of version %d, %v after it was acknowledged", n.Name, version, time.Since(acknowledged))
+			s.recordViolation("%s answers 404 on the route of version %d, %v after it was acknowledged", n.Name, version, time.Since(acknowledgedAt))
 		}
 		if version > 1 && removed != http.StatusNotFound && removed != 0 {
-			s.recordViolation("%s answers %d on a route that version %d removed %v ago", n.Name, removed, version, time.Since(acknowledged))
+			s.recordViolation("%s answers %d on a route that version %d removed %v ago", n.Name, removed, version, time.Since(acknowledgedAt))
 		}
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -56,7 +56,8 @@
 	started int
 	// version is the version of the current configuration. It is also the number of its
 	// extra route, the one route that changes with each version.
-	version        int
+	version int
+	// configuredAt is when the store acknowledged that version; zero while it is being written.
 	configuredAt   time.Time
 	faults         memory.Faults
 	storeDisturbed time.Time
@@ -290,11 +291,14 @@
 	w.mutex.Lock()
 	w.version++
 	version := w.version
+	w.configuredAt = time.Time{}
 	w.mutex.Unlock()
 	standin.Configure(w.store, version, routesOf(version))
 	w.mutex.Lock()
-	w.configuredAt = time.Now()
-	w.mutex.Unlock()
+	defer w.mutex.Unlock()
+	if w.version == version {
+		w.configuredAt = time.Now()
+	}
 }
 
 // routesOf returns the routes of a version of the configuration.
@@ -308,11 +312,12 @@
 
 func extraPath(version int) string { return fmt.Sprintf("/extra%d/", version) }
 
-// configuration returns the current version and when the store acknowledged it.
-func (w *world) configuration() (int, time.Time) {
+// configuration returns the current version and when the store acknowledged it; false while it is
+// being written.
+func (w *world) configuration() (version int, acknowledgedAt time.Time, acknowledged bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.version, w.configuredAt
+	return w.version, w.configuredAt, !w.configuredAt.IsZero()
 }
 
 // drain announces that a server is draining.
