Nodes of the restart test confirm their copies as routers do

No caller is affected: the fault is the test's.

Cause: none of its nodes runs the feed, registers or reads the store's revision, so no copy is ever confirmed again. All copies are too old for starting nodes one second after the last write; a node that has none by then lists the store at its own limit, 0.5 s later for each head before it.

Change: the nodes run as registered members of the feed. Bound and scenario are unchanged.

--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/micahaven/micahaven/internal/mirror"
+	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/topo"
 	"github.com/micahaven/micahaven/internal/topo/memory"
 	"github.com/micahaven/micahaven/internal/transport"
@@ -65,6 +66,11 @@
 		cancel()
 		<-ended
 	})
+	n.awaitCopy(t)
+}
+
+func (n *copyNode) awaitCopy(t *testing.T) {
+	t.Helper()
 	const timeout = 5 * time.Second
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		if _, _, listed := n.mirror.Snapshot(); listed {
@@ -74,6 +80,17 @@
 	t.Fatal("the node has no copy")
 }
 
+// runRegistered makes the node follow the store until the context ends, as a member of the feed that
+// keeps copies confirmed.
+func (n *copyNode) runRegistered(ctx context.Context, store topo.Store) {
+	registered := &registration{self: n.self, store: store, logger: zap.NewNop(), onStoreRecovered: func() {}}
+	schedule := func() (time.Duration, bool) { return n.feed.schedule(n.nodes()) }
+	go func() { _ = n.mirror.Run(ctx) }()
+	go func() { _ = n.mirror.CheckFreshness(ctx, schedule, n.announceRevision) }()
+	go func() { _ = periodic.Run(ctx, feedTick, func(context.Context) { n.feed.tick() }) }()
+	go func() { _ = periodic.Run(ctx, renewInterval, registered.step) }()
+}
+
 // storeWith returns a store with the given number of keys.
 func storeWith(keys int) *memory.Store {
 	store := memory.New()
--- a/internal/router/listers_test.go
+++ b/internal/router/listers_test.go
@@ -33,10 +33,13 @@
 				nodes = append(nodes, node)
 				record.Heads = append(record.Heads, &wire.NodeAddress{Address: node.self.Address, Zone: "z1"})
 			}
+			ctx, cancel := context.WithTimeout(context.Background(), 2*firstStartTimeout)
+			defer cancel()
 			if otherZone {
 				other := newCopyNode(t, store, "other")
 				record.Heads = append(record.Heads, &wire.NodeAddress{Address: other.self.Address, Zone: "z2"})
-				other.run(t)
+				other.runRegistered(ctx, store)
+				other.awaitCopy(t)
 			}
 			value, err := proto.Marshal(record)
 			if err != nil {
@@ -44,11 +47,9 @@
 			}
 			store.Write(view.HeadsKey, value)
 			startedAt := time.Now()
-			ctx, cancel := context.WithTimeout(context.Background(), 2*firstStartTimeout)
-			defer cancel()
 			var group sync.WaitGroup
 			for _, node := range nodes {
-				go func() { _ = node.mirror.Run(ctx) }()
+				node.runRegistered(ctx, store)
 				group.Go(func() {
 					for ctx.Err() == nil {
 						if _, _, listed := node.mirror.Snapshot(); listed {
