A skipped response is bounded by the connection's bytes

TestResponseWithoutEndIsGivenUp/chunks_of_another_response (known red): a surplus response in chunks of one byte, without an end, is given up after 2.2 and 2.6 s beside load of 20, 2 s allowed. Callers wait that long for a response that cannot come.

Cause: the bound of 1 MB counted the bytes of the body; in chunks of one byte these are 6 MB of the connection and a call for each. Class: a bound on what a peer's bytes mean, not on the bytes.

Change: the reader that bounds heads bounds skipped bodies as well, and is called LimitedReader now. A body that the end of the connection delimits looks complete at the limit, so success also wants bytes left.

TestSkippedBodyIsBoundedByBytesOfTheConnection failed before (no error for a surplus body of 2 MB of the connection in chunks).

--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -41,7 +41,7 @@
 type connection struct {
 	server *Server
 	socket net.Conn
-	input  *sockets.HeadReader
+	input  *sockets.LimitedReader
 	reader *bufio.Reader
 	remote string
 	ctx    context.Context
@@ -75,7 +75,7 @@
 
 func newConnection(server *Server, socket net.Conn) *connection {
 	c := &connection{server: server, socket: socket, remote: socket.RemoteAddr().String(), wake: make(chan struct{}, 1)}
-	c.input = sockets.NewHeadReader(socket)
+	c.input = sockets.NewLimitedReader(socket)
 	c.reader = bufio.NewReaderSize(c.input, readBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -58,12 +58,12 @@
 			return nil, errNoRequest
 		}
 	}
-	c.input.BeginHead(c.server.HeaderBytes + headerSlack)
+	c.input.Limit(c.server.HeaderBytes + headerSlack)
 	if c.afterPost {
 		c.skipLineBreaks()
 	}
 	request, err := http.ReadRequest(c.reader)
-	c.input.EndHead()
+	c.input.Unlimit()
 	if err != nil {
 		if c.input.Exhausted() {
 			return nil, &requestError{status: http.StatusRequestHeaderFieldsTooLarge}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -72,8 +72,8 @@
 	// maxResponsesRead bounds the number of responses that are read in search of the one with
 	// the request's id.
 	maxResponsesRead = 4
-	// maxHead bounds the status line and the header of a response, in bytes, and maxSkippedBody the
-	// body of a response to another request.
+	// maxHead bounds the status line and the header of a response, and maxSkippedBody the body of a
+	// response to another request, both in bytes of the connection.
 	maxHead        = 64 << 10
 	maxSkippedBody = 1 << 20
 	// minConcurrentBody is the size from which a body is sent while the response is being
@@ -126,7 +126,7 @@
 	reused bool
 	// reader and its source, input, are set only while a request is in progress on the connection.
 	reader *bufio.Reader
-	input  *sockets.HeadReader
+	input  *sockets.LimitedReader
 	// usableFor is the idle time after which the connection is not reused.
 	usableFor time.Duration
 	idleSince time.Time
@@ -167,7 +167,7 @@
 // attachReader attaches a pooled reader to the connection.
 func (c *connection) attachReader() {
 	c.reader = readers.Get().(*bufio.Reader)
-	c.input = sockets.NewHeadReader(c.socket)
+	c.input = sockets.NewLimitedReader(c.socket)
 	c.reader.Reset(c.input)
 }
 
@@ -303,7 +303,7 @@
 			return response, skipped, nil
 		}
 		skipped = true
-		if !skipBody(response) {
+		if !c.skipBody(response) {
 			break
 		}
 	}
@@ -312,8 +312,8 @@
 
 // readHead reads the head of the next response.
 func (c *connection) readHead(method string) (*http.Response, error) {
-	c.input.BeginHead(maxHead)
-	defer c.input.EndHead()
+	c.input.Limit(maxHead)
+	defer c.input.Unlimit()
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	switch {
 	case err != nil && c.input.Exhausted():
@@ -328,10 +328,12 @@
 
 // skipBody reads the body of a response to another request. It reports false if the connection cannot
 // be used for a further response.
-func skipBody(response *http.Response) bool {
-	_, err := io.CopyN(io.Discard, response.Body, maxSkippedBody)
-	// A shorter body ends with io.EOF.
-	return errors.Is(err, io.EOF)
+func (c *connection) skipBody(response *http.Response) bool {
+	c.input.Limit(maxSkippedBody)
+	defer c.input.Unlimit()
+	_, err := io.Copy(io.Discard, response.Body)
+	// A body that the end of the connection delimits looks complete at the limit.
+	return err == nil && !c.input.Exhausted()
 }
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +119,26 @@
 		})
 	}
 }
+
+// Guards against a surplus response in small chunks that is read for long although its body is short.
+func TestSkippedBodyIsBoundedByBytesOfTheConnection(t *testing.T) {
+	const chunk, own = "1\r\nx\r\n", "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 0\r\n\r\n"
+	const surplus = "HTTP/1.1 200 OK\r\nId: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, test := range []struct {
+		chunks int
+		want   error
+	}{
+		{maxSkippedBody / len(chunk) / 2, nil},
+		{2 * maxSkippedBody / len(chunk), ErrNoResponse},
+	} {
+		t.Run(fmt.Sprint(test.chunks, " chunks"), func(t *testing.T) {
+			address, _ := endlessServer(t, surplus+strings.Repeat(chunk, test.chunks)+"0\r\n\r\n"+own, "x")
+			pool := NewPool(address, NewLink())
+			defer pool.Close()
+			_, err := pool.Exchange(t.Context(), &Request{Method: http.MethodPost, URI: "/", Host: "h", IDHeader: "Id", ID: "r"})
+			if !errors.Is(err, test.want) {
+				t.Errorf("error %v, want %v", err, test.want)
+			}
+		})
+	}
+}
