Stand-in servers keep the state that they announced

The same cause elsewhere in the soak: an entry that a server had removed, or that a restarted one has not written yet, is written by the end of an evacuation, and a restore decides the state before it writes it.

Change: a stand-in server remembers the state in its entry, and rewrites the entry with it under a lock. A server without an entry stays without one, so nodes need not know of its warm-up until it has one. Faults, checks and bounds are unchanged.

--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -94,14 +94,7 @@
 
 // reannounce rewrites a server's entry unless the server has stopped.
 func (w *world) reannounce(s *server) {
-	w.mutex.Lock()
-	draining := !s.drainingSince.IsZero()
-	w.mutex.Unlock()
-	switch {
-	case s.Dead():
-	case draining:
-		s.Announce("draining")
-	default:
-		s.Announce("ready")
+	if !s.Dead() {
+		s.Reannounce()
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -154,12 +154,15 @@
 	return w.servers[len(w.servers)-1]
 }
 
-// startWarmUp makes a server start warming up.
+// startWarmUp makes a server start warming up. Its nodes have to know if its entry says so.
 func (w *world) startWarmUp(s *server) {
+	from := time.Now()
+	if !s.TurnCold() {
+		return
+	}
 	w.mutex.Lock()
-	s.coldSpans = append(s.coldSpans, span{from: time.Now().Add(coldPropagation), until: time.Now().Add(standin.WarmUp)})
-	w.mutex.Unlock()
-	s.TurnCold()
+	defer w.mutex.Unlock()
+	s.coldSpans = append(s.coldSpans, span{from: from.Add(coldPropagation), until: from.Add(standin.WarmUp)})
 }
 
 // evacuate evacuates a zone until the returned function is called. The zone's servers warm
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -31,3 +32,47 @@
 		<-done
 	}
 }
+
+// Guards against a soak in which the end of an evacuation or a restore undoes what servers have announced.
+func TestServersKeepTheStateThatTheyAnnounced(t *testing.T) {
+	w := &world{store: standin.NewStore(), ledger: standin.NewLedger(), evacuated: make(map[string][]span)}
+	start := func(id string) *server {
+		started := &server{Server: standin.NewServer(w.store, w.ledger, id, standin.PlainService, nil)}
+		t.Cleanup(started.Stop)
+		w.servers = append(w.servers, started)
+		return started
+	}
+	draining, unannounced, ready := start("draining"), start("unannounced"), start("ready")
+	endEvacuation := w.evacuate(standin.DefaultZone)
+	w.drain(draining)
+	unannounced.Forget()
+	endEvacuation()
+	checkColdEntries(t, w, map[string]string{draining.ID: "draining", ready.ID: "ready"})
+	for _, s := range w.servers {
+		w.reannounce(s)
+	}
+	checkColdEntries(t, w, map[string]string{draining.ID: "draining", ready.ID: "ready"})
+	inWarmUp := time.Now().Add(standin.WarmUp / 2)
+	if w.coldAt(unannounced, inWarmUp) || !w.coldAt(ready, inWarmUp) {
+		t.Error("nodes have to know of a warm-up if and only if an entry announces it")
+	}
+}
+
+// checkColdEntries checks that the store has one entry per given server, which announces the server's
+// state and a warm-up.
+func checkColdEntries(t *testing.T, w *world, states map[string]string) {
+	t.Helper()
+	items, _, err := w.store.List(t.Context(), "servers/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(items) != len(states) {
+		t.Errorf("%d entries, want %d", len(items), len(states))
+	}
+	for _, item := range items {
+		state, entry := states[strings.TrimPrefix(item.Key, "servers/")], string(item.Value)
+		if !strings.Contains(entry, `"State":"`+state+`"`) || strings.Contains(entry, `"WarmupLeftMs":0`) {
+			t.Errorf("entry %s, want state %q and a warm-up", entry, state)
+		}
+	}
+}
