Differences of copies reach only the copies that they begin with

The node's copy of the store keeps the entry for good, and counts as current; any deleted key can stay like that.

Cause: a copy that a node loads enters its log of changes as the difference from the copy before, which is none at its start: all keys, no deletions. A follower at any revision in between was sent the newer part of it and passed the revision of the deletion without it. After a loss of power the followers that had gone on took such logs from upstreams that had restarted, and copies made from theirs carried the entry on. Class: the difference of two states used as the history between them.

Change: a batch says whether it is a difference. A difference goes only to followers at its first revision, and a follower that is elsewhere drops it; others turn to the store like those that are too far behind. The rule existed for changes of the store's era.

TestDifferenceOfCopiesAppliesOnlyToTheFirstOfThem and TestDifferencesGoToFollowersWithTheFirstCopyOnly fail without the rule.

--- a/internal/feed/followers.go
+++ b/internal/feed/followers.go
@@ -44,8 +44,8 @@
 	return bytes
 }
 
-// appendUnsent appends the changes that a follower has not been sent yet, in one message unless they
-// cross eras.
+// appendUnsent appends the changes that a follower has not been sent yet, in one message unless a
+// batch needs an exact copy.
 func (f *Feed) appendUnsent(messages []Message, address string) []Message {
 	known := f.followers[address]
 	var unsent *topo.Batch
@@ -53,19 +53,19 @@
 		if batch.Revision <= known.sentRevision {
 			continue
 		}
-		if batch.After > known.sentRevision || batch.CrossesEras() && batch.After != known.sentRevision {
-			// The follower is too far behind, or has changes that are lost in the new era. It
+		if batch.After > known.sentRevision || batch.NeedsExactCopy() && batch.After != known.sentRevision {
+			// The follower is too far behind, or its copy is not the one that the batch needs. It
 			// detects that itself, because it lags behind the revision in the heartbeats.
 			return messages
 		}
 		missing := changesAfter(batch, known.sentRevision)
 		known.sentRevision = batch.Revision
-		if unsent != nil && !unsent.CrossesEras() && !missing.CrossesEras() {
+		if unsent != nil && !unsent.NeedsExactCopy() && !missing.NeedsExactCopy() {
 			unsent.Revision = missing.Revision
 			unsent.Events = append(unsent.Events, missing.Events...)
 			continue
 		}
-		unsent = &topo.Batch{After: missing.After, Revision: missing.Revision, Events: slices.Clip(missing.Events)}
+		unsent = &topo.Batch{After: missing.After, Revision: missing.Revision, Events: slices.Clip(missing.Events), Difference: missing.Difference}
 		messages = append(messages, Message{To: address, Batch: unsent})
 	}
 	return messages
--- a/internal/mirror/list.go
+++ b/internal/mirror/list.go
@@ -90,7 +90,7 @@
 	for _, item := range items {
 		adopted[item.Key] = keepKnownRevision(m.items[item.Key], item)
 	}
-	batch := topo.Batch{After: m.revision, Revision: revision, Events: difference(m.items, adopted, revision)}
+	batch := topo.Batch{After: m.revision, Revision: revision, Events: difference(m.items, adopted, revision), Difference: true}
 	first := !m.synced
 	m.items = adopted
 	m.revision = revision
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -309,8 +309,8 @@
 	return resolved, true
 }
 
-// ApplyBatch applies all changes between two revisions, from the store or from another node. It does
-// nothing if the copy has not reached the first revision.
+// ApplyBatch applies the changes between two revisions, from the store or from another node. It does
+// nothing if the copy has not reached the first revision, or is not the one that the batch needs.
 func (m *Mirror) ApplyBatch(batch topo.Batch) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -322,6 +322,9 @@
 		m.scheduleRelistLocked(batch.Revision)
 		return
 	}
+	if batch.NeedsExactCopy() && batch.After != m.revision {
+		return
+	}
 	fresh, complete := m.resolve(batch.Events)
 	if !complete {
 		m.logger.Warn("cannot apply delta of a change, reloading copy", zap.Int64("revision", m.revision))
@@ -345,7 +348,7 @@
 		m.receiver.Apply(applicable, batch.Revision)
 	}
 	if batch.Revision > after {
-		m.observer.Changed(topo.Batch{After: after, Revision: batch.Revision, Events: fresh})
+		m.observer.Changed(topo.Batch{After: after, Revision: batch.Revision, Events: fresh, Difference: batch.Difference})
 	}
 }
 
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -232,7 +232,7 @@
 			Request:            message.Heartbeat.Request,
 		}}}
 	default:
-		encoded := &wire.ChangeBatch{After: message.Batch.After, Revision: message.Batch.Revision}
+		encoded := &wire.ChangeBatch{After: message.Batch.After, Revision: message.Batch.Revision, Difference: message.Batch.Difference}
 		for _, event := range message.Batch.Events {
 			encoded.Changes = append(encoded.Changes, encodeChange(event))
 		}
@@ -253,7 +253,7 @@
 }
 
 func decodeBatch(received *wire.ChangeBatch) *topo.Batch {
-	batch := &topo.Batch{After: received.GetAfter(), Revision: received.GetRevision()}
+	batch := &topo.Batch{After: received.GetAfter(), Revision: received.GetRevision(), Difference: received.GetDifference()}
 	for _, change := range received.GetChanges() {
 		batch.Events = append(batch.Events, decodeChange(change))
 	}
--- a/internal/topo/era.go
+++ b/internal/topo/era.go
@@ -15,3 +15,7 @@
 
 // CrossesEras reports whether the batch begins in one era and ends in another.
 func (b Batch) CrossesEras() bool { return EraOf(b.After) != EraOf(b.Revision) }
+
+// NeedsExactCopy reports whether the batch applies only to the copy at After. A later copy may have
+// changes that are lost in the new era, or keys that a difference lacks.
+func (b Batch) NeedsExactCopy() bool { return b.Difference || b.CrossesEras() }
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -52,13 +52,16 @@
 	BaseRevision int64
 }
 
-// Batch holds all changes between two revisions.
+// Batch holds the changes between two revisions.
 type Batch struct {
 	// After is the revision before the first change.
 	After int64
 	// Revision is the revision after the last change.
 	Revision int64
 	Events   []Event
+	// Difference is true if Events were computed from the copies at After and Revision. They lack keys
+	// that were both created and deleted in between.
+	Difference bool
 }
 
 // Condition requires that a key's last change has the given revision; 0 requires that the
