Copies come with the deletions that led to them

Change: a node remembers the last 1,024 deletions and since which revision it knows them all, and sends both with its copy. With them a copy shows all changes since that revision, and enters the log as such. After a list of the store, and after a difference from another node, nothing before is known.

--- a/internal/mirror/difference_test.go
+++ b/internal/mirror/difference_test.go
@@ -39,6 +39,9 @@
 			if follower.Revision() == second && (received.value("short-lived") != "" || received.value("b") != "" || received.value("a") != "2") {
 				t.Errorf("the copy is %v, want that of the sender", received.values)
 			}
+			if copied, _ := follower.Export(); copied.Deletions.Since != test.reached {
+				t.Errorf("deletions are known since %d, want %d", copied.Deletions.Since, test.reached)
+			}
 		})
 	}
 }
--- a/internal/mirror/list.go
+++ b/internal/mirror/list.go
@@ -12,8 +12,9 @@
 
 // Copy is a complete copy of the store at a revision.
 type Copy struct {
-	Items    []topo.Item
-	Revision int64
+	Items     []topo.Item
+	Revision  int64
+	Deletions Deletions
 	// ConfirmedAt is when the store was last known to have nothing newer.
 	ConfirmedAt time.Time
 }
@@ -41,7 +42,7 @@
 	}
 	m.logger.Info("copy loaded from another node", zap.Int64("revision", copied.Revision), zap.Int("items", len(copied.Items)),
 		zap.Duration("confirmed_ago", time.Since(copied.ConfirmedAt)))
-	m.ReplaceCopy(copied.Items, copied.Revision)
+	m.Adopt(copied)
 	m.observer.ConfirmedByPeer(copied.ConfirmedAt, copied.Revision)
 	return nil
 }
@@ -76,11 +77,16 @@
 	m.relistRevision = max(m.relistRevision, revision)
 }
 
-// ReplaceCopy replaces the copy with a complete one, from the store or from another node, unless the
-// present one is newer.
+// ReplaceCopy replaces the copy with a list of the store, unless the present one is newer.
 func (m *Mirror) ReplaceCopy(items []topo.Item, revision int64) {
+	m.Adopt(Copy{Items: items, Revision: revision, Deletions: unknownBefore(revision)})
+}
+
+// Adopt replaces the copy with that of another node, unless the present one is newer.
+func (m *Mirror) Adopt(copied Copy) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	items, revision := copied.Items, copied.Revision
 	if revision < m.revision {
 		m.logger.Warn("older copy discarded", zap.Int64("revision", m.revision), zap.Int64("copy", revision),
 			zap.Int64("era", m.store.Era()))
@@ -91,8 +97,9 @@
 		adopted[item.Key] = keepKnownRevision(m.items[item.Key], item)
 	}
 	batch := topo.Batch{After: m.revision, Revision: revision, Events: difference(m.items, adopted, revision), Difference: true}
+	changes := changesOf(batch, copied.Deletions, adopted)
 	first := !m.synced
-	m.items = adopted
+	m.items, m.deletions = adopted, copied.Deletions
 	m.revision = revision
 	m.synced = true
 	if !first && batch.CrossesEras() {
@@ -107,7 +114,28 @@
 		// hundred milliseconds.
 		m.receiver.Apply(m.applicable(batch.Events), revision)
 	}
-	m.observer.Changed(batch)
+	m.observer.Changed(changes)
+}
+
+// changesOf returns what followers can be sent in place of the difference to an adopted copy: all
+// changes, if the deletions that are known with that copy reach back far enough. The difference from an
+// empty copy is cut where they end.
+func changesOf(difference topo.Batch, deletions Deletions, adopted map[string]topo.Item) topo.Batch {
+	changes := difference
+	if difference.After == 0 {
+		changes.After, changes.Events = deletions.Since, nil
+		for _, event := range difference.Events {
+			if event.Revision > deletions.Since && event.Revision <= difference.Revision {
+				changes.Events = append(changes.Events, event)
+			}
+		}
+	}
+	if deletions.Since > changes.After {
+		return changes
+	}
+	changes.Difference = false
+	changes.Events = append(changes.Events, deletions.after(changes.After, adopted)...)
+	return changes
 }
 
 // keepKnownRevision returns the item of a new copy, or the present one if both are the same change:
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +89,8 @@
 	items    map[string]topo.Item
 	pushed   map[string]topo.Item
 	revision int64
+	// deletions are the deletions that led to the copy.
+	deletions Deletions
 	// synced is true once the copy is complete.
 	synced bool
 	// relistRevision is a revision that the store has and the watch did not bring; the copy is
@@ -240,6 +244,15 @@
 	return items, m.revision, m.synced
 }
 
+// Export returns the copy for other nodes, and false before the first complete one.
+func (m *Mirror) Export() (Copy, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	items := slices.Collect(maps.Values(m.items))
+	deletions := Deletions{Since: m.deletions.Since, Events: slices.Clone(m.deletions.Events)}
+	return Copy{Items: items, Revision: m.revision, Deletions: deletions}, m.synced
+}
+
 // noteRevision updates the state that depends on the copy's revision. The caller holds the mutex.
 func (m *Mirror) noteRevision() {
 	if m.revision >= m.relistRevision {
@@ -338,6 +351,11 @@
 		}
 		m.items[event.Key] = event.Item
 	}
+	if batch.NeedsExactCopy() {
+		m.deletions = unknownBefore(batch.Revision)
+	} else {
+		m.deletions.record(fresh)
+	}
 	after := m.revision
 	m.revision = batch.Revision
 	if batch.CrossesEras() {
--- a/internal/router/copies.go
+++ b/internal/router/copies.go
@@ -122,15 +122,15 @@
 	if p.packed.content != nil && now.Sub(p.packed.madeAt) < packedCopyTTL && !newerUsable {
 		return true, nil
 	}
-	items, revision, listed := p.mirror.Snapshot()
+	copied, listed := p.mirror.Export()
 	if !listed {
 		return false, nil
 	}
-	content, err := packItems(items)
+	content, err := packItems(copied.Items, copied.Deletions)
 	if err != nil {
 		return false, err
 	}
-	p.packed = packedCopy{content: content, revision: revision, madeAt: now, age: age, confirmed: confirmed}
+	p.packed = packedCopy{content: content, revision: copied.Revision, madeAt: now, age: age, confirmed: confirmed}
 	return true, nil
 }
 
@@ -150,9 +150,12 @@
 	}
 }
 
-// packItems encodes and compresses items.
-func packItems(items []topo.Item) ([]byte, error) {
-	content := &wire.StateItems{Items: make([]*wire.StoreItem, 0, len(items))}
+// packItems encodes and compresses the items of a copy and the deletions that led to it.
+func packItems(items []topo.Item, deletions mirror.Deletions) ([]byte, error) {
+	content := &wire.StateItems{Items: make([]*wire.StoreItem, 0, len(items)), DeletionsSince: deletions.Since}
+	for _, event := range deletions.Events {
+		content.Deletions = append(content.Deletions, encodeChange(event))
+	}
 	for _, item := range items {
 		content.Items = append(content.Items, &wire.StoreItem{
 			Key: item.Key, Value: item.Value, Revision: item.Revision, Lease: int64(item.Lease),
@@ -166,21 +169,29 @@
 	return packed, errors.Wrap(err, "pack copy")
 }
 
-// unpackItems reverses packItems.
-func unpackItems(packed []byte) ([]topo.Item, error) {
+// unpackItems reverses packItems. A copy of a node that reports no deletions has them as of its
+// revision.
+func unpackItems(packed []byte, revision int64) ([]topo.Item, mirror.Deletions, error) {
 	encoded, err := deflate.Unpack(packed, maxUnpackedBytes)
 	if err != nil {
-		return nil, errors.Wrap(err, "unpack copy")
+		return nil, mirror.Deletions{}, errors.Wrap(err, "unpack copy")
 	}
 	content := &wire.StateItems{}
 	if err := proto.Unmarshal(encoded, content); err != nil {
-		return nil, errors.Wrap(err, "decode copy")
+		return nil, mirror.Deletions{}, errors.Wrap(err, "decode copy")
+	}
+	deletions := mirror.Deletions{Since: content.GetDeletionsSince()}
+	if deletions.Since == 0 {
+		deletions.Since = revision
+	}
+	for _, deletion := range content.GetDeletions() {
+		deletions.Events = append(deletions.Events, decodeChange(deletion))
 	}
 	items := make([]topo.Item, 0, len(content.GetItems()))
 	for _, item := range content.GetItems() {
 		items = append(items, decodeItem(item))
 	}
-	return items, nil
+	return items, deletions, nil
 }
 
 // copyFetcher fetches copies of the store from other nodes. It implements mirror.Copies.
@@ -323,13 +334,13 @@
 	if !answer.GetComplete() || answer.GetRevision() < atLeast || !isUsable(answer.GetConfirmed(), age) {
 		return mirror.Copy{}, false
 	}
-	items, err := unpackItems(answer.GetPacked())
+	items, deletions, err := unpackItems(answer.GetPacked(), answer.GetRevision())
 	if err != nil {
 		f.logger.Warn("decoding the copy of another node failed", zap.String("address", provider.GetAddress()), zap.Error(err))
 		return mirror.Copy{}, false
 	}
 	f.feed.setBootstrapPeer(feed.Member{Name: provider.GetAddress(), Zone: provider.GetZone(), Address: provider.GetAddress()})
-	return mirror.Copy{Items: items, Revision: answer.GetRevision(), ConfirmedAt: askedAt.Add(-age)}, true
+	return mirror.Copy{Items: items, Revision: answer.GetRevision(), Deletions: deletions, ConfirmedAt: askedAt.Add(-age)}, true
 }
 
 // knownHeads returns the heads among the registered nodes.
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -225,15 +226,19 @@
 }
 
 func TestDamagedCopyIsRefused(t *testing.T) {
-	packed, err := packItems([]topo.Item{{Key: "a", Value: []byte("1"), Revision: 3, Lease: 4}})
+	sent := mirror.Deletions{Since: 1, Events: []topo.Event{{Item: topo.Item{Key: "b", Revision: 2}, Deleted: true}}}
+	packed, err := packItems([]topo.Item{{Key: "a", Value: []byte("1"), Revision: 3, Lease: 4}}, sent)
 	if err != nil {
 		t.Fatal(err)
 	}
-	items, err := unpackItems(packed)
+	items, deletions, err := unpackItems(packed, 3)
 	if err != nil || len(items) != 1 || items[0].Key != "a" || items[0].Revision != 3 || items[0].Lease != 4 {
 		t.Fatalf("unpacked %v, %v", items, err)
 	}
-	if _, err := unpackItems(packed[:len(packed)/2]); err == nil {
+	if !reflect.DeepEqual(deletions, sent) {
+		t.Fatalf("unpacked deletions %v, want %v", deletions, sent)
+	}
+	if _, _, err := unpackItems(packed[:len(packed)/2], 3); err == nil {
 		t.Error("a truncated copy was accepted")
 	}
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -365,13 +365,13 @@
 	if !answer.GetComplete() || answer.GetRevision() <= p.mirror.Revision() {
 		return
 	}
-	items, err := unpackItems(answer.GetPacked())
+	items, deletions, err := unpackItems(answer.GetPacked(), answer.GetRevision())
 	if err != nil {
 		p.logger.Warn("decoding the copy of another node failed", zap.String("address", address), zap.Error(err))
 		return
 	}
 	p.logger.Info("copy replaced by that of another node", zap.String("address", address), zap.Int64("revision", answer.GetRevision()))
-	p.mirror.ReplaceCopy(items, answer.GetRevision())
+	p.mirror.Adopt(mirror.Copy{Items: items, Revision: answer.GetRevision(), Deletions: deletions})
 }
 
 // exchangeState compares this node's copy with those of other nodes until the context ends.
