--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/platform"
 	"github.com/micahaven/micahaven/platform/standin"
 )
 
@@ -47,11 +49,11 @@
 	w.drain(draining)
 	unannounced.Forget()
 	endEvacuation()
-	checkColdEntries(t, w, map[string]string{draining.ID: "draining", ready.ID: "ready"})
+	checkColdEntries(t, w, map[string]discovery.State{draining.ID: discovery.Draining, ready.ID: discovery.Ready})
 	for _, s := range w.servers {
 		w.reannounce(s)
 	}
-	checkColdEntries(t, w, map[string]string{draining.ID: "draining", ready.ID: "ready"})
+	checkColdEntries(t, w, map[string]discovery.State{draining.ID: discovery.Draining, ready.ID: discovery.Ready})
 	inWarmUp := time.Now().Add(standin.WarmUp / 2)
 	if w.coldAt(unannounced, inWarmUp) || !w.coldAt(ready, inWarmUp) {
 		t.Error("nodes have to know of a warm-up if and only if an entry announces it")
@@ -60,7 +62,7 @@
 
 // checkColdEntries checks that the store has one entry per given server, which announces the server's
 // state and a warm-up.
-func checkColdEntries(t *testing.T, w *world, states map[string]string) {
+func checkColdEntries(t *testing.T, w *world, states map[string]discovery.State) {
 	t.Helper()
 	items, _, err := w.store.List(t.Context(), "servers/")
 	if err != nil {
@@ -70,9 +72,14 @@
 		t.Errorf("%d entries, want %d", len(items), len(states))
 	}
 	for _, item := range items {
-		state, entry := states[strings.TrimPrefix(item.Key, "servers/")], string(item.Value)
-		if !strings.Contains(entry, `"State":"`+state+`"`) || strings.Contains(entry, `"WarmupLeftMs":0`) {
-			t.Errorf("entry %s, want state %q and a warm-up", entry, state)
+		id := strings.TrimPrefix(item.Key, "servers/")
+		entry, err := platform.Documents{}.Server(id, item.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		state, hasEntry := states[id]
+		if !hasEntry || entry.State != state || entry.WarmUp <= 0 {
+			t.Errorf("server %s is announced: state %v, warm-up %v; want an entry: %v, state %v, and a warm-up", id, entry.State, entry.WarmUp, hasEntry, state)
 		}
 	}
 }
