A server is given keys once it has answered

What callers saw: an entry of another writer, with a well formed address at which nobody listens, makes its server an owner.

Cause: whether a server may own keys was decided by its entry alone. Ranges moved to it from servers that served them.

Change: the core knows of each server whether commands reach it. A server that registers after the first map is given keys once it has answered a check, the release of a key that it does not own, which no server refuses. If no server has answered yet, those that no command has failed to reach are given keys, so that a service without owners does not wait.

Log: "server unreached, given no keys", "server answered, may be given keys". Counter: micahaven_shardmanager_reach_changes_total.";

--- a/internal/shardmanager/campaign_test.go
+++ b/internal/shardmanager/campaign_test.go
@@ -60,6 +60,15 @@
 	return shards.Accepted, ""
 }
 
+func (o *orders) Check(context.Context, shards.Release) shards.Outcome {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.cut {
+		return shards.NotSent
+	}
+	return shards.Accepted
+}
+
 func (o *orders) Prune(time.Time) {}
 
 func (o *orders) count() int {
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -29,6 +29,9 @@
 	Grant(ctx context.Context, grant shards.Grant) shards.Outcome
 	// Release revokes keys from a server and returns the server's handover.
 	Release(ctx context.Context, release shards.Release) (shards.Outcome, string)
+	// Check releases a key that the server does not own, from this node only. Its outcome shows whether
+	// this node reaches the server.
+	Check(ctx context.Context, check shards.Release) shards.Outcome
 	// Prune closes connections that are no longer needed.
 	Prune(now time.Time)
 }
--- a/internal/shardmanager/metrics.go
+++ b/internal/shardmanager/metrics.go
@@ -21,6 +21,11 @@
 		Help: "Ranges that lost their owners, by the evidence that no server holds them.",
 	}, []string{"service", "evidence"})
 
+	reachChangesTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+		Name: "micahaven_shardmanager_reach_changes_total",
+		Help: "Times that a server was given no more keys because nothing reached it (reached=false), or answered and may be given keys.",
+	}, []string{"service", "reached"})
+
 	commitsTotal = promauto.NewCounterVec(prometheus.CounterOpts{
 		Name: "micahaven_shardmanager_commits_total",
 		Help: "Owner maps written to the store.",
--- a/internal/shardmanager/suspended_grant_test.go
+++ b/internal/shardmanager/suspended_grant_test.go
@@ -28,6 +28,10 @@
 	return shards.NotSent, ""
 }
 
+func (o *suspendingOrders) Check(context.Context, shards.Release) shards.Outcome {
+	return shards.Accepted
+}
+
 func (o *suspendingOrders) Prune(time.Time) {}
 
 // Guards against a late grant that counts from before its machine was suspended, although it was sent after.
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -308,6 +309,10 @@
 	for _, release := range commands.Releases {
 		t.inFlight.Go(func() { t.release(ctx, release) })
 	}
+	for _, check := range commands.Checks {
+		t.inFlight.Go(func() { t.check(check) })
+	}
+	t.logReachChanges(commands.ReachChanges)
 	for _, grant := range commands.Grants {
 		t.inFlight.Go(func() { t.grant(grant) })
 	}
@@ -332,6 +337,31 @@
 	}
 }
 
+// logReachChanges logs which servers are given keys, or no longer, and why.
+func (t *term) logReachChanges(changes []shards.ReachChange) {
+	for _, change := range changes {
+		reached := strconv.FormatBool(change.Confirmed)
+		reachChangesTotal.WithLabelValues(t.manager.service, reached).Inc()
+		message := "server unreached, given no keys"
+		if change.Confirmed {
+			message = "server answered, may be given keys"
+		}
+		t.manager.logger.Info(message, zap.String("server", string(change.Server)), zap.Stringer("outcome", change.Outcome),
+			zap.Duration("unreached", change.Since))
+	}
+}
+
+// check asks a server for an answer.
+func (t *term) check(check shards.Release) {
+	bounded, cancel := context.WithTimeout(t.ordersCtx, t.manager.config.Options.CallTimeout)
+	defer cancel()
+	outcome := t.manager.config.Orders.Check(bounded, check)
+	ordersTotal.WithLabelValues(t.manager.service, "check", outcome.String()).Inc()
+	t.mutex.Lock()
+	t.core.CheckDone(t.now(), shards.ReleaseResult{Release: check, Outcome: outcome})
+	t.mutex.Unlock()
+}
+
 // delayedGrantsWait returns how long grants that got no response may still be carried out by
 // servers.
 func (t *term) delayedGrantsWait() time.Duration {
--- a/internal/shards/balance_test.go
+++ b/internal/shards/balance_test.go
@@ -8,7 +8,7 @@
 	"github.com/micahaven/micahaven/internal/shards"
 )
 
-// harness drives one manager whose commands all succeed at once.
+// harness drives one manager whose commands all succeed at once, unless their servers are unreached.
 type harness struct {
 	core    *shards.Manager
 	now     time.Duration
@@ -16,10 +16,20 @@
 	stored  *shards.Map
 	// moves counts releases, and grants counts first grants and renewals.
 	moves, grants int
+	// unreached are the servers that no command reaches.
+	unreached map[discovery.ServerID]bool
+}
+
+// outcome returns the outcome of a command to a server.
+func (b *harness) outcome(server discovery.ServerID) shards.Outcome {
+	if b.unreached[server] {
+		return shards.NotSent
+	}
+	return shards.Accepted
 }
 
 func newHarness(capacities ...float64) *harness {
-	b := &harness{core: shards.NewManager("s", 1, shards.Author{Node: "n", Process: "p"}, nil, shards.DefaultOptions(), 0)}
+	b := &harness{unreached: make(map[discovery.ServerID]bool), core: shards.NewManager("s", 1, shards.Author{Node: "n", Process: "p"}, nil, shards.DefaultOptions(), 0)}
 	for index, capacity := range capacities {
 		id := discovery.ServerID(rune('a' + index))
 		b.servers = append(b.servers, shards.Server{ID: id, Address: string(id), Capacity: capacity, Accepting: true})
@@ -38,11 +48,12 @@
 		commands := b.core.Tick(b.now)
 		b.grants += len(commands.Grants)
 		for _, grant := range commands.Grants {
-			b.core.GrantDone(b.now, shards.GrantResult{Grant: grant, SentAt: b.now, Outcome: shards.Accepted})
+			b.core.GrantDone(b.now, shards.GrantResult{Grant: grant, SentAt: b.now, Outcome: b.outcome(grant.Owner)})
 		}
+		b.answerChecks(commands)
 		b.moves += len(commands.Releases)
 		for _, release := range commands.Releases {
-			b.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: shards.Accepted, Handover: "h"})
+			b.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: b.outcome(release.Owner), Handover: "h"})
 		}
 		if commands.Commit != nil {
 			b.stored = commands.Commit.Map
@@ -51,6 +62,13 @@
 	}
 }
 
+// answerChecks passes the results of all checks.
+func (b *harness) answerChecks(commands shards.Commands) {
+	for _, check := range commands.Checks {
+		b.core.CheckDone(b.now, shards.ReleaseResult{Release: check, Outcome: b.outcome(check.Owner)})
+	}
+}
+
 // share returns the fraction of the key space that each server owns.
 func (b *harness) share() map[discovery.ServerID]float64 {
 	shares := make(map[discovery.ServerID]float64)
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -44,6 +44,11 @@
 	Restored []Range
 	// Vacated are ranges that have lost their owner since the last tick.
 	Vacated []Vacancy
+	// Checks are releases of a key that the server does not own, whose results show whether the server
+	// is reached. They are passed to CheckDone.
+	Checks []Release
+	// ReachChanges are the servers that are given keys, or no longer, since the last tick.
+	ReachChanges []ReachChange
 }
 
 // Vacancy is a range that no server holds any longer, with the evidence for this.
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -107,6 +107,10 @@
 	balancing    balancingState
 	// vacated are the ranges vacated since the last tick.
 	vacated []Vacancy
+	// reaches records for each known server whether commands reach it. unconfirmed has those that may
+	// not be given keys until they answer, and reachChanges the changes since the last tick.
+	reaches, unconfirmed map[discovery.ServerID]*reach
+	reachChanges         []ReachChange
 }
 
 // NewManager returns a manager that continues from the map of an earlier one, or starts without
@@ -119,6 +123,8 @@
 		sequence:     1,
 		options:      options,
 		servers:      make(map[discovery.ServerID]Server),
+		reaches:      make(map[discovery.ServerID]*reach),
+		unconfirmed:  make(map[discovery.ServerID]*reach),
 		storeHealthy: true,
 		load:         NewLoadWindow(longWindowLength),
 		mediumWindow: NewLoadWindow(mediumWindowLength),
@@ -189,6 +195,7 @@
 	for _, server := range servers {
 		m.servers[server.ID] = server
 	}
+	m.updateReach()
 }
 
 // SetStoreHealthy sets whether the store can be written. While it cannot, no range
@@ -241,9 +248,9 @@
 	return smallFleetRanges
 }
 
-// accepting returns the servers that may be given keys: those that accept keys and are not
-// warming up or, if there are none, those that accept keys and are warming up. The caller must
-// not modify the slice.
+// accepting returns the servers that may be given keys: those that accept keys, are reached and are
+// not warming up or, if there are none, those that are warming up or, if there are none either, those
+// that no command has failed to reach. The caller must not modify the slice.
 func (m *Manager) accepting() []Server {
 	if m.acceptingServers == nil {
 		m.acceptingServers = m.selectAccepting()
@@ -252,10 +259,14 @@
 }
 
 func (m *Manager) selectAccepting() []Server {
-	var found, warming []Server
+	var found, warming, untried []Server
 	for _, server := range m.servers {
+		unconfirmed := m.unconfirmed[server.ID]
 		switch {
 		case !server.Accepting:
+		case unconfirmed != nil && unconfirmed.unsent == 0:
+			untried = append(untried, server)
+		case unconfirmed != nil:
 		case server.Warming:
 			warming = append(warming, server)
 		default:
@@ -265,15 +276,24 @@
 	if len(found) == 0 {
 		found = warming
 	}
+	if len(found) == 0 {
+		found = untried
+	}
 	slices.SortFunc(found, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return found
 }
 
+// mayReceive reports whether a server accepts keys and is reached.
+func (m *Manager) mayReceive(server Server) bool {
+	return server.Accepting && m.unconfirmed[server.ID] == nil
+}
+
 // Tick advances the manager to the given time and returns the commands to execute.
 func (m *Manager) Tick(now time.Duration) Commands {
 	var commands Commands
 	m.advance(now, &commands)
 	commands.Vacated, m.vacated = m.vacated, nil
+	commands.ReachChanges, m.reachChanges = m.reachChanges, nil
 	return commands
 }
 
@@ -295,6 +315,7 @@
 		m.renew(now, commands)
 		return
 	}
+	m.checkServers(now, commands)
 	m.evacuate(now)
 	if m.storeHealthy {
 		m.balance(now)
@@ -332,7 +353,7 @@
 			loads = m.serverLoads(now)
 		}
 		target, known := m.servers[s.target]
-		if !known || !target.Accepting || target.Warming {
+		if !known || !m.mayReceive(target) || target.Warming {
 			target = m.nextOwner(now, accepting, remaining, loads)
 		}
 		loads[target.ID] += m.load.Requests(now, s.First, s.Last) + unrequestedLoad(s.Range)
--- a/internal/shards/move.go
+++ b/internal/shards/move.go
@@ -21,6 +21,8 @@
 	UnfinishedRelease
 	// Fencing means that the server may hold the keys because of a lost change of owners.
 	Fencing
+	// ReachCheck means that the server does not hold the keys, and is asked only for an answer.
+	ReachCheck
 )
 
 // String returns the name of the reason for logs and metrics.
@@ -40,6 +42,8 @@
 		return "unfinished release"
 	case Fencing:
 		return "fencing"
+	case ReachCheck:
+		return "reach check"
 	default:
 		return "unknown"
 	}
--- a/internal/shards/restore_test.go
+++ b/internal/shards/restore_test.go
@@ -32,6 +32,7 @@
 		}
 		o.core.GrantDone(o.now, shards.GrantResult{Grant: grant, SentAt: o.now, Outcome: shards.Accepted})
 	}
+	o.answerChecks(commands)
 	if commands.Commit != nil && storeLost {
 		o.pendingWrite = commands.Commit.Map
 	} else if commands.Commit != nil {
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -7,6 +7,7 @@
 
 // GrantDone processes the result of a grant.
 func (m *Manager) GrantDone(now time.Duration, result GrantResult) {
+	m.recordReach(now, result.Grant.Owner, result.Outcome)
 	for _, s := range m.shardsWithin(result.Grant.First, result.Grant.Last) {
 		previous := result.Grant.Fence == s.previousFence && s.previousFence != 0
 		if s.Owner != result.Grant.Owner || s.currentFence() != result.Grant.Fence && !previous {
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -121,6 +121,8 @@
 	trustsRegistrations bool
 	// refusesConnections makes unreachable servers refuse most grants before they are sent.
 	refusesConnections bool
+	// entriesLiveOn keeps unreachable servers registered.
+	entriesLiveOn bool
 	// resigns makes managers resign.
 	resigns bool
 	// restoreFaults configures restoreFaults of the store from older copies.
@@ -273,7 +275,7 @@
 	}
 	w.active = kept
 	w.retire()
-	w.check()
+	w.checkHolders()
 }
 
 // retire lets managers that send no more commands announce that they have stopped, once their
@@ -302,8 +304,9 @@
 	}
 	var servers []shards.Server
 	for _, s := range w.servers {
-		// Unreachable and dead servers are no longer registered.
-		servers = append(servers, shards.Server{ID: s.id, Address: s.instance, Capacity: 2, Accepting: s.up && s.reachable && !s.leaving})
+		// Unreachable and dead servers are no longer registered, unless their entries live on.
+		registered := s.up && (s.reachable || w.entriesLiveOn)
+		servers = append(servers, shards.Server{ID: s.id, Address: s.instance, Capacity: 2, Accepting: registered && !s.leaving})
 	}
 	manager.core.SetServers(servers)
 	if manager == w.lockHolder() {
@@ -322,6 +325,9 @@
 	for _, release := range commands.Releases {
 		w.release(manager, release)
 	}
+	for _, check := range commands.Checks {
+		w.check(manager, check)
+	}
 	if commands.Commit != nil {
 		w.commit(manager, commands.Commit.Map)
 	}
@@ -437,18 +443,42 @@
 	if !target.up || !target.reachable || (target.delaysGrants && w.chance(50)) {
 		return
 	}
+	w.acceptRelease(target, release)
+	manager.results = append(manager.results, func() {
+		manager.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: shards.Accepted})
+	})
+}
+
+// check executes a check, which is a release whose result is reported in any case.
+func (w *simulation) check(manager *simManager, check shards.Release) {
+	outcome := shards.Accepted
+	target := w.server(check.Owner)
+	switch {
+	case !target.up && target.reused && target.reachable:
+		outcome = shards.Misdirected
+	case !target.up, !target.reachable:
+		outcome = shards.NotSent
+	case target.delaysGrants && w.chance(50):
+		outcome = shards.Unanswered
+	default:
+		w.acceptRelease(target, check)
+	}
+	manager.results = append(manager.results, func() {
+		manager.core.CheckDone(w.now, shards.ReleaseResult{Release: check, Outcome: outcome})
+	})
+}
+
+// acceptRelease is a server's handling of a release, which it never refuses.
+func (w *simulation) acceptRelease(server *simServer, release shards.Release) {
 	for index := range sampledKeys {
 		if key := sampledKey(index); key >= release.First && key <= release.Last {
-			target.seenFences[index] = max(target.seenFences[index], release.Fence)
-			target.leases[index] = lease{}
+			server.seenFences[index] = max(server.seenFences[index], release.Fence)
+			server.leases[index] = lease{}
 		}
 	}
-	manager.results = append(manager.results, func() {
-		manager.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: shards.Accepted})
-	})
 }
 
-func (w *simulation) check() {
+func (w *simulation) checkHolders() {
 	for index := range sampledKeys {
 		var holders []discovery.ServerID
 		for _, s := range w.servers {
