An owner that nothing reaches loses its keys when its leases have ended

What callers saw: one of six servers refuses connections while its path to the store is whole.

Cause: the outcome "not sent" of a grant changed no owner. Only a missing or draining entry did.

Change: a range whose owner three commands in a row, over 0.6 s, have not reached is vacated once every lease of it has ended, by the evidence that counts already (docs/design/changing-owners.md); no wait is shortened. Nothing is vacated while less than half of the owners are reached, without the store, or if no other server may be given keys.

TestKeysOfAnUnreachedServerAreServedAfterItsLease failed before; the ownership simulation plays unreached servers that stay registered beside late commands, closed connections, restarts, resignations and restores (TestNoKeyHasTwoHoldersWhenUnreachedServersStayRegistered).

--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -316,6 +316,7 @@
 		return
 	}
 	m.checkServers(now, commands)
+	m.vacateUnreached(now)
 	m.evacuate(now)
 	if m.storeHealthy {
 		m.balance(now)
--- a/internal/shards/reach.go
+++ b/internal/shards/reach.go
@@ -218,3 +218,49 @@
 	}
 	m.recordReach(now, result.Release.Owner, result.Outcome)
 }
+
+// mostReached reports whether at least half of the owners are reached. Otherwise the fault is likely
+// to be on this node's side.
+func (m *Manager) mostReached(now time.Duration) bool {
+	total, failing := 0, 0
+	for id := range m.owners() {
+		known := m.reaches[id]
+		if known == nil || !m.servers[id].Accepting {
+			continue
+		}
+		total++
+		if known.unreached(now) {
+			failing++
+		}
+	}
+	return 2*failing <= total
+}
+
+// vacateUnreached takes ranges from owners that commands do not reach, once every lease that they
+// may have has ended.
+func (m *Manager) vacateUnreached(now time.Duration) {
+	if !m.storeHealthy {
+		return
+	}
+	lost := make(map[discovery.ServerID]bool)
+	for _, s := range m.shards {
+		known := m.reaches[s.Owner]
+		if s.phase != owned || known == nil || known.confirmed || !known.unreached(now) || !m.leaseEnded(s, now) {
+			continue
+		}
+		if len(lost) == 0 && (!m.mostReached(now) || !m.othersAccept(s.Owner)) {
+			return
+		}
+		if !lost[s.Owner] {
+			lost[s.Owner] = true
+			known.losses++
+			known.lostAt = now
+		}
+		m.vacate(s, LeaseExpired, "")
+	}
+}
+
+// othersAccept reports whether another server may be given keys.
+func (m *Manager) othersAccept(owner discovery.ServerID) bool {
+	return slices.ContainsFunc(m.accepting(), func(server Server) bool { return server.ID != owner })
+}
