A manager in doubt of its lock grants over connections from before (OWNER)

What callers would see: two servers hold the same keys. A manager has lost the store and all other nodes, but not a server. Its successor takes the lock, gets the server's release of a range and gives the range away. The server restarts under its id, which forgets the fence of the release, and accepts the renewal that the first manager sends over a new connection.

Cause: commands name an address and an instance id, which the next process shares, and the manager relied on the server to remember the successor's fence.

Change: once the last renewal of the lock is older than a renewal's interval and timeout, a grant is sent only over a connection that was open when the lock was last renewed, when the store confirmed this node's copy, or when another node had nothing newer. Whoever answers there was running at that time, when no successor had begun, so it has accepted every fence since. Only a manager that reaches neither the store nor any node is restricted. What it cannot renew lapses, as when it ends.

The simulated servers got connections for it: a restart ends them, and a manager without store and nodes has no others. TestReconnectionWithoutTheLockIsCaught: without the rule the simulation finds two holders. No run of processes has shown the fault.

Left: between the loss of the store and the end of the doubt (0.9 s) connections are not restricted. No successor can begin within that time but after a restore of the store. Another node that answers may itself not have been told of the successor yet.

--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -155,7 +155,8 @@
 	options.Lease = min(options.Lease, time.Duration(settings.MaxHoldMillis)*time.Millisecond)
 	n.managers = newManagers(shardmanager.Config{
 		Self: self, Store: platform.Store, Views: n.views, Orders: &relayedOrders{platform.Orders, n.peers}, Notices: n.peers, Options: options,
-		RateLimit: n.peers.serverLimits.Observed, ReachesNoServer: n.dispatcher.ReachesNoServer, Clock: clock.Boot, Logger: logger,
+		RateLimit: n.peers.serverLimits.Observed, ReachesNoServer: n.dispatcher.ReachesNoServer, AgreedAt: n.peers.lastAgreement,
+		Clock: clock.Boot, Logger: logger,
 	})
 	n.peers.managers = n.managers
 	n.registration = &registration{self: self, store: platform.Store, logger: logger, onStoreRecovered: n.mirror.Resume}
--- a/internal/shardmanager/renewlock.go
+++ b/internal/shardmanager/renewlock.go
@@ -14,6 +14,20 @@
 // sinceRenewal returns the time since the lock was last certainly held.
 func (t *term) sinceRenewal() time.Duration { return t.manager.config.Clock() - t.renewedAt }
 
+// connectedBy returns the time by which the connections that carry grants must have been open; 0 while
+// the lock is certainly held. Without the lock, a successor may move a range and its former owner may
+// restart, which then knows no fence. A process that was running when no successor had begun has
+// accepted the successor's fences since, and rejects lower ones.
+func (t *term) connectedBy() time.Duration {
+	if t.sinceRenewal() < lockRenewInterval+renewTimeout {
+		return 0
+	}
+	if t.manager.config.AgreedAt == nil {
+		return t.renewedAt
+	}
+	return max(t.renewedAt, t.manager.config.AgreedAt())
+}
+
 // renewLock renews the lock periodically and ends the term when the lock is certainly lost.
 func (t *term) renewLock(ctx context.Context) {
 	wait := lockRenewInterval
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -313,7 +313,9 @@
 		t.inFlight.Go(func() { t.check(check) })
 	}
 	t.logReachChanges(commands.ReachChanges)
+	connectedBy := t.connectedBy()
 	for _, grant := range commands.Grants {
+		grant.ConnectedBy = connectedBy
 		t.inFlight.Go(func() { t.grant(grant) })
 	}
 	if commands.Commit != nil {
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -13,6 +13,10 @@
 	// EndsWait is true if its acceptance ends the wait for earlier grants, so that a surplus response
 	// to one of these must not be taken for it.
 	EndsWait bool
+	// ConnectedBy is the time, on clock.Boot, by which the connection that carries the grant must have
+	// been open; 0 if any connection will do. The owner's process was then running at that time, so it
+	// knows every fence that it has accepted since.
+	ConnectedBy time.Duration
 }
 
 // Release asks a server to give up keys. Its fence is above those of all earlier grants of the
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -22,6 +22,8 @@
 	// authority is how long a manager renews without the store.
 	authority = 60 * time.Second
 	lockLapse = 2 * time.Second
+	// lockDoubt is how long after a manager's last renewal of its lock it is no longer certain to hold it.
+	lockDoubt = 900 * time.Millisecond
 )
 
 func sampledKey(index int) uint32 { return uint32(index * shards.KeyCount / sampledKeys) }
@@ -42,6 +44,8 @@
 	// managers know the current incarnation.
 	registersAs discovery.ServerID
 	registersAt time.Duration
+	// startedAt is when the current incarnation started.
+	startedAt time.Duration
 	// reused is true if another server has the address of a server that is not up.
 	reused bool
 	leases [sampledKeys]lease
@@ -116,6 +120,8 @@
 	restarts bool
 	// restartsAnytime makes them restart also while a manager renews grants without the store.
 	restartsAnytime bool
+	// reconnects makes managers without the store send grants over any connection, which is incorrect.
+	reconnects bool
 	// trustsRegistrations makes managers take the registration of the next incarnation for the
 	// release of all keys, which is incorrect.
 	trustsRegistrations bool
@@ -157,6 +163,7 @@
 // fences. Commands that the process had not executed are lost.
 func (w *simulation) restart(server *simServer) {
 	server.leases, server.seenFences = [sampledKeys]lease{}, [sampledKeys]uint64{}
+	server.startedAt = w.now
 	w.delayed = slices.DeleteFunc(w.delayed, func(d delayedGrant) bool { return d.server == server })
 	server.registersAs = discovery.NewServerID(server.instance, 1+w.now.Milliseconds())
 	server.registersAt = w.now + time.Duration(w.random.Int64N(int64(maxRegistrationDelay)))
@@ -361,6 +368,8 @@
 	sentAt := w.now
 	outcome := shards.Accepted
 	switch {
+	case !w.connectedInTime(manager, target):
+		outcome = shards.NotSent
 	case !target.up, !target.reachable:
 		outcome = shards.ConnectionLost
 		// The server is unreachable in one direction only: it gets the command, but its response
@@ -393,6 +402,14 @@
 	manager.results = append(manager.results, result)
 }
 
+// connectedInTime reports whether a manager has a connection to the server that may carry a grant. A
+// manager that has been without the store for some time, and without other nodes, uses only
+// connections that were open before; the restart of a server ends them.
+func (w *simulation) connectedInTime(manager *simManager, target *simServer) bool {
+	restricted := manager.storeLostAt != 0 && w.now >= manager.storeLostAt+lockDoubt
+	return w.reconnects || !restricted || target.startedAt <= manager.storeLostAt
+}
+
 func (w *simulation) deliverDelayedGrants() {
 	var kept []delayedGrant
 	for _, delayed := range w.delayed {
@@ -592,6 +609,17 @@
 	})
 }
 
+func TestReconnectionWithoutTheLockIsCaught(t *testing.T) {
+	violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
+		w := newSimulation(seed, shards.DefaultOptions())
+		w.restarts, w.restartsAnytime, w.reconnects = true, true, true
+		return w
+	})
+	if violation == "" {
+		t.Fatalf("no violation in %d runs", *simulationRuns)
+	}
+}
+
 func TestTrustInRegistrationsIsCaught(t *testing.T) {
 	violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
 		w := newSimulation(seed, shards.DefaultOptions())
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -101,6 +101,9 @@
 	// NewConnection makes the request use a new connection, on which no surplus response to an earlier
 	// request can arrive.
 	NewConnection bool
+	// OpenedBy is the time, on clock.Boot, by which the connection must have been open; 0 if any
+	// connection will do. Whoever answers on it was running at that time.
+	OpenedBy time.Duration
 	// IDHeader and ID are the name and value of the header field that identifies the response
 	// to this request; a request without an ID takes only a response without one. An empty
 	// IDHeader accepts any response.
@@ -109,6 +112,9 @@
 	Attempts *Attempts
 }
 
+// openedLate reports whether a connection was opened later than the request allows.
+func (r *Request) openedLate(c *connection) bool { return r.OpenedBy > 0 && c.openedAt > r.OpenedBy }
+
 // Response is a server's response.
 type Response struct {
 	Status int
@@ -122,8 +128,10 @@
 type connection struct {
 	pool   *Pool
 	socket net.Conn
-	// reused is true once the connection has carried a request.
-	reused bool
+	// openedAt is when the connection was open, on clock.Boot.
+	openedAt time.Duration
+	// used is true once the connection has carried a request, and reused if it carries a further one.
+	used, reused bool
 	// reader and its source, input, are set only while a request is in progress on the connection.
 	reader *bufio.Reader
 	input  *sockets.LimitedReader
@@ -190,6 +198,7 @@
 		return nil, err
 	}
 	request.Attempts.record(c)
+	c.reused, c.used = c.used, true
 	var undelivered atomic.Bool
 	stop := context.AfterFunc(ctx, func() {
 		undelivered.Store(c.undelivered())
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/micahaven/micahaven/internal/clock"
 	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/sockets"
 )
@@ -69,24 +70,33 @@
 	p.idle = kept
 }
 
-// getIdle returns an idle connection that is open, has no unread data and has not carried another
-// attempt of the request, or nil. Data that arrived while the connection was idle belongs to no
-// request, so such a connection is closed.
-func (p *Pool) getIdle(attempts *Attempts) *connection {
+// getIdle returns an idle connection that suits the request, is open and has no unread data, or nil.
+// Data that arrived while the connection was idle belongs to no request, so such a connection is
+// closed. waiting is true if there is an idle connection that was only opened too late for the request.
+func (p *Pool) getIdle(request *Request) (found *connection, waiting bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for index := len(p.idle) - 1; index >= 0; index-- {
 		c := p.idle[index]
-		if attempts.used(c) {
+		if request.Attempts.used(c) || request.NewConnection && c.used {
+			continue
+		}
+		late := request.openedLate(c)
+		if late && waiting {
 			continue
 		}
-		p.idle = slices.Delete(p.idle, index, index+1)
 		if time.Since(c.idleSince) < c.usableFor && sockets.IsIdle(c.socket) {
-			return c
+			if late {
+				waiting = true
+				continue
+			}
+			p.idle = slices.Delete(p.idle, index, index+1)
+			return c, false
 		}
+		p.idle = slices.Delete(p.idle, index, index+1)
 		c.close()
 	}
-	return nil
+	return nil, waiting
 }
 
 // putIdle makes a connection available for reuse, or closes it if the pool is closed.
@@ -99,7 +109,6 @@
 	}
 	c.releaseReader()
 	c.idleSince = time.Now()
-	c.reused = true
 	p.idle = append(p.idle, c)
 }
 
@@ -119,15 +128,20 @@
 }
 
 // open returns an idle connection or, if there is none for the request or it asks for a new one, a
-// new one.
+// new one. A connection that was opened too late for the request waits for later ones.
 func (p *Pool) open(ctx context.Context, request *Request) (*connection, error) {
-	if request.NewConnection {
-		return p.openNew(ctx)
-	}
-	if c := p.getIdle(request.Attempts); c != nil {
+	c, waiting := p.getIdle(request)
+	if c != nil {
 		return c, nil
 	}
-	return p.openNew(ctx)
+	if !waiting {
+		var err error
+		if c, err = p.openNew(ctx); err != nil || !request.openedLate(c) {
+			return c, err
+		}
+		p.putIdle(c)
+	}
+	return nil, errors.Wrapf(ErrNotSent, "no connection to %s was open in time", p.address)
 }
 
 // openNew opens a new connection even if there are idle ones.
@@ -147,5 +161,5 @@
 		_ = socket.Close()
 		return nil, errors.Mark(errors.Wrapf(ErrConnectionLimit, "connect to %s", p.address), ErrNotSent)
 	}
-	return &connection{pool: p, socket: socket, usableFor: defaultKeepAlive - keepAliveMargin}, nil
+	return &connection{pool: p, socket: socket, openedAt: clock.Boot(), usableFor: defaultKeepAlive - keepAliveMargin}, nil
 }
