A withheld grant is no sign that a server is not reached

What callers saw (on the commit before only): an outage of the store in which all connections to servers are reset, three nodes, four servers.

Cause: a grant that waits for a connection from before the doubt of the lock was reported as "not sent", and a manager whose grants reach no server for 1.5 s steps down. Line: "manager reaches no server, stepping down" 0.4 s after the reset.

Change: such a grant has an outcome of its own, "withheld", which says nothing about the path to the server, neither for the manager's term nor for the server.

--- a/internal/shardmanager/connected_by_test.go
+++ b/internal/shardmanager/connected_by_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/shards"
 )
 
 // Guards against a manager that has lost its lock unawares and grants keys over a connection to a process
@@ -28,3 +31,14 @@
 		t.Errorf("connections must be open by %v, want %v, when another node agreed", by, agreedAt)
 	}
 }
+
+// Guards against a manager that steps down in an outage of the store because its grants wait for agreement.
+func TestWithheldGrantsAreNoSignOfALostPath(t *testing.T) {
+	var reached contact
+	for _, server := range []discovery.ServerID{"a", "b", "c"} {
+		reached.observe(2*contactTimeout, server, shards.Withheld)
+	}
+	if reached.lost(2 * contactTimeout) {
+		t.Error("the path to servers counts as lost")
+	}
+}
--- a/internal/shardmanager/contact.go
+++ b/internal/shardmanager/contact.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/shards"
 )
 
 const (
@@ -27,11 +28,14 @@
 	unanswered map[discovery.ServerID]struct{}
 }
 
-// observe records the outcome of a grant.
-func (c *contact) observe(now time.Duration, server discovery.ServerID, answered bool) {
-	if answered {
+// observe records the outcome of a grant. One that was withheld says nothing about the path.
+func (c *contact) observe(now time.Duration, server discovery.ServerID, outcome shards.Outcome) {
+	switch outcome {
+	case shards.Accepted, shards.Superseded:
 		c.answeredAt, c.unanswered = now, nil
 		return
+	case shards.Withheld:
+		return
 	}
 	if c.unanswered == nil {
 		c.unanswered = make(map[discovery.ServerID]struct{})
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -388,7 +388,7 @@
 	// The fences of a term are greater than those of all earlier terms. While the store is
 	// unavailable, a refusal by a server is how a manager learns of a newer term.
 	isSuperseded := outcome == shards.Superseded && t.storeFailed && shards.EpochOf(grant.Fence) == t.epoch
-	t.contact.observe(t.now(), grant.Owner, outcome == shards.Accepted || outcome == shards.Superseded)
+	t.contact.observe(t.now(), grant.Owner, outcome)
 	lost := t.contact.lost(t.now()) && !t.resigning
 	t.mutex.Unlock()
 	if lost && t.manager.othersRegistered() {
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -104,6 +104,9 @@
 	Misdirected
 	// NotSent means that the command certainly did not reach the server.
 	NotSent
+	// Withheld means that the command was not sent because no connection to the server was open by the
+	// time that the command names. Says nothing about whether the server is reached.
+	Withheld
 	// Unanswered means that the server may still execute the command, possibly after a long
 	// delay.
 	Unanswered
@@ -123,6 +126,8 @@
 		return "misdirected"
 	case NotSent:
 		return "not sent"
+	case Withheld:
+		return "withheld"
 	case Unanswered:
 		return "unanswered"
 	case ConnectionLost:
--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -203,6 +203,6 @@
 		s.leaseUntil = max(s.leaseUntil, now+m.maxLease())
 	case Unanswered, ConnectionLost:
 		m.recordUnanswered(s, result)
-	case Superseded, NotSent, Misdirected:
+	case Superseded, NotSent, Withheld, Misdirected:
 	}
 }
--- a/internal/shards/reach.go
+++ b/internal/shards/reach.go
@@ -128,6 +128,7 @@
 	case Unanswered, ConnectionLost:
 		// A connection was open, so the path to the address works.
 		known.unsent, known.answeredSince = 0, 0
+	case Withheld:
 	}
 }
 
--- a/internal/shards/results.go
+++ b/internal/shards/results.go
@@ -42,7 +42,7 @@
 		if s.phase == owned && m.storeHealthy && !m.frozen {
 			m.startRelease(s, now, s.Owner, Move{Reason: UnfinishedRelease})
 		}
-	case NotSent, Misdirected:
+	case NotSent, Withheld, Misdirected:
 	}
 	if s.phase == owned {
 		s.renewAt = now + grantRetryInterval
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -369,7 +369,7 @@
 	outcome := shards.Accepted
 	switch {
 	case !w.connectedInTime(manager, target):
-		outcome = shards.NotSent
+		outcome = shards.Withheld
 	case !target.up, !target.reachable:
 		outcome = shards.ConnectionLost
 		// The server is unreachable in one direction only: it gets the command, but its response
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -30,6 +30,9 @@
 	// ErrConnectionLimit is set in addition to ErrNotSent if the server closed a new connection
 	// immediately: it is running, but at its connection limit.
 	ErrConnectionLimit error = sentinel.Error("server takes no more connections")
+	// ErrOpenedLate is set in addition to ErrNotSent if there is no connection that was open by
+	// Request.OpenedBy.
+	ErrOpenedLate error = sentinel.Error("connection was opened too late")
 	// ErrNoResponse means that the request may have run but no response was received.
 	ErrNoResponse error = sentinel.Error("no answer")
 	// ErrUndelivered is set in addition if the server's machine had not acknowledged the whole
--- a/internal/upstream/opened_by_test.go
+++ b/internal/upstream/opened_by_test.go
@@ -24,8 +24,8 @@
 	}
 	before := clock.Boot()
 	for range 2 {
-		if err := exchange(Request{OpenedBy: before}); !errors.Is(err, ErrNotSent) {
-			t.Fatalf("a request on a later connection ended with %v, want ErrNotSent", err)
+		if err := exchange(Request{OpenedBy: before}); !errors.Is(err, ErrNotSent) || !errors.Is(err, ErrOpenedLate) {
+			t.Fatalf("a request on a later connection ended with %v, want ErrNotSent and ErrOpenedLate", err)
 		}
 	}
 	if count := len(pool.idle); count != 1 {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -141,7 +141,7 @@
 		}
 		p.putIdle(c)
 	}
-	return nil, errors.Wrapf(ErrNotSent, "no connection to %s was open in time", p.address)
+	return nil, errors.Mark(errors.Wrapf(ErrOpenedLate, "connect to %s", p.address), ErrNotSent)
 }
 
 // openNew opens a new connection even if there are idle ones.
