Checks use up no fences

A check had a fence of its own. Found by reading; no run.

A check needs no fence of its own: the server owns nothing, and whatever it is granted later has a higher one. It carries the fence that was issued last.

--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -332,9 +332,12 @@
 
 func (m *Manager) nextFence() uint64 {
 	m.fenceSequence++
-	return m.epoch<<fenceEpochShift | m.fenceSequence
+	return m.lastFence()
 }
 
+// lastFence returns the fence that was issued last, or one below all fences of this manager.
+func (m *Manager) lastFence() uint64 { return m.epoch<<fenceEpochShift | m.fenceSequence }
+
 // assign gives vacant ranges new owners, which are then to be committed.
 func (m *Manager) assign(now time.Duration) {
 	if m.commitInFlight {
--- a/internal/shards/reach.go
+++ b/internal/shards/reach.go
@@ -189,7 +189,7 @@
 		known.checking = true
 		known.checkAt = now + min(maxCheckInterval, max(minCheckInterval, (now-known.waitingSince)/checkIntervalDivisor))
 		commands.Checks = append(commands.Checks, Release{
-			First: checkedKey, Last: checkedKey, Owner: id, Address: m.servers[id].Address, Fence: m.nextFence(), Move: Move{Reason: ReachCheck},
+			First: checkedKey, Last: checkedKey, Owner: id, Address: m.servers[id].Address, Fence: m.lastFence(), Move: Move{Reason: ReachCheck},
 		})
 	}
 }
--- a/internal/shards/reach_test.go
+++ b/internal/shards/reach_test.go
@@ -39,6 +39,26 @@
 	}
 }
 
+// Guards against an epoch whose fences are used up by checks of servers that never answer.
+func TestChecksUseUpNoFences(t *testing.T) {
+	b := newHarness(uniformCapacities(3)...)
+	b.run(time.Second, nil)
+	b.unreached["silent"] = true
+	b.servers = append(b.servers, shards.Server{ID: "silent", Address: "silent", Capacity: 1, Accepting: true})
+	fences := make(map[uint64]bool)
+	b.run(20*time.Second, nil)
+	for end := b.now + time.Minute; b.now < end; b.now += step {
+		commands := b.core.Tick(b.now)
+		for _, check := range commands.Checks {
+			fences[check.Fence] = true
+		}
+		b.answerChecks(commands)
+	}
+	if len(fences) != 1 {
+		t.Errorf("the checks of a minute have %d fences, want 1", len(fences))
+	}
+}
+
 // Guards against a planned start that waits for a check after the server can answer.
 func TestServerThatAnswersIsGivenKeysWithinASecond(t *testing.T) {
 	b := newHarness(uniformCapacities(6)...)
