Withheld grants are logged once per doubt of the lock

A manager in doubt of its lock tries each withheld grant again every 150 ms, a line each for thousands of ranges. Counts are in micahaven_shardmanager_orders_total, outcome withheld. No behaviour changes.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -51,6 +51,8 @@
 	lastServersAt time.Time
 	// inFlight tracks orders and commits that have not completed.
 	inFlight sync.WaitGroup
+	// withholdingLogged is true once a withheld grant has been logged since the lock was last certain.
+	withholdingLogged bool
 	// resigning is true once no more orders may be sent, and resigned once the store says so.
 	resigning, resigned bool
 }
@@ -314,6 +316,7 @@
 	}
 	t.logReachChanges(commands.ReachChanges)
 	connectedBy := t.connectedBy()
+	t.withholdingLogged = t.withholdingLogged && connectedBy > 0
 	for _, grant := range commands.Grants {
 		grant.ConnectedBy = connectedBy
 		t.inFlight.Go(func() { t.grant(grant) })
@@ -377,7 +380,9 @@
 	defer cancel()
 	outcome := t.manager.config.Orders.Grant(bounded, grant)
 	ordersTotal.WithLabelValues(t.manager.service, "grant", outcome.String()).Inc()
-	if outcome != shards.Accepted {
+	if outcome == shards.Withheld {
+		t.logWithheld(grant)
+	} else if outcome != shards.Accepted {
 		t.manager.logger.Info("grant failed", zap.String("server", string(grant.Owner)), zap.Uint32("first", grant.First),
 			zap.Uint32("last", grant.Last), zap.Uint64("fence", grant.Fence), zap.Stringer("outcome", outcome))
 	}
@@ -401,6 +406,19 @@
 	}
 }
 
+// logWithheld logs the first grant that is withheld since the lock was last certain.
+func (t *term) logWithheld(grant shards.Grant) {
+	t.mutex.Lock()
+	logged := t.withholdingLogged
+	t.withholdingLogged = true
+	sinceRenewal := t.sinceRenewal()
+	t.mutex.Unlock()
+	if !logged {
+		t.manager.logger.Info("lock in doubt, grants on later connections withheld", zap.Uint64("epoch", t.epoch),
+			zap.String("server", string(grant.Owner)), zap.Uint64("fence", grant.Fence), zap.Duration("since_renewal", sinceRenewal))
+	}
+}
+
 func (t *term) release(ctx context.Context, release shards.Release) {
 	bounded, cancel := context.WithTimeout(t.ordersCtx, releaseTimeout)
 	defer cancel()
