--- a/internal/view/entries.go
+++ b/internal/view/entries.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/documents"
 	"github.com/micahaven/micahaven/internal/topo"
 )
 
@@ -30,7 +31,8 @@
 	entry, err := b.documents.Server(instance, item.Value)
 	if err != nil {
 		if b.refusals.recordRefusal(instance) {
-			b.logger.Error("invalid server entry, treated as missing", zap.String("server", instance), zap.Int64("revision", item.Revision), zap.Error(err))
+			b.logger.Error("invalid server entry, treated as missing", zap.String("server", documents.Shorten(instance)),
+				zap.Int64("revision", item.Revision), zap.Error(err))
 		}
 		b.markGone(instance)
 		return
