An entry with a start in the future does not hide the server for good

An entry under the id of a real server with a start far ahead made each later entry of the real server count as one of an earlier incarnation. The server got no requests until it registered under another id, also after the other entry was deleted.

Cause: incarnations of an id were ordered by the start that entries name, and by nothing else.

The clock decides only this: a node whose clock is wrong takes the order of writes for the order of starts, and refuses no entry. Entries of a restored store (another era), entries that lapsed in an outage, and late writes of an incarnation that has ended are handled as before.

--- a/internal/view/entries.go
+++ b/internal/view/entries.go
@@ -69,7 +69,7 @@
 		return true
 	}
 	previous := b.servers.get(known)
-	if entry.StartedAt < previous.StartedAt {
+	if entry.StartedAt < previous.StartedAt && !isReplaceable(previous, revision) {
 		b.logger.Info("entry of an earlier server incarnation ignored", zap.String("server", string(entry.ID)),
 			zap.String("newest", string(known)), zap.Int64("revision", revision))
 		return false
@@ -86,6 +86,21 @@
 	return true
 }
 
+// maxStartAhead is how far a start time may be ahead of this node's clock, to order incarnations.
+const maxStartAhead = 24 * time.Hour
+
+// isReplaceable reports whether an entry at the given revision replaces that of a known incarnation,
+// although it names an earlier start. The known entry must precede it in the same era, and must have
+// been deleted or name a start in the future: another writer may have left it under the server's id.
+// Otherwise an entry with an earlier start was written late, or is part of a restored store.
+func isReplaceable(known *Server, revision int64) bool {
+	if topo.EraOf(known.Revision) != topo.EraOf(revision) || revision <= known.Revision {
+		return false
+	}
+	deleted := !known.GoneSince.IsZero() && known.LapsedUntil.IsZero()
+	return deleted || time.UnixMilli(known.StartedAt).After(time.Now().Add(maxStartAhead))
+}
+
 // logEntry logs the changes of a server's entry; previous is nil if the server was not known.
 func (b *Builder) logEntry(server, previous *Server) {
 	if !b.loaded {
