A server's slots count for capacity up to four times those of the others

Read with 65,536 slots beside five servers of 2, its server was planned to get 0.9998 of the keys as soon as it answered: a real server with one wrong figure was enough.

Cause: capacity was proportional to the slots in the entry, without a bound.

Change: the slots that count for capacity, speed and "reduced" are at most four times the upper quartile of the slots of the service's other servers that are present. One wrong figure beside five servers of 2 counts as 8: 0.44 of the keys. The upper quartile, not the median, keeps large servers whole if a quarter or more of the others are of their size: 2, 2, 2, 16, 16 and 16 slots, and 2, 4, 8 and 16, count as they are. A single 16 among servers of 2 counts as 8, so it gets four times what they get and not eight times: 0.44 of the keys beside five of them, where 0.62 would fit its slots. It serves what it gets with slots to spare; each of the others gets 0.11 in place of 0.08.

Evidence: TestWrongNumberOfSlotsMovesABoundedShare failed with the bound out of force ("server 5: 1000 slots count, want 8"). applyRateLimits moves to capacity.go unchanged but for the slots that it compares with.

--- a/internal/shardmanager/speed.go
+++ b/internal/shardmanager/speed.go
@@ -182,9 +182,9 @@
 	t.core.RecordLoad(t.now(), keys, weight)
 	current := t.manager.config.Views.Current()
 	for _, load := range servers {
-		slots := 1
-		if s := current.Servers.Get(load.Server); s != nil {
-			slots = s.Slots
+		slots, known := t.slots[load.Server]
+		if !known {
+			slots = max(1, countedSlots(time.Now(), current.Services[t.manager.service])[load.Server])
 		}
 		t.speeds.record(time.Now(), slots, load)
 	}
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -46,6 +46,8 @@
 	firstSeen    time.Time
 	lastJoined   time.Time
 	knownServers map[discovery.ServerID]bool
+	// slots are the slots of the servers last passed to the core that count for capacity.
+	slots map[discovery.ServerID]int
 	// lastServers is the server index last passed to the core, and lastServersAt the time of that.
 	lastServers   view.ServerIndex
 	lastServersAt time.Time
@@ -196,6 +198,7 @@
 	var servers []shards.Server
 	addresses := serversByAddress(current)
 	warmUpLimited := hasWarmUpLimit(current, t.manager.service)
+	t.slots = countedSlots(now, current.Services[t.manager.service])
 	for _, s := range current.Services[t.manager.service].All() {
 		if !t.knownServers[s.ID] {
 			t.knownServers[s.ID] = true
@@ -204,41 +207,18 @@
 				t.firstSeen = now
 			}
 		}
-		capacity := t.speeds.capacity(s.ID, s.Slots)
+		slots := t.slots[s.ID]
+		capacity := t.speeds.capacity(s.ID, slots)
 		servers = append(servers, shards.Server{
 			ID: s.ID, Address: s.Address, Version: s.Version, Accepting: !hasEnded(s, addresses) && acceptsKeys(now, current, s),
-			Capacity: capacity, ReducedCapacity: isReduced(capacity, s.Slots),
+			Capacity: capacity, ReducedCapacity: isReduced(capacity, slots),
 			Warming: warmUpLimited && now.Before(current.WarmUntil(s)),
 		})
 	}
-	t.applyRateLimits(current, servers)
+	t.applyRateLimits(servers)
 	t.core.SetServers(servers)
 }
 
-// applyRateLimits bounds the capacities of servers that have a rate limit. The caller holds the
-// mutex.
-func (t *term) applyRateLimits(current *view.View, servers []shards.Server) {
-	if t.manager.config.RateLimit == nil {
-		return
-	}
-	all := 0.0
-	for _, server := range servers {
-		if server.Accepting {
-			all += server.Capacity
-		}
-	}
-	requestRate := t.core.RequestRate(t.now())
-	for index := range servers {
-		server := &servers[index]
-		limit, limited := t.manager.config.RateLimit(string(server.ID))
-		if !limited {
-			continue
-		}
-		server.Capacity = capacityWithinLimit(limit, server.Capacity, all-server.Capacity, requestRate)
-		server.ReducedCapacity = isReduced(server.Capacity, current.Servers.Get(server.ID).Slots)
-	}
-}
-
 // serversByAddress indexes the servers whose entries are present by their address. If several share
 // an address, the one with the newest entry is used. Entries of services that are not configured
 // come from other writers and name no server.
