Agreement needs every registered node, or the store's confirmation (OWNER)

A manager that has lost the store together with one more node took that node's answers, every 250 ms, for agreement that no successor had begun; a node without any copy agreed as well.

Cause: an answer was taken as evidence about all other nodes; it says only something about the node that answers, unless its copy is confirmed.

Change: there is agreement as of the time at which the store confirmed a copy with nothing newer, this node's own or that of another node which says how long ago that was; or as of the time at which each registered node had been asked and had nothing newer, which a successor has: its own lock.

Left: a node that has registered since is not known to a manager without the store.

--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -279,6 +279,7 @@
 	})
 	actor(n.peers.reportLoad)
 	actor(n.peers.exchangeState)
+	actor(n.peers.seekAgreement)
 	actor(func(ctx context.Context) error { return n.watchSignals(ctx, signals) })
 	group.Add(n.internal.Serve, func(error) { n.internal.Close() })
 	group.Add(func() error { return serveHTTP(n.ready) }, func(error) { _ = n.ready.Close() })
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/micahaven/micahaven/internal/clock"
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/feed"
@@ -66,9 +65,8 @@
 	guard  *poison.Guard
 	logger *zap.Logger
 
-	// agreedAt is the reading of clock.Boot before the last comparison in which another node had nothing
-	// newer than this one; 0 if there was none.
-	agreedAt atomic.Int64
+	// agreement is what the other nodes say about newer managers.
+	agreement agreement
 
 	mutex sync.Mutex
 	// recentSenders holds addresses of nodes that sent messages, the latest last. They are
@@ -357,12 +355,8 @@
 	if address == "" || !p.feed.Watching() {
 		return
 	}
-	askedAt := clock.Boot()
 	peerState := p.requestState(ctx, address)
 	if peerState.GetRevision() <= p.mirror.Revision() {
-		if peerState != nil {
-			p.agreedAt.Store(int64(askedAt))
-		}
 		return
 	}
 	// A node that can reach the store needs a peer's copy only if its watch does not catch up or its
@@ -383,16 +377,6 @@
 	p.mirror.Adopt(mirror.Copy{Items: items, Revision: answer.GetRevision(), Deletions: deletions})
 }
 
-// lastAgreement returns the latest time, on clock.Boot, at which the store or another node is known to
-// have had nothing newer than this node; 0 if there is none.
-func (p *peers) lastAgreement() time.Duration {
-	agreedAt := time.Duration(p.agreedAt.Load())
-	if age, confirmed := p.feed.confirmedAge(); confirmed {
-		agreedAt = max(agreedAt, clock.Boot()-age)
-	}
-	return agreedAt
-}
-
 // exchangeState compares this node's copy with those of other nodes until the context ends.
 func (p *peers) exchangeState(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -101,9 +101,9 @@
 	// ReachesNoServer reports whether this node's requests to a service's servers fail. It is nil if
 	// that is not known. It must not call back into the manager.
 	ReachesNoServer func(service string) bool
-	// AgreedAt returns the latest time, on Clock, at which the store or another node is known to have had
-	// nothing newer than this node's view; 0 if there is none. It is nil if that is not known. It must
-	// not call back into the manager.
+	// AgreedAt returns the latest time, on Clock, at which no other node can have been a manager that this
+	// node does not know of, as far as the store or the other nodes have said; 0 if there is none. It is
+	// nil if that is not known. It must not call back into the manager.
 	AgreedAt func() time.Duration
 	// Clock measures the durations that other processes rely on: how long the lock is valid and how
 	// long a manager may continue without the store. It must keep running while the machine is
