--- a/internal/shardmanager/connected_by_test.go
+++ b/internal/shardmanager/connected_by_test.go
@@ -15,8 +15,8 @@
 	now, agreedAt := renewedAt, time.Duration(0)
 	manager := &Manager{config: Config{Clock: func() time.Duration { return now }}}
 	term := &term{manager: manager, renewedAt: renewedAt}
-	if by := term.connectedBy(); by != 0 {
-		t.Errorf("connections must be open by %v while the lock is held", by)
+	if by := term.connectedBy(); by <= now || by >= renewedAt+lockTTL {
+		t.Errorf("connections must be open by %v while the lock is held, want a time before it ends at %v", by, renewedAt+lockTTL)
 	}
 	now = renewedAt + lockTTL
 	if by := term.connectedBy(); by != renewedAt {
@@ -24,11 +24,11 @@
 	}
 	manager.config.AgreedAt = func() time.Duration { return agreedAt }
 	if by := term.connectedBy(); by != renewedAt {
-		t.Errorf("connections must be open by %v, want %v, since no other node has agreed", by, renewedAt)
+		t.Errorf("connections must be open by %v, want %v, since the other nodes have not agreed", by, renewedAt)
 	}
 	agreedAt = now - time.Second/2
 	if by := term.connectedBy(); by != agreedAt {
-		t.Errorf("connections must be open by %v, want %v, when another node agreed", by, agreedAt)
+		t.Errorf("connections must be open by %v, want %v, when the other nodes agreed", by, agreedAt)
 	}
 }
 
--- a/internal/shardmanager/renewlock.go
+++ b/internal/shardmanager/renewlock.go
@@ -14,18 +14,21 @@
 // sinceRenewal returns the time since the lock was last certainly held.
 func (t *term) sinceRenewal() time.Duration { return t.manager.config.Clock() - t.renewedAt }
 
-// connectedBy returns the time by which the connections that carry grants must have been open; 0 while
-// the lock is certainly held. Without the lock, a successor may move a range and its former owner may
-// restart, which then knows no fence. A process that was running when no successor had begun has
-// accepted the successor's fences since, and rejects lower ones.
+// connectedBy returns the time by which the connections that carry grants must have been open. Without
+// the lock, a successor may move a range and its former owner may restart, which then knows no fence. A
+// process that was running when no successor had begun has accepted the successor's fences since, and
+// rejects lower ones. While the lock is certainly held, the time lies ahead, so that it withholds only
+// grants that are sent after a suspension.
 func (t *term) connectedBy() time.Duration {
-	if t.sinceRenewal() < lockRenewInterval+renewTimeout {
-		return 0
-	}
-	if t.manager.config.AgreedAt == nil {
+	certainUntil := t.renewedAt + lockRenewInterval + renewTimeout
+	switch {
+	case t.manager.config.Clock() < certainUntil:
+		return certainUntil
+	case t.manager.config.AgreedAt == nil:
 		return t.renewedAt
+	default:
+		return max(t.renewedAt, t.manager.config.AgreedAt())
 	}
-	return max(t.renewedAt, t.manager.config.AgreedAt())
 }
 
 // renewLock renews the lock periodically and ends the term when the lock is certainly lost.
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -296,7 +296,7 @@
 	}
 	t.logReachChanges(commands.ReachChanges)
 	connectedBy := t.connectedBy()
-	t.withholdingLogged = t.withholdingLogged && connectedBy > 0
+	t.withholdingLogged = t.withholdingLogged && connectedBy < t.manager.config.Clock()
 	for _, grant := range commands.Grants {
 		grant.ConnectedBy = connectedBy
 		t.inFlight.Go(func() { t.grant(grant) })
