--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -292,7 +292,8 @@
 		t.inFlight.Go(func() { t.release(ctx, release) })
 	}
 	for _, check := range commands.Checks {
-		t.inFlight.Go(func() { t.check(check) })
+		// Nothing relies on the outcome of a check, so the end of the term does not wait for it.
+		go t.check(ctx, check)
 	}
 	t.logReachChanges(commands.ReachChanges)
 	connectedBy := t.connectedBy()
@@ -337,8 +338,8 @@
 }
 
 // check asks a server for an answer.
-func (t *term) check(check shards.Release) {
-	bounded, cancel := context.WithTimeout(t.ordersCtx, t.manager.config.Options.CallTimeout)
+func (t *term) check(ctx context.Context, check shards.Release) {
+	bounded, cancel := context.WithTimeout(ctx, t.manager.config.Options.CallTimeout)
 	defer cancel()
 	outcome := t.manager.config.Orders.Check(bounded, check)
 	ordersTotal.WithLabelValues(t.manager.service, "check", outcome.String()).Inc()
