A term ends before its fences reach into the next epoch's (OWNER)

A fence has 20 bits for its number within an epoch and nothing bounded the number. After about a million fences the next one is of the next epoch, or, for an odd epoch, the first one again.

From fifteen sixteenths on the manager steps down as for a shutdown, and its successor has another epoch. Without the store it goes on, as it issues next to none then.

--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -162,6 +162,10 @@
 		t.endTerm()
 		return
 	}
+	if t.core.NearlyOutOfFences() && !t.storeFailed {
+		t.manager.logger.Info("fences nearly used up, stepping down", zap.Uint64("epoch", t.epoch))
+		t.stepDown()
+	}
 	t.updateServers(current)
 	t.updatePredecessors(current)
 	t.core.SetStoreHealthy(!t.storeFailed && t.sinceRenewal() < lockTTL)
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -15,6 +15,10 @@
 // maxRaisedFences leaves half of an epoch's fences for changes of owners.
 const maxRaisedFences = 1 << (fenceEpochShift - 1)
 
+// maxIssuedFences is the number of fences from which a manager should be succeeded. It leaves room for
+// what is issued until then.
+const maxIssuedFences = 15 << (fenceEpochShift - 4)
+
 // EpochOf returns the epoch of the manager that issued a fence.
 func EpochOf(fence uint64) uint64 { return fence >> fenceEpochShift }
 
@@ -335,6 +339,10 @@
 	return m.lastFence()
 }
 
+// NearlyOutOfFences reports whether another manager should take over, under another epoch, before this
+// one issues fences of the next epoch.
+func (m *Manager) NearlyOutOfFences() bool { return m.fenceSequence >= maxIssuedFences }
+
 // lastFence returns the fence that was issued last, or one below all fences of this manager.
 func (m *Manager) lastFence() uint64 { return m.epoch<<fenceEpochShift | m.fenceSequence }
 
