Entries of nodes, managers and retirements are checked like those of servers

"null" under the key of a node, a manager's lock or a retirement was applied as an entry with empty fields: a live node lost its address and process at all others, a manager its name, a retirement its process. A node's entry could name another node, or a share of 1e300 processors, by which all others prefer it. A number of 256 KB gave a log line of 256 KB.

Cause: json.Unmarshal accepts null, and no field was checked.

Change: null is no entry. A node's entry names the node of its key and a share from 0 to 4,096 processors, a manager's lock names a node, a retirement names a process. What does not is logged and ignored, as unreadable entries were before: the known one stays. Errors quote 64 bytes at most.

The fixture of internal/dispatch registered its nodes as "{}", which no node writes; it now writes their names. What its tests require is unchanged.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -30,7 +30,8 @@
 	d := New(options, builder, zap.NewNop())
 	items := []topo.Item{{Key: "table", Revision: 1}, {Key: "servers/a", Revision: 1}}
 	for index := range nodes {
-		items = append(items, topo.Item{Key: view.NodeKey(fmt.Sprintf("n%d", index)), Value: []byte("{}"), Revision: 1})
+		name := fmt.Sprintf("n%d", index)
+		items = append(items, topo.Item{Key: view.NodeKey(name), Value: fmt.Appendf(nil, `{"name":%q}`, name), Revision: 1})
 	}
 	builder.Replace(items, 1)
 	return d
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -1,15 +1,16 @@
 package view
 
 import (
-	"encoding/json"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/documents"
 	"github.com/micahaven/micahaven/internal/routing"
 	"github.com/micahaven/micahaven/internal/shards"
 	"github.com/micahaven/micahaven/internal/topo"
@@ -235,7 +236,7 @@
 	}
 	decoded, err := shards.DecodeOwners(item.Value, before.Owners)
 	if err != nil {
-		b.logger.Error("invalid owner map ignored", zap.String("service", service), zap.Error(err))
+		b.logger.Error("invalid owner map ignored", zap.String("service", documents.Shorten(service)), zap.Error(err))
 		return
 	}
 	if before.Owners != nil && before.NewerThan(decoded) {
@@ -248,8 +249,12 @@
 
 func (b *Builder) putManager(service string, item topo.Item) {
 	var manager Manager
-	if err := json.Unmarshal(item.Value, &manager); err != nil {
-		b.logger.Error("invalid manager entry ignored", zap.String("service", service), zap.Error(err))
+	err := documents.Decode(item.Value, &manager)
+	if err == nil && manager.Name == "" {
+		err = errors.Wrap(documents.ErrInvalid, "field name: empty, allowed: a node's name")
+	}
+	if err != nil {
+		b.logger.Error("invalid manager entry ignored", zap.String("service", documents.Shorten(service)), zap.Error(err))
 		return
 	}
 	manager.Revision = item.Revision
@@ -258,8 +263,12 @@
 
 func (b *Builder) putRetired(item topo.Item) {
 	var retired Retirement
-	if err := json.Unmarshal(item.Value, &retired); err != nil {
-		b.logger.Error("invalid retirement ignored", zap.String("key", item.Key), zap.Error(err))
+	err := documents.Decode(item.Value, &retired)
+	if err == nil && retired.Process == "" {
+		err = errors.Wrap(documents.ErrInvalid, "field process: empty, allowed: a process")
+	}
+	if err != nil {
+		b.logger.Error("invalid retirement ignored", zap.String("key", documents.Shorten(item.Key)), zap.Error(err))
 		return
 	}
 	b.retired.put(item.Key, retired)
@@ -282,9 +291,9 @@
 }
 
 func (b *Builder) putNode(name string, item topo.Item) {
-	var node Node
-	if err := json.Unmarshal(item.Value, &node); err != nil {
-		b.logger.Error("invalid node entry ignored", zap.String("node", name), zap.Error(err))
+	node, err := decodeNode(name, item.Value)
+	if err != nil {
+		b.logger.Error("invalid node entry ignored", zap.String("node", documents.Shorten(name)), zap.Error(err))
 		return
 	}
 	known, present := b.nodes.content.Lookup(name)
@@ -298,6 +307,26 @@
 	}
 }
 
+// maxNodeShare bounds the share of a processor that a node may state.
+const maxNodeShare = 1 << 12
+
+// decodeNode decodes the registration of the node with the given name. It returns a
+// documents.ErrInvalid if no node writes such a registration: a node that does not exist but has the
+// greatest share would be preferred by all others.
+func decodeNode(name string, text []byte) (Node, error) {
+	var node Node
+	if err := documents.Decode(text, &node); err != nil {
+		return Node{}, err
+	}
+	if node.Name != name || name == "" {
+		return Node{}, errors.Wrapf(documents.ErrInvalid, "field name: %q, allowed: that of the key", documents.Shorten(node.Name))
+	}
+	if node.Share < 0 || node.Share > maxNodeShare {
+		return Node{}, errors.Wrapf(documents.ErrInvalid, "field share: %g, allowed: 0 to %d", node.Share, maxNodeShare)
+	}
+	return node, nil
+}
+
 func (b *Builder) delete(key string) {
 	switch {
 	case strings.HasPrefix(key, b.layout.ServerPrefix):
