--- a/internal/documents/documents.go
+++ b/internal/documents/documents.go
@@ -4,6 +4,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -40,3 +42,16 @@
 	}
 	return text[:MaxQuoted] + "..."
 }
+
+// maxDuration bounds durations in documents, so that no sum of a time and a duration overflows.
+const maxDuration = 100 * 365 * 24 * time.Hour
+
+// Milliseconds converts a number of milliseconds of a document. Numbers beyond a century count as a
+// century, and what is no number as 0.
+func Milliseconds(count float64) time.Duration {
+	const most = float64(maxDuration / time.Millisecond)
+	if math.IsNaN(count) {
+		return 0
+	}
+	return time.Duration(min(most, max(-most, count)) * float64(time.Millisecond))
+}
--- a/internal/documents/documents_test.go
+++ b/internal/documents/documents_test.go
@@ -1,8 +1,10 @@
 package documents_test
 
 import (
+	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,3 +24,19 @@
 		}
 	}
 }
+
+// Guards against durations that overflow and are then of the past.
+func TestNumbersOfAnySizeAreDurations(t *testing.T) {
+	if got := documents.Milliseconds(math.NaN()); got != 0 {
+		t.Errorf("what is no number: %v, want 0", got)
+	}
+	const century = 100 * 365 * 24 * time.Hour
+	for count, want := range map[float64]time.Duration{
+		0: 0, 0.5: 500 * time.Microsecond, 1500: 1500 * time.Millisecond, 1e13: century, 1e300: century, -1e300: -century,
+		math.MaxInt64: century, math.Inf(1): century,
+	} {
+		if got := documents.Milliseconds(count); got != want {
+			t.Errorf("%g ms: %v, want %v", count, got, want)
+		}
+	}
+}
