A status below 100 is no response

What callers would see: 200 with the body of a signed answer whose status is 000 to 099, damaged on its way or by a faulty server; to a GET as to a POST.

Cause: the client of servers accepted any three digits, and the caller's side ignores a status below 200 that it is asked to write, as net/http does, and writes 200 with the body. Class: a value that one side ignores as invalid and the other fills with a default.

Change: such a response is damaged (ErrBadResponse): safe requests go to another server, others are answered with 502.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -333,6 +333,8 @@
 		return nil, errors.Wrapf(ErrBadResponse, "head of the answer exceeds %d bytes", maxHead)
 	case err != nil:
 		return nil, errors.Mark(errors.Wrap(err, "read answer"), ErrNoResponse)
+	case response.StatusCode < http.StatusContinue:
+		return nil, errors.Wrapf(ErrBadResponse, "status %d", response.StatusCode)
 	default:
 		return response, nil
 	}
--- a/internal/upstream/truncated_test.go
+++ b/internal/upstream/truncated_test.go
@@ -150,3 +150,14 @@
 		}
 	}
 }
+
+// Guards against a damaged status that a client would get as 200.
+func TestStatusBelow100IsDamaged(t *testing.T) {
+	server := startScriptedServer(t, false)
+	for _, status := range []string{"000", "020", "099"} {
+		response, err := server.exchange(t, http.MethodGet, "HTTP/1.1 "+status+" OK\r\nId: a\r\nContent-Length: 0\r\n\r\n")
+		if !errors.Is(err, ErrBadResponse) {
+			t.Errorf("status %s: response %v, error %v", status, response, err)
+		}
+	}
+}
