A surplus answer renews no grant (OWNER)

What callers would see: a server sends the answer to a grant twice and executes the next renewal late. The surplus answer counts for the renewal, so the lease counts from an answer that the server has not given, and the owner's keys may go to another server while it still executes the renewal: two servers hold them.

Cause: answers to grants carry no id, so an answer on a kept connection is matched to a renewal by position only.

Change: on a connection that has carried a grant, a second message follows each renewal in the same write: a grant without a body and addressed to no server, which every server refuses (421 or 400) and which changes nothing whenever it is executed. A server answers the requests of a connection in order, so the renewal's answer counts only if it is the only one before that refusal (upstream.Barrier). Otherwise the grant is unanswered, and the next one uses a new connection.

No run of processes has shown the fault.

Left: surplus copies of a renewal's answer and of the refusal behind it, both late and in order on one connection, pass for the next two.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -113,6 +113,9 @@
 	IDHeader, ID string
 	// Attempts links the attempts to send the same request under the same ID; nil if there is only one.
 	Attempts *Attempts
+	// Barrier follows the request on a reused connection; nil for none. Without a response to it, the
+	// request has none either.
+	Barrier *Barrier
 }
 
 // openedLate reports whether a connection was opened later than the request allows.
@@ -266,12 +269,18 @@
 	if err != nil {
 		return nil, false, errors.Mark(errors.Wrap(err, "read answer"), ErrBadResponse)
 	}
+	passed := true
+	if c.needsBarrier(request) {
+		if passed, err = c.passBarrier(request); err != nil {
+			return nil, false, err
+		}
+	}
 	if len(answer.Body) == maxBufferedBody {
 		answer.Rest = response.Body
 		return answer, false, nil
 	}
 	c.recordKeepAlive(response.Header)
-	reusable := !response.Close && !skipped && c.reader.Buffered() == 0 && bodySent(bodyDone)
+	reusable := passed && !response.Close && !skipped && c.reader.Buffered() == 0 && bodySent(bodyDone)
 	return answer, reusable, nil
 }
 
@@ -361,6 +370,10 @@
 	appendHead(head, request)
 	if request.Rest == nil && len(request.Body) < minConcurrentBody {
 		head.Write(request.Body)
+		if c.needsBarrier(request) {
+			appendHead(head, request.Barrier.Request)
+			head.Write(request.Barrier.Request.Body)
+		}
 		_, err := c.socket.Write(head.Bytes())
 		return nil, err
 	}
