A server that answers no command is given no keys

What callers saw: one of six servers hangs (it accepts connections and answers nothing) while its entry lives.

Cause: only commands that were not sent count against a server; an unanswered one says that the path works. The hung server gets few requests, seems idle, and is given the keys of servers that serve them, one range a second. Lines: "release", reason "idle server", of s1, s3, s4, s5 and s6, each followed by "range owner" s2.

Change: a server that has answered none of at least three commands in a row, over a second, is given no keys until it answers a check, as one that is not reached. Nothing is taken from it for this.

TestSilentServerIsGivenNoKeys failed before (42,690 keys given to the silent server after 4 s).

Left: the keys of the hung server itself stay dark, because each grant without an answer may be executed late.

--- a/internal/shards/balance_test.go
+++ b/internal/shards/balance_test.go
@@ -18,6 +18,9 @@
 	moves, grants int
 	// unreached are the servers that no command reaches.
 	unreached map[discovery.ServerID]bool
+	// hung are the servers that leave every command unanswered, and unanswered the results to come.
+	hung       map[discovery.ServerID]bool
+	unanswered []timedResult
 }
 
 // outcome returns the outcome of a command to a server.
@@ -29,7 +32,7 @@
 }
 
 func newHarness(capacities ...float64) *harness {
-	b := &harness{unreached: make(map[discovery.ServerID]bool), core: shards.NewManager("s", 1, shards.Author{Node: "n", Process: "p"}, nil, shards.DefaultOptions(), 0)}
+	b := &harness{unreached: make(map[discovery.ServerID]bool), hung: make(map[discovery.ServerID]bool), core: shards.NewManager("s", 1, shards.Author{Node: "n", Process: "p"}, nil, shards.DefaultOptions(), 0)}
 	for index, capacity := range capacities {
 		id := discovery.ServerID(rune('a' + index))
 		b.servers = append(b.servers, shards.Server{ID: id, Address: string(id), Capacity: capacity, Accepting: true})
@@ -45,15 +48,20 @@
 		}
 		b.core.SetServers(b.servers)
 		b.core.Start()
+		b.timeOut()
 		commands := b.core.Tick(b.now)
 		b.grants += len(commands.Grants)
 		for _, grant := range commands.Grants {
-			b.core.GrantDone(b.now, shards.GrantResult{Grant: grant, SentAt: b.now, Outcome: b.outcome(grant.Owner)})
+			b.finish(grant.Owner, func(outcome shards.Outcome) {
+				b.core.GrantDone(b.now, shards.GrantResult{Grant: grant, SentAt: b.now, Outcome: outcome})
+			})
 		}
 		b.answerChecks(commands)
 		b.moves += len(commands.Releases)
 		for _, release := range commands.Releases {
-			b.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: b.outcome(release.Owner), Handover: "h"})
+			b.finish(release.Owner, func(outcome shards.Outcome) {
+				b.core.ReleaseDone(shards.ReleaseResult{Release: release, Outcome: outcome, Handover: "h"})
+			})
 		}
 		if commands.Commit != nil {
 			b.stored = commands.Commit.Map
@@ -65,7 +73,27 @@
 // answerChecks passes the results of all checks.
 func (b *harness) answerChecks(commands shards.Commands) {
 	for _, check := range commands.Checks {
-		b.core.CheckDone(b.now, shards.ReleaseResult{Release: check, Outcome: b.outcome(check.Owner)})
+		b.finish(check.Owner, func(outcome shards.Outcome) {
+			b.core.CheckDone(b.now, shards.ReleaseResult{Release: check, Outcome: outcome})
+		})
+	}
+}
+
+// finish passes the outcome of a command, at once or when its call times out.
+func (b *harness) finish(server discovery.ServerID, done func(shards.Outcome)) {
+	if !b.hung[server] {
+		done(b.outcome(server))
+		return
+	}
+	b.unanswered = append(b.unanswered, timedResult{at: b.now + shards.DefaultOptions().CallTimeout, result: func() { done(shards.Unanswered) }})
+}
+
+// timeOut passes the results of commands whose calls have timed out.
+func (b *harness) timeOut() {
+	for len(b.unanswered) > 0 && b.now >= b.unanswered[0].at {
+		result := b.unanswered[0].result
+		b.unanswered = b.unanswered[1:]
+		result()
 	}
 }
 
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -250,7 +250,7 @@
 
 // accepting returns the servers that may be given keys: those that accept keys, are reached and are
 // not warming up or, if there are none, those that are warming up or, if there are none either, those
-// that no command has failed to reach. The caller must not modify the slice.
+// that have left no command unanswered. The caller must not modify the slice.
 func (m *Manager) accepting() []Server {
 	if m.acceptingServers == nil {
 		m.acceptingServers = m.selectAccepting()
@@ -264,7 +264,7 @@
 		unconfirmed := m.unconfirmed[server.ID]
 		switch {
 		case !server.Accepting:
-		case unconfirmed != nil && unconfirmed.unsent == 0:
+		case unconfirmed != nil && unconfirmed.silent == 0:
 			untried = append(untried, server)
 		case unconfirmed != nil:
 		case server.Warming:
--- a/internal/shards/reach.go
+++ b/internal/shards/reach.go
@@ -16,6 +16,10 @@
 	// in a row, before the server counts as unreached.
 	unreachedTimeout = 600 * time.Millisecond
 	minUnsent        = 3
+	// silenceTimeout is how long a server must have answered no command, and minSilent how many in a
+	// row, before the server counts as silent.
+	silenceTimeout = time.Second
+	minSilent      = 3
 	// minCheckInterval is the initial interval between two checks of a server. It grows with the
 	// time for which the server has not been reached, divided by checkIntervalDivisor, up to
 	// maxCheckInterval.
@@ -42,6 +46,10 @@
 	// unsentSince.
 	unsent      int
 	unsentSince time.Duration
+	// silent counts the commands in a row that were not answered, whether they were sent or not, the
+	// result of the first at silentSince.
+	silent      int
+	silentSince time.Duration
 	// checkAt is when the next check is due, and checking is true while one is in flight.
 	checkAt  time.Duration
 	checking bool
@@ -127,30 +135,48 @@
 		m.recordUnsent(now, id, known, outcome)
 	case Unanswered, ConnectionLost:
 		// A connection was open, so the path to the address works.
-		known.unsent, known.answeredSince = 0, 0
+		known.unsent = 0
+		m.recordSilence(now, id, known, outcome)
 	case Withheld:
 	}
 }
 
+// recordSilence records that a server has not answered a command. One that answers none is given no
+// keys: it gets few requests, so that it seems to have room.
+func (m *Manager) recordSilence(now time.Duration, id discovery.ServerID, known *reach, outcome Outcome) {
+	if known.silent == 0 {
+		known.silentSince = now
+	}
+	known.silent++
+	known.answeredSince = 0
+	m.acceptingServers = nil
+	if known.confirmed && known.silent >= minSilent && now-known.silentSince >= silenceTimeout {
+		m.suspect(now, id, known, now-known.silentSince, outcome)
+	}
+}
+
+// suspect records that a server is given no keys until it answers.
+func (m *Manager) suspect(now time.Duration, id discovery.ServerID, known *reach, since time.Duration, outcome Outcome) {
+	known.confirmed, known.waitingSince, known.checkAt = false, now, now
+	m.unconfirmed[id] = known
+	m.reachChanges = append(m.reachChanges, ReachChange{Server: id, Since: since, Outcome: outcome})
+}
+
 // recordUnsent records that a command did not reach a server.
 func (m *Manager) recordUnsent(now time.Duration, id discovery.ServerID, known *reach, outcome Outcome) {
 	if known.unsent == 0 {
 		known.unsentSince = now
 	}
 	known.unsent++
-	known.answeredSince = 0
-	m.acceptingServers = nil
-	if !known.confirmed || !known.unreached(now) {
-		return
+	if known.confirmed && known.unreached(now) {
+		m.suspect(now, id, known, now-known.unsentSince, outcome)
 	}
-	known.confirmed, known.waitingSince, known.checkAt = false, now, now
-	m.unconfirmed[id] = known
-	m.reachChanges = append(m.reachChanges, ReachChange{Server: id, Since: now - known.unsentSince, Outcome: outcome})
+	m.recordSilence(now, id, known, outcome)
 }
 
 // recordAnswer records that a server has answered. It is confirmed once its probation is over.
 func (m *Manager) recordAnswer(now time.Duration, id discovery.ServerID, known *reach, outcome Outcome) {
-	known.unsent = 0
+	known.unsent, known.silent = 0, 0
 	if known.confirmed {
 		if known.losses > 0 && now-known.lostAt > probationMemory {
 			known.losses = 0
