An owner that does not answer is checked instead of being sent grants

What callers saw: one of six servers hangs while its entry lives.

Cause: a grant without an answer may be executed 13 s late, so its lease may end 18 s after it. The manager went on sending grants to owners that answered none of them, and each began the wait anew. Of the grants to a resetting server, 8 of 188 were lost with their connection; one within 18 s is enough.

Change: an owner is sent no grants, but checks, once commands do not reach it, or once it has answered neither a command nor, by the load reports, a request for a lease. Its grants go on with its first answer; otherwise its ranges are vacated when every lease has ended by the table that counts already. No wait is shortened. Grants are suspended only with the store, while most owners answer and others may be given keys. A check of an owner releases a key of another server.

A server that executes grants without answering them (late, or behind a path that loses answers to the manager's node) keeps its keys while it serves: reports whose requests took less than a call's timeout on average count as served. Abandoned requests are counted in the same figure, so callers that give up sooner than that make a hung server look as if it served, and its keys stay dark as before.

TestSilentOwnerLosesItsKeysWhenItsLeasesHaveEnded and TestRefusingOwnerLosesItsKeysThoughSomeConnectionsOpen failed before.

--- a/internal/shardmanager/manager.go
+++ b/internal/shardmanager/manager.go
@@ -320,3 +320,9 @@
 	// Busy is the total time that the server had these requests.
 	Busy time.Duration
 }
+
+// answered reports whether the server seems to have answered requests: those that were abandoned took
+// longer than timeout on average.
+func (l ServerLoad) answered(timeout time.Duration) bool {
+	return l.Attempts > 0 && l.Busy < time.Duration(l.Attempts)*timeout
+}
--- a/internal/shardmanager/speed.go
+++ b/internal/shardmanager/speed.go
@@ -187,5 +187,8 @@
 			slots = s.Slots
 		}
 		t.speeds.record(time.Now(), slots, load)
+		if load.answered(t.manager.config.Options.CallTimeout) {
+			t.core.RecordServed(t.now(), load.Server)
+		}
 	}
 }
--- a/internal/shardmanager/speed_test.go
+++ b/internal/shardmanager/speed_test.go
@@ -152,3 +152,21 @@
 		}
 	}
 }
+
+// Guards against abandoned requests that are taken for answers, so that a hung server seems to serve.
+func TestAbandonedRequestsAreNoSignThatAServerServes(t *testing.T) {
+	const timeout = time.Second
+	cases := map[string]struct {
+		load     ServerLoad
+		answered bool
+	}{
+		"no requests":        {ServerLoad{}, false},
+		"answered requests":  {ServerLoad{Attempts: 3, Busy: 120 * time.Millisecond}, true},
+		"abandoned requests": {ServerLoad{Attempts: 2, Busy: 4 * time.Second}, false},
+	}
+	for name, c := range cases {
+		if answered := c.load.answered(timeout); answered != c.answered {
+			t.Errorf("%s: answered is %v, want %v", name, answered, c.answered)
+		}
+	}
+}
--- a/internal/shards/balance_test.go
+++ b/internal/shards/balance_test.go
@@ -18,6 +18,8 @@
 	moves, grants int
 	// unreached are the servers that no command reaches.
 	unreached map[discovery.ServerID]bool
+	// closesEach is after how many commands to unreached servers one is lost with its connection.
+	closesEach, closed int
 	// hung are the servers that leave every command unanswered, and unanswered the results to come.
 	hung       map[discovery.ServerID]bool
 	unanswered []timedResult
@@ -26,6 +28,10 @@
 // outcome returns the outcome of a command to a server.
 func (b *harness) outcome(server discovery.ServerID) shards.Outcome {
 	if b.unreached[server] {
+		b.closed++
+		if b.closesEach > 0 && b.closed%b.closesEach == 0 {
+			return shards.ConnectionLost
+		}
 		return shards.NotSent
 	}
 	return shards.Accepted
--- a/internal/shards/reach.go
+++ b/internal/shards/reach.go
@@ -34,8 +34,6 @@
 	minProbation    = time.Second
 	maxProbation    = 64 * time.Second
 	probationMemory = 5 * time.Minute
-	// checkedKey is the key that a check releases. Its owner is not checked.
-	checkedKey = LastKey
 )
 
 // reach is what is known of whether commands reach a server.
@@ -50,6 +48,11 @@
 	// result of the first at silentSince.
 	silent      int
 	silentSince time.Duration
+	// refused is true if commands did not reach the server and it has not answered since.
+	refused bool
+	// lastAnswerAt is when the server last answered a command, and servedAt when nodes last got
+	// responses to requests from it; 0 if not within this term.
+	lastAnswerAt, servedAt time.Duration
 	// checkAt is when the next check is due, and checking is true while one is in flight.
 	checkAt  time.Duration
 	checking bool
@@ -168,15 +171,18 @@
 		known.unsentSince = now
 	}
 	known.unsent++
-	if known.confirmed && known.unreached(now) {
-		m.suspect(now, id, known, now-known.unsentSince, outcome)
+	if known.unreached(now) {
+		known.refused = true
+		if known.confirmed {
+			m.suspect(now, id, known, now-known.unsentSince, outcome)
+		}
 	}
 	m.recordSilence(now, id, known, outcome)
 }
 
 // recordAnswer records that a server has answered. It is confirmed once its probation is over.
 func (m *Manager) recordAnswer(now time.Duration, id discovery.ServerID, known *reach, outcome Outcome) {
-	known.unsent, known.silent = 0, 0
+	known.unsent, known.silent, known.refused, known.lastAnswerAt = 0, 0, false, now
 	if known.confirmed {
 		if known.losses > 0 && now-known.lostAt > probationMemory {
 			known.losses = 0
@@ -201,10 +207,11 @@
 	if len(due) == 0 {
 		return
 	}
-	owners := m.owners()
+	owners, suspended := m.owners(), m.suspendedServers(now)
 	for _, id := range due {
 		known := m.unconfirmed[id]
-		if owners[id] {
+		key, found := m.checkedKey(id)
+		if !found || owners[id] && !suspended[id] {
 			// The outcomes of its grants show whether it is reached.
 			known.checkAt = now + minCheckInterval
 			continue
@@ -215,7 +222,7 @@
 		known.checking = true
 		known.checkAt = now + min(maxCheckInterval, max(minCheckInterval, (now-known.waitingSince)/checkIntervalDivisor))
 		commands.Checks = append(commands.Checks, Release{
-			First: checkedKey, Last: checkedKey, Owner: id, Address: m.servers[id].Address, Fence: m.nextFence(), Move: Move{Reason: ReachCheck},
+			First: key, Last: key, Owner: id, Address: m.servers[id].Address, Fence: m.nextFence(), Move: Move{Reason: ReachCheck},
 		})
 	}
 }
@@ -256,7 +263,7 @@
 			continue
 		}
 		total++
-		if known.unreached(now) {
+		if known.suspended(now, m.options.Lease) {
 			failing++
 		}
 	}
@@ -272,7 +279,7 @@
 	lost := make(map[discovery.ServerID]bool)
 	for _, s := range m.shards {
 		known := m.reaches[s.Owner]
-		if s.phase != owned || known == nil || known.confirmed || !known.unreached(now) || !m.leaseEnded(s, now) {
+		if s.phase != owned || known == nil || !known.suspended(now, m.options.Lease) || !m.leaseEnded(s, now) {
 			continue
 		}
 		if len(lost) == 0 && (!m.mostReached(now) || !m.othersAccept(s.Owner)) {
--- a/internal/shards/renew.go
+++ b/internal/shards/renew.go
@@ -25,6 +25,7 @@
 		m.renewPreviousGrants(now, interval, commands)
 		return
 	}
+	suspended := m.suspendedServers(now)
 	for _, s := range m.shards {
 		if s.Late && now > max(s.delayedGrantUntil, s.leaseUntil-m.maxLease()) {
 			s.Late = false
@@ -32,6 +33,9 @@
 		if s.phase != owned || s.grantsInFlight > 0 || now < s.renewAt {
 			continue
 		}
+		if suspended[s.Owner] {
+			continue
+		}
 		s.grantsInFlight++
 		s.renewAt = now + interval
 		granted := s.Range
--- a/internal/shards/silent_test.go
+++ b/internal/shards/silent_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/micahaven/micahaven/internal/discovery"
+	"github.com/micahaven/micahaven/internal/shards"
 )
 
 // answeredLoad returns a function that records evenly spread requests, but none for keys of hung servers.
@@ -47,3 +48,61 @@
 		t.Error("the server has no keys 8 s after it answers again")
 	}
 }
+
+// Guards against keys that stay dark because grants that nobody answers may be executed late.
+func TestSilentOwnerLosesItsKeysWhenItsLeasesHaveEnded(t *testing.T) {
+	b := newHarness(uniformCapacities(6)...)
+	load := b.answeredLoad(600)
+	b.run(8*time.Second, load)
+	const hung = discovery.ServerID("b")
+	b.hung[hung] = true
+	options := shards.DefaultOptions()
+	// A lease after its last answer the owner is sent no more grants.
+	b.run(options.Lease+options.CallTimeout+options.MaxCommandDelay+longestLease()+300*time.Millisecond, load)
+	if share := b.share()[hung]; share > 0 {
+		t.Errorf("the silent server owns %.2f of the keys", share)
+	}
+}
+
+// Guards against keys that are taken from a server that serves them but leaves grants unanswered.
+func TestSilentOwnerThatServesKeepsItsKeys(t *testing.T) {
+	b := newHarness(uniformCapacities(6)...)
+	b.run(8*time.Second, nil)
+	const silent = discovery.ServerID("b")
+	before := b.stored
+	b.hung[silent] = true
+	b.run(40*time.Second, func() { b.core.RecordServed(b.now, silent) })
+	if moved := b.moved(before); moved > 0 {
+		t.Errorf("%d keys moved", moved)
+	}
+}
+
+// Guards against an owner whose grants stay suspended after it answers again.
+func TestOwnerThatWasSilentForSomeSecondsIsGrantedItsKeysAgain(t *testing.T) {
+	for _, silence := range []time.Duration{4 * time.Second, 7 * time.Second, 15 * time.Second} {
+		b := newHarness(uniformCapacities(6)...)
+		b.run(8*time.Second, nil)
+		const hung = discovery.ServerID("b")
+		before := b.stored
+		b.hung[hung] = true
+		b.run(silence, nil)
+		delete(b.hung, hung)
+		b.run(40*time.Second, nil)
+		if moved := b.moved(before); moved > 0 {
+			t.Errorf("%d keys moved after a silence of %v", moved, silence)
+		}
+	}
+}
+
+// Guards against grants to a refusing server of which one is lost with its connection now and then, so that
+// it may be executed late.
+func TestRefusingOwnerLosesItsKeysThoughSomeConnectionsOpen(t *testing.T) {
+	b := newHarness(uniformCapacities(6)...)
+	b.run(8*time.Second, nil)
+	const cut = discovery.ServerID("b")
+	b.unreached[cut], b.closesEach = true, 20
+	b.run(longestLease()+500*time.Millisecond, nil)
+	if share := b.share()[cut]; share > 0 {
+		t.Errorf("the refusing server owns %.2f of the keys", share)
+	}
+}
--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -58,6 +58,8 @@
 	// delaysGrants is true while half of the commands get no response: the grants are executed
 	// later, and the releases are lost.
 	delaysGrants bool
+	// silent is true while the server answers no command.
+	silent bool
 }
 
 // delayedGrant is a grant that is executed some time after it was sent.
@@ -86,6 +88,8 @@
 	results    []func()
 	// unanswered are the results of unanswered grants, which the manager gets after its call timeout.
 	unanswered []timedResult
+	// released has the ranges that the manager has sent releases for.
+	released map[ownedFrom]bool
 	// lastWritten is the last map that the manager wrote.
 	lastWritten *shards.Map
 }
@@ -129,6 +133,12 @@
 	refusesConnections bool
 	// entriesLiveOn keeps unreachable servers registered.
 	entriesLiveOn bool
+	// silences makes servers answer nothing for some time, and longTerms makes managers last longer.
+	silences, longTerms bool
+	// neverCut keeps all servers reachable.
+	neverCut bool
+	// unasked counts ranges taken from registered owners that were sent no release.
+	unasked int
 	// resigns makes managers resign.
 	resigns bool
 	// restoreFaults configures restoreFaults of the store from older copies.
@@ -209,7 +219,7 @@
 
 // injectFaults randomly injects the faults of one step.
 func (w *simulation) injectFaults() {
-	if lockHolder := w.lockHolder(); lockHolder != nil && w.chance(2) {
+	if lockHolder := w.lockHolder(); lockHolder != nil && w.chance(2) && !w.spares() {
 		w.lockAt = w.now + lockLapse
 		if w.chance(50) {
 			w.states[lockHolder.process] = shards.Ended
@@ -219,19 +229,21 @@
 			lockHolder.core.SetStoreHealthy(false)
 		}
 	}
-	if lockHolder := w.lockHolder(); w.resigns && lockHolder != nil && w.chance(2) {
+	if lockHolder := w.lockHolder(); w.resigns && lockHolder != nil && w.chance(2) && !w.spares() {
 		w.resign(lockHolder)
 	}
 	victim := w.servers[w.random.IntN(len(w.servers))]
 	switch w.random.IntN(60) {
 	case 0:
-		victim.reachable = !victim.reachable
+		victim.reachable = !victim.reachable || w.neverCut
 	case 1:
 		victim.delaysGrants = !victim.delaysGrants
 	case 2:
 		victim.up = false
 		victim.reused = w.restarts && w.chance(50)
 		w.addServer()
+	case 5:
+		victim.silent = w.silences && !victim.silent
 	case 3, 4:
 		if w.restarts && victim.up && (w.restartsAnytime || w.allHaveStore()) {
 			w.restart(victim)
@@ -326,6 +338,7 @@
 	}
 	manager.core.Start()
 	commands := manager.core.Tick(w.now)
+	w.countVacancies(manager, commands.Vacated)
 	for _, grant := range commands.Grants {
 		w.send(manager, grant)
 	}
@@ -379,7 +392,10 @@
 		} else if target.up && w.chance(20) {
 			w.acceptGrant(target, grant)
 		}
-	case target.delaysGrants && w.chance(50):
+	case target.silent && w.chance(30):
+		outcome = shards.Unanswered
+		w.acceptGrant(target, grant)
+	case target.silent || target.delaysGrants && w.chance(50):
 		outcome = shards.Unanswered
 		if w.closesConnections && w.chance(50) {
 			outcome = shards.ConnectionLost
@@ -450,6 +466,7 @@
 }
 
 func (w *simulation) release(manager *simManager, release shards.Release) {
+	manager.recordRelease(release)
 	target := w.server(release.Owner)
 	if w.trustsRegistrations && target.id != release.Owner || !target.up && target.reused && target.reachable {
 		manager.results = append(manager.results, func() {
@@ -457,7 +474,7 @@
 		})
 		return
 	}
-	if !target.up || !target.reachable || (target.delaysGrants && w.chance(50)) {
+	if !target.up || !target.reachable || target.silent || (target.delaysGrants && w.chance(50)) {
 		return
 	}
 	w.acceptRelease(target, release)
@@ -475,7 +492,7 @@
 		outcome = shards.Misdirected
 	case !target.up, !target.reachable:
 		outcome = shards.NotSent
-	case target.delaysGrants && w.chance(50):
+	case target.silent || target.delaysGrants && w.chance(50):
 		outcome = shards.Unanswered
 	default:
 		w.acceptRelease(target, check)
