--- a/internal/shards/reach.go
+++ b/internal/shards/reach.go
@@ -16,6 +16,10 @@
 	// in a row, before the server counts as unreached.
 	unreachedTimeout = 600 * time.Millisecond
 	minUnsent        = 3
+	// silenceTimeout is how long a server must have answered no command, and minSilent how many in a
+	// row, before the server counts as silent.
+	silenceTimeout = time.Second
+	minSilent      = 3
 	// minCheckInterval is the initial interval between two checks of a server. It grows with the
 	// time for which the server has not been reached, divided by checkIntervalDivisor, up to
 	// maxCheckInterval.
@@ -30,8 +34,6 @@
 	minProbation    = time.Second
 	maxProbation    = 64 * time.Second
 	probationMemory = 5 * time.Minute
-	// checkedKey is the key that a check releases. Its owner is not checked.
-	checkedKey = LastKey
 )
 
 // reach is what is known of whether commands reach a server.
@@ -42,6 +44,15 @@
 	// unsentSince.
 	unsent      int
 	unsentSince time.Duration
+	// silent counts the commands in a row that were not answered, whether they were sent or not, the
+	// result of the first at silentSince.
+	silent      int
+	silentSince time.Duration
+	// refused is true if commands did not reach the server and it has not answered since.
+	refused bool
+	// lastAnswerAt is when the server last answered a command, and servedAt when nodes last got
+	// responses to requests from it; 0 if not within this term.
+	lastAnswerAt, servedAt time.Duration
 	// checkAt is when the next check is due, and checking is true while one is in flight.
 	checkAt  time.Duration
 	checking bool
@@ -127,30 +138,51 @@
 		m.recordUnsent(now, id, known, outcome)
 	case Unanswered, ConnectionLost:
 		// A connection was open, so the path to the address works.
-		known.unsent, known.answeredSince = 0, 0
+		known.unsent = 0
+		m.recordSilence(now, id, known, outcome)
 	case Withheld:
 	}
 }
 
+// recordSilence records that a server has not answered a command. One that answers none is given no
+// keys: it gets few requests, so that it seems to have room.
+func (m *Manager) recordSilence(now time.Duration, id discovery.ServerID, known *reach, outcome Outcome) {
+	if known.silent == 0 {
+		known.silentSince = now
+	}
+	known.silent++
+	known.answeredSince = 0
+	m.acceptingServers = nil
+	if known.confirmed && known.silent >= minSilent && now-known.silentSince >= silenceTimeout {
+		m.suspect(now, id, known, now-known.silentSince, outcome)
+	}
+}
+
+// suspect records that a server is given no keys until it answers.
+func (m *Manager) suspect(now time.Duration, id discovery.ServerID, known *reach, since time.Duration, outcome Outcome) {
+	known.confirmed, known.waitingSince, known.checkAt = false, now, now
+	m.unconfirmed[id] = known
+	m.reachChanges = append(m.reachChanges, ReachChange{Server: id, Since: since, Outcome: outcome})
+}
+
 // recordUnsent records that a command did not reach a server.
 func (m *Manager) recordUnsent(now time.Duration, id discovery.ServerID, known *reach, outcome Outcome) {
 	if known.unsent == 0 {
 		known.unsentSince = now
 	}
 	known.unsent++
-	known.answeredSince = 0
-	m.acceptingServers = nil
-	if !known.confirmed || !known.unreached(now) {
-		return
+	if known.unreached(now) {
+		known.refused = true
+		if known.confirmed {
+			m.suspect(now, id, known, now-known.unsentSince, outcome)
+		}
 	}
-	known.confirmed, known.waitingSince, known.checkAt = false, now, now
-	m.unconfirmed[id] = known
-	m.reachChanges = append(m.reachChanges, ReachChange{Server: id, Since: now - known.unsentSince, Outcome: outcome})
+	m.recordSilence(now, id, known, outcome)
 }
 
 // recordAnswer records that a server has answered. It is confirmed once its probation is over.
 func (m *Manager) recordAnswer(now time.Duration, id discovery.ServerID, known *reach, outcome Outcome) {
-	known.unsent = 0
+	known.unsent, known.silent, known.refused, known.lastAnswerAt = 0, 0, false, now
 	if known.confirmed {
 		if known.losses > 0 && now-known.lostAt > probationMemory {
 			known.losses = 0
@@ -175,10 +207,11 @@
 	if len(due) == 0 {
 		return
 	}
-	owners := m.owners()
+	owners, suspended := m.owners(), m.suspendedServers(now)
 	for _, id := range due {
 		known := m.unconfirmed[id]
-		if owners[id] {
+		key, found := m.checkedKey(id)
+		if !found || owners[id] && !suspended[id] {
 			// The outcomes of its grants show whether it is reached.
 			known.checkAt = now + minCheckInterval
 			continue
@@ -189,7 +222,7 @@
 		known.checking = true
 		known.checkAt = now + min(maxCheckInterval, max(minCheckInterval, (now-known.waitingSince)/checkIntervalDivisor))
 		commands.Checks = append(commands.Checks, Release{
-			First: checkedKey, Last: checkedKey, Owner: id, Address: m.servers[id].Address, Fence: m.lastFence(), Move: Move{Reason: ReachCheck},
+			First: key, Last: key, Owner: id, Address: m.servers[id].Address, Fence: m.lastFence(), Move: Move{Reason: ReachCheck},
 		})
 	}
 }
@@ -230,7 +263,7 @@
 			continue
 		}
 		total++
-		if known.unreached(now) {
+		if known.suspended(now, m.options.Lease) {
 			failing++
 		}
 	}
@@ -246,7 +279,7 @@
 	lost := make(map[discovery.ServerID]bool)
 	for _, s := range m.shards {
 		known := m.reaches[s.Owner]
-		if s.phase != owned || known == nil || known.confirmed || !known.unreached(now) || !m.leaseEnded(s, now) {
+		if s.phase != owned || known == nil || !known.suspended(now, m.options.Lease) || !m.leaseEnded(s, now) {
 			continue
 		}
 		if len(lost) == 0 && (!m.mostReached(now) || !m.othersAccept(s.Owner)) {
