Servers that answer count for the guard, first owners that never did do not

And three dead entries beside two real servers before the first map keep 0.60 of the keys for good.

Cause: an owner that nothing reaches keeps its keys while more than half of the owners are unreached, since the fault is then likely to be this node's. Only owners counted, one of one here; and first owners that never answered counted as if they had.

Change: servers that are confirmed or answer checks count as well, and first owners that never answered do not. TestLoneOwnerThatIsUnreachedLosesItsKeys and TestFirstOwnersThatNeverAnsweredLoseTheirKeys failed before (1.00, 0.60 of the keys after 30 s).

--- a/internal/shards/reach.go
+++ b/internal/shards/reach.go
@@ -53,6 +53,8 @@
 	// lastAnswerAt is when the server last answered a command, and servedAt when nodes last got
 	// responses to requests from it; 0 if not within this term.
 	lastAnswerAt, servedAt time.Duration
+	// firstOwner is true if the server was known before any keys were assigned.
+	firstOwner bool
 	// checkAt is when the next check is due, and checking is true while one is in flight.
 	checkAt  time.Duration
 	checking bool
@@ -117,7 +119,7 @@
 		if m.reaches[id] != nil {
 			continue
 		}
-		added := &reach{confirmed: !m.Started() || owners[id]}
+		added := &reach{firstOwner: !m.Started(), confirmed: !m.Started() || owners[id]}
 		m.reaches[id] = added
 		if !added.confirmed {
 			m.unconfirmed[id] = added
@@ -149,10 +151,10 @@
 func (m *Manager) recordSilence(now time.Duration, id discovery.ServerID, known *reach, outcome Outcome) {
 	if known.silent == 0 {
 		known.silentSince = now
+		m.acceptingServers = nil
 	}
 	known.silent++
 	known.answeredSince = 0
-	m.acceptingServers = nil
 	if known.confirmed && known.silent >= minSilent && now-known.silentSince >= silenceTimeout {
 		m.suspect(now, id, known, now-known.silentSince, outcome)
 	}
@@ -162,6 +164,7 @@
 func (m *Manager) suspect(now time.Duration, id discovery.ServerID, known *reach, since time.Duration, outcome Outcome) {
 	known.confirmed, known.waitingSince, known.checkAt = false, now, now
 	m.unconfirmed[id] = known
+	m.acceptingServers = nil
 	m.reachChanges = append(m.reachChanges, ReachChange{Server: id, Since: since, Outcome: outcome})
 }
 
@@ -253,13 +256,15 @@
 	m.recordReach(now, result.Release.Owner, result.Outcome)
 }
 
-// mostReached reports whether at least half of the owners are reached. Otherwise the fault is likely
-// to be on this node's side.
+// mostReached reports whether at least half of the servers that may own keys are reached. Otherwise the
+// fault is likely to be on this node's side. First owners that never answered say nothing about it.
 func (m *Manager) mostReached(now time.Duration) bool {
 	total, failing := 0, 0
-	for id := range m.owners() {
+	owners := m.owners()
+	for id, server := range m.servers {
 		known := m.reaches[id]
-		if known == nil || !m.servers[id].Accepting {
+		candidate := owners[id] || known.confirmed || known.answeredSince > 0
+		if !server.Accepting || !candidate || known.firstOwner && known.lastAnswerAt == 0 {
 			continue
 		}
 		total++
--- a/internal/shards/reach_test.go
+++ b/internal/shards/reach_test.go
@@ -169,3 +169,31 @@
 		w.resigns, w.restarts = true, true
 	})
 }
+
+// Guards against first owners that never answered and keep their keys because they are the majority.
+func TestFirstOwnersThatNeverAnsweredLoseTheirKeys(t *testing.T) {
+	b := newHarness(uniformCapacities(5)...)
+	for _, id := range []discovery.ServerID{"a", "b", "c"} {
+		b.unreached[id] = true
+	}
+	b.run(30*time.Second, nil)
+	for _, id := range []discovery.ServerID{"a", "b", "c"} {
+		if share := b.share()[id]; share > 0 {
+			t.Errorf("server %s never answered and owns %.2f of the keys after 30 s", id, share)
+		}
+	}
+}
+
+// Guards against a lone owner that keeps its keys although another server answers.
+func TestLoneOwnerThatIsUnreachedLosesItsKeys(t *testing.T) {
+	b := newHarness(1, 1)
+	b.unreached["a"] = true
+	load := b.loadOf(100)
+	b.run(8*time.Second, load)
+	delete(b.unreached, "a")
+	b.unreached["b"] = true
+	b.run(30*time.Second, load)
+	if share := b.share()["b"]; share > 0 {
+		t.Errorf("the unreached server owns %.2f of the keys 30 s later", share)
+	}
+}
