--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -577,6 +577,7 @@
 // of the store.
 func requireOneHolder(t *testing.T, configure func(*simulation)) {
 	t.Helper()
+	t.Parallel()
 	for _, faults := range []restoreFaults{{}, {perMille: 10}} {
 		violation := firstViolationIn(*simulationRuns, func(seed uint64) *simulation {
 			w := newSimulation(seed, shards.DefaultOptions())
