An owner map that cannot be read is replaced by the known one

The log repeats "campaign failed" with "cannot parse reserved wire type".

Cause: the manager's commit finds a changed map and ends its term, and a campaign reads the stored map first, whose error ended each campaign.

Change: a candidate whose stored map cannot be read continues from the newest map known to its node, as in a restored store: the map is unverified, keys are released at all servers that the map does not name before any is granted, and the epoch is 1,025 above that of the known map, since maps of managers in between may be lost to this node. It does so only if its copy is at least as new as the unreadable map and it knows a map; a node that knows none leaves it to others, and a service where no node knows one waits, as before.

--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -205,7 +205,8 @@
 	found := baseMap{key: newest.Key, revision: newest.Revision}
 	if newestEra >= 0 {
 		if found.Map, err = shards.DecodeMap(newest.Value); err != nil {
-			return baseMap{}, 0, err
+			found.Map, err = m.replaceUnreadableMap(newest.Revision, err)
+			return found, era, err
 		}
 	}
 	if newestEra == era || newestEra < 0 && era == 0 {
--- a/internal/shardmanager/restored.go
+++ b/internal/shardmanager/restored.go
@@ -44,6 +44,31 @@
 	return m.lastEpoch
 }
 
+// lostEpochs bounds the epochs of maps that this node has not seen before another writer replaced
+// them.
+const lostEpochs = 1 << 10
+
+// replaceUnreadableMap returns the map that replaces one that cannot be read because another writer
+// has put it there at the given revision: the newest one known to this node, marked as unverified. It
+// returns the given error if this node knows no map, or if its copy is from before that write and may
+// lack maps from before it.
+func (m *Manager) replaceUnreadableMap(revision int64, cause error) (*shards.Map, error) {
+	current := m.config.Views.Current()
+	if current.Owners[m.service].Owners == nil || current.Revision < revision {
+		return nil, errors.Wrap(cause, "read owner map")
+	}
+	known, err := m.newestKnownMap(nil)
+	if err != nil {
+		return nil, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.lastEpoch = max(m.lastEpoch, known.Epoch+lostEpochs)
+	m.logger.Error("owner map of another writer replaced", zap.Int64("revision", revision), zap.Uint64("known_epoch", known.Epoch),
+		zap.Error(cause))
+	return known, nil
+}
+
 // inReclaimGrace reports whether this node first saw the given era so recently that the manager of
 // the earlier era may still acquire its lock again.
 func (m *Manager) inReclaimGrace(era int64) bool {
