An owner map of an era that has not begun is ignored

A key micahaven/owners/SERVICE/era/7 of another writer, in a store of era 0, kept each candidate from office once the present term ended, whatever its value.

Cause: a campaign continued from the map of the greatest era in the store, and required that its own era had no map yet.

Change: maps of eras above that of the list that they are in are ignored.

Evidence: TestMapOfALaterEraIsIgnored failed before ("timed out after 10s: another manager takes office").

--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -198,7 +198,7 @@
 	newestEra := int64(-1)
 	for _, item := range items {
 		service, written, found := view.ParseOwnersKey(item.Key)
-		if found && service == m.service && written > newestEra {
+		if found && service == m.service && written > newestEra && written <= era {
 			newest, newestEra = item, written
 		}
 	}
--- a/internal/shardmanager/unreadable_map_test.go
+++ b/internal/shardmanager/unreadable_map_test.go
@@ -67,3 +67,20 @@
 	time.Sleep(3 * time.Second)
 	return sent.count() > 0
 }
+
+// Guards against a map of an era that has not begun, for which each candidate takes its own map for
+// one that must not exist.
+func TestMapOfALaterEraIsIgnored(t *testing.T) {
+	store := memory.New()
+	store.Write("servers/a", []byte("address a"))
+	sent, end := startManager(t, store, "n1")
+	waitFor(t, "the manager grants", func() bool { return sent.count() > 0 && readableMap(t, store) != nil })
+	before := readableMap(t, store)
+	store.Write(view.OwnersKey(service, 7), []byte("null"))
+	second, _ := startManager(t, store, "n2")
+	end()
+	waitFor(t, "another manager takes office", func() bool { return second.count() > 0 && readableMap(t, store).Epoch > before.Epoch })
+	if after := readableMap(t, store); after.Unverified {
+		t.Error("the map of the store's era counts as unverified")
+	}
+}
