--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -198,14 +198,15 @@
 	newestEra := int64(-1)
 	for _, item := range items {
 		service, written, found := view.ParseOwnersKey(item.Key)
-		if found && service == m.service && written > newestEra {
+		if found && service == m.service && written > newestEra && written <= era {
 			newest, newestEra = item, written
 		}
 	}
 	found := baseMap{key: newest.Key, revision: newest.Revision}
 	if newestEra >= 0 {
 		if found.Map, err = shards.DecodeMap(newest.Value); err != nil {
-			return baseMap{}, 0, err
+			found.Map, err = m.replaceUnreadableMap(newest.Revision, err)
+			return found, era, err
 		}
 	}
 	if newestEra == era || newestEra < 0 && era == 0 {
