--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -63,7 +63,7 @@
 		return nil, errors.Wrap(err, "listen for link")
 	}
 	l := &Link{Address: listener.Addr().String(), target: target, listener: listener, connections: make(map[net.Conn]struct{})}
-	go l.accept()
+	go l.accept(listener)
 	return l, nil
 }
 
@@ -82,6 +82,23 @@
 	_ = l.listener.Close()
 }
 
+// CutOff makes the link's address refuse new connections and resets the open ones.
+func (l *Link) CutOff() {
+	l.Refuse()
+	l.resetAll()
+}
+
+// Reopen makes the link accept connections again after CutOff.
+func (l *Link) Reopen() error {
+	listener, err := net.Listen("tcp", l.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for link at %s", l.Address)
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
+}
+
 // Close stops the link and resets all its connections.
 func (l *Link) Close() {
 	l.mutex.Lock()
@@ -109,9 +126,9 @@
 	_ = connection.Close()
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	for {
-		near, err := l.listener.Accept()
+		near, err := listener.Accept()
 		if err != nil {
 			return
 		}
