The soak starts a node that two faults have ended once

What was seen: a node that two faults kill at the same time is started twice. The second process finds its ports taken and exits, which counts as an unexpected exit, and the first one is neither signalled nor stopped any more.

Cause: each fault waits for the end of the process that it sees and then starts one, whether or not another fault has started one meanwhile.

Change: Node.Restart starts a process only if the node was told to exit and has not been started since, one call at a time.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -208,10 +208,9 @@
 	}
 }
 
-// restart waits until a node's process has exited and starts a new one.
+// restart waits until a node's process has exited and starts a new one, unless another fault has.
 func (s *soak) restart(n *Node) {
-	n.Wait(stopTimeout)
-	if err := n.Start(); err != nil {
+	if err := n.Restart(stopTimeout); err != nil {
 		s.recordViolation("restart of %s failed: %v", n.Name, err)
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -31,6 +31,9 @@
 	log         *os.File
 	link        *Link
 
+	// restarting is held while an ended process is replaced. It is acquired before mutex.
+	restarting sync.Mutex
+
 	mutex          sync.Mutex
 	process        *exec.Cmd
 	ended          chan struct{}
@@ -132,6 +135,25 @@
 	return nil
 }
 
+// Restart waits until the process, which was told to exit, has exited, and starts a new one. On
+// timeout it kills the process first. If another call has started a new process already, it does
+// nothing. It fails if the process cannot be started.
+func (n *Node) Restart(timeout time.Duration) error {
+	n.restarting.Lock()
+	defer n.restarting.Unlock()
+	if !n.isDown() {
+		return nil
+	}
+	n.Wait(timeout)
+	return n.Start()
+}
+
+func (n *Node) isDown() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.down
+}
+
 // addEvent appends an event to the history. The caller must hold the mutex.
 func (n *Node) addEvent(kind nodeEventKind, detail string) {
 	n.events = append(n.events, nodeEvent{at: time.Now(), kind: kind, detail: detail})
