--- a/internal/soak/ownership.go
+++ b/internal/soak/ownership.go
@@ -101,8 +101,9 @@
 		for _, key := range held {
 			lowest, highest = min(lowest, key), max(highest, key)
 		}
-		s.recordViolation("servers %s and %s both hold %d sampled keys, %d to %d, for longer than %v",
-			incarnation(servers.first), incarnation(servers.second), len(held), lowest, highest, overlapLimit)
+		s.recordViolation("servers %s and %s both hold %d sampled keys, %d to %d, for longer than %v, key %d under fences %d and %d",
+			incarnation(servers.first), incarnation(servers.second), len(held), lowest, highest, overlapLimit,
+			lowest, servers.first.Fence(lowest), servers.second.Fence(lowest))
 	}
 }
 
