The soak aims at managers (--managers)

Left: the router's settings name no address for other nodes but the one it listens on, so the links between nodes are not disrupted.

--- a/cmd/micahaven-soak/main.go
+++ b/cmd/micahaven-soak/main.go
@@ -27,6 +27,7 @@
 	needs := flag.Bool("needs", false, "in addition to the random faults, let servers announce limits, request backoff and announce that they leave in their responses, and crash on some requests")
 	restores := flag.Bool("restores", false, "in addition to the random faults, restore the store from older copies of itself")
 	restarts := flag.Bool("restarts", false, "in addition to the random faults, restart servers under their ids, remove entries of running servers, and apply grants of leaving servers late")
+	managers := flag.Bool("managers", false, "in addition to the faults of --restarts, kill, stop, suspend and isolate managers while servers leave; --restores may be added")
 	logs := flag.String("logs", "", "directory in which the logs are kept; the system's temporary directory if left out")
 	flag.Parse()
 	if *nodes < 1 || *nodes > maxNodes {
@@ -37,7 +38,7 @@
 	for round := range *rounds {
 		broken += runRound(*logs, soak.Options{
 			Router: *router, Seed: *seed + uint64(round), Nodes: *nodes, Length: *length, Planned: *planned, Needs: *needs, Restores: *restores,
-			Restarts: *restarts,
+			Restarts: *restarts, Managers: *managers,
 		})
 	}
 	if broken > 0 {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -122,6 +122,11 @@
 // nodeOf returns the node that a request was sent to; the request ID begins with its name.
 func (s *soak) nodeOf(request string) *Node {
 	name, _, _ := strings.Cut(request, "-")
+	return s.named(name)
+}
+
+// named returns the node with a name, or nil.
+func (s *soak) named(name string) *Node {
 	for _, n := range s.nodes {
 		if n.Name == name {
 			return n
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -171,6 +171,8 @@
 // chosen more often.
 func (s *soak) kinds() []fault {
 	switch {
+	case s.options.Managers:
+		return s.managerKinds()
 	case s.options.Needs:
 		return slices.Concat(faults, backpressureFaults, backpressureFaults)
 	case s.options.Restores:
--- a/internal/soak/restarts.go
+++ b/internal/soak/restarts.go
@@ -101,6 +101,12 @@
 	if old == nil {
 		return nil
 	}
+	return s.restartClaimed(old)
+}
+
+// restartClaimed restarts a claimed server under its ID. It returns nil and starts another server
+// if that fails.
+func (s *soak) restartClaimed(old *server) *server {
 	next, err := s.world.restartInPlace(old)
 	if err != nil {
 		s.logf("restart of server %s failed: %v", old.ID, err)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,6 +37,9 @@
 	// Restarts restarts servers under their IDs and separates servers from their entries, in
 	// addition to the random faults.
 	Restarts bool
+	// Managers aims at the managers of the service sharded by key, in addition to the faults of
+	// Restarts and, if that is set too, of Restores.
+	Managers bool
 	Output   io.Writer
 }
 
@@ -104,9 +107,11 @@
 	coldArrivals arrivalWindow
 	signals      backpressureWatch
 
-	mutex      sync.Mutex
-	violations []string
-	crashing   []string
+	mutex sync.Mutex
+	// lastManager is the node that was last seen to hold the manager lock of the divided service.
+	lastManager *Node
+	violations  []string
+	crashing    []string
 }
 
 // Run executes one soak run. A non-nil error means that the run itself failed; violated
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Plays the fault soak: the seeds that ever failed, then fresh ones, of random faults, of
 # planned work, and of random faults beside servers that ask for something, beside a store that
-# is restored from older copies, and beside servers that restart or live on without an entry.
+# is restored from older copies, beside servers that restart or live on without an entry, and
+# beside managers that end, stall or lose the store meanwhile.
 # ROUNDS is the number of fresh seeds of each, LENGTH how long faults last in a round,
 # NODES the number of processes.
 set -euo pipefail
@@ -17,10 +18,12 @@
     needs:*) planned=--needs ;;
     restores:*) planned=--restores ;;
     restarts:*) planned=--restarts ;;
+    managers:*) planned=--managers ;;
+    managers+restores:*) planned="--managers --restores" ;;
   esac
   ./bin/micahaven-soak $planned --seed "${seed#*:}" --nodes "$nodes" --length "$length" || failed=1
 done
-for planned in "" --planned --needs --restores --restarts; do
+for planned in "" --planned --needs --restores --restarts --managers "--managers --restores"; do
   ./bin/micahaven-soak $planned --rounds "${ROUNDS:-3}" --nodes "$nodes" --length "$length" || failed=1
 done
 exit $failed
