The soak's late grants outlast a manager

Cause: of the late grants few outlasted the time in which the next manager takes the lock and a lease ends (some 7 s); the server was mostly reached again or released its keys by then; and the entry of each restarted server was removed, so that the manager asked for a release before it was killed.

Change: half of the late grants are 8 to 12 s late, below the 13 s for which a grant may be delayed; the link of a leaving server is reset in three of four cases, until its last late grant in half of those in which it stays; a restarted server's entry is removed before, after, or not at all.

--- a/internal/soak/managers.go
+++ b/internal/soak/managers.go
@@ -29,6 +29,10 @@
 	// minIsolation and maxIsolation bound how long a manager's link to the store is disrupted.
 	// Both exceed the TTL of its lock (2 s).
 	minIsolation, maxIsolation = 2500 * time.Millisecond, 7 * time.Second
+	// minVeryLateGrant and maxVeryLateGrant bound the delay of grants that outlast a lease and the
+	// time until a new manager begins. Both are below the time for which a grant may be delayed
+	// (13 s).
+	minVeryLateGrant, maxVeryLateGrant = 8 * time.Second, 12 * time.Second
 	// maxMoveDelay bounds how long after the manager was suspended or isolated a server restarts.
 	maxMoveDelay = 2 * time.Second
 )
@@ -121,7 +125,7 @@
 		end()
 		return nil
 	}
-	delay := between(random, time.Second, maxLateGrant)
+	delay := lateGrantDelay(random)
 	s.logf("server %s applies grants %v late", incarnation(late.Server), delay.Round(time.Millisecond))
 	late.SetFaults(standin.Faults{Work: serviceTime, LateOrders: delay})
 	sleepUpTo(random, maxKillLead)
@@ -130,11 +134,22 @@
 	return finish
 }
 
-// beginLeave removes a late server's entry, drains it, or leaves it as it is, and returns the
-// function that stops the server or returns it to normal.
+func lateGrantDelay(random *rand.Rand) time.Duration {
+	if random.IntN(2) == 0 {
+		return between(random, minVeryLateGrant, maxVeryLateGrant)
+	}
+	return between(random, time.Second, maxLateGrant)
+}
+
+// beginLeave removes a late server's entry, drains it, or leaves it as it is, most often behind a
+// link that is reset. It returns the function that stops the server after its last late grant or
+// returns it to normal.
 func (s *soak) beginLeave(random *rand.Rand, late *server, delay time.Duration) (finish func()) {
 	stop := func() { s.removeServer(late, delay+lateGrantSlack) }
 	recoverServer := func() {
+		if random.IntN(2) == 0 {
+			time.Sleep(delay + lateGrantSlack)
+		}
 		late.link.Set(Pass)
 		late.SetFaults(standin.Faults{Work: serviceTime})
 		s.reconnect(late)
@@ -146,12 +161,12 @@
 		s.logf("server %s drains", late.ID)
 		s.replace(late.Service)
 		s.world.drain(late)
-		s.cutSometimes(random, late)
+		s.cutOften(random, late)
 		return stop
 	default:
 		s.logf("entry of server %s is removed", late.ID)
 		late.Forget()
-		s.cutSometimes(random, late)
+		s.cutOften(random, late)
 		if random.IntN(2) == 0 {
 			s.replace(late.Service)
 			return stop
@@ -160,19 +175,40 @@
 	}
 }
 
-// restartBehindCut removes the entry of a random server of the divided service and restarts the
-// server under its ID. The new incarnation is not announced and may apply grants late. It returns
-// nil if too few servers are left.
+// cutOften is like cutSometimes, in three of four cases.
+func (s *soak) cutOften(random *rand.Rand, late *server) {
+	if random.IntN(2) == 0 {
+		s.logf("link to server %s is reset", late.ID)
+		late.link.Set(Reset)
+		return
+	}
+	s.cutSometimes(random, late)
+}
+
+// restartBehindCut restarts a random server of the divided service under its ID while the server
+// cannot reach the store: its entry is removed before or after the restart, or remains. The new
+// incarnation is not announced and may apply grants late. It returns nil if too few servers are
+// left.
 func (s *soak) restartBehindCut(random *rand.Rand) *server {
 	old := s.world.claim(random, standin.DividedService)
 	if old == nil {
 		return nil
 	}
-	old.Forget()
-	sleepUpTo(random, maxKillLead)
+	lapse := random.IntN(3)
+	if lapse == 0 {
+		old.Forget()
+		sleepUpTo(random, maxKillLead)
+	}
 	next := s.restartClaimed(old)
-	if next != nil && random.IntN(2) == 0 {
-		next.SetFaults(standin.Faults{Work: serviceTime, LateOrders: between(random, time.Second, maxLateGrant)})
+	if next == nil {
+		return nil
+	}
+	if random.IntN(2) == 0 {
+		next.SetFaults(standin.Faults{Work: serviceTime, LateOrders: lateGrantDelay(random)})
+	}
+	if lapse == 1 {
+		sleepUpTo(random, maxKillLead)
+		next.Forget()
 	}
 	return next
 }
@@ -184,9 +220,8 @@
 	s.world.release(cut)
 }
 
-// restartMeanwhile removes the entry of a server of the divided service, restarts the server under
-// its ID, and calls finish when the given time has passed. It returns the function that announces
-// the server.
+// restartMeanwhile restarts a server of the divided service as restartBehindCut does and calls
+// finish when the given time has passed. It returns the function that announces the server.
 func (s *soak) restartMeanwhile(random *rand.Rand, length time.Duration, finish func()) func() {
 	deadline := time.Now().Add(length)
 	defer func() {
