--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -171,6 +171,8 @@
 // chosen more often.
 func (s *soak) kinds() []fault {
 	switch {
+	case s.options.Managers:
+		return s.managerKinds()
 	case s.options.Needs:
 		return slices.Concat(faults, backpressureFaults, backpressureFaults)
 	case s.options.Restores:
@@ -208,10 +210,9 @@
 	}
 }
 
-// restart waits until a node's process has exited and starts a new one.
+// restart waits until a node's process has exited and starts a new one, unless another fault has.
 func (s *soak) restart(n *Node) {
-	n.Wait(stopTimeout)
-	if err := n.Start(); err != nil {
+	if err := n.Restart(stopTimeout); err != nil {
 		s.recordViolation("restart of %s failed: %v", n.Name, err)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,6 +37,9 @@
 	// Restarts restarts servers under their IDs and separates servers from their entries, in
 	// addition to the random faults.
 	Restarts bool
+	// Managers aims at the managers of the service sharded by key, in addition to the faults of
+	// Restarts and, if that is set too, of Restores.
+	Managers bool
 	Output   io.Writer
 }
 
@@ -73,7 +76,10 @@
 	// new manager may have to wait until delayed grants of a failed one can no longer
 	// arrive (13 s), and then until the leases of these grants expire (5.2 s).
 	recoveryTime = 20 * time.Second
-	finalWindow  = 3 * time.Second
+	// suspensionRecovery is the same for a manager that was suspended while the store was restored:
+	// it retires 13 s after it continued, and only then do the 13 s and the leases begin.
+	suspensionRecovery = 33 * time.Second
+	finalWindow        = 3 * time.Second
 	// minServedAfter is the fraction of requests that must be served once all faults are
 	// cleared.
 	minServedAfter = 0.95
@@ -104,9 +110,11 @@
 	coldArrivals arrivalWindow
 	signals      backpressureWatch
 
-	mutex      sync.Mutex
-	violations []string
-	crashing   []string
+	mutex sync.Mutex
+	// lastManager is the node that was last seen to hold the manager lock of the divided service.
+	lastManager *Node
+	violations  []string
+	crashing    []string
 }
 
 // Run executes one soak run. A non-nil error means that the run itself failed; violated
@@ -162,6 +170,9 @@
 	}
 	random := rand.New(rand.NewPCG(s.options.Seed, 0))
 	count, recovery := 0, recoveryTime
+	if s.options.Managers && s.options.Restores {
+		recovery = suspensionRecovery
+	}
 	if s.options.Planned {
 		count, recovery = s.runPlannedWork(random, s.options.Length), plannedRecovery
 	} else {
