The soak waits for a manager that was suspended over a restore

The keys refused are those of two servers that had stopped (28 of 42) and of one that had restarted.

Cause: in the soak. The store is restored at 17.9 s; manager n1 takes the lock afterwards, is suspended and continues at 29.87 s. It publishes its retirement 13 s later (42.9 s), when no grant of its own can be delayed any longer. Its successor waits from then on for 13 s and a lease for the servers that do not answer its releases, because it began with an unverified map (tightenInheritedBounds), so until 61 s, and gives no key to another server before.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -76,7 +76,10 @@
 	// new manager may have to wait until delayed grants of a failed one can no longer
 	// arrive (13 s), and then until the leases of these grants expire (5.2 s).
 	recoveryTime = 20 * time.Second
-	finalWindow  = 3 * time.Second
+	// suspensionRecovery is the same for a manager that was suspended while the store was restored:
+	// it retires 13 s after it continued, and only then do the 13 s and the leases begin.
+	suspensionRecovery = 33 * time.Second
+	finalWindow        = 3 * time.Second
 	// minServedAfter is the fraction of requests that must be served once all faults are
 	// cleared.
 	minServedAfter = 0.95
@@ -167,6 +170,9 @@
 	}
 	random := rand.New(rand.NewPCG(s.options.Seed, 0))
 	count, recovery := 0, recoveryTime
+	if s.options.Managers && s.options.Restores {
+		recovery = suspensionRecovery
+	}
 	if s.options.Planned {
 		count, recovery = s.runPlannedWork(random, s.options.Length), plannedRecovery
 	} else {
