Simulated managers retire once they have the results of all grants

The ownership simulation reported two holders that the router cannot produce.

Cause: a manager that is superseded was no longer driven, so it never had the results of its last grants. The router waits for them before it announces (Manager.retire, internal/shardmanager/manager.go: inFlight.Wait, then the delay of what was unanswered).

Change: a retiring simulated manager gets its results, and waits for all of them.

--- a/internal/shards/simulation_test.go
+++ b/internal/shards/simulation_test.go
@@ -297,12 +297,13 @@
 	w.checkHolders()
 }
 
-// retire lets managers that send no more commands announce that they have stopped, once their
-// unanswered grants can no longer be executed.
+// retire lets managers that send no more commands announce that they have stopped, once they have the
+// results of all grants and unanswered ones can no longer be executed.
 func (w *simulation) retire() {
 	var kept []*simManager
 	for _, manager := range w.retiring {
-		if w.now <= manager.core.DelayedGrantsUntil() {
+		w.deliverResults(manager)
+		if len(manager.unanswered) > 0 || w.now <= manager.core.DelayedGrantsUntil() {
 			kept = append(kept, manager)
 			continue
 		}
@@ -311,7 +312,8 @@
 	w.retiring = kept
 }
 
-func (w *simulation) drive(manager *simManager) {
+// deliverResults passes the results that are due to a manager.
+func (w *simulation) deliverResults(manager *simManager) {
 	results := manager.results
 	manager.results = nil
 	for len(manager.unanswered) > 0 && w.now >= manager.unanswered[0].at {
@@ -321,6 +323,10 @@
 	for _, result := range results {
 		result()
 	}
+}
+
+func (w *simulation) drive(manager *simManager) {
+	w.deliverResults(manager)
 	var servers []shards.Server
 	for _, s := range w.servers {
 		// Unreachable and dead servers are no longer registered, unless their entries live on.
