--- a/internal/shards/reach.go
+++ b/internal/shards/reach.go
@@ -275,8 +275,8 @@
 	return 2*failing <= total
 }
 
-// vacateUnreached takes ranges from owners that commands do not reach, once every lease that they
-// may have has ended.
+// vacateUnreached takes ranges from owners whose grants are suspended, once every lease that they may
+// have has ended.
 func (m *Manager) vacateUnreached(now time.Duration) {
 	if !m.storeHealthy {
 		return
