--- a/internal/handoff/truncated_test.go
+++ b/internal/handoff/truncated_test.go
@@ -56,8 +56,7 @@
 	}
 }
 
-// Guards against the end of a stream that passes for the end of a body, after each message of a home
-// node.
+// Guards against the end of a stream that passes for the end of a body.
 func TestStreamThatEndsInABodyIsWholeToNoSender(t *testing.T) {
 	for _, chunks := range []int{0, 1, 3} {
 		home := newScriptedHome(t, "home", func(_ *transport.Server, stream *transport.Stream) {
--- a/internal/shardmanager/capacity_test.go
+++ b/internal/shardmanager/capacity_test.go
@@ -59,9 +59,7 @@
 	}
 }
 
-// Guards against a bound that takes servers of different sizes for wrong figures: large servers keep
-// all of their slots unless less than a quarter of the other servers is of their size; then they count
-// as four of the small ones.
+// Guards against a bound on slots that takes servers of different sizes for wrong figures.
 func TestServersOfDifferentSizes(t *testing.T) {
 	requireCounted(t, withSlots(16), 16)
 	requireCounted(t, withSlots(2, 2, 2, 16, 16, 16), 2, 2, 2, 16, 16, 16)
--- a/internal/shardmanager/connected_by_test.go
+++ b/internal/shardmanager/connected_by_test.go
@@ -8,8 +8,7 @@
 	"github.com/micahaven/micahaven/internal/shards"
 )
 
-// Guards against a manager that has lost its lock unawares and grants keys over a connection to a process
-// that started after its successor had moved them.
+// Guards against grants of a manager without its lock to a process that knows none of its successor's fences.
 func TestManagerInDoubtOfItsLockUsesConnectionsFromBefore(t *testing.T) {
 	const renewedAt = time.Minute
 	now, agreedAt := renewedAt, time.Duration(0)
--- a/internal/shardmanager/unreadable_map_test.go
+++ b/internal/shardmanager/unreadable_map_test.go
@@ -68,8 +68,7 @@
 	return sent.count() > 0
 }
 
-// Guards against a map of an era that has not begun, for which each candidate takes its own map for
-// one that must not exist.
+// Guards against a map of an era that has not begun, which keeps all candidates from office.
 func TestMapOfALaterEraIsIgnored(t *testing.T) {
 	store := memory.New()
 	store.Write("servers/a", []byte("address a"))
--- a/internal/shards/silent_test.go
+++ b/internal/shards/silent_test.go
@@ -94,8 +94,7 @@
 	}
 }
 
-// Guards against grants to a refusing server of which one is lost with its connection now and then, so that
-// it may be executed late.
+// Guards against grants to a refusing server that are lost with their connection now and then.
 func TestRefusingOwnerLosesItsKeysThoughSomeConnectionsOpen(t *testing.T) {
 	b := newHarness(uniformCapacities(6)...)
 	b.run(8*time.Second, nil)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -67,8 +67,7 @@
 	runSoak(t, soak.Options{Seed: 102, Nodes: 4, Length: 3500 * time.Millisecond, Restarts: true})
 }
 
-// Guards against owners that change while earlier grants are still valid because the manager ended,
-// stalled or lost the store.
+// Guards against owners that change while grants of a manager that ended or stalled are still valid.
 func TestNoKeyHasTwoHoldersWhenManagersEnd(t *testing.T) {
 	runSoak(t, soak.Options{Seed: 501, Nodes: 5, Length: 9 * time.Second, Managers: true})
 }
--- a/internal/upstream/truncated_test.go
+++ b/internal/upstream/truncated_test.go
@@ -122,8 +122,7 @@
 	}
 }
 
-// Guards against forms of responses that are rejected when they are whole, which would leave
-// TestTruncatedResponseIsAnError without effect.
+// Guards against forms that are rejected whole, so that TestTruncatedResponseIsAnError shows nothing.
 func TestWholeResponseOfEachFormIsTaken(t *testing.T) {
 	for _, form := range responseForms() {
 		t.Run(form.name, func(t *testing.T) {
