--- a/internal/router/agreement.go
+++ b/internal/router/agreement.go
@@ -19,7 +19,7 @@
 	maxAgreementNodes = 128
 )
 
-// agreement records until when the other nodes had nothing newer than this one. A node that has become
+// agreement records when the other nodes last had nothing newer than this one. A node that has become
 // a manager has its own lock in its copy, so one that has nothing newer is none. Times are readings of
 // clock.Boot.
 type agreement struct {
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -105,7 +105,7 @@
 	// NotSent means that the command certainly did not reach the server.
 	NotSent
 	// Withheld means that the command was not sent because no connection to the server was open by the
-	// time that the command names. Says nothing about whether the server is reached.
+	// time that the command names. It says nothing about whether the server is reached.
 	Withheld
 	// Unanswered means that the server may still execute the command, possibly after a long
 	// delay.
