--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,6 +16,7 @@
 )
 
 var scenarios = map[string]func(program, template, folder string, trouble bool, record *recorder) bool{
+	"drill":   drill,
 	"encoded": encoded,
 	"uploads": uploads,
 }
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -42,6 +44,9 @@
 	leases  map[int64]*lease
 	nextID  int64
 	changed chan struct{}
+	// era rises with each restore from an older copy. away is true while no call is answered.
+	era  int64
+	away bool
 }
 
 const (
@@ -95,6 +100,57 @@
 	s.events = append(s.events, event{changed, false})
 }
 
+// copied is the content of a store at some time.
+type copied struct {
+	rev    int64
+	items  map[string]item
+	events []event
+	ttls   map[int64]time.Duration
+}
+
+func (s *store) copy() copied {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	saved := copied{rev: s.rev, items: maps.Clone(s.items), events: slices.Clone(s.events), ttls: map[int64]time.Duration{}}
+	for id, l := range s.leases {
+		saved.ttls[id] = l.ttl
+	}
+	return saved
+}
+
+// restore brings the store back from a copy (terms.md). Leases of the copy count as renewed now.
+func (s *store) restore(saved copied) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	s.rev, s.items, s.events = saved.rev, saved.items, saved.events
+	s.leases = map[int64]*lease{}
+	for id, ttl := range saved.ttls {
+		s.leases[id] = &lease{ttl: ttl, until: time.Now().Add(ttl)}
+	}
+	s.wake()
+}
+
+func (s *store) setAway(away bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = away
+}
+
+func (s *store) state() (era int64, away bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era, s.away
+}
+
+// has reports whether a key is present.
+func (s *store) has(key string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	_, present := s.items[key]
+	return present
+}
+
 // wake ends the waits of watches. The caller holds the mutex.
 func (s *store) wake() {
 	close(s.changed)
@@ -130,9 +186,16 @@
 	if err != nil {
 		return
 	}
+	if _, away := s.state(); away {
+		panic(http.ErrAbortHandler)
+	}
 	status, answer := s.call(r, body)
+	era, away := s.state()
+	if away {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "0")
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	w.WriteHeader(status)
 	if answer != nil {
 		_ = json.NewEncoder(w).Encode(answer)
@@ -185,6 +248,9 @@
 	deadline := time.After(wait)
 	for {
 		found, at, changed := s.since(prefix, after)
+		if after > at {
+			return http.StatusGone, nil
+		}
 		answer := map[string]any{"events": found, "At": at}
 		if len(found) > 0 {
 			return http.StatusOK, answer
