--- a/internal/shardmanager/orders.go
+++ b/internal/shardmanager/orders.go
@@ -23,6 +23,7 @@
 			zap.Uint32("last", r.Last), zap.Uint64("fence", r.Fence), zap.Duration("store_unseen", t.sinceRenewal()))
 	}
 	t.logVacancies(commands.Vacated)
+	t.logVerification(commands.Verified)
 	for _, release := range commands.Releases {
 		t.inFlight.Go(func() { t.release(ctx, release) })
 	}
@@ -42,6 +43,15 @@
 	}
 }
 
+// logVerification logs that the map of a restored store has become authoritative.
+func (t *term) logVerification(verified *shards.Verification) {
+	if verified == nil {
+		return
+	}
+	t.manager.logger.Info("owner map verified", zap.Uint64("epoch", t.epoch), zap.Stringer("evidence", verified.Evidence),
+		zap.Int("servers", verified.Servers), zap.Duration("since_lock", t.now()))
+}
+
 // logVacancies logs the evidence on which ranges have lost their owners.
 func (t *term) logVacancies(vacated []shards.Vacancy) {
 	for _, vacancy := range vacated {
--- a/internal/shards/commands.go
+++ b/internal/shards/commands.go
@@ -53,6 +53,16 @@
 	Checks []Release
 	// ReachChanges are the servers that are given keys, or no longer, since the last tick.
 	ReachChanges []ReachChange
+	// Verified is set in the tick that ends the fencing.
+	Verified *Verification
+}
+
+// Verification is why an unverified map has become authoritative.
+type Verification struct {
+	// Servers is the number of servers that were asked to release keys.
+	Servers int
+	// Evidence is OwnerReleased if all of them have acknowledged it, and otherwise LeaseExpired.
+	Evidence Evidence
 }
 
 // Vacancy is a range that no server holds any longer, with the evidence for this.
--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -80,8 +80,11 @@
 			})
 		}
 	}
-	if left == 0 && now >= m.fencing.completeAt || now > m.inheritedUntil {
-		m.completeFencing(now)
+	switch {
+	case left == 0 && now >= m.fencing.completeAt:
+		m.completeFencing(now, OwnerReleased, commands)
+	case now > m.inheritedUntil:
+		m.completeFencing(now, LeaseExpired, commands)
 	}
 }
 
@@ -134,7 +137,8 @@
 
 // completeFencing ends the fencing: from now on ranges are granted under fences of this
 // manager.
-func (m *Manager) completeFencing(now time.Duration) {
+func (m *Manager) completeFencing(now time.Duration, evidence Evidence, commands *Commands) {
+	commands.Verified = &Verification{Servers: len(m.fencing.servers), Evidence: evidence}
 	m.fencing, m.continued = nil, false
 	m.uncommitted = m.Started()
 	for _, s := range m.shards {
