The time of agreement is taken before the view

A manager in doubt of its lock grants only over connections that were open when no successor can have begun.

A view taken after that time shows every successor that began before it, and the term then ends.

--- a/internal/shardmanager/check_end_test.go
+++ b/internal/shardmanager/check_end_test.go
@@ -32,7 +32,7 @@
 	current := newTerm(New(config, "s"), &candidacy{epoch: 2, core: core, lock: lock{renewedAt: clock.Boot()}})
 	current.ordersCtx, current.cancelOrders = context.WithCancel(context.Background())
 	current.mutex.Lock()
-	current.execute(t.Context(), shards.Commands{Checks: []shards.Release{{Owner: "silent"}}})
+	current.execute(t.Context(), shards.Commands{Checks: []shards.Release{{Owner: "silent"}}}, 0)
 	current.mutex.Unlock()
 	current.stopOrders()
 	begin := time.Now()
--- a/internal/shardmanager/orders.go
+++ b/internal/shardmanager/orders.go
@@ -12,9 +12,9 @@
 
 // This file executes the commands of the core and logs what they decide.
 
-// execute starts all commands of the core. The caller holds the mutex, so that no order starts
-// after stopOrders.
-func (t *term) execute(ctx context.Context, commands shards.Commands) {
+// execute starts all commands of the core; connectedBy is the time by which the connections that carry
+// its grants must have been open. The caller holds the mutex, so that no order starts after stopOrders.
+func (t *term) execute(ctx context.Context, commands shards.Commands, connectedBy time.Duration) {
 	if len(commands.Moving) > 0 {
 		t.manager.config.Notices.Moving(t.manager.service, t.epoch, commands.Moving)
 	}
@@ -32,7 +32,6 @@
 		go t.check(ctx, check)
 	}
 	t.logReachChanges(commands.ReachChanges)
-	connectedBy := t.connectedBy()
 	t.withholdingLogged = t.withholdingLogged && connectedBy < t.manager.config.Clock()
 	for _, grant := range commands.Grants {
 		grant.ConnectedBy = connectedBy
--- a/internal/shardmanager/renewlock.go
+++ b/internal/shardmanager/renewlock.go
@@ -18,16 +18,19 @@
 // the lock, a successor may move a range and its former owner may restart, which then knows no fence. A
 // process that was running when no successor had begun has accepted the successor's fences since, and
 // rejects lower ones. While the lock is certainly held, the time lies ahead, so that it withholds only
-// grants that are sent after a suspension.
+// grants that are sent after a suspension. The caller does not hold the mutex.
 func (t *term) connectedBy() time.Duration {
-	certainUntil := t.renewedAt + lockRenewInterval + renewTimeout
+	t.mutex.Lock()
+	renewedAt := t.renewedAt
+	t.mutex.Unlock()
+	certainUntil := renewedAt + lockRenewInterval + renewTimeout
 	switch {
 	case t.manager.config.Clock() < certainUntil:
 		return certainUntil
 	case t.manager.config.AgreedAt == nil:
-		return t.renewedAt
+		return renewedAt
 	default:
-		return max(t.renewedAt, t.manager.config.AgreedAt())
+		return max(renewedAt, t.manager.config.AgreedAt())
 	}
 }
 
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -144,6 +144,8 @@
 
 // step passes the current view to the core and executes the commands that the core returns.
 func (t *term) step(ctx context.Context) {
+	// The view must not be older than this time: a successor that it does not show has begun later.
+	connectedBy := t.connectedBy()
 	current := t.manager.config.Views.Current()
 	t.mutex.Lock()
 	if t.resigning {
@@ -172,7 +174,7 @@
 		t.core.Start()
 	}
 	commands := t.core.Tick(t.now())
-	t.execute(ctx, commands)
+	t.execute(ctx, commands, connectedBy)
 	t.mutex.Unlock()
 }
 
