Request bodies are bounded in memory from when they begin to arrive

Cause: a request was charged to the memory budget once it had been read, and a body had no timeout, so that clients decided how much memory was used for them and for how long.

The memory of a body is charged when its buffer is allocated, a quarter of the node's memory at most; stalled bodies are given up for others, and a long one that finds no memory is refused with 503, which is true: it has not run. The first 16 KB are always read. A body of which nothing arrives for the idle timeout and a second gets 408. The kernel's buffer of unread input is bounded by the number of connections. The handler no longer copies the buffer.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -3,7 +3,6 @@
 package ingress
 
 import (
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -59,6 +58,8 @@
 	// maxBufferedBody is how much of a request body is buffered before the request is
 	// dispatched; the rest is streamed.
 	maxBufferedBody = 1 << 20
+	// bodyRetryAfter is the Retry-After of a request whose body found no memory.
+	bodyRetryAfter = time.Second
 	// notReadyRetryAfter is the Retry-After of a node without a current configuration.
 	notReadyRetryAfter = 300 * time.Millisecond
 )
@@ -229,34 +230,3 @@
 	}
 	return options
 }
-
-// readBody buffers the request body, or its first maxBufferedBody bytes if it is longer. It
-// reports whether the request can proceed; if not, a response has been written.
-func (h *Handler) readBody(writer http.ResponseWriter, incoming *http.Request, request *dispatch.Request, maxBytes int64) bool {
-	if maxBytes > 0 && incoming.ContentLength > maxBytes {
-		h.answerTooLarge(writer, request, incoming.ContentLength, maxBytes)
-		return false
-	}
-	if incoming.ContentLength == 0 {
-		return true
-	}
-	var source io.Reader = incoming.Body
-	if maxBytes > 0 {
-		source = http.MaxBytesReader(writer, incoming.Body, maxBytes)
-	}
-	body, err := io.ReadAll(io.LimitReader(source, maxBufferedBody))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			h.answerTooLarge(writer, request, incoming.ContentLength, maxBytes)
-			return false
-		}
-		// The client aborted the request, so no response can be delivered.
-		panic(http.ErrAbortHandler)
-	}
-	request.Body = body
-	if len(body) == maxBufferedBody {
-		request.Rest = source
-	}
-	return true
-}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -40,3 +40,8 @@
 	Name: "micahaven_ingress_stale_refusals_total",
 	Help: "Requests without a route, or with too long a body, that were refused with 503 because the copy of the configuration was out of date.",
 })
+
+var bodiesRefusedTotal = promauto.NewCounterVec(prometheus.CounterOpts{
+	Name: "micahaven_ingress_bodies_refused_total",
+	Help: "Requests that were refused while their body was read, by reason.",
+}, []string{"reason"})
--- a/internal/ingress/pipeline/metrics.go
+++ b/internal/ingress/pipeline/metrics.go
@@ -25,3 +25,8 @@
 	Name: "micahaven_ingress_malformed_total",
 	Help: "Connections that were closed with an error status because their data was no valid request, by status.",
 }, []string{"status"})
+
+var bodyBytes = promauto.NewGauge(prometheus.GaugeOpts{
+	Name: "micahaven_ingress_body_bytes",
+	Help: "Memory that is charged for request bodies, in bytes.",
+})
--- a/internal/ingress/pipeline/queue.go
+++ b/internal/ingress/pipeline/queue.go
@@ -214,5 +214,6 @@
 func (c *connection) releaseLocked(e *exchange) {
 	c.server.MemoryBudget.release(e.reservedBytes + e.reservedResponseBytes)
 	c.buffered -= e.reservedResponseBytes
-	e.reservedBytes, e.reservedResponseBytes = 0, 0
+	c.server.Bodies.release(e.reservedBody)
+	e.reservedBytes, e.reservedResponseBytes, e.reservedBody = 0, 0, 0
 }
--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -15,16 +15,9 @@
 )
 
 const (
-	// maxBufferedBody is how much of a request body is read before the request starts. A longer
-	// body is read by the handler, and its request runs alone.
-	maxBufferedBody = 1 << 20
 	// headerSlack is how far net/http reads beyond its header limit; using the same value makes
 	// both servers reject the same headers.
 	headerSlack = 4 << 10
-	// initialBodyBuffer is the memory allocated for a body before any of it has arrived. The
-	// buffer of a longer body grows with the data received, so a client that only announces a
-	// body does not occupy memory for it.
-	initialBodyBuffer = 16 << 10
 	// minRequestBytes is how many bytes must arrive after the first request before they are
 	// treated as the start of another one.
 	minRequestBytes = 4
@@ -209,99 +202,3 @@
 		return http.StatusBadRequest, "HTTP/1.1 400 Bad Request" + end + "400 Bad Request"
 	}
 }
-
-// readBody reads the body of a request that was just enqueued. A long body, or one that the
-// client sends only after 100 Continue, is left to the handler.
-func (e *exchange) readBody() {
-	request := e.request
-	if request.ContentLength == 0 {
-		return
-	}
-	source := request.Body
-	if request.ProtoAtLeast(1, 1) && expectsContinue(request) {
-		e.deferBody(source, nil, true)
-		return
-	}
-	if request.ContentLength > maxBufferedBody {
-		e.deferBody(source, nil, false)
-		return
-	}
-	content, err := readAhead(source, request.ContentLength)
-	e.bodyBytes = len(content)
-	switch {
-	case err != nil:
-		// The handler gets the error when it reads the body; the data after it cannot be parsed
-		// as a request.
-		e.lastRequest = true
-		request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(content), errorReader{err}))
-	case len(content) > maxBufferedBody:
-		e.deferBody(source, content, false)
-	default:
-		request.Body = io.NopCloser(bytes.NewReader(content))
-	}
-}
-
-// readAhead reads a body of known length completely, and at most maxBufferedBody+1 bytes of a
-// chunked one.
-func readAhead(source io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(io.LimitReader(source, maxBufferedBody+1))
-	}
-	if length > initialBodyBuffer {
-		var content bytes.Buffer
-		content.Grow(initialBodyBuffer)
-		count, err := content.ReadFrom(io.LimitReader(source, length))
-		if err == nil && count < length {
-			err = io.ErrUnexpectedEOF
-		}
-		return content.Bytes(), err
-	}
-	content := make([]byte, length)
-	count, err := io.ReadFull(source, content)
-	return content[:count], err
-}
-
-type errorReader struct{ err error }
-
-// Read implements io.Reader.
-func (r errorReader) Read([]byte) (int, error) { return 0, r.err }
-
-// deferBody leaves the body to the handler. The prefix has already been read.
-func (e *exchange) deferBody(source io.Reader, prefix []byte, expectsContinue bool) {
-	e.bodyRead = false
-	e.body = &handlerBody{exchange: e, source: source, prefix: prefix, expectsContinue: expectsContinue}
-	e.request.Body = io.NopCloser(e.body)
-}
-
-// handlerBody is a request body that the handler reads from the connection. No further request
-// is read before its end.
-type handlerBody struct {
-	exchange *exchange
-	source   io.Reader
-	// prefix is the part of the body that has already been read.
-	prefix []byte
-	// expectsContinue is true until 100 Continue has been sent to the client.
-	expectsContinue bool
-}
-
-// Read implements io.Reader.
-func (b *handlerBody) Read(buffer []byte) (int, error) {
-	if len(b.prefix) > 0 {
-		count := copy(buffer, b.prefix)
-		b.prefix = b.prefix[count:]
-		return count, nil
-	}
-	c := b.exchange.connection
-	if b.expectsContinue && !b.exchange.headWritten {
-		// The request runs alone, so it is at the head of the queue and may write.
-		if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), streamStallTimeout); err != nil {
-			return 0, err
-		}
-	}
-	b.expectsContinue = false
-	count, err := b.source.Read(buffer)
-	if err == io.EOF {
-		c.markBodyRead(b.exchange)
-	}
-	return count, err
-}
--- a/internal/ingress/pipeline/server.go
+++ b/internal/ingress/pipeline/server.go
@@ -54,12 +54,22 @@
 	HeaderBytes int
 	// MemoryBudget accounts for the memory held on behalf of clients.
 	MemoryBudget *MemoryBudget
-	Logger       *zap.Logger
-
-	// warnUnsentOnce limits the warning that unsent data could not be bounded to once per
+	// Bodies bounds the memory of request bodies from when they begin to arrive.
+	Bodies *BodyBudget
+	// UnreadBytes is the memory for what has arrived from clients and is not read. It is divided among the
+	// open connections when one is accepted; 0 leaves it to the kernel.
+	UnreadBytes int
+	Logger      *zap.Logger
+
+	// warnUnboundedOnce limits the warning that data in the kernel could not be bounded to once per
 	// server.
-	warnUnsentOnce sync.Once
-	workerPool     workerPool
+	warnUnboundedOnce sync.Once
+	workerPool        workerPool
+
+	// bodiesMutex guards bodies, the bodies that are being read. No other mutex is acquired while it is
+	// held.
+	bodiesMutex sync.Mutex
+	bodies      map[*bodyReader]struct{}
 
 	// mutex guards the fields below. A connection's mutex is never acquired while it is held.
 	mutex     sync.Mutex
@@ -114,11 +124,7 @@
 }
 
 func (s *Server) startConnection(socket net.Conn) {
-	if err := sockets.LimitUnsent(socket, maxUnsent); err != nil {
-		// The connection still works, but the kernel may buffer more of its responses than
-		// intended.
-		s.warnUnsentOnce.Do(func() { s.Logger.Warn("unsent data in the kernel is not bounded", zap.Error(err)) })
-	}
+	s.limitKernelBuffers(socket)
 	c := newConnection(s, socket)
 	s.mutex.Lock()
 	if s.closed {
@@ -136,6 +142,28 @@
 	go c.serve()
 }
 
+// limitKernelBuffers bounds what the kernel buffers for a connection. If that fails, the connection still
+// works, but it may take more memory than intended.
+func (s *Server) limitKernelBuffers(socket net.Conn) {
+	err := sockets.LimitUnsent(socket, maxUnsent)
+	if limit := s.unreadLimit(); err == nil && limit > 0 {
+		err = sockets.LimitUnread(socket, limit)
+	}
+	if err != nil {
+		s.warnUnboundedOnce.Do(func() { s.Logger.Warn("data in the kernel is not bounded", zap.Error(err)) })
+	}
+}
+
+// unreadLimit returns the bytes that a further connection may leave unread, or 0 for no limit.
+func (s *Server) unreadLimit() int {
+	if s.UnreadBytes == 0 {
+		return 0
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return min(maxUnread, max(minUnread, s.UnreadBytes/(len(s.open)+1)))
+}
+
 // remove records that a connection has been closed.
 func (s *Server) remove(c *connection) {
 	s.Connections.Track(c.socket, http.StateClosed)
--- a/internal/ingress/pipeline/server_test.go
+++ b/internal/ingress/pipeline/server_test.go
@@ -47,8 +47,8 @@
 	return startServerWith(t, nil, held)
 }
 
-// startServerWith starts a server with the given handler.
-func startServerWith(t *testing.T, handler http.Handler, held *pipeline.MemoryBudget) *testServer {
+// startServerWith starts a server with the given handler; configure changes its settings.
+func startServerWith(t *testing.T, handler http.Handler, held *pipeline.MemoryBudget, configure ...func(*pipeline.Server)) *testServer {
 	t.Helper()
 	s := &testServer{
 		started: make(chan string, 1000), done: make(chan string, 1000), gates: make(map[string]chan struct{}),
@@ -58,6 +58,9 @@
 		handler = http.HandlerFunc(s.handle)
 	}
 	s.Server = newServer(handler, s.limits, held)
+	for _, change := range configure {
+		change(s.Server)
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -53,12 +53,18 @@
 	// ahead and responses that wait behind earlier ones; the rest is for running requests, the
 	// copy of the store and garbage.
 	memoryBudgetFraction = 0.125
-	memoryLogInterval    = 10 * time.Second
-	headerTimeout        = 5 * time.Second
-	pruneInterval        = time.Second
-	headerBytes          = 64 << 10
-	metricsPath          = "/metrics"
-	managerInterval      = 100 * time.Millisecond
+	// bodyBudgetFraction is the fraction of the memory for request bodies.
+	bodyBudgetFraction = 0.25
+	// unreadFraction is the fraction of the memory for input of clients that is not read.
+	unreadFraction = 1.0 / 16
+	// bodyTimeoutGrace is added to the idle timeout before a body that does not arrive is given up.
+	bodyTimeoutGrace  = time.Second
+	memoryLogInterval = 10 * time.Second
+	headerTimeout     = 5 * time.Second
+	pruneInterval     = time.Second
+	headerBytes       = 64 << 10
+	metricsPath       = "/metrics"
+	managerInterval   = 100 * time.Millisecond
 )
 
 // Node is a running router node.
@@ -190,6 +196,14 @@
 	return 0, 0
 }
 
+// pruneClients ends the connections, and gives up the request bodies, whose timeouts have expired.
+func (n *Node) pruneClients(now time.Time) {
+	n.connections.Prune(now)
+	if idle, _ := n.connectionLimits(); idle > 0 {
+		n.clients.InterruptIdleBodies(now, idle+bodyTimeoutGrace)
+	}
+}
+
 func dispatchOptions(settings *Settings, headers ingress.Headers) dispatch.Options {
 	return dispatch.Options{
 		Node: settings.Node,
@@ -217,9 +231,11 @@
 		return errors.Wrap(err, "listen for nodes")
 	}
 	n.internal = transport.NewServer(hello, internal, nil, n.peers, n.logger)
+	memoryBytes := float64(n.settings.MemoryMegabytes) * (1 << 20)
 	n.clients = &pipeline.Server{
 		Handler: n.handler, MayRunConcurrently: n.handler.MayRunConcurrently,
 		Connections: n.connections, HeaderBytes: headerBytes, MemoryBudget: n.memoryBudget, Logger: n.logger,
+		Bodies: pipeline.NewBodyBudget(int64(bodyBudgetFraction * memoryBytes)), UnreadBytes: int(unreadFraction * memoryBytes),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, n.handleReadiness)
@@ -271,7 +287,7 @@
 	actor(func(ctx context.Context) error { return periodic.Run(ctx, renewInterval, n.registration.step) })
 	actor(func(ctx context.Context) error { return periodic.Run(ctx, recordInterval, n.record.step) })
 	actor(func(ctx context.Context) error {
-		return periodic.Run(ctx, pruneInterval, func(context.Context) { n.connections.Prune(time.Now()) })
+		return periodic.Run(ctx, pruneInterval, func(context.Context) { n.pruneClients(time.Now()) })
 	})
 	actor(func(ctx context.Context) error { return periodic.Run(ctx, memoryLogInterval, n.logMemoryBudget()) })
 	actor(func(ctx context.Context) error {
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -125,8 +125,8 @@
 	_, _ = bufio.NewReader(connection).Peek(1)
 }
 
-// memory returns the resident bytes of the node's process and those that have arrived for it unread.
-func (n *crowdNode) memory() int {
+// resident returns the resident bytes of the node's process.
+func (n *crowdNode) resident() int {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
 	if err != nil {
 		return 0
@@ -138,7 +138,7 @@
 			total = kilobytes << 10
 		}
 	}
-	return total + unreadBytes(n.Clients)
+	return total
 }
 
 // unreadBytes returns the bytes that the kernel holds unread for the connections of an address.
@@ -207,16 +207,18 @@
 				crowd.Wait()
 				close(done)
 			}()
-			memory, descriptors := 0, 0
+			memory, mostUnread, descriptors := 0, 0, 0
 			for running := true; running; {
-				memory, descriptors = max(memory, n.memory()), max(descriptors, n.descriptors())
+				unread := unreadBytes(n.Clients)
+				memory, mostUnread = max(memory, n.resident()+unread), max(mostUnread, unread)
+				descriptors = max(descriptors, n.descriptors())
 				select {
 				case <-done:
 					running = false
 				case <-time.After(20 * time.Millisecond):
 				}
 			}
-			t.Logf("at most %d MB and %d descriptors", memory>>20, descriptors)
+			t.Logf("at most %d MB, %d MB unread, %d descriptors", memory>>20, mostUnread>>20, descriptors)
 			if n.Ended() {
 				t.Fatal("the node has ended")
 			}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -100,6 +100,16 @@
 // yet. Data that a peer does not read then stays with the writer instead of filling kernel
 // buffers.
 func LimitUnsent(socket net.Conn, limit int) error {
+	return errors.Wrap(setOption(socket, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, limit), "limit unsent data")
+}
+
+// LimitUnread sets SO_RCVBUF: the kernel keeps about twice limit bytes that have arrived and are not read.
+// Without it, the buffer grows to megabytes.
+func LimitUnread(socket net.Conn, limit int) error {
+	return errors.Wrap(setOption(socket, unix.SOL_SOCKET, unix.SO_RCVBUF, limit), "limit unread data")
+}
+
+func setOption(socket net.Conn, level, option, value int) error {
 	raw, ok := socket.(syscall.Conn)
 	if !ok {
 		return errors.New("connection has no file descriptor")
@@ -110,12 +120,12 @@
 	}
 	var optionErr error
 	err = control.Control(func(descriptor uintptr) {
-		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, limit)
+		optionErr = unix.SetsockoptInt(int(descriptor), level, option, value)
 	})
 	if err != nil {
 		return errors.Wrap(err, "access file descriptor")
 	}
-	return errors.Wrap(optionErr, "limit unsent data")
+	return optionErr
 }
 
 // Unacknowledged returns the number of bytes written to a connection that its peer has not
