A reset during an upload no longer ends a response without a length

Cause: the kernel reports the error of a reset to one system call only. If the goroutine that writes the request's body gets it, the next read returns the end of the connection, which is what ends a response without a length.

A response without a length that ends while the request's body is being sent, or has been sent beside it, is complete only if the connection is in the state that an orderly end of the peer leaves (CLOSE_WAIT); where the state cannot be read, only if the body was sent.

--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -109,6 +109,29 @@
 	return errors.Wrap(setOption(socket, unix.SOL_SOCKET, unix.SO_RCVBUF, limit), "limit unread data")
 }
 
+// EndedInOrder reports whether the peer has ended its side of a connection that is still open on this side,
+// and the connection was not reset since. known is false if the state of the connection cannot be read.
+// The error of a reset is reported to one system call only: if that is a write, reads return io.EOF.
+func EndedInOrder(socket net.Conn) (ended, known bool) {
+	raw, ok := socket.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false, false
+	}
+	var info *unix.TCPInfo
+	var optionErr error
+	err = control.Control(func(descriptor uintptr) {
+		info, optionErr = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || optionErr != nil || info.State == 0 {
+		return false, false
+	}
+	return info.State == unix.BPF_TCP_CLOSE_WAIT, true
+}
+
 func setOption(socket net.Conn, level, option, value int) error {
 	raw, ok := socket.(syscall.Conn)
 	if !ok {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -265,7 +265,8 @@
 		return nil, false, err
 	}
 	answer := &Response{Status: response.StatusCode, Header: response.Header}
-	answer.Body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBody))
+	body := c.responseBody(response, bodyDone)
+	answer.Body, err = io.ReadAll(io.LimitReader(body, maxBufferedBody))
 	if err != nil {
 		return nil, false, errors.Mark(errors.Wrap(err, "read answer"), ErrBadResponse)
 	}
@@ -276,7 +277,7 @@
 		}
 	}
 	if len(answer.Body) == maxBufferedBody {
-		answer.Rest = response.Body
+		answer.Rest = io.NopCloser(body)
 		return answer, false, nil
 	}
 	c.recordKeepAlive(response.Header)
