Responses whose field names are no tokens are rejected

The head is checked with httpguts of golang.org/x/net, which was an indirect dependency; the same for answers of servers in internal/backend (its test failed before, both forms). The request may have run; an idempotent one may be repeated, others get 502. Empty values and bytes beyond ASCII in values are accepted as before.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/micahaven/micahaven/internal/holder"
 	"github.com/micahaven/micahaven/internal/wire"
@@ -177,6 +178,11 @@
 // readAnswer reads the whole answer: net/http reports an error when the body
 // ends before the length that was announced.
 func (h *HTTP) readAnswer(address string, response *http.Response) (*wire.Response, error) {
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return nil, errors.Wrapf(ErrUncertain, "answer of %s: field name %q", address, name)
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, h.maxAnswerBytes+1))
 	if err != nil {
 		return nil, errors.Wrapf(ErrUncertain, "answer of %s: %v", address, err)
--- a/internal/backend/http_test.go
+++ b/internal/backend/http_test.go
@@ -1,6 +1,7 @@
 package backend_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -28,3 +29,24 @@
 		t.Errorf("error %v, want %v", err, backend.ErrUncertain)
 	}
 }
+
+// Guards against answers of faulty servers whose malformed fields are passed on.
+func TestAnswerWithAMalformedFieldNameIsRejected(t *testing.T) {
+	for _, field := range []string{"X Name: v", "X-Name : v"} {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			socket, _, err := http.NewResponseController(writer).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 2\r\n\r\nok")
+			_ = socket.Close()
+		}))
+		client := backend.NewHTTP(1 << 10)
+		dispatch := &backend.Dispatch{Request: &wire.Request{Method: http.MethodGet, Path: "/"}, Timeout: time.Second}
+		if _, err := client.Run(t.Context(), strings.TrimPrefix(server.URL, "http://"), dispatch); !errors.Is(err, backend.ErrUncertain) {
+			t.Errorf("field %q: error %v, want %v", field, err, backend.ErrUncertain)
+		}
+		client.Release()
+		server.Close()
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/micahaven/micahaven/internal/sentinel"
 	"github.com/micahaven/micahaven/internal/sockets"
@@ -343,13 +344,28 @@
 		return nil, errors.Wrapf(ErrBadResponse, "head of the answer exceeds %d bytes", maxHead)
 	case err != nil:
 		return nil, errors.Mark(errors.Wrap(err, "read answer"), ErrNoResponse)
-	case response.StatusCode < http.StatusContinue:
-		return nil, errors.Wrapf(ErrBadResponse, "status %d", response.StatusCode)
 	default:
-		return response, nil
+		return response, checkHead(response)
 	}
 }
 
+// checkHead performs the checks that http.ReadResponse leaves to a client. A field whose name is no token
+// may be one that decides where the response ends.
+func checkHead(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return errors.Wrapf(ErrBadResponse, "protocol %q", response.Proto)
+	}
+	if response.StatusCode < http.StatusContinue {
+		return errors.Wrapf(ErrBadResponse, "status %d", response.StatusCode)
+	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrBadResponse, "field name %q", name)
+		}
+	}
+	return nil
+}
+
 // skipBody reads the body of a response to another request. It reports false if the connection cannot
 // be used for a further response.
 func (c *connection) skipBody(response *http.Response) bool {
