An encoded slash in a path divides no route

Cause: routes were looked up with the decoded path, so that /puba11/status%2FID counted as a request of the safe route nested in its own. An encoded slash is part of a segment (RFC 3986, section 2.2), and servers get the path unaltered. It stays encoded for the lookup now, at homes as well; other escapes are decoded as before.

--- a/internal/handoff/home.go
+++ b/internal/handoff/home.go
@@ -13,6 +13,7 @@
 
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
+	"github.com/micahaven/micahaven/internal/routing"
 	"github.com/micahaven/micahaven/internal/transport"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
@@ -130,7 +131,7 @@
 	if err != nil || table == nil || table.Version() != handoff.GetTableVersion() {
 		return nil
 	}
-	route := table.Match(string(handoff.GetHost()), target.Path)
+	route := table.Match(string(handoff.GetHost()), routing.Path(target))
 	if route == nil {
 		return nil
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -18,6 +18,7 @@
 	"github.com/micahaven/micahaven/internal/discovery"
 	"github.com/micahaven/micahaven/internal/dispatch"
 	"github.com/micahaven/micahaven/internal/ingress/pipeline"
+	"github.com/micahaven/micahaven/internal/routing"
 	"github.com/micahaven/micahaven/internal/sentinel"
 	"github.com/micahaven/micahaven/internal/upstream"
 	"github.com/micahaven/micahaven/internal/view"
@@ -134,7 +135,7 @@
 	if table == nil {
 		return false
 	}
-	route := table.Match(incoming.Host, incoming.URL.Path)
+	route := table.Match(incoming.Host, routing.Path(incoming.URL))
 	return route != nil && route.Repeatable
 }
 
@@ -151,7 +152,7 @@
 		writeRefusal(writer, http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetryAfter)
 		return
 	}
-	route := table.Match(incoming.Host, incoming.URL.Path)
+	route := table.Match(incoming.Host, routing.Path(incoming.URL))
 	if route == nil {
 		h.answerUnrouted(writer, incoming, table)
 		return
