--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -102,15 +103,17 @@
 		return &requestError{status: http.StatusHTTPVersionNotSupported, detail: "unsupported protocol version"}
 	case request.ProtoAtLeast(1, 1) && request.Host == "" && request.Method != http.MethodConnect:
 		return &requestError{status: http.StatusBadRequest, detail: "missing required Host header"}
-	case request.URL.Host == "" && !validHost(request.Host):
+	case request.URL.Host == "" && !httpguts.ValidHostHeader(request.Host):
 		return &requestError{status: http.StatusBadRequest, detail: "malformed Host header"}
 	}
 	for name, values := range request.Header {
-		if !validName(name) {
+		if !httpguts.ValidHeaderFieldName(name) {
 			return &requestError{status: http.StatusBadRequest, detail: "invalid header name"}
 		}
-		if !validValues(values) {
-			return &requestError{status: http.StatusBadRequest, detail: "invalid header value"}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return &requestError{status: http.StatusBadRequest, detail: "invalid header value"}
+			}
 		}
 	}
 	expected := request.Header.Get("Expect")
@@ -141,42 +144,6 @@
 	return slices.ContainsFunc(parts, func(part string) bool { return strings.EqualFold(part, token) })
 }
 
-// validName reports whether a header name is a token as defined in RFC 9110.
-func validName(name string) bool {
-	for _, character := range []byte(name) {
-		letter := character|0x20 >= 'a' && character|0x20 <= 'z'
-		digit := character >= '0' && character <= '9'
-		if !letter && !digit && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(character)) {
-			return false
-		}
-	}
-	return name != ""
-}
-
-// validValues reports whether none of the values contains control characters.
-func validValues(values []string) bool {
-	for _, value := range values {
-		for _, character := range []byte(value) {
-			if (character < ' ' && character != '\t') || character == 0x7f {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-// validHost reports whether a host contains only characters that RFC 3986 allows.
-func validHost(host string) bool {
-	for _, character := range []byte(host) {
-		letter := character|0x20 >= 'a' && character|0x20 <= 'z'
-		digit := character >= '0' && character <= '9'
-		if !letter && !digit && !strings.ContainsRune("!$%&'()*+,-.:;=[]_~", rune(character)) {
-			return false
-		}
-	}
-	return true
-}
-
 // errorResponse returns the status and the response to data that could not be parsed as a
 // request; the response is empty if the client has left.
 func errorResponse(err error) (status int, response string) {
--- a/internal/upstream/early_reset_test.go
+++ b/internal/upstream/early_reset_test.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-// startEarlyServer starts a server that responds to each request before it has read its body, and then ends the
-// connection.
-func startEarlyServer(t *testing.T, end func(socket *net.TCPConn)) string {
+// startResponder starts a server that sends a response as soon as it has read the head of a request, and then ends
+// the connection.
+func startResponder(t *testing.T, response string, end func(socket *net.TCPConn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,7 +30,7 @@
 				if _, err := http.ReadRequest(bufio.NewReader(socket)); err != nil {
 					return
 				}
-				_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n"+earlyBody)
+				_, _ = io.WriteString(socket, response)
 				end(socket.(*net.TCPConn))
 			}()
 		}
@@ -38,11 +38,14 @@
 	return listener.Addr().String()
 }
 
-const earlyBody = "part of a body"
+const (
+	earlyBody     = "part of a body"
+	earlyResponse = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n" + earlyBody
+)
 
 // Guards against a response without a length that is cut off by a reset while the request's body is sent.
 func TestResetDuringAnUploadDoesNotEndAResponse(t *testing.T) {
-	pool := NewPool(startEarlyServer(t, func(socket *net.TCPConn) {
+	pool := NewPool(startResponder(t, earlyResponse, func(socket *net.TCPConn) {
 		_ = socket.SetLinger(0)
 		_ = socket.Close()
 	}), NewLink())
@@ -66,7 +69,7 @@
 
 // Guards against complete responses to uploads that are taken as cut off.
 func TestResponseWithoutALengthEndsWithItsConnectionDuringAnUpload(t *testing.T) {
-	pool := NewPool(startEarlyServer(t, func(socket *net.TCPConn) {
+	pool := NewPool(startResponder(t, earlyResponse, func(socket *net.TCPConn) {
 		_ = socket.CloseWrite()
 		_, _ = io.Copy(io.Discard, socket)
 		_ = socket.Close()
--- a/internal/upstream/malformed_head_test.go
+++ b/internal/upstream/malformed_head_test.go
@@ -1,9 +1,7 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -11,28 +9,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// startHeadServer starts a server that responds with the given bytes and closes the connection.
-func startHeadServer(t *testing.T, response string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(socket)); err == nil {
-				_, _ = io.WriteString(socket, response)
-			}
-			_ = socket.Close()
-		}
-	}()
-	return listener.Addr().String()
-}
+func closeSocket(socket *net.TCPConn) { _ = socket.Close() }
 
 // Guards against responses of faulty servers that reach clients with a malformed field, or with another body than the server's.
 func TestResponseWithAMalformedHeadIsRejected(t *testing.T) {
@@ -61,7 +38,7 @@
 		"blank between name and nothing": "HTTP/1.1 200 OK\r\nX-Name \r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			pool := NewPool(startHeadServer(t, head+rest), NewLink())
+			pool := NewPool(startResponder(t, head+rest, closeSocket), NewLink())
 			defer pool.Close()
 			response, err := pool.Exchange(context.Background(), &Request{Method: http.MethodGet, URI: "/", Host: "h"})
 			if err == nil {
@@ -76,7 +53,7 @@
 
 func TestResponseWithUnusualFieldsIsAccepted(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nX-Empty:\r\nX-Bytes: \xe9\ttab\r\nx_under.score: v\r\nContent-Length: 2\r\n\r\nok"
-	pool := NewPool(startHeadServer(t, head), NewLink())
+	pool := NewPool(startResponder(t, head, closeSocket), NewLink())
 	defer pool.Close()
 	response, err := pool.Exchange(context.Background(), &Request{Method: http.MethodGet, URI: "/", Host: "h"})
 	if err != nil || string(response.Body) != "ok" {
