Long headers and unread input are bounded in memory as bodies are

Cause: a header has a timeout, but its memory was in no budget; the share of the kernel's buffer was set when a connection was accepted, and not reduced as more came, nor before it was accepted.

What exceeds 4 KB of a header is charged to the budget for bodies while it arrives and until the request is answered; it is refused with 503 if there is no memory, and given up if it stalls while others need memory.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -44,7 +44,7 @@
 // refuseBody answers a request whose body was not read completely. It has not run.
 func (h *Handler) refuseBody(writer http.ResponseWriter, request *dispatch.Request, cause error) {
 	switch {
-	case errors.Is(cause, pipeline.ErrBodyRefused):
+	case errors.Is(cause, pipeline.ErrNoMemory):
 		h.logRefusedBody(request, cause)
 		bodiesRefusedTotal.WithLabelValues("memory").Inc()
 		writeRefusal(writer, http.StatusServiceUnavailable, cause.Error(), bodyRetryAfter)
--- a/internal/ingress/pipeline/body.go
+++ b/internal/ingress/pipeline/body.go
@@ -50,7 +50,7 @@
 
 // ReadPrefix returns the first bytes of a request body, at most limit, given the request and its
 // ResponseWriter. The memory is taken from the server's budget for bodies; if that is used up, the error
-// matches ErrBodyRefused. What follows is read from the request's body.
+// matches ErrNoMemory. What follows is read from the request's body.
 func ReadPrefix(writer http.ResponseWriter, request *http.Request, limit int) ([]byte, error) {
 	e, ok := writer.(*exchange)
 	switch {
--- a/internal/ingress/pipeline/body_budget.go
+++ b/internal/ingress/pipeline/body_budget.go
@@ -2,8 +2,8 @@
 
 import "sync/atomic"
 
-// BodyBudget bounds the memory that request bodies take from when they begin to arrive until their
-// requests are answered. A nil budget has no limit. It is safe for concurrent use.
+// BodyBudget bounds the memory that request bodies and long headers take from when they begin to arrive
+// until their requests are answered. A nil budget has no limit. It is safe for concurrent use.
 type BodyBudget struct {
 	limit int64
 	used  atomic.Int64
--- a/internal/ingress/pipeline/body_test.go
+++ b/internal/ingress/pipeline/body_test.go
@@ -20,7 +20,7 @@
 		const whole = 4 << 20
 		prefix, err := pipeline.ReadPrefix(writer, request, whole)
 		switch {
-		case errors.Is(err, pipeline.ErrBodyRefused):
+		case errors.Is(err, pipeline.ErrNoMemory):
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		case errors.Is(err, pipeline.ErrBodyTimeout):
 			writer.WriteHeader(http.StatusRequestTimeout)
@@ -106,3 +106,17 @@
 		c.expectStatus(http.StatusRequestTimeout)
 	}
 }
+
+// Guards against long headers that are read without memory for them, and against short ones that are refused.
+func TestLongHeaderIsRefusedWithoutMemory(t *testing.T) {
+	s := startBodyServer(t, 0)
+	const short, long = 2 << 10, 32 << 10
+	for length, want := range map[int]int{short: http.StatusOK, long: http.StatusServiceUnavailable} {
+		c := s.dial(t)
+		c.send("GET /x HTTP/1.1\r\nHost: a\r\nX-Long: " + strings.Repeat("x", length) + "\r\n\r\n")
+		c.expectStatus(want)
+	}
+	if charged := s.Bodies.Now(); charged != 0 {
+		t.Errorf("%d bytes are still charged", charged)
+	}
+}
--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -32,7 +32,7 @@
 	// bound it buffers megabytes for each client that doesn't read.
 	maxUnsent = 64 << 10
 	// minUnread and maxUnread bound what the kernel keeps of a connection's input that is not read.
-	minUnread, maxUnread = 4 << 10, 64 << 10
+	minUnread, maxUnread = 2 << 10, 64 << 10
 	readBufferSize       = 4 << 10
 )
 
@@ -43,6 +43,8 @@
 type connection struct {
 	server *Server
 	socket net.Conn
+	// heads reads from the socket, input from heads, and reader from input.
+	heads  headReader
 	input  *sockets.LimitedReader
 	reader *bufio.Reader
 	remote string
@@ -77,7 +79,8 @@
 
 func newConnection(server *Server, socket net.Conn) *connection {
 	c := &connection{server: server, socket: socket, remote: socket.RemoteAddr().String(), wake: make(chan struct{}, 1)}
-	c.input = sockets.NewLimitedReader(socket)
+	c.heads.connection = c
+	c.input = sockets.NewLimitedReader(&c.heads)
 	c.reader = bufio.NewReaderSize(c.input, readBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
--- a/internal/ingress/pipeline/queue.go
+++ b/internal/ingress/pipeline/queue.go
@@ -15,6 +15,7 @@
 	defer c.mutex.Unlock()
 	if c.inputClosed {
 		e.cancel()
+		c.releaseLocked(e)
 		return false
 	}
 	c.queue = append(c.queue, e)
--- a/internal/ingress/pipeline/request.go
+++ b/internal/ingress/pipeline/request.go
@@ -56,17 +56,19 @@
 	if c.afterPost {
 		c.skipLineBreaks()
 	}
+	c.heads.begin()
 	request, err := http.ReadRequest(c.reader)
+	reserved, err := c.heads.end(err)
 	c.input.Unlimit()
-	if err != nil {
-		if c.input.Exhausted() {
-			return nil, &requestError{status: http.StatusRequestHeaderFieldsTooLarge}
-		}
-		return nil, err
-	}
 	arrivedAt := time.Now()
-	c.afterPost = request.Method == http.MethodPost
-	if err := validateRequest(request); err != nil {
+	if err == nil {
+		c.afterPost = request.Method == http.MethodPost
+		err = validateRequest(request)
+	} else if c.input.Exhausted() {
+		err = &requestError{status: http.StatusRequestHeaderFieldsTooLarge}
+	}
+	if err != nil {
+		c.server.Bodies.release(reserved)
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -74,6 +76,7 @@
 	return &exchange{
 		connection: c, request: request.WithContext(ctx), cancel: cancel, arrivedAt: arrivedAt,
 		header: make(http.Header), contentLength: unknownLength, bodyRead: true, lastRequest: wantsClose(request),
+		reservedBody: reserved,
 	}, nil
 }
 
@@ -160,6 +163,10 @@
 			return rejected.status, version + " 417 Expectation Failed\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 		}
 		return rejected.status, "HTTP/1.1 " + rejected.Error() + end + rejected.Error()
+	case errors.Is(err, ErrNoMemory):
+		return http.StatusServiceUnavailable, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1" + end + err.Error()
+	case errors.Is(err, ErrBodyTimeout):
+		return http.StatusRequestTimeout, "HTTP/1.1 408 Request Timeout" + end + err.Error()
 	case errors.Is(err, errNoRequest), errors.Is(err, io.EOF), errors.As(err, &netErr), errors.Is(err, net.ErrClosed):
 		return 0, ""
 	case strings.HasPrefix(err.Error(), "unsupported transfer encoding"), strings.HasPrefix(err.Error(), "too many transfer encodings"):
--- a/internal/ingress/pipeline/response.go
+++ b/internal/ingress/pipeline/response.go
@@ -71,7 +71,7 @@
 	// its buffered response.
 	reservedBytes         int
 	reservedResponseBytes int
-	// reservedBody is the memory charged to the budget for bodies.
+	// reservedBody is the memory charged to the budget for bodies, for the header as well.
 	reservedBody int
 	// completedAt is when the handler returned.
 	completedAt time.Time
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -28,6 +28,7 @@
 	"github.com/micahaven/micahaven/internal/routerlog"
 	"github.com/micahaven/micahaven/internal/shardmanager"
 	"github.com/micahaven/micahaven/internal/shards"
+	"github.com/micahaven/micahaven/internal/sockets"
 	"github.com/micahaven/micahaven/internal/tenants"
 	"github.com/micahaven/micahaven/internal/topo"
 	"github.com/micahaven/micahaven/internal/transport"
@@ -57,6 +58,8 @@
 	bodyBudgetFraction = 0.25
 	// unreadFraction is the fraction of the memory for input of clients that is not read.
 	unreadFraction = 1.0 / 16
+	// unacceptedBytes bounds the input of a connection that has not been accepted yet.
+	unacceptedBytes = 8 << 10
 	// bodyTimeoutGrace is added to the idle timeout before a body that does not arrive is given up.
 	bodyTimeoutGrace  = time.Second
 	memoryLogInterval = 10 * time.Second
@@ -330,6 +333,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
+	if err := sockets.LimitUnread(listener, unacceptedBytes); err != nil {
+		n.logger.Warn("data in the kernel is not bounded", zap.Error(err))
+	}
 	n.listener.Store(&listener)
 	err = n.clients.Serve(n.connections.Listener(listener))
 	if n.stopping.Load() {
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -103,11 +103,11 @@
 // crowdPath is the path of a route whose requests may not be repeated.
 const crowdPath = "/orders/x"
 
-const crowdHead = "POST " + crowdPath + " HTTP/1.1\r\nHost: " + standin.Host + "\r\nX-Request-Id: crowd-%d\r\nX-Deadline-Ms: 60000\r\n%s\r\n\r\n"
+const crowdHead = "POST " + crowdPath + " HTTP/1.1\r\nHost: " + standin.Host + "\r\nX-Request-Id: crowd-%d\r\nX-Deadline-Ms: 60000\r\n%s"
 
-// misbehave sends a request whose body stops short of its end, and leaves the connection open. Whether it
-// is refused is the node's decision.
-func (n *crowdNode) misbehave(number int, field string, body []byte) {
+// misbehave sends a request that stops short of its end, and leaves the connection open. Whether it is
+// refused is the node's decision.
+func (n *crowdNode) misbehave(number int, head string, body []byte) {
 	connection, err := net.Dial("tcp", n.Clients)
 	if err != nil {
 		return
@@ -117,7 +117,7 @@
 	if connection.SetDeadline(time.Now().Add(timeout)) != nil {
 		return
 	}
-	if _, err := fmt.Fprintf(connection, crowdHead, number, field); err != nil {
+	if _, err := fmt.Fprintf(connection, crowdHead, number, head); err != nil {
 		return
 	}
 	// The node may answer and close before it has read all.
@@ -189,50 +189,62 @@
 	}
 }
 
+// endure lets a crowd of clients send a request that stops short of its end, each several times, and checks
+// that the node lives, stays within its memory and descriptors, and answers an ordinary request afterwards.
+func (n *crowdNode) endure(clients, rounds int, head string, body []byte) {
+	n.Helper()
+	var crowd sync.WaitGroup
+	for number := range clients {
+		crowd.Go(func() {
+			for range rounds {
+				n.misbehave(number, head, body)
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		crowd.Wait()
+		close(done)
+	}()
+	memory, mostUnread, descriptors := 0, 0, 0
+	for running := true; running; {
+		unread := unreadBytes(n.Clients)
+		memory, mostUnread = max(memory, n.resident()+unread), max(mostUnread, unread)
+		descriptors = max(descriptors, n.descriptors())
+		select {
+		case <-done:
+			running = false
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	n.Logf("at most %d MB, %d MB unread, %d descriptors", memory>>20, mostUnread>>20, descriptors)
+	if n.Ended() {
+		n.Fatal("the node has ended")
+	}
+	if memory > crowdMegabytes<<20 {
+		n.Errorf("the node used %d MB, its machine has %d", memory>>20, crowdMegabytes)
+	}
+	if allowed := clients*rounds + crowdDescriptors; descriptors > allowed {
+		n.Errorf("the node had %d descriptors open, %d allowed", descriptors, allowed)
+	}
+	n.requireAnswer([]byte("x"))
+}
+
 // Guards against clients whose bodies stop short of their end and use up the memory of a node.
 func TestBodiesThatStopShortLeaveTheNodeItsMemory(t *testing.T) {
 	for name, body := range crowdBodies() {
 		t.Run(name, func(t *testing.T) {
-			n := startCrowdNode(t)
-			var crowd sync.WaitGroup
-			for number := range crowdClients {
-				crowd.Go(func() {
-					for range crowdRounds {
-						n.misbehave(number, body.field, body.sent)
-					}
-				})
-			}
-			done := make(chan struct{})
-			go func() {
-				crowd.Wait()
-				close(done)
-			}()
-			memory, mostUnread, descriptors := 0, 0, 0
-			for running := true; running; {
-				unread := unreadBytes(n.Clients)
-				memory, mostUnread = max(memory, n.resident()+unread), max(mostUnread, unread)
-				descriptors = max(descriptors, n.descriptors())
-				select {
-				case <-done:
-					running = false
-				case <-time.After(20 * time.Millisecond):
-				}
-			}
-			t.Logf("at most %d MB, %d MB unread, %d descriptors", memory>>20, mostUnread>>20, descriptors)
-			if n.Ended() {
-				t.Fatal("the node has ended")
-			}
-			if memory > crowdMegabytes<<20 {
-				t.Errorf("the node used %d MB, its machine has %d", memory>>20, crowdMegabytes)
-			}
-			if allowed := crowdClients*crowdRounds + crowdDescriptors; descriptors > allowed {
-				t.Errorf("the node had %d descriptors open, %d allowed", descriptors, allowed)
-			}
-			n.requireAnswer([]byte("x"))
+			startCrowdNode(t).endure(crowdClients, crowdRounds, body.field+"\r\n\r\n", body.sent)
 		})
 	}
 }
 
+// Guards against clients whose headers stop short of their end and use up the memory of a node.
+func TestHeadersThatStopShortLeaveTheNodeItsMemory(t *testing.T) {
+	const clients, rounds, fields, valueBytes = 1000, 2, 450, 120
+	startCrowdNode(t).endure(clients, rounds, strings.Repeat("X-Long: "+strings.Repeat("y", valueBytes)+"\r\n", fields), nil)
+}
+
 // Guards against limits on request bodies that refuse a single long one.
 func TestLongBodyIsServedInCalm(t *testing.T) {
 	n := startCrowdNode(t)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -103,9 +103,10 @@
 	return errors.Wrap(setOption(socket, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, limit), "limit unsent data")
 }
 
-// LimitUnread sets SO_RCVBUF: the kernel keeps about twice limit bytes that have arrived and are not read.
-// Without it, the buffer grows to megabytes.
-func LimitUnread(socket net.Conn, limit int) error {
+// LimitUnread sets SO_RCVBUF of a connection, or of the connections that a listener has not accepted yet:
+// the kernel keeps about twice limit bytes that have arrived and are not read. Without it, the buffer of a
+// connection grows to megabytes.
+func LimitUnread(socket any, limit int) error {
 	return errors.Wrap(setOption(socket, unix.SOL_SOCKET, unix.SO_RCVBUF, limit), "limit unread data")
 }
 
@@ -132,10 +133,10 @@
 	return info.State == unix.BPF_TCP_CLOSE_WAIT, true
 }
 
-func setOption(socket net.Conn, level, option, value int) error {
+func setOption(socket any, level, option, value int) error {
 	raw, ok := socket.(syscall.Conn)
 	if !ok {
-		return errors.New("connection has no file descriptor")
+		return errors.New("socket has no file descriptor")
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
