A header without memory is answered with 503, not 400

The commit before this one refused long headers by an error of the read. bufio returns the part of the line that it has and keeps the error for later, so that the part was parsed and found malformed: 400 instead of 503 (TestLongHeaderIsRefusedWithoutMemory, which came with that commit and failed on it). The reader of the header remembers the refusal now.

--- a/internal/ingress/pipeline/head_reader.go
+++ b/internal/ingress/pipeline/head_reader.go
@@ -15,12 +15,13 @@
 	// charged.
 	reading            bool
 	received, reserved int
-	// arrival is set once the header exceeds unreservedHead.
+	// arrival is set once the header exceeds unreservedHead, and refused if there is no memory for it.
 	arrival *arrival
+	refused bool
 }
 
 // begin starts a header.
-func (h *headReader) begin() { h.reading, h.received, h.reserved, h.arrival = true, 0, 0, nil }
+func (h *headReader) begin() { *h = headReader{connection: h.connection, reading: true} }
 
 // end ends a header that was read with the given error. It returns the bytes that are charged for it, and
 // the error.
@@ -30,6 +31,10 @@
 		return 0, err
 	}
 	h.connection.server.removeArrival(h.arrival)
+	if h.refused {
+		// The error of the read may have been replaced by one about a part of a line.
+		err = ErrNoMemory
+	}
 	return h.reserved, h.arrival.result(err)
 }
 
@@ -56,6 +61,7 @@
 	h.arrival.record(count)
 	for h.reserved < h.received-unreservedHead {
 		if !server.reserveArrival(headStep) {
+			h.refused = true
 			return false
 		}
 		h.reserved += headStep
