An incomplete map stays incomplete across a second restore

A manager that continues from an older map knows that servers which nobody knows may hold keys, but forgot it when it froze its map for the next era: that map was verified after 2 s, while the lease of such a server still ran.

The core keeps whether its map is incomplete until it is verified, and hands it on with the frozen map.

TestUnverifiedMapStaysIncompleteAcrossASecondRestore failed before. TestKeysOfAServerThatNobodyKnowsStayAcrossTwoRestoresOfTheStore, with nodes, passes; both are the reviewer's, unchanged.

--- a/internal/shardmanager/restored.go
+++ b/internal/shardmanager/restored.go
@@ -120,7 +120,7 @@
 		return nil
 	}
 	frozen := t.core.Freeze(t.now())
-	frozen.Incomplete = t.sinceRenewal() >= lockTTL
+	frozen.Incomplete = frozen.Incomplete || t.sinceRenewal() >= lockTTL
 	return frozen
 }
 
--- a/internal/shards/fencing.go
+++ b/internal/shards/fencing.go
@@ -140,7 +140,7 @@
 // manager.
 func (m *Manager) completeFencing(now time.Duration, evidence Evidence, commands *Commands) {
 	commands.Verified = &Verification{Servers: len(m.fencing.servers), Evidence: evidence}
-	m.fencing, m.continued = nil, false
+	m.fencing, m.continued, m.incomplete = nil, false, false
 	m.uncommitted = m.Started()
 	for _, s := range m.shards {
 		s.renewAt = now
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -63,6 +63,8 @@
 	fencing *fencing
 	// continued is true while the manager renews grants made before the store was restored.
 	continued bool
+	// incomplete is true until the map is verified if servers that this manager does not know may hold keys.
+	incomplete bool
 	// frozen is true if the manager only renews existing grants.
 	frozen bool
 	// installed is true once a map of this epoch is committed.
@@ -163,7 +165,7 @@
 		m.recordUnknownGrants(now)
 		wait := registrationGrace
 		if previous.Incomplete {
-			wait = max(wait, m.maxLease())
+			m.incomplete, wait = true, max(wait, m.maxLease())
 		}
 		m.fencing = newFencing(m.nextFence(), now+wait)
 	}
@@ -187,7 +189,7 @@
 	current := &Map{
 		Service: m.service, Epoch: m.epoch, Ranges: make([]Range, 0, len(m.shards)),
 		Author: m.author, Pending: append([]Author(nil), m.pendingAuthors...), Resigned: m.resigned,
-		Sequence: m.sequence, Unverified: m.fencing != nil, Continued: m.continued,
+		Sequence: m.sequence, Unverified: m.fencing != nil, Continued: m.continued, Incomplete: m.incomplete,
 	}
 	for _, s := range m.shards {
 		current.Ranges = append(current.Ranges, m.rangeInMap(s))
