Grants from before a restore use connections from before a lost successor

A former owner that the successor released, and that restarted since, knows no fence and accepts the renewal, while the successor's owner holds the keys.

Cause: the bound on connections followed the lock of the term; that of the new era says nothing of what began before the restore. The frozen term and the one that continues it keep the bound of the moment at which the restore was noticed, until the map is verified, if the lock may have lapsed.

TestContinuedGrantsUseConnectionsFromBeforeALostSuccessor (the reviewer's, unchanged) failed before.

--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -33,8 +33,10 @@
 	// none.
 	key      string
 	revision int64
-	// frozen reports whether the map comes from a frozen term of this process.
-	frozen bool
+	// frozen reports whether the map comes from a frozen term of this process, whose grants need
+	// connections that were open by connectedBy unless that is 0.
+	frozen      bool
+	connectedBy time.Duration
 }
 
 // candidacy is one attempt to acquire the lock.
@@ -56,7 +58,7 @@
 // the lock, so that a manager with the lock may send orders at once, even if the store becomes
 // unavailable right afterwards. The term continues from the map of a frozen term of this process if
 // there is one, and otherwise from the newest map known to the store or this node.
-func (m *Manager) campaign(ctx context.Context, frozen *shards.Map) (*term, error) {
+func (m *Manager) campaign(ctx context.Context, frozen *frozenMap) (*term, error) {
 	attempt, err := m.prepare(ctx, frozen)
 	if err != nil {
 		return nil, err
@@ -79,7 +81,7 @@
 }
 
 // prepare reads the current map, obtains a lease and builds the candidacy.
-func (m *Manager) prepare(ctx context.Context, frozen *shards.Map) (*candidacy, error) {
+func (m *Manager) prepare(ctx context.Context, frozen *frozenMap) (*candidacy, error) {
 	base, era, err := m.readMap(ctx)
 	if err != nil {
 		return nil, err
@@ -89,7 +91,7 @@
 		if written && base.Author.Process != m.config.Self.Process {
 			return nil, errors.Wrapf(errNewerTerm, "era %d", era)
 		}
-		base.Map, base.frozen = frozen, true
+		base.Map, base.frozen, base.connectedBy = frozen.Map, true, frozen.connectedBy
 	}
 	staleLock, err := m.readStaleLock(ctx, era)
 	if err != nil {
--- a/internal/shardmanager/restored.go
+++ b/internal/shardmanager/restored.go
@@ -110,18 +110,32 @@
 // lockVoid reports whether the store has been restored since the term began.
 func (t *term) lockVoid() bool { return t.manager.config.Store.Era() > t.lock.era() }
 
+// frozenMap is the map from which the next term of this process continues.
+type frozenMap struct {
+	*shards.Map
+	// connectedBy is the time by which connections for its grants must have been open; 0 if any will do.
+	connectedBy time.Duration
+}
+
 // freeze restricts the term to renewing existing grants, and returns the map that the next term of
 // this process may continue from; nil if there is none. If the lock may have lapsed before the restore,
-// a successor may have changed owners in what was lost, so that the map is incomplete.
-func (t *term) freeze() *shards.Map {
+// a successor may have changed owners in what was lost: the map is incomplete, and grants are renewed only
+// over connections from before.
+func (t *term) freeze() *frozenMap {
+	connectedBy := t.connectedBy()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if !t.core.Started() {
 		return nil
 	}
 	frozen := t.core.Freeze(t.now())
-	frozen.Incomplete = frozen.Incomplete || t.sinceRenewal() >= lockTTL
-	return frozen
+	if t.sinceRenewal() >= lockTTL {
+		frozen.Incomplete = true
+		if t.continuedBy == 0 {
+			t.continuedBy = connectedBy
+		}
+	}
+	return &frozenMap{Map: frozen, connectedBy: t.continuedBy}
 }
 
 // readStaleLock returns the revision of a lock that was acquired before the given era; 0 if there
--- a/internal/shardmanager/term.go
+++ b/internal/shardmanager/term.go
@@ -39,7 +39,10 @@
 	// written is the map that the store holds; nil before the first commit.
 	written *shards.Map
 	// renewedAt is the clock reading when the last successful renewal of the lock was sent.
-	renewedAt    time.Duration
+	renewedAt time.Duration
+	// continuedBy is, after a restore, the time by which connections for grants from before it must have been
+	// open, because a successor may have begun later in what was lost; 0 if none can have.
+	continuedBy  time.Duration
 	storeFailed  bool
 	speeds       speeds
 	firstSeen    time.Time
@@ -66,6 +69,7 @@
 		start:        m.config.Clock(),
 		core:         won.core,
 		renewedAt:    won.lock.renewedAt,
+		continuedBy:  won.base.connectedBy,
 		speeds:       make(speeds),
 		knownServers: make(map[discovery.ServerID]bool),
 	}
@@ -174,6 +178,9 @@
 		t.core.Start()
 	}
 	commands := t.core.Tick(t.now())
+	if t.continuedBy > 0 && (t.lockVoid() || !t.core.Verified()) {
+		connectedBy = min(connectedBy, t.continuedBy)
+	}
 	t.execute(ctx, commands, connectedBy)
 	t.mutex.Unlock()
 }
