A body that cannot be read keeps no memory

The memory was released with the exchange. It is released with the failed read now, and the content is dropped.

TestBodyGivenUpBehindASlowRequestGivesItsMemoryToOthers (the reviewer's) failed before: 503 instead of 200.

--- a/internal/ingress/pipeline/body.go
+++ b/internal/ingress/pipeline/body.go
@@ -38,7 +38,7 @@
 		// as a request.
 		e.lastRequest = true
 		e.bodyErr = err
-		request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(content), errorReader{err}))
+		request.Body = io.NopCloser(errorReader{err})
 	case len(content) > maxBufferedBody:
 		e.deferBody(source, content, false)
 	default:
--- a/internal/ingress/pipeline/body_reader.go
+++ b/internal/ingress/pipeline/body_reader.go
@@ -32,15 +32,19 @@
 }
 
 // readAhead reads a body to its end, but not more than limit bytes. length is the length of the body, or
-// unknownLength. The memory stays charged until the exchange ends.
+// unknownLength. The memory stays charged until the exchange ends; a body that cannot be read keeps none.
 func (e *exchange) readAhead(source io.Reader, length int64, limit int) ([]byte, error) {
 	r := &bodyReader{arrival: newArrival(e.connection)}
 	server := e.connection.server
 	server.addArrival(r.arrival)
 	content, err := r.read(source, length, limit)
 	server.removeArrival(r.arrival)
+	if err = r.result(err); err != nil {
+		server.Bodies.release(r.reserved)
+		return nil, err
+	}
 	e.connection.keepReserved(e, r.reserved)
-	return content, r.result(err)
+	return content, nil
 }
 
 func (r *bodyReader) read(source io.Reader, length int64, limit int) ([]byte, error) {
