A body that stalls while it is streamed gives its memory to others

The buffered part of a body of more than 1 MiB stays charged while the rest is streamed to a server. Such a body is given up as one that is being buffered: only while others need memory, or after the idle timeout, and only for time in which the client sends nothing. Its request may have run, so that it gets no refusal: the server's connection is closed before the end of the body.

TestBodyThatStallsWhileItIsStreamedGivesItsMemoryToOthers (the reviewer's) failed before: 503 instead of 200 for the other body.

--- a/internal/ingress/pipeline/body.go
+++ b/internal/ingress/pipeline/body.go
@@ -123,9 +123,15 @@
 		}
 	}
 	b.expectsContinue = false
+	// Only the time in which the client sends nothing counts, not that in which the server takes nothing.
+	waiting := newArrival(c)
+	c.server.addArrival(waiting)
 	count, err := b.source.Read(buffer)
+	c.server.removeArrival(waiting)
 	if err == io.EOF {
+		_ = waiting.result(nil)
 		c.markBodyRead(b.exchange)
+		return count, err
 	}
-	return count, err
+	return count, waiting.result(err)
 }
--- a/internal/ingress/pipeline/body_held_test.go
+++ b/internal/ingress/pipeline/body_held_test.go
@@ -35,6 +35,18 @@
 	return s
 }
 
+// Guards against a body that stops behind its buffered part and keeps the memory of that part from others.
+func TestBodyThatStallsWhileItIsStreamedGivesItsMemoryToOthers(t *testing.T) {
+	const prefixBytes, length = 1 << 20, 800 << 10
+	s := startStreamingServer(t, prefixBytes, prefixBytes*3/2)
+	stalled := s.dial(t)
+	stalled.post(2*prefixBytes, prefixBytes+1)
+	time.Sleep(longerThanStalled)
+	other := s.dial(t)
+	other.post(length, length)
+	other.expectStatus(http.StatusOK)
+}
+
 // Guards against a body that is given up and keeps its memory until earlier requests of its connection are answered.
 func TestBodyGivenUpBehindASlowRequestGivesItsMemoryToOthers(t *testing.T) {
 	const length = 800 << 10
