Copies without a confirmation are not transferred

TestCopyIsSentOnceItIsConfirmed failed now and then: "a copy that was confirmed 1h0m0s ago was sent".

Cause: the mirror showed a loaded copy before it passed the confirmation to the feed. A request that arrived while a copy was applied was answered with the new revision and the feed's state of before, because the feed was read before the mirror, whose lock was held. And requestCopy took each answer without a confirmation for one of a node from before, also of a node that adopted its copy while the store was unreachable.

A loaded copy and its confirmation now become visible together, answers read revision and age while the copy does not change, and an age without a confirmation, which nodes send since, means that there is none. Answers without an age lead to a transfer as before. Fields and constants are unchanged, so versions understand each other in a rolling update; they were not run together.

--- a/internal/mirror/list.go
+++ b/internal/mirror/list.go
@@ -42,7 +42,9 @@
 	}
 	m.logger.Info("copy loaded from another node", zap.Int64("revision", copied.Revision), zap.Int("items", len(copied.Items)),
 		zap.Duration("confirmed_ago", time.Since(copied.ConfirmedAt)))
-	m.Adopt(copied)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.adopt(copied)
 	m.observer.ConfirmedByPeer(copied.ConfirmedAt, copied.Revision)
 	return nil
 }
@@ -54,10 +56,10 @@
 	if err != nil {
 		return err
 	}
-	m.ReplaceCopy(items, at)
 	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.adopt(listed(items, at))
 	m.relistRevision = 0
-	m.mutex.Unlock()
 	m.observer.Confirmed(sentAt, at)
 	return nil
 }
@@ -79,13 +81,23 @@
 
 // ReplaceCopy replaces the copy with a list of the store, unless the present one is newer.
 func (m *Mirror) ReplaceCopy(items []topo.Item, revision int64) {
-	m.Adopt(Copy{Items: items, Revision: revision, Deletions: unknownBefore(revision)})
+	m.Adopt(listed(items, revision))
+}
+
+// listed returns the copy that consists of a list of the store.
+func listed(items []topo.Item, revision int64) Copy {
+	return Copy{Items: items, Revision: revision, Deletions: unknownBefore(revision)}
 }
 
 // Adopt replaces the copy with that of another node, unless the present one is newer.
 func (m *Mirror) Adopt(copied Copy) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.adopt(copied)
+}
+
+// adopt is Adopt for callers that hold the mutex.
+func (m *Mirror) adopt(copied Copy) {
 	items, revision := copied.Items, copied.Revision
 	if revision < m.revision {
 		m.logger.Warn("older copy discarded", zap.Int64("revision", m.revision), zap.Int64("copy", revision),
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -54,7 +54,8 @@
 	// copy, so keys may be missing for a short time.
 	Restored()
 	// Confirmed is called when the store reported to this node that it had a revision at the given
-	// time, ConfirmedByPeer when another node reported it.
+	// time, ConfirmedByPeer when another node reported it. The mirror's lock is held for the
+	// confirmation of a copy that has just been loaded: no reader sees that copy before.
 	Confirmed(at time.Time, revision int64)
 	ConfirmedByPeer(at time.Time, revision int64)
 	// Watching reports whether the mirror has to watch the store. Otherwise changes arrive through
@@ -226,6 +227,14 @@
 	return m.revision
 }
 
+// Inspect calls inspect with the revision of the copy. The copy does not change during the call, and
+// the observer has been notified of that revision.
+func (m *Mirror) Inspect(inspect func(revision int64)) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	inspect(m.revision)
+}
+
 // Size returns the number of keys in the copy.
 func (m *Mirror) Size() int {
 	m.mutex.Lock()
--- a/internal/router/copywait.go
+++ b/internal/router/copywait.go
@@ -120,16 +120,23 @@
 	return time.Duration(answer.GetConfirmedAgeMillis()) * time.Millisecond
 }
 
+// offersCopy reports whether a node that answered with this state may send a usable copy at the given
+// or a later revision. Nodes of older versions report no age, and others one without a confirmation if
+// there was none.
+func offersCopy(state *wire.StateReply, atLeast int64) bool {
+	revision, age := state.GetRevision(), confirmedAge(state)
+	reportsAge := state.GetConfirmed() || age > 0
+	return revision > 0 && revision >= atLeast && (!reportsAge || isUsable(state.GetConfirmed(), age))
+}
+
 // requestCopy asks another node for its copy, if that has reached a revision and was confirmed
-// recently. Nodes of older versions do not report when. The transfer has its own timeout, because it
-// may take longer than a node that is gone should be waited for. It returns when the copy was
-// requested, and a nil answer if the node does not answer. If the transfer fails, the answer has no
-// copy.
+// recently. The transfer has its own timeout, because it may take longer than a node that is gone
+// should be waited for. It returns when the copy was requested, and a nil answer if the node does not
+// answer. If the transfer fails, the answer has no copy.
 func (p *peers) requestCopy(ctx context.Context, address string, atLeast int64) (answer *wire.StateReply, askedAt time.Time) {
 	state := p.requestState(ctx, address)
 	askedAt = time.Now()
-	outdated := state.GetConfirmed() && !isUsable(true, confirmedAge(state))
-	if revision := state.GetRevision(); revision == 0 || revision < atLeast || outdated {
+	if !offersCopy(state, atLeast) {
 		return state, askedAt
 	}
 	if copied := p.callState(ctx, address, true, copyTimeout); copied != nil {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -292,9 +292,17 @@
 		go p.sendCopy(from, reply)
 		return
 	}
-	age, confirmed := p.feed.confirmedAge()
-	answer := &wire.StateReply{Revision: p.mirror.Revision(), Confirmed: confirmed, ConfirmedAgeMillis: uint32(age.Milliseconds())}
-	reply(&wire.Envelope{Body: &wire.Envelope_StateReply{StateReply: answer}})
+	reply(&wire.Envelope{Body: &wire.Envelope_StateReply{StateReply: p.state()}})
+}
+
+// state returns the revision of this node's copy and when that copy was confirmed.
+func (p *peers) state() *wire.StateReply {
+	state := &wire.StateReply{}
+	p.mirror.Inspect(func(revision int64) {
+		age, confirmed := p.feed.confirmedAge()
+		state.Revision, state.Confirmed, state.ConfirmedAgeMillis = revision, confirmed, uint32(age.Milliseconds())
+	})
+	return state
 }
 
 func (p *peers) sendCopy(from *wire.Hello, reply func(*wire.Envelope)) {
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -10,9 +11,11 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/micahaven/micahaven/internal/mirror"
 	"github.com/micahaven/micahaven/internal/periodic"
 	"github.com/micahaven/micahaven/internal/topo"
 	"github.com/micahaven/micahaven/internal/topo/memory"
+	"github.com/micahaven/micahaven/internal/transport"
 	"github.com/micahaven/micahaven/internal/view"
 	"github.com/micahaven/micahaven/internal/wire"
 )
@@ -114,3 +117,83 @@
 		t.Errorf("complete: %v, confirmed %v ago, want a copy that was confirmed %v ago at most", answer.GetComplete(), confirmedAge(answer), maxCopyAge)
 	}
 }
+
+// stateHandler answers requests for the state of a node and for its copy.
+type stateHandler struct{ state *wire.StateReply }
+
+func (stateHandler) HandleMessage(*wire.Hello, *wire.Envelope) {}
+
+func (h stateHandler) HandleCall(_ *wire.Hello, envelope *wire.Envelope, reply func(*wire.Envelope)) {
+	answer := h.state
+	if envelope.GetStateRequest().GetItems() {
+		answer = &wire.StateReply{Revision: answer.GetRevision(), Complete: true}
+	}
+	reply(&wire.Envelope{Body: &wire.Envelope_StateReply{StateReply: answer}})
+}
+
+// A copy is transferred if it can be usable, also from nodes that do not report when it was confirmed.
+func TestOnlyCopiesThatMayBeUsableAreTransferred(t *testing.T) {
+	const usable, tooOld, never = 500, 1500, 3_600_000
+	cases := map[string]struct {
+		state *wire.StateReply
+		want  bool
+	}{
+		"confirmed recently":               {&wire.StateReply{Revision: 5, Confirmed: true, ConfirmedAgeMillis: usable}, true},
+		"confirmed just now":               {&wire.StateReply{Revision: 5, Confirmed: true}, true},
+		"confirmed too long ago":           {&wire.StateReply{Revision: 5, Confirmed: true, ConfirmedAgeMillis: tooOld}, false},
+		"never confirmed":                  {&wire.StateReply{Revision: 5, ConfirmedAgeMillis: never}, false},
+		"older version, reports no age":    {&wire.StateReply{Revision: 5}, true},
+		"older version, older than needed": {&wire.StateReply{Revision: 4}, false},
+		"no copy yet":                      {&wire.StateReply{ConfirmedAgeMillis: never}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			hello := &wire.Hello{Node: "head", Address: listener.Addr().String(), ProtocolVersion: wire.ProtocolVersion}
+			server := transport.NewServer(hello, listener, nil, stateHandler{state: c.state}, zap.NewNop())
+			go func() { _ = server.Serve() }()
+			t.Cleanup(server.Close)
+			started := newCopyNode(t, storeWith(1), "started")
+			answer, _ := started.requestCopy(t.Context(), hello.GetAddress(), 5)
+			if answer == nil || answer.GetComplete() != c.want {
+				t.Errorf("answer %v, want a copy: %v", answer, c.want)
+			}
+		})
+	}
+}
+
+// A node that took its copy while the store was unreachable has no confirmation of it.
+func TestCopyThatWasNeverConfirmedIsNotTransferred(t *testing.T) {
+	head, started := newCopyNode(t, storeWith(1), "head"), newCopyNode(t, storeWith(1), "started")
+	head.mirror.Adopt(mirror.Copy{Items: []topo.Item{{Key: "other/0", Value: []byte("value"), Revision: 1}}, Revision: 1})
+	answer, _ := started.requestCopy(t.Context(), head.self.Address, 0)
+	if answer.GetRevision() != 1 || answer.GetComplete() {
+		t.Errorf("answer at revision %d, complete: %v, want revision 1 without the copy", answer.GetRevision(), answer.GetComplete())
+	}
+}
+
+// Otherwise nodes that ask while a large copy is being decoded go on to another node, and wait.
+func TestStateOfACopyThatIsBeingAppliedIsConfirmed(t *testing.T) {
+	const decoding = 200 * time.Millisecond
+	head, started := newCopyNode(t, storeWith(1), "head"), newCopyNode(t, storeWith(1), "started")
+	begun := make(chan struct{})
+	var once sync.Once
+	head.views.Subscribe(func(*view.View) {
+		once.Do(func() {
+			close(begun)
+			time.Sleep(decoding)
+		})
+	})
+	answered := make(chan *wire.StateReply)
+	go func() {
+		<-begun
+		answered <- started.requestState(context.Background(), head.self.Address)
+	}()
+	head.run(t)
+	if state := <-answered; state.GetRevision() == 0 || !isUsable(state.GetConfirmed(), confirmedAge(state)) {
+		t.Errorf("revision %d, confirmed: %v, %v ago, want a confirmed copy", state.GetRevision(), state.GetConfirmed(), confirmedAge(state))
+	}
+}
