Responses of HTTP/1.0 with a transfer coding are rejected; HEAD has no body

Such a response is rejected; one without a transfer coding that ends with its connection is accepted as before.

A response that has no body is not delimited by its connection.

TestChunkedResponseOfHTTP10IsRejected and TestResponseToAHeadRequestWithABodyIsComplete (the reviewer's) failed before.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -337,6 +337,9 @@
 func (c *connection) readHead(method string) (*http.Response, error) {
 	c.input.Limit(maxHead)
 	defer c.input.Unlimit()
+	if c.hidesCoding() {
+		return nil, errors.Wrap(ErrBadResponse, "HTTP/1.0 response with a transfer coding")
+	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	switch {
 	case err != nil && c.input.Exhausted():
--- a/internal/upstream/delimited.go
+++ b/internal/upstream/delimited.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 
@@ -37,8 +38,29 @@
 // responseBody returns the body of a response to a request whose body is sent until bodyDone, which is nil
 // if it has been sent.
 func (c *connection) responseBody(response *http.Response, bodyDone <-chan error) io.Reader {
-	if bodyDone == nil || response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
+	isDelimited := response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if bodyDone == nil || !isDelimited {
 		return response.Body
 	}
 	return &delimitedBody{Reader: response.Body, connection: c, bodyDone: bodyDone}
 }
+
+// hidesCoding reports whether the next response is one of HTTP/1.0 with a transfer coding, which that
+// version does not have: the end of its body is not known, and http.ReadResponse hides the field.
+func (c *connection) hidesCoding() bool {
+	const version = "HTTP/1.0"
+	for size := len(version); ; size = c.reader.Buffered() + 1 {
+		head, err := c.reader.Peek(min(size, readBufferBytes))
+		if !bytes.HasPrefix(head, []byte(version)) {
+			return false
+		}
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		fields, _, whole := bytes.Cut(bytes.ReplaceAll(buffered, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
+		if bytes.Contains(bytes.ToLower(fields), []byte("\ntransfer-encoding")) {
+			return true
+		}
+		if whole || err != nil || len(buffered) >= readBufferBytes {
+			return false
+		}
+	}
+}
