Stalled bodies give their memory to several others at once

Arrivals that were given up and have not ended count as well. A failed reservation no longer makes a fitting one fail, and the time since the last data is taken from the monotonic clock.

--- a/internal/ingress/pipeline/arrival.go
+++ b/internal/ingress/pipeline/arrival.go
@@ -21,23 +21,21 @@
 	connection *connection
 	startedAt  time.Time
 	received   atomic.Int64
-	// lastAt is the Unix time, in nanoseconds, at which data was received last.
-	lastAt atomic.Int64
+	// lastAfter is the time between startedAt and the last data.
+	lastAfter atomic.Int64
 	// interruption is why the server gave up the arrival; nil if it did not.
 	interruption atomic.Pointer[error]
 }
 
 func newArrival(c *connection) *arrival {
-	a := &arrival{connection: c, startedAt: time.Now()}
-	a.lastAt.Store(a.startedAt.UnixNano())
-	return a
+	return &arrival{connection: c, startedAt: time.Now()}
 }
 
 // record records that bytes have been received.
 func (a *arrival) record(count int) {
 	if count > 0 {
 		a.received.Add(int64(count))
-		a.lastAt.Store(time.Now().UnixNano())
+		a.lastAfter.Store(int64(time.Since(a.startedAt)))
 	}
 }
 
@@ -68,7 +66,7 @@
 
 // silentFor returns the time since data was received last.
 func (a *arrival) silentFor(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, a.lastAt.Load()))
+	return now.Sub(a.startedAt) - time.Duration(a.lastAfter.Load())
 }
 
 // reserveArrival charges bytes to the budget for requests that arrive. If it is used up, stalled arrivals
@@ -96,16 +94,19 @@
 	s.interruptArrivals(ErrBodyTimeout, func(a *arrival) bool { return a.silentFor(now) > idle })
 }
 
-// interruptArrivals gives up the arrivals that match, and returns how many.
+// interruptArrivals gives up the arrivals that match, and returns how many have not ended yet.
 func (s *Server) interruptArrivals(cause error, matches func(*arrival) bool) int {
 	s.arrivalsMutex.Lock()
 	defer s.arrivalsMutex.Unlock()
 	count := 0
 	for a := range s.arrivals {
-		if !matches(a) || !a.interruption.CompareAndSwap(nil, &cause) {
+		if !matches(a) {
 			continue
 		}
 		count++
+		if !a.interruption.CompareAndSwap(nil, &cause) {
+			continue
+		}
 		// The reader fails. This fails only if the socket is closed, in which case it does as well.
 		_ = a.connection.socket.SetReadDeadline(time.Unix(1, 0))
 	}
--- a/internal/ingress/pipeline/body_budget.go
+++ b/internal/ingress/pipeline/body_budget.go
@@ -24,12 +24,16 @@
 	if b == nil {
 		return true
 	}
-	if used := b.used.Add(int64(count)); used > b.limit {
-		b.used.Add(-int64(count))
-		return false
+	for {
+		used := b.used.Load()
+		if used+int64(count) > b.limit {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+int64(count)) {
+			b.reserve(0)
+			return true
+		}
 	}
-	b.reserve(0)
-	return true
 }
 
 func (b *BodyBudget) release(count int) { b.reserve(-count) }
--- a/internal/ingress/pipeline/body_held_test.go
+++ b/internal/ingress/pipeline/body_held_test.go
@@ -59,3 +59,35 @@
 	other.post(length, length)
 	other.expectStatus(http.StatusOK)
 }
+
+// Guards against uploads that are refused although the memory of stalled bodies is just being returned for another one.
+func TestStalledBodiesGiveTheirMemoryToSeveralOthers(t *testing.T) {
+	const length, crowd, others = 800 << 10, 20, 10
+	s := startBodyServer(t, crowd*length+length/2)
+	for range crowd {
+		s.dial(t).post(length, length-1)
+	}
+	time.Sleep(longerThanStalled)
+	statuses := make(chan int, others)
+	for range others {
+		c := s.dial(t)
+		go func() {
+			c.post(length, length)
+			response, err := http.ReadResponse(c.reader, nil)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- response.StatusCode
+		}()
+	}
+	refused := 0
+	for range others {
+		if <-statuses != http.StatusOK {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d uploads are refused while %d stalled bodies are given up", refused, others, crowd)
+	}
+}
