Unread input is bounded before a connection is opened

The bound on what the kernel keeps unread was set when a connection was accepted, and reduced as more came. The listener has the bound now, from before the first connection, the same for each: a sixteenth of the memory divided by 1,024 connections, 8 to 64 KB.

--- a/internal/ingress/pipeline/connection.go
+++ b/internal/ingress/pipeline/connection.go
@@ -30,10 +30,8 @@
 	disconnectPollInterval = 100 * time.Millisecond
 	// maxUnsent bounds the response data that the kernel buffers but can't send yet. Without a
 	// bound it buffers megabytes for each client that doesn't read.
-	maxUnsent = 64 << 10
-	// minUnread and maxUnread bound what the kernel keeps of a connection's input that is not read.
-	minUnread, maxUnread = 2 << 10, 64 << 10
-	readBufferSize       = 4 << 10
+	maxUnsent      = 64 << 10
+	readBufferSize = 4 << 10
 )
 
 // connection is a client connection. One goroutine reads its requests for as long as the
--- a/internal/ingress/pipeline/server.go
+++ b/internal/ingress/pipeline/server.go
@@ -7,10 +7,8 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -58,15 +56,12 @@
 	MemoryBudget *MemoryBudget
 	// Bodies bounds the memory of request bodies, and of long headers, from when they begin to arrive.
 	Bodies *BodyBudget
-	// UnreadBytes is the memory for what has arrived from clients and is not read. It is divided among the
-	// open connections; 0 leaves it to the kernel.
-	UnreadBytes int
-	Logger      *zap.Logger
+	Logger *zap.Logger
 
-	// warnUnboundedOnce limits the warning that data in the kernel could not be bounded to once per
+	// warnUnsentOnce limits the warning that unsent data could not be bounded to once per
 	// server.
-	warnUnboundedOnce sync.Once
-	workerPool        workerPool
+	warnUnsentOnce sync.Once
+	workerPool     workerPool
 
 	// arrivalsMutex guards arrivals, the bodies and long headers that are being read. No other mutex is
 	// acquired while it is held.
@@ -74,12 +69,10 @@
 	arrivals      map[*arrival]struct{}
 
 	// mutex guards the fields below. A connection's mutex is never acquired while it is held.
-	mutex sync.Mutex
-	open  map[*connection]struct{}
-	// unreadShares is the number of connections among which UnreadBytes is divided, a power of two.
-	unreadShares int
-	listeners    []net.Listener
-	closed       bool
+	mutex     sync.Mutex
+	open      map[*connection]struct{}
+	listeners []net.Listener
+	closed    bool
 }
 
 // Serve accepts connections until the server is shut down or the listener fails.
@@ -128,6 +121,11 @@
 }
 
 func (s *Server) startConnection(socket net.Conn) {
+	if err := sockets.LimitUnsent(socket, maxUnsent); err != nil {
+		// The connection still works, but the kernel may buffer more of its responses than
+		// intended.
+		s.warnUnsentOnce.Do(func() { s.Logger.Warn("unsent data in the kernel is not bounded", zap.Error(err)) })
+	}
 	c := newConnection(s, socket)
 	s.mutex.Lock()
 	if s.closed {
@@ -139,59 +137,18 @@
 	if s.open == nil {
 		s.open = make(map[*connection]struct{})
 	}
-	share, reduced := s.shareUnreadLocked()
 	s.open[c] = struct{}{}
 	s.mutex.Unlock()
-	s.limitKernelBuffers(socket, share)
-	for _, other := range reduced {
-		// It may have been closed since.
-		_ = sockets.LimitUnread(other.socket, share)
-	}
 	s.Connections.Track(socket, http.StateNew)
 	go c.serve()
 }
 
-// limitKernelBuffers bounds what the kernel buffers for a connection. If that fails, the connection still
-// works, but it may take more memory than intended.
-func (s *Server) limitKernelBuffers(socket net.Conn, unread int) {
-	err := sockets.LimitUnsent(socket, maxUnsent)
-	if err == nil && unread > 0 {
-		err = sockets.LimitUnread(socket, unread)
-	}
-	if err != nil {
-		s.warnUnboundedOnce.Do(func() { s.Logger.Warn("data in the kernel is not bounded", zap.Error(err)) })
-	}
-}
-
-// shareUnreadLocked returns the bytes that a new connection may leave unread, or 0 for no limit, and the
-// connections whose own share has become smaller. Shares are halved each time the number of connections
-// has doubled.
-func (s *Server) shareUnreadLocked() (share int, reduced []*connection) {
-	if s.UnreadBytes == 0 {
-		return 0, nil
-	}
-	before := s.unreadShares
-	for s.unreadShares = max(1, before); s.unreadShares < len(s.open)+1; {
-		s.unreadShares *= 2
-	}
-	share = min(maxUnread, max(minUnread, s.UnreadBytes/s.unreadShares))
-	if s.unreadShares == before || share == maxUnread {
-		return share, nil
-	}
-	return share, slices.Collect(maps.Keys(s.open))
-}
-
 // remove records that a connection has been closed.
 func (s *Server) remove(c *connection) {
 	s.Connections.Track(c.socket, http.StateClosed)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.open, c)
-	// Shares grow again, for new connections, once there are much fewer.
-	const fewer = 4
-	if len(s.open) < s.unreadShares/fewer {
-		s.unreadShares /= 2
-	}
 }
 
 // CloseIdle closes the connections that are idle, reads no further request on the others, and
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -56,10 +56,11 @@
 	memoryBudgetFraction = 0.125
 	// bodyBudgetFraction is the fraction of the memory for request bodies.
 	bodyBudgetFraction = 0.25
-	// unreadFraction is the fraction of the memory for input of clients that is not read.
-	unreadFraction = 1.0 / 16
-	// unacceptedBytes bounds the input of a connection that has not been accepted yet.
-	unacceptedBytes = 8 << 10
+	// unreadFraction is the fraction of the memory for input of unreadConnections clients that is not read.
+	// minUnreadBytes and maxUnreadBytes bound the part of each.
+	unreadFraction                 = 1.0 / 16
+	unreadConnections              = 1024
+	minUnreadBytes, maxUnreadBytes = 8 << 10, 64 << 10
 	// bodyTimeoutGrace is added to the idle timeout before a body that does not arrive is given up.
 	bodyTimeoutGrace  = time.Second
 	memoryLogInterval = 10 * time.Second
@@ -199,6 +200,12 @@
 	return 0, 0
 }
 
+// unreadBytes returns the bytes that each client's connection may leave unread.
+func (n *Node) unreadBytes() int {
+	share := int(unreadFraction * float64(n.settings.MemoryMegabytes) * (1 << 20) / unreadConnections)
+	return min(maxUnreadBytes, max(minUnreadBytes, share))
+}
+
 // pruneClients ends the connections, and gives up the request bodies, whose timeouts have expired.
 func (n *Node) pruneClients(now time.Time) {
 	n.connections.Prune(now)
@@ -234,11 +241,10 @@
 		return errors.Wrap(err, "listen for nodes")
 	}
 	n.internal = transport.NewServer(hello, internal, nil, n.peers, n.logger)
-	memoryBytes := float64(n.settings.MemoryMegabytes) * (1 << 20)
 	n.clients = &pipeline.Server{
 		Handler: n.handler, MayRunConcurrently: n.handler.MayRunConcurrently,
 		Connections: n.connections, HeaderBytes: headerBytes, MemoryBudget: n.memoryBudget, Logger: n.logger,
-		Bodies: pipeline.NewBodyBudget(int64(bodyBudgetFraction * memoryBytes)), UnreadBytes: int(unreadFraction * memoryBytes),
+		Bodies: pipeline.NewBodyBudget(int64(bodyBudgetFraction * float64(n.settings.MemoryMegabytes) * (1 << 20))),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, n.handleReadiness)
@@ -329,13 +335,10 @@
 
 // serveClients serves clients until the node stops, and returns when it has drained.
 func (n *Node) serveClients() error {
-	listener, err := net.Listen("tcp", n.settings.Listen.Clients)
+	listener, err := sockets.Listen(n.settings.Listen.Clients, n.unreadBytes())
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
-	if err := sockets.LimitUnread(listener, unacceptedBytes); err != nil {
-		n.logger.Warn("data in the kernel is not bounded", zap.Error(err))
-	}
 	n.listener.Store(&listener)
 	err = n.clients.Serve(n.connections.Listener(listener))
 	if n.stopping.Load() {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -4,6 +4,7 @@
 package sockets
 
 import (
+	"context"
 	"io"
 	"net"
 	"syscall"
@@ -100,14 +101,39 @@
 // yet. Data that a peer does not read then stays with the writer instead of filling kernel
 // buffers.
 func LimitUnsent(socket net.Conn, limit int) error {
-	return errors.Wrap(setOption(socket, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, limit), "limit unsent data")
+	raw, ok := socket.(syscall.Conn)
+	if !ok {
+		return errors.New("connection has no file descriptor")
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "access file descriptor")
+	}
+	var optionErr error
+	err = control.Control(func(descriptor uintptr) {
+		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, limit)
+	})
+	if err != nil {
+		return errors.Wrap(err, "access file descriptor")
+	}
+	return errors.Wrap(optionErr, "limit unsent data")
 }
 
-// LimitUnread sets SO_RCVBUF of a connection, or of the connections that a listener has not accepted yet:
-// the kernel keeps about twice limit bytes that have arrived and are not read. Without it, the buffer of a
-// connection grows to megabytes.
-func LimitUnread(socket any, limit int) error {
-	return errors.Wrap(setOption(socket, unix.SOL_SOCKET, unix.SO_RCVBUF, limit), "limit unread data")
+// Listen listens on a TCP address. The kernel keeps about twice maxUnread bytes of each connection that
+// have arrived and are not read; without a bound its buffer grows to megabytes. The bound is set before a
+// connection is opened, because a window that was offered and is reduced later costs retransmissions.
+func Listen(address string, maxUnread int) (net.Listener, error) {
+	var optionErr error
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			optionErr = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, maxUnread)
+		})
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err == nil && optionErr != nil {
+		return nil, errors.CombineErrors(errors.Wrap(optionErr, "limit unread data"), listener.Close())
+	}
+	return listener, err
 }
 
 // EndedInOrder reports whether the peer has ended its side of a connection that is still open on this side,
@@ -133,25 +159,6 @@
 	return info.State == unix.BPF_TCP_CLOSE_WAIT, true
 }
 
-func setOption(socket any, level, option, value int) error {
-	raw, ok := socket.(syscall.Conn)
-	if !ok {
-		return errors.New("socket has no file descriptor")
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "access file descriptor")
-	}
-	var optionErr error
-	err = control.Control(func(descriptor uintptr) {
-		optionErr = unix.SetsockoptInt(int(descriptor), level, option, value)
-	})
-	if err != nil {
-		return errors.Wrap(err, "access file descriptor")
-	}
-	return optionErr
-}
-
 // Unacknowledged returns the number of bytes written to a connection that its peer has not
 // acknowledged.
 func Unacknowledged(socket net.Conn) (int, error) {
