A frozen map is incomplete if the store was restored again since

The map carries the era in which it was frozen and the time of its last certain lock; a term in a later era continues it as one in doubt.

TestFrozenMapIsIncompleteAfterAFurtherRestore tests the new decision.

--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -91,7 +91,7 @@
 		if written && base.Author.Process != m.config.Self.Process {
 			return nil, errors.Wrapf(errNewerTerm, "era %d", era)
 		}
-		base.Map, base.frozen, base.connectedBy = frozen.Map, true, frozen.connectedBy
+		base = frozen.baseIn(era, base)
 	}
 	staleLock, err := m.readStaleLock(ctx, era)
 	if err != nil {
--- a/internal/shardmanager/frozen_map_test.go
+++ b/internal/shardmanager/frozen_map_test.go
@@ -21,3 +21,15 @@
 		}
 	}
 }
+
+// Guards against a manager that takes its map for complete although another one may have begun and ended since it was frozen.
+func TestFrozenMapIsIncompleteAfterAFurtherRestore(t *testing.T) {
+	const heldUntil = time.Minute
+	frozen := &frozenMap{Map: &shards.Map{Service: "s", Unverified: true, Continued: true}, era: 2, connectedBy: heldUntil}
+	for era, incomplete := range map[int64]bool{2: false, 3: true} {
+		base := frozen.baseIn(era, baseMap{})
+		if base.Incomplete != incomplete || (base.connectedBy == heldUntil) != incomplete {
+			t.Errorf("era %d: incomplete %v, connections until %v, want incomplete %v", era, base.Incomplete, base.connectedBy, incomplete)
+		}
+	}
+}
--- a/internal/shardmanager/restored.go
+++ b/internal/shardmanager/restored.go
@@ -90,6 +90,9 @@
 		}
 	}
 	frozen := t.freeze()
+	if frozen != nil {
+		frozen.era = m.config.Store.Era()
+	}
 	m.logger.Warn("manager lock void, store was restored", zap.Uint64("epoch", t.epoch), zap.Int64("era", m.config.Store.Era()))
 	for pause := eraPollInterval; ctx.Err() == nil; pause = min(2*pause, retryPause) {
 		next, err := m.campaign(ctx, frozen)
@@ -113,7 +116,10 @@
 // frozenMap is the map from which the next term of this process continues.
 type frozenMap struct {
 	*shards.Map
-	// connectedBy is the time by which connections for its grants must have been open; 0 if any will do.
+	// era is the store era in which the map was frozen.
+	era int64
+	// doubtful is true if a successor may have begun in what was lost, but not before connectedBy.
+	doubtful    bool
 	connectedBy time.Duration
 }
 
@@ -128,14 +134,26 @@
 	if !t.core.Started() {
 		return nil
 	}
-	frozen := t.core.Freeze(t.now())
-	if t.sinceRenewal() >= lockTTL {
+	frozen := &frozenMap{Map: t.core.Freeze(t.now()), connectedBy: connectedBy}
+	if t.continuedBy > 0 {
+		frozen.connectedBy = t.continuedBy
+	}
+	if t.continuedBy > 0 || t.sinceRenewal() >= lockTTL {
+		frozen.doubtful, t.continuedBy = true, frozen.connectedBy
 		frozen.Incomplete = true
-		if t.continuedBy == 0 {
-			t.continuedBy = connectedBy
-		}
 	}
-	return &frozenMap{Map: frozen, connectedBy: t.continuedBy}
+	return frozen
+}
+
+// baseIn returns the map from which a term in the given era continues. If the store was restored again
+// since the map was frozen, another manager may have begun in between.
+func (f *frozenMap) baseIn(era int64, base baseMap) baseMap {
+	continued := *f.Map
+	base.Map, base.frozen = &continued, true
+	if f.doubtful || era > f.era {
+		continued.Incomplete, base.connectedBy = true, f.connectedBy
+	}
+	return base
 }
 
 // readStaleLock returns the revision of a lock that was acquired before the given era; 0 if there
