A stopping node begins no request whose end is sent late

Cause: a request of which part has been read is still read when the node takes no others, and from then on only the expected work of the servers decided whether it was begun. A server may take longer than expected and need not keep the deadline that it is handed.

From 2.9 s after the signal on, requests are refused instead of begun.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -54,8 +54,11 @@
 	return answer, trace, err
 }
 
-// sendUnlessPoisoned sends a request unless it is known to crash servers.
+// sendUnlessPoisoned sends a request unless it comes too late in the shutdown or is known to crash servers.
 func (d *Dispatcher) sendUnlessPoisoned(ctx context.Context, request *Request) (*upstream.Response, Trace, error) {
+	if refusal := d.refuseLate(request); refusal != nil {
+		return nil, Trace{}, refusal
+	}
 	if refusal := d.refusePoisoned(request); refusal != nil {
 		return nil, Trace{}, refusal
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -117,6 +118,8 @@
 	// handover.
 	cold   map[string]*coldRanges
 	ending *ending.Ending
+	// refuseFrom is when requests are no longer begun; nil if they are. It needs no mutex.
+	refuseFrom atomic.Pointer[time.Time]
 	// finalStates holds, by service, the state that refusals are based on once this node sends
 	// nothing more.
 	finalStates map[string]*finalState
--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -26,6 +26,20 @@
 	d.logger.Info("shutdown deadline set for requests", zap.Duration("within", time.Until(at)), zap.Int("waiting", d.countWaiting()))
 }
 
+// RefuseFrom makes Do refuse, from the given time on, every request that it is given, because the node
+// shuts down. Requests that wait or are at servers go on.
+func (d *Dispatcher) RefuseFrom(at time.Time) { d.refuseFrom.Store(&at) }
+
+// refuseLate returns the refusal of a request that comes too late in the shutdown to be begun; nil if it
+// does not.
+func (d *Dispatcher) refuseLate(request *Request) *Refusal {
+	from := d.refuseFrom.Load()
+	if from == nil || time.Now().Before(*from) {
+		return nil
+	}
+	return d.refuse(request)
+}
+
 // countWaiting returns the number of requests that wait for a server. The caller holds the
 // mutex.
 func (d *Dispatcher) countWaiting() int {
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -24,6 +24,10 @@
 	// request sent later than 3 s after the signal has to be answered however long a server
 	// takes.
 	maxNotReady = 2700 * time.Millisecond
+	// lateAfter is the time after the signal from which requests are refused instead of begun. A request
+	// whose end is sent later than 3 s after the signal must not be abandoned at a server, and how long the
+	// server takes is not known.
+	lateAfter = 2900 * time.Millisecond
 	// responseFraction is the fraction of the grace period after which every request that was
 	// read has its final response. The platform accepts as planned that a request which a
 	// server still processes in the last sixth of the grace period is abandoned; see
@@ -97,6 +101,7 @@
 	acceptUntil := startedAt.Add(min(maxNotReady, time.Duration(notReadyFraction*float64(grace))))
 	closeAt := startedAt.Add(time.Duration(closeFraction * float64(grace)))
 	n.dispatcher.ShutDownBy(startedAt.Add(time.Duration(responseFraction * float64(grace))))
+	n.dispatcher.RefuseFrom(startedAt.Add(lateAfter))
 	periodic.Pause(ctx, time.Until(acceptUntil))
 	bounded, cancel := context.WithDeadline(ctx, closeAt)
 	defer cancel()
