--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -35,6 +35,7 @@
 type crowdNode struct {
 	*testing.T
 	*Node
+	store       *standin.Store
 	connections sync.Map
 }
 
@@ -67,7 +68,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(node.Stop)
-	n := &crowdNode{T: t, Node: node}
+	n := &crowdNode{T: t, Node: node, store: store}
 	t.Cleanup(func() {
 		n.connections.Range(func(connection, _ any) bool { return connection.(net.Conn).Close() == nil })
 	})
