The soak restores the store while nodes are killed beside a server that nobody knows

--drills plays a series beside the random faults, late grants left out: a server is added, given keys and cut off from the store; the store goes away and is restored from before that, while all nodes, several or the manager's are killed, once or twice; a second restore may follow. No random fault begins beside every other drill: a server that crashes makes the manager wait for longer than the added server's lease, which hid the fault.

Two holders are looked for at the bounds of all ranges in these rounds, as an added server may hold ranges between the keys that clients request.

--- a/cmd/micahaven-soak/main.go
+++ b/cmd/micahaven-soak/main.go
@@ -28,17 +28,22 @@
 	restores := flag.Bool("restores", false, "in addition to the random faults, restore the store from older copies of itself")
 	restarts := flag.Bool("restarts", false, "in addition to the random faults, restart servers under their ids, remove entries of running servers, and apply grants of leaving servers late")
 	managers := flag.Bool("managers", false, "in addition to the faults of --restarts, kill, stop, suspend and isolate managers while servers leave; --restores may be added")
+	drills := flag.Bool("drills", false, "in addition to the random faults, add servers that lose their path to the store, restore the store from before that, and kill nodes meanwhile; not with other options")
 	logs := flag.String("logs", "", "directory in which the logs are kept; the system's temporary directory if left out")
 	flag.Parse()
 	if *nodes < 1 || *nodes > maxNodes {
 		fmt.Fprintf(os.Stderr, "field nodes: %d, allowed: 1 to %d\n", *nodes, maxNodes)
 		os.Exit(2)
 	}
+	if *drills && (*planned || *needs || *restores || *restarts || *managers) {
+		fmt.Fprintln(os.Stderr, "flag drills: not allowed with planned, needs, restores, restarts or managers")
+		os.Exit(2)
+	}
 	broken := 0
 	for round := range *rounds {
 		broken += runRound(*logs, soak.Options{
 			Router: *router, Seed: *seed + uint64(round), Nodes: *nodes, Length: *length, Planned: *planned, Needs: *needs, Restores: *restores,
-			Restarts: *restarts, Managers: *managers,
+			Restarts: *restarts, Managers: *managers, Drills: *drills,
 		})
 	}
 	if broken > 0 {
@@ -86,6 +91,9 @@
 	for _, crashing := range result.Crashing {
 		fmt.Println("  " + crashing)
 	}
+	if options.Drills {
+		fmt.Printf("  %d drills\n", result.Drills)
+	}
 	if !options.Planned {
 		return
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -19,6 +19,9 @@
 	slowServiceTime = 600 * time.Millisecond
 )
 
+// lateGrantsFault is the name of the fault that delays grants.
+const lateGrantsFault = "grants are applied late"
+
 // fault is a kind of fault. begin injects it and returns the function that clears it, or
 // nil if it was not injected.
 type fault struct {
@@ -156,7 +159,7 @@
 		}
 		return func() {}
 	}},
-	{"grants are applied late", func(s *soak, random *rand.Rand) func() {
+	{lateGrantsFault, func(s *soak, random *rand.Rand) func() {
 		late := s.server(random)
 		if late == nil {
 			return nil
@@ -230,6 +233,7 @@
 		duration := minFault + time.Duration(random.Int64N(int64(maxFault-minFault)))
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		time.Sleep(pause)
+		s.awaitQuiet()
 		mutex.Lock()
 		running := busy[chosen.name]
 		busy[chosen.name] = true
--- a/internal/soak/ownership.go
+++ b/internal/soak/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/micahaven/micahaven/platform/standin"
@@ -61,16 +62,13 @@
 	return shared
 }
 
-// holders returns the servers that hold each key that clients request. Servers that have
-// stopped, earlier incarnations included, hold none.
-func (w *world) holders() map[int][]*standin.Server {
+// holders returns the servers that hold each of the keys. Servers that have stopped, earlier
+// incarnations included, hold none.
+func (w *world) holders(keys []int) map[int][]*standin.Server {
 	held := make(map[int][]*standin.Server)
-	for _, s := range w.ledger.Servers() {
-		if s.Service != standin.DividedService || s.Dead() {
-			continue
-		}
-		for index := range keyCount {
-			if key := index * keySpread; s.Holds(key) {
+	for _, s := range w.keyOwners() {
+		for _, key := range keys {
+			if s.Holds(key) {
 				held[key] = append(held[key], s)
 			}
 		}
@@ -78,12 +76,46 @@
 	return held
 }
 
+// keyOwners returns the servers of the divided service that run.
+func (w *world) keyOwners() []*standin.Server {
+	return slices.DeleteFunc(w.ledger.Servers(), func(s *standin.Server) bool {
+		return s.Service != standin.DividedService || s.Dead()
+	})
+}
+
+// requestedKeys returns the keys that clients request.
+func requestedKeys() []int {
+	keys := make([]int, keyCount)
+	for index := range keys {
+		keys[index] = index * keySpread
+	}
+	return keys
+}
+
+// watchedKeys returns the keys whose holders are sampled: those that clients request and, in runs
+// with drills, the bounds of all ranges, since an added server may hold ranges between those keys,
+// and the keys that are known to be shared.
+func (s *soak) watchedKeys(watch *overlapWatch) []int {
+	keys := requestedKeys()
+	if !s.options.Drills {
+		return keys
+	}
+	for shared := range watch.since {
+		keys = append(keys, shared.key)
+	}
+	for _, owner := range s.world.keyOwners() {
+		keys = append(keys, owner.RangeBounds()...)
+	}
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
+
 // watchOwners checks until the context is done that no two servers hold a key for longer
 // than overlapLimit.
 func (s *soak) watchOwners(ctx context.Context) {
 	var watch overlapWatch
 	for ctx.Err() == nil {
-		s.recordOverlaps(watch.observe(time.Now(), s.world.holders()))
+		s.recordOverlaps(watch.observe(time.Now(), s.world.holders(s.watchedKeys(&watch))))
 		time.Sleep(holdInterval)
 	}
 }
--- a/internal/soak/ownership_test.go
+++ b/internal/soak/ownership_test.go
@@ -1,6 +1,10 @@
 package soak
 
 import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +43,28 @@
 		}
 	}
 }
+
+// Guards against an overlap between two of the keys that clients request.
+func TestDrillsWatchKeysBetweenThoseThatClientsRequest(t *testing.T) {
+	store, ledger := standin.NewStore(), standin.NewLedger()
+	t.Cleanup(store.Close)
+	const first, last, shared = 100, 200, 150
+	for index, from := range []int{first, shared} {
+		server := standin.NewServer(store, ledger, fmt.Sprintf("s%d", index), standin.DividedService, nil)
+		t.Cleanup(server.Stop)
+		grant := fmt.Sprintf(`{"From":%d,"TargetVersion":%d,"fence":%d,"HoldMs":60000}`, from, last, index+1)
+		response, err := http.Post("http://"+server.Address+"/v1/grant", "application/json", strings.NewReader(grant))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+	}
+	s := &soak{world: &world{store: store, ledger: ledger}, options: Options{Drills: true}}
+	if found := sharedKeys(s.world.holders(s.watchedKeys(&overlapWatch{}))); len(found) != 1 || found[0].key != shared {
+		t.Errorf("shared keys %v, want key %d of two servers", found, shared)
+	}
+	s.options.Drills = false
+	if got := s.watchedKeys(&overlapWatch{}); !slices.Equal(got, requestedKeys()) {
+		t.Errorf("%d keys are watched without drills, want those that clients request", len(got))
+	}
+}
--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -51,6 +51,17 @@
 	return taken
 }
 
+// takeIfAny is like take, and returns false if there is no snapshot of this era of the store.
+func (c *storeSnapshots) takeIfAny(random *rand.Rand) (memory.Saved, bool) {
+	c.mutex.Lock()
+	count := len(c.saved)
+	c.mutex.Unlock()
+	if count == 0 {
+		return memory.Saved{}, false
+	}
+	return c.take(random), true
+}
+
 // restoreFaults restore the store from an older snapshot after a short outage.
 var restoreFaults = []fault{
 	{"store is restored from an older snapshot", func(s *soak, random *rand.Rand) func() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,13 +40,19 @@
 	// Managers aims at the managers of the service sharded by key, in addition to the faults of
 	// Restarts and, if that is set too, of Restores.
 	Managers bool
-	Output   io.Writer
+	// Drills restores the store while nodes are killed and a server that was added after the
+	// snapshot is cut off from the store, in addition to the random faults. It excludes the other
+	// options.
+	Drills bool
+	Output io.Writer
 }
 
 // Result is the outcome of a soak run.
 type Result struct {
-	Seed             uint64
-	Faults           int
+	Seed   uint64
+	Faults int
+	// Drills is the number of drills beside the faults.
+	Drills           int
 	Requests, Served int
 	// Processes is the number of router processes that ran concurrently, and Started the
 	// total number of starts.
@@ -105,6 +111,10 @@
 	stalls         stallWatch
 	storeSnapshots storeSnapshots
 	started        time.Time
+	// drills is the number of completed drills, and quiet is held by those beside which no random
+	// fault begins.
+	drills int
+	quiet  sync.Mutex
 	// coldArrivals counts requests at servers that are warming up, and signals those at
 	// servers that signal backpressure. Both are used by watch only, without a lock.
 	coldArrivals arrivalWindow
@@ -162,7 +172,7 @@
 	group.Go(func() { s.watch(ctx) })
 	group.Go(func() { s.watchOwners(ctx) })
 	group.Go(func() { s.stalls.run(ctx.Done()) })
-	if s.options.Restores {
+	if s.options.Restores || s.options.Drills {
 		group.Go(func() { s.storeSnapshots.run(ctx, s.world.store) })
 	}
 	if s.options.Planned {
@@ -173,9 +183,13 @@
 	if s.options.Managers && s.options.Restores {
 		recovery = suspensionRecovery
 	}
-	if s.options.Planned {
+	switch {
+	case s.options.Planned:
 		count, recovery = s.runPlannedWork(random, s.options.Length), plannedRecovery
-	} else {
+	case s.options.Drills:
+		recovery = suspensionRecovery
+		count, s.drills = s.injectWithDrills(random)
+	default:
 		count = s.inject(random, s.kinds(), s.options.Length)
 	}
 	s.world.clearFaults()
@@ -190,7 +204,7 @@
 }
 
 func (s *soak) result(count int, after []outcome) *Result {
-	result := &Result{Seed: s.options.Seed, Faults: count, Processes: len(s.nodes)}
+	result := &Result{Seed: s.options.Seed, Faults: count, Drills: s.drills, Processes: len(s.nodes)}
 	for _, n := range s.nodes {
 		result.Started += n.Starts()
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,6 +62,15 @@
 	runSoak(t, soak.Options{Seed: 1, Nodes: 4, Length: 20 * time.Second, Restores: true})
 }
 
+// Guards against keys that are granted to others while a server that nobody knows since a restore
+// of the store may hold them.
+func TestNoKeyHasTwoHoldersWhenAnAddedServerIsLostInARestore(t *testing.T) {
+	result := runSoak(t, soak.Options{Seed: 1010, Nodes: 5, Length: 10 * time.Second, Drills: true})
+	if result.Drills == 0 {
+		t.Error("no drill was played")
+	}
+}
+
 // Guards against owners that change without a release because a server has restarted.
 func TestNoKeyHasTwoHoldersWhenServersRestart(t *testing.T) {
 	runSoak(t, soak.Options{Seed: 102, Nodes: 4, Length: 3500 * time.Millisecond, Restarts: true})
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -34,6 +34,8 @@
 	backpressure *backpressure
 	// claimed is set while a fault ends or restarts the server or withholds its entry.
 	claimed bool
+	// reserved is set while a drill uses the server, so that no other fault picks it.
+	reserved bool
 	// crashed is set once a request has crashed the server.
 	crashed bool
 }
@@ -86,6 +88,12 @@
 
 // startServer starts one more server behind its own link.
 func (w *world) startServer(service string) error {
+	_, err := w.addServer(service, false)
+	return err
+}
+
+// addServer is like startServer and returns the server, which may be reserved.
+func (w *world) addServer(service string, reserved bool) (*server, error) {
 	w.mutex.Lock()
 	w.started++
 	id := fmt.Sprintf("s%d", w.started)
@@ -93,12 +101,13 @@
 	w.mutex.Unlock()
 	started, err := w.newServer(zone, id, service)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	started.reserved = reserved
 	w.servers = append(w.servers, started)
-	return nil
+	return started, nil
 }
 
 // restartServer starts a new incarnation of a server that has crashed, in place of that one.
@@ -229,13 +238,13 @@
 	return slices.ContainsFunc(s.coldSpans, func(times span) bool { return times.contains(at) })
 }
 
-// live returns the servers of a service that are neither stopped nor draining.
+// live returns the servers of a service that are neither stopped, draining nor reserved.
 func (w *world) live(service string) []*server {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	var live []*server
 	for _, s := range w.servers {
-		if !s.Dead() && s.drainingSince.IsZero() && s.Service == service {
+		if !s.Dead() && s.drainingSince.IsZero() && !s.reserved && s.Service == service {
 			live = append(live, s)
 		}
 	}
