--- a/internal/shardmanager/restored.go
+++ b/internal/shardmanager/restored.go
@@ -61,6 +61,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// The store has lost no registrations, so all live servers are known.
+	known.Incomplete = false
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.lastEpoch = max(m.lastEpoch, known.Epoch+lostEpochs)
