Only the map of a restored store is marked as incomplete

newestKnownMap marked each map as incomplete, and the one caller whose store was not restored took the mark back. The caller that finds a restored store sets it now; behaviour is as it was.

--- a/internal/shardmanager/campaign.go
+++ b/internal/shardmanager/campaign.go
@@ -217,6 +217,9 @@
 		}
 		return found, era, nil
 	}
-	found.Map, err = m.newestKnownMap(found.Map)
+	if found.Map, err = m.newestKnownMap(found.Map); err == nil {
+		// The store may have lost changes of owners and registrations that no running node knows.
+		found.Incomplete = true
+	}
 	return found, era, err
 }
--- a/internal/shardmanager/restored.go
+++ b/internal/shardmanager/restored.go
@@ -61,8 +61,6 @@
 	if err != nil {
 		return nil, err
 	}
-	// The store has lost no registrations, so all live servers are known.
-	known.Incomplete = false
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.lastEpoch = max(m.lastEpoch, known.Epoch+lostEpochs)
@@ -185,8 +183,7 @@
 }
 
 // newestKnownMap returns the newer of the owner map of a restored store, which may be nil, and the
-// one known to this node. The result is marked unverified and incomplete: it may lack changes of
-// owners that no running node knows.
+// one known to this node. The result is marked unverified.
 func (m *Manager) newestKnownMap(restored *shards.Map) (*shards.Map, error) {
 	newest := &shards.Map{Service: m.service}
 	if restored != nil {
@@ -200,6 +197,6 @@
 		}
 		newest = decoded
 	}
-	newest.Unverified, newest.Continued, newest.Incomplete = true, false, true
+	newest.Unverified, newest.Continued = true, false
 	return newest, nil
 }
